--- /dev/null
+++ b/src/control/control_service_base.cpp
@@ -0,0 +1,237 @@
+/** @file control_service_base.cpp  The Control interface over the replicated groups. */
+#include "control/control_service_base.h"
+
+#include <utility>
+
+#include <capnp/message.h>
+
+#include "observe/log_func.h"
+#include "rpc/message_func.h"
+
+namespace Chestnuthook
+{
+
+namespace
+{
+
+constexpr Duration ExpiryPeriod = std::chrono::milliseconds(250);
+
+/** The flat command that grants @p entry a lease. */
+std::string grantCommand(Wire::Entry::Reader entry)
+{
+    capnp::MallocMessageBuilder message;
+    auto command = message.initRoot<Wire::FleetCommand>();
+    command.setNowMs(wallMsNow());
+    command.setGrantLease(entry);
+    return flatBytes(message);
+}
+
+std::string endLeaseCommand(const EntryRecord &entry)
+{
+    capnp::MallocMessageBuilder message;
+    auto command = message.initRoot<Wire::FleetCommand>();
+    command.setNowMs(wallMsNow());
+    auto end = command.initEndLease();
+    end.setEntry(entry.id.text);
+    end.setEpoch(entry.epoch.value);
+    return flatBytes(message);
+}
+
+std::string setStateCommand(Wire::Entry::Reader entry, std::uint64_t epoch)
+{
+    capnp::MallocMessageBuilder message;
+    auto command = message.initRoot<Wire::FleetCommand>();
+    command.setNowMs(wallMsNow());
+    auto change = command.initSetEntryState();
+    change.setEntry(entry.getId());
+    change.setEpoch(epoch);
+    change.setState(entry.getState());
+    return flatBytes(message);
+}
+
+EntryState stateOf(Wire::Entry::Reader entry)
+{
+    return entry.getState() == Wire::EntryState::DRAINING ? EntryState::Draining : EntryState::Live;
+}
+
+class ControlServer final : public Wire::Control::Server
+{
+public:
+    explicit ControlServer(ControlMember &member)
+        : member(member)
+    {
+    }
+
+    kj::Promise<void> submit(SubmitContext context) override
+    {
+        const auto params = context.getParams();
+        std::string command = bytesOf(params.getCommand());
+        auto proposed = params.getGroup() == Wire::Group::FLEET ? this->member.fleet.propose(std::move(command))
+                                                                : this->member.journal.propose(std::move(command));
+        return proposed.then([context](Result<std::string> &&reply) mutable {
+            auto result = context.getResults().initResult();
+            if (reply) {
+                result.setReply(dataOf(*reply));
+            } else {
+                writeFailure(result.initFailure(), reply.error());
+            }
+        });
+    }
+
+    kj::Promise<void> sync(SyncContext context) override
+    {
+        const auto entry = context.getParams().getRequest().getEntry();
+        const EntryRecord *known = this->member.fleet.machine.entries.find(EntryId{textOf(entry.getId())});
+        const bool held = known != nullptr && known->epoch.value == entry.getEpoch();
+        if (held && known->state == stateOf(entry)) {
+            return this->answerSync(context, known->epoch.value);
+        }
+        auto command = held ? setStateCommand(entry, known->epoch.value) : grantCommand(entry);
+        return this->member.fleet.propose(std::move(command)).then([this, context](Result<std::string> &&reply) mutable {
+            if (!reply) {
+                writeFailure(context.getResults().initResult().initFailure(), reply.error());
+                return kj::Promise<void>(kj::READY_NOW);
+            }
+            const EntryId id{textOf(context.getParams().getRequest().getEntry().getId())};
+            const EntryRecord *granted = this->member.fleet.machine.entries.find(id);
+            return this->answerSync(context, granted == nullptr ? 0 : granted->epoch.value);
+        });
+    }
+
+    kj::Promise<void> loadSlots(LoadSlotsContext context) override
+    {
+        return this->member.journal.confirmRead().then([this, context](Result<void> &&confirmed) mutable {
+            auto result = context.getResults().initResult();
+            if (!confirmed) {
+                writeFailure(result.initFailure(), confirmed.error());
+                return;
+            }
+            std::vector<const ProgramRecord *> programs;
+            for (const auto slot : context.getParams().getSlots()) {
+                const auto found = this->member.journal.machine.programsOf(SlotId{slot.getSlot()});
+                programs.insert(programs.end(), found.begin(), found.end());
+            }
+            auto list = result.initPrograms(static_cast<unsigned>(programs.size()));
+            for (unsigned i = 0; i < list.size(); ++i) {
+                writeProgram(list[i], *programs[i]);
+            }
+        });
+    }
+
+    kj::Promise<void> status(StatusContext context) override
+    {
+        auto status = context.getResults().initStatus();
+        const FleetState &fleet = this->member.fleet.machine;
+        status.setMember(this->member.memberId);
+        status.setTerm(this->member.fleet.term());
+        status.setFleetIndex(fleet.index());
+        status.setJournalIndex(this->member.journal.machine.index());
+        status.setRevision(fleet.revision().value);
+        status.setPrograms(this->member.journal.machine.all().size());
+        this->writeEntries(status);
+        return this->member.fleet.confirmRead().then([context](Result<void> &&confirmed) mutable {
+            context.getResults().getStatus().setConfirmed(confirmed.has_value());
+        });
+    }
+
+    kj::Promise<void> readFleet(ReadFleetContext context) override
+    {
+        return this->member.fleet.confirmRead().then([this, context](Result<void> &&confirmed) mutable {
+            auto result = context.getResults().initResult();
+            if (!confirmed) {
+                writeFailure(result.initFailure(), confirmed.error());
+                return;
+            }
+            this->member.fleet.machine.writeDelta(0, result.initDelta().initDelta());
+        });
+    }
+
+private:
+    kj::Promise<void> answerSync(SyncContext context, std::uint64_t epoch)
+    {
+        return this->member.fleet.confirmRead().then([this, context, epoch](Result<void> &&confirmed) mutable {
+            const auto request = context.getParams().getRequest();
+            auto result = context.getResults().initResult();
+            if (!confirmed) {
+                writeFailure(result.initFailure(), confirmed.error());
+                return;
+            }
+            const EntryId id{textOf(request.getEntry().getId())};
+            this->member.leases.heard(id, request.getInForceRevision(), this->member.loop.timers().now());
+            auto delta = result.initDelta();
+            this->member.fleet.machine.writeDelta(request.getHaveIndex(), delta.initDelta());
+            delta.setEpoch(epoch);
+            delta.setLeaseMs(
+                static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(LeasePeriod).count()));
+        });
+    }
+
+    void writeEntries(Wire::Status::Builder status)
+    {
+        const FleetState &fleet = this->member.fleet.machine;
+        auto entries = status.initEntries(static_cast<unsigned>(fleet.entries.liveCount()));
+        unsigned next = 0;
+        for (const auto &[id, row] : fleet.entries.all()) {
+            if (row.removed) {
+                continue;
+            }
+            auto entry = entries[next++];
+            entry.getEntry().setId(id.text);
+            entry.getEntry().setEpoch(row.record.epoch.value);
+            entry.getEntry().setAddress(row.record.address);
+            entry.getEntry().setRpcAddress(row.record.rpcAddress);
+            entry.getEntry().setDataCentre(row.record.dataCentre.text);
+            const bool draining = row.record.state == EntryState::Draining;
+            entry.getEntry().setState(draining ? Wire::EntryState::DRAINING : Wire::EntryState::LIVE);
+            if (const HeardEntry *heard = this->member.leases.find(id)) {
+                entry.setInForceRevision(heard->inForceRevision);
+                entry.setHeardMsAgo(static_cast<std::uint64_t>((this->member.loop.timers().now() - heard->heard).count() / 1000));
+            }
+        }
+    }
+
+    ControlMember &member; ///< Outlives the service.
+};
+
+} // namespace
+
+ControlMember::ControlMember(ControlLoop &loop, std::string memberId)
+    : memberId(std::move(memberId))
+    , loop(loop)
+{
+}
+
+Result<void> ControlMember::open(const std::string &dataFolder)
+{
+    const Result<void> opened = this->fleet.open(dataFolder + "/fleet");
+    if (!opened) {
+        return opened;
+    }
+    return this->journal.open(dataFolder + "/journal");
+}
+
+void ControlMember::start()
+{
+    this->leases.beginTerm(this->fleet.machine, this->loop.timers().now());
+    this->expiry = this->loop.timers().every(ExpiryPeriod, [this]() {
+        this->expireLeases();
+    });
+}
+
+void ControlMember::expireLeases()
+{
+    if (!this->fleet.isLeader()) {
+        return;
+    }
+    for (const EntryRecord &entry : this->leases.expired(this->fleet.machine, this->loop.timers().now())) {
+        logEvent(EventKind::LeaseExpired, {{"entry", entry.id.text}, {"epoch", std::to_string(entry.epoch.value)}});
+        this->loop.detach(this->fleet.propose(endLeaseCommand(entry)).ignoreResult());
+    }
+}
+
+Wire::Control::Client makeControlService(ControlMember &member)
+{
+    return kj::heap<ControlServer>(member);
+}
+
+} // namespace Chestnuthook
--- /dev/null
+++ b/src/control/lease_keeper_base.cpp
@@ -0,0 +1,44 @@
+/** @file lease_keeper_base.cpp  Expiry of entries' leases at the leader. */
+#include "control/lease_keeper_base.h"
+
+namespace Chestnuthook
+{
+
+void LeaseKeeper::beginTerm(const FleetState &state, Instant now)
+{
+    this->entries.clear();
+    for (const auto &[id, row] : state.entries.all()) {
+        if (!row.removed) {
+            this->entries[id] = HeardEntry{now, 0};
+        }
+    }
+}
+
+void LeaseKeeper::heard(const EntryId &entry, std::uint64_t inForceRevision, Instant now)
+{
+    this->entries[entry] = HeardEntry{now, inForceRevision};
+}
+
+std::vector<EntryRecord> LeaseKeeper::expired(const FleetState &state, Instant now)
+{
+    std::vector<EntryRecord> found;
+    for (const auto &[id, row] : state.entries.all()) {
+        if (row.removed) {
+            this->entries.erase(id);
+            continue;
+        }
+        const auto known = this->entries.try_emplace(id, HeardEntry{now, 0}).first;
+        if (now - known->second.heard > LeasePeriod + LeaseMargin) {
+            found.push_back(row.record);
+        }
+    }
+    return found;
+}
+
+const HeardEntry *LeaseKeeper::find(const EntryId &entry) const
+{
+    const auto found = this->entries.find(entry);
+    return found == this->entries.end() ? nullptr : &found->second;
+}
+
+} // namespace Chestnuthook
--- /dev/null
+++ b/src/control/lease_keeper_base.h
@@ -0,0 +1,47 @@
+/** @file lease_keeper_base.h  The leader's record of when each entry was last heard. Lease renewals are not replicated;
+ * only grants and ends are. A new leader gives every lease a whole period from when it began to lead. */
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "core/id_type.h"
+#include "core/timer_type.h"
+#include "fleet/fleet_base.h"
+
+namespace Chestnuthook
+{
+
+/** How long an entry may act on a lease, from when it sent the request that renewed it, by its own clock. */
+constexpr Duration LeasePeriod = std::chrono::milliseconds(3000);
+
+/** Added by the leader before it ends a lease, for clocks that run at different rates. */
+constexpr Duration LeaseMargin = std::chrono::milliseconds(300);
+
+/** What the leader knows of one entry beyond its replicated record. */
+struct HeardEntry
+{
+    Instant heard; ///< When its last request arrived.
+    std::uint64_t inForceRevision = 0; ///< Revision that it said to serve under.
+};
+
+class LeaseKeeper
+{
+public:
+    /** Called when this member begins to lead: all leases get a whole period from @p now. */
+    void beginTerm(const FleetState &state, Instant now);
+
+    /** An entry's request arrived. */
+    void heard(const EntryId &entry, std::uint64_t inForceRevision, Instant now);
+
+    /** Leases whose holders have stopped acting on them. */
+    [[nodiscard]] std::vector<EntryRecord> expired(const FleetState &state, Instant now);
+
+    [[nodiscard]] const HeardEntry *find(const EntryId &entry) const;
+
+private:
+    std::map<EntryId, HeardEntry> entries; ///< By entry; those without a lease are dropped.
+};
+
+} // namespace Chestnuthook
--- /dev/null
+++ b/src/control/main.cpp
@@ -0,0 +1,103 @@
+/** @file main.cpp  chestnuthook-control: one member of the replicated control state, on an instance with a disk. */
+#include <cstdlib>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include <gflags/gflags.h>
+
+#include "control/control_service_base.h"
+#include "core/settings_func.h"
+#include "observe/log_func.h"
+#include "rpc/control_loop_base.h"
+#include "supervisor/supervisor_base.h"
+#include "table/error_table.h"
+
+DEFINE_string(listen, "127.0.0.1:7600", "Address of the control port, ip:port.");
+DEFINE_string(data, "", "Data folder; everything durable lives below it.");
+DEFINE_string(member, "control-1", "Name of this member.");
+DEFINE_string(data_centre, "local", "Data centre of this instance.");
+DEFINE_string(secret_file, "", "File with the fleet's secret; else CHESTNUTHOOK_SECRET.");
+DEFINE_string(log_file, "", "File that gets the log lines besides standard error.");
+
+namespace
+{
+
+using namespace Chestnuthook;
+
+const std::vector<SettingCheck> Settings = {
+    {"listen", "network", addressCheck(), "give an IPv4 address and a free port, such as 127.0.0.1:7600"},
+    {"data", "storage", nonEmptyCheck(), "name a folder that this user may write, such as /var/lib/chestnuthook"},
+    {"member", "identity", nonEmptyCheck(), "give a name that no other control member has"},
+    {"data_centre", "identity", nonEmptyCheck(), "name the data centre of this instance"},
+    {"secret_file", "security", {}, "name a readable file, or set CHESTNUTHOOK_SECRET"},
+    {"log_file", "logging", {}, "name a file that this user may write"},
+};
+
+int endWith(const Error &error)
+{
+    logEvent(EventKind::StorageFault, {{"error", errorText(error)}});
+    return errorRow(error.kind).exitCode;
+}
+
+int runMember(const std::string &secret)
+{
+    ControlLoop loop(secret, FLAGS_member);
+    ControlMember member(loop, FLAGS_member);
+    int exitCode = EXIT_SUCCESS;
+    std::vector<ChildSpecification> children;
+    children.push_back({.name = "state", .start = [&]() { return member.open(FLAGS_data); }, .stop = {}, .ready = {}});
+    children.push_back({.name = "leases",
+        .start =
+            [&]() {
+                member.start();
+                return Result<void>();
+            },
+        .stop = {},
+        .ready = {}});
+    children.push_back({.name = "port",
+        .start =
+            [&]() {
+                OfferedServices services{makeControlService(member), nullptr};
+                loop.detach(serveRpc(loop.rpc(), FLAGS_listen, kj::mv(services)).catch_([&](kj::Exception &&exception) {
+                    exitCode = endWith(Error{ErrorKind::AddressInUse, exception.getDescription().cStr(), Ran::No, 0});
+                    loop.stop();
+                }));
+                return Result<void>();
+            },
+        .stop = {},
+        .ready = {}});
+    Supervisor root("control", RestartStrategy::RestForOne, {}, loop.timers(), std::move(children));
+    const Result<void> started = root.start();
+    if (!started) {
+        return endWith(started.error());
+    }
+    loop.onTerminate([&]() {
+        logEvent(EventKind::ProcessStopping, {});
+        loop.stop();
+    });
+    logEvent(EventKind::ProcessStarted, {{"listen", FLAGS_listen}, {"data", FLAGS_data}});
+    loop.run();
+    root.stop();
+    return exitCode;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const SettingsOutcome settings = loadSettings(argc, argv, Settings, {"CHESTNUTHOOK_SECRET"});
+    if (const auto code = reportSettings(settings)) {
+        return *code;
+    }
+    const Result<std::string> secret = loadSecret("secret", FLAGS_secret_file);
+    if (!secret) {
+        std::cerr << errorText(secret.error()) << '\n';
+        return errorRow(secret.error().kind).exitCode;
+    }
+    ControlLoop::captureSignals();
+    initObserve("control", FLAGS_member, FLAGS_log_file);
+    const int code = runMember(*secret);
+    flushObserve();
+    return code;
+}
--- /dev/null
+++ b/src/core/name_table_type.h
@@ -0,0 +1,69 @@
+/** @file name_table_type.h  Tables of names for `enum class` types. */
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <optional>
+#include <string_view>
+
+namespace Chestnuthook
+{
+
+/** One enumerator and its name in texts and on the wire. */
+template<typename Enum>
+struct NameRow
+{
+    Enum value;            ///< The enumerator.
+    std::string_view name; ///< Its name; unique in its table.
+};
+
+/** Specialise with `static constexpr auto Rows = std::to_array<NameRow<Enum>>({…});`, a row per enumerator in order. */
+template<typename Enum>
+struct NameTable;
+
+/** Whether rows stand in the order of the enumerators from 0, with unique names; for a static_assert by the table. */
+template<typename Enum>
+[[nodiscard]] constexpr bool isNameTableWhole(Enum last)
+{
+    const auto &rows = NameTable<Enum>::Rows;
+    if (rows.size() != static_cast<std::size_t>(last) + 1) {
+        return false;
+    }
+    for (std::size_t i = 0; i < rows.size(); ++i) {
+        if (static_cast<std::size_t>(rows[i].value) != i || rows[i].name.empty()) {
+            return false;
+        }
+        for (std::size_t j = 0; j < i; ++j) {
+            if (rows[j].name == rows[i].name) {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
+/** The name of @p value; `unknown` for a value without a row. */
+template<typename Enum>
+[[nodiscard]] constexpr std::string_view nameOf(Enum value)
+{
+    for (const NameRow<Enum> &row : NameTable<Enum>::Rows) {
+        if (row.value == value) {
+            return row.name;
+        }
+    }
+    return "unknown";
+}
+
+/** The enumerator named @p text; empty where there is none. */
+template<typename Enum>
+[[nodiscard]] constexpr std::optional<Enum> parseName(std::string_view text)
+{
+    for (const NameRow<Enum> &row : NameTable<Enum>::Rows) {
+        if (row.name == text) {
+            return row.value;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace Chestnuthook
--- /dev/null
+++ b/src/ctl/ctl_session_base.cpp
@@ -0,0 +1,65 @@
+/** @file ctl_session_base.cpp  Blocking calls to the control members. */
+#include "ctl/ctl_session_base.h"
+
+#include <optional>
+#include <utility>
+
+#include "rpc/message_func.h"
+
+namespace Chestnuthook
+{
+
+namespace
+{
+
+constexpr unsigned ReadTries = 4;
+constexpr auto StatusTimeout = 1500 * kj::MILLISECONDS;
+
+} // namespace
+
+CtlSession::CtlSession(std::string secret, const std::vector<std::string> &addresses)
+    : loop(std::move(secret), "ctl")
+    , client(this->loop.rpc(), addresses)
+    , controls(addresses)
+{
+}
+
+Result<FleetState> CtlSession::readFleet()
+{
+    for (unsigned tries = 0; tries < ReadTries; ++tries) {
+        auto response = this->loop.wait(this->client.readFleet());
+        if (response) {
+            FleetState state;
+            if (state.applyDelta((*response)->getResult().getDelta().getDelta())) {
+                return state;
+            }
+        }
+    }
+    return fail(ErrorKind::NoQuorum, "no control member could confirm the fleet state");
+}
+
+Result<std::string> CtlSession::submit(std::string command)
+{
+    return this->loop.wait(this->client.submitFleet(std::move(command)));
+}
+
+Result<capnp::Response<Wire::Control::StatusResults>> CtlSession::status(const std::string &address)
+{
+    RpcLink link(this->loop.rpc(), address);
+    using Response = capnp::Response<Wire::Control::StatusResults>;
+    auto asked = link.services().then([](OfferedServices &&services) {
+        return services.control.statusRequest().send();
+    });
+    auto caught = this->loop.kjTimer()
+                      .timeoutAfter(StatusTimeout, kj::mv(asked))
+                      .then(
+                          [](Response &&response) {
+                              return Result<Response>(kj::mv(response));
+                          },
+                          [address](kj::Exception &&exception) {
+                              return Result<Response>(fail(ErrorKind::NoQuorum, address + ": " + exception.getDescription().cStr()));
+                          });
+    return this->loop.wait(kj::mv(caught));
+}
+
+} // namespace Chestnuthook
--- /dev/null
+++ b/src/ctl/ctl_session_base.h
@@ -0,0 +1,36 @@
+/** @file ctl_session_base.h  The operators' connection to the control members. */
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "client/control_client_base.h"
+#include "core/error_type.h"
+#include "fleet/fleet_base.h"
+#include "rpc/control_loop_base.h"
+
+namespace Chestnuthook
+{
+
+/** Blocking calls for a command-line tool; made and used on one thread. */
+class CtlSession
+{
+public:
+    CtlSession(std::string secret, const std::vector<std::string> &controls);
+
+    /** The whole fleet state, confirmed by a quorum. Errors: NoQuorum. */
+    Result<FleetState> readFleet();
+
+    /** Submits a flat fleet command. @return the flat reply. */
+    Result<std::string> submit(std::string command);
+
+    /** Status of one member, by its address. Errors: NoQuorum where it doesn't answer. */
+    Result<capnp::Response<Wire::Control::StatusResults>> status(const std::string &address);
+
+private:
+    ControlLoop loop; ///< Runs while a call waits.
+    ControlClient client; ///< To the members.
+    std::vector<std::string> controls; ///< Their addresses.
+};
+
+} // namespace Chestnuthook
--- /dev/null
+++ b/src/endpoint/http_attempt_func.cpp
@@ -0,0 +1,188 @@
+/** @file http_attempt_func.cpp  HTTP towards endpoints by POCO Net. */
+#include "endpoint/http_attempt_func.h"
+
+#include <algorithm>
+#include <istream>
+#include <ostream>
+
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Timespan.h>
+
+namespace Chestnuthook
+{
+
+namespace
+{
+
+constexpr std::size_t MaxAnswerBytes = 4UL * 1024 * 1024;
+constexpr std::size_t MaxEventBytes = 256UL * 1024;
+constexpr std::int64_t ConnectTimeoutMs = 1000;
+constexpr std::size_t ReadBytes = 4096;
+constexpr std::string_view DataPrefix = "data: ";
+
+using Session = Poco::Net::HTTPClientSession;
+
+/** Connects and sends; `outcome.sent` is set before the first byte is written. @return the answer's stream, or null. */
+std::istream *send(
+    Session &session, const AttemptRequest &request, Poco::Net::HTTPResponse &response, AttemptOutcome &outcome)
+{
+    const Poco::Timespan timeout(request.timeoutMs * Poco::Timespan::MILLISECONDS);
+    const Poco::Timespan connect(std::min(ConnectTimeoutMs, request.timeoutMs) * Poco::Timespan::MILLISECONDS);
+    session.setKeepAlive(false);
+    Poco::Net::HTTPRequest http(request.method, request.path, Poco::Net::HTTPMessage::HTTP_1_1);
+    http.setHost(request.address);
+    http.set("X-Attempt-Id", request.attempt.text);
+    if (!request.program.empty()) {
+        http.set("X-Program-Id", request.program.text);
+    }
+    if (!request.contentType.empty()) {
+        http.setContentType(request.contentType);
+    }
+    http.setContentLength(static_cast<std::streamsize>(request.body.size()));
+    try {
+        // A failed connect leaves the endpoint untouched; POCO would connect only on sending.
+        session.socket().connect(Poco::Net::SocketAddress(request.address), connect);
+        session.socket().setSendTimeout(timeout);
+        session.socket().setReceiveTimeout(timeout);
+    } catch (const Poco::Exception &exception) {
+        outcome.what = "connect: " + exception.displayText();
+        return nullptr;
+    }
+    outcome.sent = true;
+    session.sendRequest(http) << request.body << std::flush;
+    std::istream &stream = session.receiveResponse(response);
+    outcome.status = static_cast<std::uint16_t>(response.getStatus());
+    outcome.contentType = response.getContentType();
+    return &stream;
+}
+
+/** Whether the answer is of this attempt. An endpoint that doesn't echo the id is taken at its word. */
+bool isOwnAnswer(const Poco::Net::HTTPResponse &response, const AttemptRequest &request)
+{
+    return response.get("X-Attempt-Id", request.attempt.text) == request.attempt.text;
+}
+
+void readWhole(std::istream &stream, std::string &body)
+{
+    char buffer[ReadBytes];
+    while (stream.read(buffer, sizeof buffer) || stream.gcount() > 0) {
+        body.append(buffer, static_cast<std::size_t>(stream.gcount()));
+        if (body.size() > MaxAnswerBytes) {
+            throw Poco::DataFormatException("the answer is over its bound");
+        }
+    }
+}
+
+void readUsage(const Poco::JSON::Object::Ptr &usage, AttemptOutcome &outcome)
+{
+    outcome.promptTokens = usage->optValue<std::uint64_t>("prompt_tokens", 0);
+    outcome.completionTokens = usage->optValue<std::uint64_t>("completion_tokens", 0);
+    outcome.cachedTokens = usage->optValue<std::uint64_t>("cached_tokens", 0);
+}
+
+/** Takes in one chunk of a stream. @return false where the sink wants no more. */
+bool takeChunk(const std::string &json, AttemptOutcome &outcome, const TextSink &sink)
+{
+    const auto chunk = Poco::JSON::Parser().parse(json).extract<Poco::JSON::Object::Ptr>();
+    if (const auto usage = chunk->getObject("usage")) {
+        readUsage(usage, outcome);
+    }
+    const auto choices = chunk->getArray("choices");
+    if (choices.isNull() || choices->size() == 0) {
+        return true;
+    }
+    const auto choice = choices->getObject(0);
+    outcome.finishReason = choice->optValue<std::string>("finish_reason", outcome.finishReason);
+    const auto delta = choice->getObject("delta");
+    const std::string text = delta.isNull() ? std::string() : delta->optValue<std::string>("content", "");
+    if (text.empty()) {
+        return true;
+    }
+    outcome.body += text;
+    return sink(text);
+}
+
+void readStream(std::istream &stream, AttemptOutcome &outcome, const TextSink &sink)
+{
+    std::string line;
+    while (std::getline(stream, line)) {
+        if (line.size() > MaxEventBytes) {
+            throw Poco::DataFormatException("an event is over its bound");
+        }
+        if (!line.empty() && line.back() == '\r') {
+            line.pop_back();
+        }
+        if (!line.starts_with(DataPrefix)) {
+            continue;
+        }
+        const std::string data = line.substr(DataPrefix.size());
+        if (data == "[DONE]") {
+            outcome.complete = true;
+            return;
+        }
+        if (!takeChunk(data, outcome, sink)) {
+            outcome.what = "the reader wants no more";
+            return;
+        }
+    }
+    outcome.what = "the stream ended before [DONE]";
+}
+
+/** Sends @p request and gives the answer to @p read; exceptions end up in the outcome. */
+template<typename Reader>
+AttemptOutcome runAttempt(const AttemptRequest &request, CancelToken &cancel, const Reader &read)
+{
+    AttemptOutcome outcome;
+    Session session;
+    if (cancel.isCancelled()) {
+        outcome.what = "cancelled";
+        return outcome;
+    }
+    cancel.onCancel([&session]() {
+        session.abort();
+    });
+    try {
+        Poco::Net::HTTPResponse response;
+        if (std::istream *stream = send(session, request, response, outcome)) {
+            if (isOwnAnswer(response, request)) {
+                read(*stream, outcome);
+            } else {
+                outcome.what = "the answer is of another attempt";
+            }
+        }
+    } catch (const std::exception &exception) {
+        outcome.what = exception.what();
+        outcome.complete = false;
+    }
+    cancel.onCancel({});
+    return outcome;
+}
+
+} // namespace
+
+AttemptOutcome runServiceAttempt(const AttemptRequest &request, CancelToken &cancel)
+{
+    return runAttempt(request, cancel, [](std::istream &stream, AttemptOutcome &outcome) {
+        readWhole(stream, outcome.body);
+        outcome.complete = true;
+    });
+}
+
+AttemptOutcome runEngineAttempt(const AttemptRequest &request, const TextSink &sink, CancelToken &cancel)
+{
+    return runAttempt(request, cancel, [&sink](std::istream &stream, AttemptOutcome &outcome) {
+        if (outcome.status != Poco::Net::HTTPResponse::HTTP_OK) {
+            readWhole(stream, outcome.what);
+            return;
+        }
+        readStream(stream, outcome, sink);
+    });
+}
+
+} // namespace Chestnuthook
--- /dev/null
+++ b/src/endpoint/instance_list_base.cpp
@@ -0,0 +1,56 @@
+/** @file instance_list_base.cpp  Reads the platform's instance list. */
+#include "endpoint/instance_list_base.h"
+
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+
+#include "endpoint/http_attempt_func.h"
+
+namespace Chestnuthook
+{
+
+namespace
+{
+
+constexpr std::int64_t ListTimeoutMs = 1000;
+
+ListedEndpoint readEndpoint(const Poco::JSON::Object::Ptr &object)
+{
+    ListedEndpoint endpoint;
+    endpoint.id = EndpointId{object->getValue<std::string>("address")};
+    const bool engine = object->getValue<std::string>("kind") == "engine";
+    endpoint.kind = engine ? EndpointKind::Engine : EndpointKind::Service;
+    endpoint.name = object->getValue<std::string>("name");
+    endpoint.dataCentre = DataCentreId{object->optValue<std::string>("data_centre", "")};
+    endpoint.leaving = object->optValue<std::string>("state", "live") != "live";
+    return endpoint;
+}
+
+} // namespace
+
+Result<EndpointList> fetchInstances(const std::string &address)
+{
+    AttemptRequest request;
+    request.address = address;
+    request.method = "GET";
+    request.path = "/v1/instances";
+    request.timeoutMs = ListTimeoutMs;
+    CancelToken cancel;
+    const AttemptOutcome outcome = runServiceAttempt(request, cancel);
+    if (!outcome.complete || outcome.status != 200) {
+        return fail(ErrorKind::NoEndpoint, "the platform's list can't be read: " + outcome.what);
+    }
+    try {
+        const auto list = Poco::JSON::Parser().parse(outcome.body).extract<Poco::JSON::Object::Ptr>()->getArray("instances");
+        EndpointList endpoints;
+        for (unsigned i = 0; !list.isNull() && i < list->size(); ++i) {
+            endpoints.push_back(readEndpoint(list->getObject(i)));
+        }
+        return endpoints;
+    } catch (const std::exception &exception) {
+        return fail(ErrorKind::NoEndpoint, std::string("the platform's list is malformed: ") + exception.what());
+    }
+}
+
+} // namespace Chestnuthook
--- /dev/null
+++ b/src/entry/fleet_follower_base.cpp
@@ -0,0 +1,162 @@
+/** @file fleet_follower_base.cpp  Periodic confirmed reads of the fleet state. */
+#include "entry/fleet_follower_base.h"
+
+#include <utility>
+
+#include "fleet/declaration_func.h"
+#include "observe/log_func.h"
+
+namespace Chestnuthook
+{
+
+namespace
+{
+
+constexpr Duration PollPeriod = std::chrono::milliseconds(250);
+
+/** Past this age, from when a confirmed read was sent, nothing is admitted. */
+constexpr Duration FreshnessBound = std::chrono::milliseconds(3000);
+
+void takeDeclaration(FleetView &view, const DeclarationName &name, const std::string &json)
+{
+    if (name.section == "tenants") {
+        if (const auto tenant = parseTenant(name.name, json)) {
+            view.tenants[tenant->id] = *tenant;
+        }
+    } else if (name.section == "models") {
+        if (const auto model = parseModel(name.name, json)) {
+            view.models[model->id] = *model;
+        }
+    } else if (name.section == "services") {
+        if (const auto service = parseService(name.name, json)) {
+            view.services[service->id] = *service;
+        }
+    } else if (name.section == "site") {
+        if (const auto site = parseSite(json)) {
+            view.site = *site;
+        }
+    }
+}
+
+std::shared_ptr<const FleetView> makeView(const FleetState &state)
+{
+    auto view = std::make_shared<FleetView>();
+    view->revision = state.revision();
+    view->site = parseSite("{}").value();
+    for (const auto &[name, row] : state.declarations.all()) {
+        if (!row.removed) {
+            takeDeclaration(*view, name, row.record.json);
+        }
+    }
+    for (const auto &[id, row] : state.keys.all()) {
+        const bool usable = !row.removed && !row.record.withdrawn && view->tenants.contains(row.record.tenant);
+        if (usable) {
+            view->callers[row.record.hash] = Caller{row.record.tenant, id};
+        }
+    }
+    for (const auto &[id, row] : state.entries.all()) {
+        if (!row.removed) {
+            view->entries.push_back(row.record);
+        }
+    }
+    view->slots.resize(SlotCount);
+    for (const auto &[slot, row] : state.slots.all()) {
+        view->slots[slot.value] = row.record;
+    }
+    return view;
+}
+
+} // namespace
+
+FleetFollower::FleetFollower(ControlClient &client, TimerService &timers, EntryRecord self)
+    : self(std::move(self))
+    , client(client)
+    , timers(timers)
+    , reading(kj::READY_NOW)
+{
+}
+
+void FleetFollower::start()
+{
+    this->subscription = this->timers.every(PollPeriod, [this]() {
+        this->poll();
+    });
+    this->poll();
+}
+
+void FleetFollower::stop()
+{
+    this->subscription.cancel();
+    this->reading = kj::READY_NOW;
+}
+
+void FleetFollower::drain()
+{
+    this->self.state = EntryState::Draining;
+    this->poll();
+}
+
+bool FleetFollower::isFresh() const
+{
+    return this->views.isFresh(this->timers.now());
+}
+
+void FleetFollower::poll()
+{
+    const bool fresh = this->isFresh();
+    if (fresh != this->wasFresh) {
+        logEvent(fresh ? EventKind::FreshnessRegained : EventKind::FreshnessLost, {});
+        this->wasFresh = fresh;
+    }
+    if (this->busy) {
+        return;
+    }
+    this->busy = true;
+    const Instant sentAt = this->timers.now();
+    this->reading = this->client.sync(this->self, this->state.index(), this->state.revision().value)
+                        .then(
+                            [this, sentAt](SyncResponse &&response) {
+                                this->busy = false;
+                                this->take(response, sentAt);
+                            },
+                            [this](kj::Exception && /*exception*/) {
+                                this->busy = false;
+                                this->client.turnToNext();
+                            })
+                        .eagerlyEvaluate(nullptr);
+}
+
+void FleetFollower::take(const SyncResponse &response, Instant sentAt)
+{
+    const auto result = response.getResult().getDelta();
+    const std::uint64_t before = this->state.index();
+    if (!this->state.applyDelta(result.getDelta())) {
+        this->client.turnToNext();
+        return;
+    }
+    const bool newLease = this->self.epoch.value != result.getEpoch();
+    this->self.epoch = Epoch{result.getEpoch()};
+    if (newLease) {
+        logEvent(EventKind::LeaseGranted, {{"entry", this->self.id.text}, {"epoch", std::to_string(result.getEpoch())}});
+    }
+    const bool changed = this->state.index() != before || newLease;
+    if (changed) {
+        this->publish();
+    }
+    this->views.setFreshUntil(sentAt + FreshnessBound);
+    if (changed && this->onChange) {
+        this->onChange();
+    }
+}
+
+void FleetFollower::publish()
+{
+    const auto old = this->views.get();
+    auto next = makeView(this->state);
+    if (old == nullptr || old->revision != next->revision) {
+        logEvent(EventKind::ConfigurationInForce, {{"revision", std::to_string(next->revision.value)}});
+    }
+    this->views.set(std::move(next));
+}
+
+} // namespace Chestnuthook
--- /dev/null
+++ b/src/entry/http_server_base.cpp
@@ -0,0 +1,59 @@
+/** @file http_server_base.cpp  Starts and stops POCO's HTTP server. */
+#include "entry/http_server_base.h"
+
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/ThreadPool.h>
+
+#include "entry/request_handler_base.h"
+
+namespace Chestnuthook
+{
+
+namespace
+{
+
+constexpr int MaxConnections = 1024;
+constexpr int ThreadStackBytes = 256 * 1024;
+constexpr int IdleSeconds = 30;
+constexpr int Backlog = 512;
+
+} // namespace
+
+EntryServer::EntryServer(EntryContext &context)
+    : context(context)
+{
+}
+
+Result<void> EntryServer::start(const std::string &address)
+{
+    try {
+        Poco::Net::ServerSocket socket;
+        socket.bind(Poco::Net::SocketAddress(address), true);
+        socket.listen(Backlog);
+        Poco::Net::HTTPServerParams::Ptr params(new Poco::Net::HTTPServerParams);
+        params->setMaxThreads(MaxConnections);
+        params->setMaxQueued(Backlog);
+        params->setTimeout(Poco::Timespan(IdleSeconds, 0));
+        params->setKeepAlive(true);
+        this->threads = std::make_unique<Poco::ThreadPool>(2, MaxConnections, IdleSeconds, ThreadStackBytes);
+        this->server = std::make_unique<Poco::Net::HTTPServer>(
+            new RequestHandlerFactory(this->context), *this->threads, socket, params);
+        this->server->start();
+    } catch (const Poco::Exception &exception) {
+        return fail(ErrorKind::AddressInUse, address + ": " + exception.displayText());
+    }
+    return {};
+}
+
+void EntryServer::stop()
+{
+    if (this->server != nullptr) {
+        this->server->stopAll(true);
+        this->threads->stopAll();
+        this->server.reset();
+    }
+}
+
+} // namespace Chestnuthook
--- /dev/null
+++ b/src/entry/main.cpp
@@ -0,0 +1,75 @@
+/** @file main.cpp  chestnuthook-entry: takes callers' requests, owns programs and dispatches calls to endpoints. */
+#include <cstdlib>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include <gflags/gflags.h>
+
+#include "core/hash_func.h"
+#include "core/settings_func.h"
+#include "entry/entry_daemon_base.h"
+#include "observe/log_func.h"
+#include "table/error_table.h"
+
+DEFINE_string(listen, "127.0.0.1:8080", "Address for callers, ip:port.");
+DEFINE_string(rpc_listen, "127.0.0.1:8081", "Address for the other entries, ip:port.");
+DEFINE_string(controls, "127.0.0.1:7600", "Addresses of the control members, comma-separated.");
+DEFINE_string(platform, "127.0.0.1:7700", "Address of the platform's instance list, ip:port.");
+DEFINE_string(entry, "entry-1", "Name of this instance.");
+DEFINE_string(data_centre, "local", "Data centre of this instance.");
+DEFINE_string(secret_file, "", "File with the fleet's secret; else CHESTNUTHOOK_SECRET.");
+DEFINE_string(log_file, "", "File that gets the log lines besides standard error.");
+
+namespace
+{
+
+using namespace Chestnuthook;
+
+const std::vector<SettingCheck> Settings = {
+    {"listen", "network", addressCheck(), "give an IPv4 address and a free port, such as 127.0.0.1:8080"},
+    {"rpc_listen", "network", addressCheck(), "give an IPv4 address and a free port, such as 127.0.0.1:8081"},
+    {"controls", "network", addressListCheck(), "give ip:port of each control member, comma-separated"},
+    {"platform", "network", addressCheck(), "give ip:port of the platform's instance list"},
+    {"entry", "identity", nonEmptyCheck(), "give a name that no other entry has"},
+    {"data_centre", "identity", nonEmptyCheck(), "name the data centre of this instance"},
+    {"secret_file", "security", {}, "name a readable file, or set CHESTNUTHOOK_SECRET"},
+    {"log_file", "logging", {}, "name a file that this user may write"},
+};
+
+EntrySettings settingsOf(std::string secret)
+{
+    EntrySettings settings;
+    settings.address = FLAGS_listen;
+    settings.rpcAddress = FLAGS_rpc_listen;
+    settings.controls = splitList(FLAGS_controls);
+    settings.platform = FLAGS_platform;
+    // A restarted process is another entry: it must not act on the lease of the one before.
+    settings.id = EntryId{FLAGS_entry + "." + randomHex(4)};
+    settings.dataCentre = DataCentreId{FLAGS_data_centre};
+    settings.secret = std::move(secret);
+    return settings;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const SettingsOutcome outcome = loadSettings(argc, argv, Settings, {"CHESTNUTHOOK_SECRET"});
+    if (const auto code = reportSettings(outcome)) {
+        return *code;
+    }
+    const Result<std::string> secret = loadSecret("secret", FLAGS_secret_file);
+    if (!secret) {
+        std::cerr << errorText(secret.error()) << '\n';
+        return errorRow(secret.error().kind).exitCode;
+    }
+    ControlLoop::captureSignals();
+    initObserve("entry", FLAGS_entry, FLAGS_log_file);
+    const Result<void> ran = EntryDaemon(settingsOf(*secret)).run();
+    if (!ran) {
+        logEvent(EventKind::ChildFailed, {{"error", errorText(ran.error())}});
+    }
+    flushObserve();
+    return ran ? EXIT_SUCCESS : errorRow(ran.error().kind).exitCode;
+}
--- /dev/null
+++ b/src/entry/request_handler_base.h
@@ -0,0 +1,60 @@
+/** @file request_handler_base.h  Handles one request of a caller: finds its route, checks its key, admits it. */
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+
+#include "entry/entry_context_type.h"
+
+namespace Chestnuthook
+{
+
+class RequestHandler final : public Poco::Net::HTTPRequestHandler
+{
+public:
+    explicit RequestHandler(EntryContext &context);
+    void handleRequest(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) override;
+
+private:
+    using Request = Poco::Net::HTTPServerRequest;
+    using Response = Poco::Net::HTTPServerResponse;
+
+    void route(Request &request, Response &response);
+    void programs(Request &request, Response &response, const std::vector<std::string> &path);
+    void entries(Response &response);
+    void readyz(Response &response);
+    void createProgram(Request &request, Response &response, const Caller &caller);
+    void showProgram(Response &response, const Caller &caller, const ProgramId &program);
+    void runCall(Request &request, Response &response, const Caller &caller, const std::vector<std::string> &path);
+
+    /** Whom the request runs for. Errors: UnknownKey, NotReady. */
+    Result<Caller> authenticate(const Request &request);
+
+    /** Counts the request against the tenant's rate. Errors: RateExceeded. */
+    Result<void> admit(const Caller &caller);
+
+    EntryContext &context; ///< Of the entry.
+};
+
+class RequestHandlerFactory final : public Poco::Net::HTTPRequestHandlerFactory
+{
+public:
+    explicit RequestHandlerFactory(EntryContext &context)
+        : context(context)
+    {
+    }
+    Poco::Net::HTTPRequestHandler *createRequestHandler(const Poco::Net::HTTPServerRequest & /*request*/) override
+    {
+        return new RequestHandler(this->context);
+    }
+
+private:
+    EntryContext &context; ///< Of the entry.
+};
+
+} // namespace Chestnuthook
--- /dev/null
+++ b/src/fakes/fake_json_func.h
@@ -0,0 +1,18 @@
+/** @file fake_json_func.h  Reads fields of JSON objects. */
+#pragma once
+
+#include <string>
+
+#include <Poco/JSON/Object.h>
+
+namespace Chestnuthook
+{
+
+/** The field @p name, or @p otherwise where it is missing or null; throws Poco::Exception where its type is wrong. */
+template<typename T>
+[[nodiscard]] T fakeField(const Poco::JSON::Object &json, const std::string &name, T otherwise)
+{
+    return json.isNull(name) ? otherwise : json.getValue<T>(name);
+}
+
+} // namespace Chestnuthook
--- /dev/null
+++ b/src/fleet/fleet_base.cpp
@@ -0,0 +1,235 @@
+/** @file fleet_base.cpp  Deltas and snapshots of the fleet state. */
+#include "fleet/fleet_base.h"
+
+#include <utility>
+#include <vector>
+
+#include <capnp/message.h>
+
+#include "rpc/message_func.h"
+
+namespace Chestnuthook
+{
+
+namespace
+{
+
+/** Counts the rows changed after @p have. */
+template<typename Table>
+std::size_t countChanges(const Table &table, std::uint64_t have)
+{
+    std::size_t count = 0;
+    for (const auto &[key, row] : table.all()) {
+        count += row.index > have ? 1 : 0;
+    }
+    return count;
+}
+
+void writeRecord(Wire::FleetItem::Builder item, const DeclarationName &name, const DeclarationRecord &record)
+{
+    auto declaration = item.initDeclaration();
+    declaration.setSection(name.section);
+    declaration.setName(name.name);
+    declaration.setJson(record.json);
+}
+
+void writeRecord(Wire::FleetItem::Builder item, const KeyId &id, const KeyRecord &record)
+{
+    auto key = item.initKey();
+    key.setId(id.text);
+    key.setTenant(record.tenant.text);
+    key.setHash(dataOf(record.hash));
+    key.setWithdrawn(record.withdrawn);
+    key.setNote(record.note);
+}
+
+void writeRecord(Wire::FleetItem::Builder item, const EntryId &id, const EntryRecord &record)
+{
+    auto entry = item.initEntry();
+    entry.setId(id.text);
+    entry.setEpoch(record.epoch.value);
+    entry.setAddress(record.address);
+    entry.setRpcAddress(record.rpcAddress);
+    entry.setDataCentre(record.dataCentre.text);
+    entry.setState(record.state == EntryState::Draining ? Wire::EntryState::DRAINING : Wire::EntryState::LIVE);
+}
+
+void writeRecord(Wire::FleetItem::Builder item, const SlotId &id, const SlotRecord &record)
+{
+    auto slot = item.initSlot();
+    slot.setNumber(id.value);
+    slot.setOwner(record.owner.text);
+    slot.setEpoch(record.epoch.value);
+}
+
+void writeRecord(Wire::FleetItem::Builder item, const std::string &fingerprint, const StrikeRecord &record)
+{
+    auto strike = item.initStrike();
+    strike.setFingerprint(fingerprint);
+    strike.setStrikes(record.strikes);
+    strike.setExpiresAtMs(record.expiresAtMs);
+    auto endpoints = strike.initEndpoints(static_cast<unsigned>(record.endpoints.size()));
+    for (unsigned i = 0; i < endpoints.size(); ++i) {
+        endpoints.set(i, record.endpoints[i].text);
+    }
+}
+
+void writeRecord(Wire::FleetItem::Builder item, const EndpointId &endpoint, const OrderRecord &record)
+{
+    auto order = item.initOrder();
+    order.setEndpoint(endpoint.text);
+    order.setJson(record.json);
+    order.setFence(record.fence);
+    order.setConfirmed(record.confirmed);
+}
+
+template<typename Table>
+void writeChanges(const Table &table, std::uint64_t have, capnp::List<Wire::FleetItem>::Builder items, unsigned &next)
+{
+    for (const auto &[key, row] : table.all()) {
+        if (row.index <= have) {
+            continue;
+        }
+        auto item = items[next++];
+        item.setIndex(row.index);
+        item.setRemoved(row.removed);
+        writeRecord(item, key, row.record);
+    }
+}
+
+template<typename Table, typename Key, typename Record>
+void takeRow(Table &table, const Key &key, Record record, Wire::FleetItem::Reader item)
+{
+    table.put(key, std::move(record), item.getIndex());
+    if (item.getRemoved()) {
+        table.remove(key, item.getIndex());
+    }
+}
+
+void takeItem(FleetState &state, Wire::FleetItem::Reader item)
+{
+    switch (item.which()) {
+    case Wire::FleetItem::DECLARATION: {
+        const auto declaration = item.getDeclaration();
+        takeRow(state.declarations, DeclarationName{textOf(declaration.getSection()), textOf(declaration.getName())},
+            DeclarationRecord{textOf(declaration.getJson())}, item);
+        break;
+    }
+    case Wire::FleetItem::KEY: {
+        const auto key = item.getKey();
+        const KeyId id{textOf(key.getId())};
+        takeRow(state.keys, id,
+            KeyRecord{id, TenantId{textOf(key.getTenant())}, bytesOf(key.getHash()), key.getWithdrawn(),
+                textOf(key.getNote())},
+            item);
+        break;
+    }
+    case Wire::FleetItem::ENTRY: {
+        const auto entry = item.getEntry();
+        const EntryId id{textOf(entry.getId())};
+        takeRow(state.entries, id,
+            EntryRecord{id, Epoch{entry.getEpoch()}, textOf(entry.getAddress()), textOf(entry.getRpcAddress()),
+                DataCentreId{textOf(entry.getDataCentre())},
+                entry.getState() == Wire::EntryState::DRAINING ? EntryState::Draining : EntryState::Live},
+            item);
+        break;
+    }
+    case Wire::FleetItem::SLOT: {
+        const auto slot = item.getSlot();
+        takeRow(state.slots, SlotId{slot.getNumber()}, SlotRecord{EntryId{textOf(slot.getOwner())}, Epoch{slot.getEpoch()}},
+            item);
+        break;
+    }
+    case Wire::FleetItem::STRIKE: {
+        const auto strike = item.getStrike();
+        StrikeRecord record{strike.getStrikes(), {}, strike.getExpiresAtMs()};
+        for (const auto endpoint : strike.getEndpoints()) {
+            record.endpoints.emplace_back(textOf(endpoint));
+        }
+        takeRow(state.strikes, textOf(strike.getFingerprint()), std::move(record), item);
+        break;
+    }
+    case Wire::FleetItem::ORDER: {
+        const auto order = item.getOrder();
+        takeRow(state.orders, EndpointId{textOf(order.getEndpoint())},
+            OrderRecord{textOf(order.getJson()), order.getFence(), order.getConfirmed()}, item);
+        break;
+    }
+    }
+}
+
+constexpr std::uint32_t SnapshotVersion = 1; ///< Grows when a chunk changes its form.
+
+} // namespace
+
+void FleetState::writeDelta(std::uint64_t have, Wire::FleetDelta::Builder builder) const
+{
+    const bool whole = have < this->oldestDelta || have > this->lastIndex || have == 0;
+    const std::uint64_t from = whole ? 0 : have;
+    builder.setFrom(from);
+    builder.setTo(this->lastIndex);
+    builder.setRevision(this->declarationRevision.value);
+    builder.setWhole(whole);
+    const std::size_t count = countChanges(this->declarations, from) + countChanges(this->keys, from)
+        + countChanges(this->entries, from) + countChanges(this->slots, from) + countChanges(this->strikes, from)
+        + countChanges(this->orders, from);
+    auto items = builder.initItems(static_cast<unsigned>(count));
+    unsigned next = 0;
+    writeChanges(this->declarations, from, items, next);
+    writeChanges(this->keys, from, items, next);
+    writeChanges(this->entries, from, items, next);
+    writeChanges(this->slots, from, items, next);
+    writeChanges(this->strikes, from, items, next);
+    writeChanges(this->orders, from, items, next);
+}
+
+bool FleetState::applyDelta(Wire::FleetDelta::Reader delta)
+{
+    if (!delta.getWhole() && delta.getFrom() != this->lastIndex) {
+        return false;
+    }
+    if (delta.getRevision() < this->declarationRevision.value || delta.getTo() < this->lastIndex) {
+        return false; // A copy never moves to an older state.
+    }
+    if (delta.getWhole()) {
+        *this = FleetState{};
+    }
+    for (const auto item : delta.getItems()) {
+        takeItem(*this, item);
+    }
+    this->lastIndex = delta.getTo();
+    this->declarationRevision = Revision{delta.getRevision()};
+    return true;
+}
+
+std::string FleetState::snapshot() const
+{
+    capnp::MallocMessageBuilder builder;
+    auto snapshot = builder.initRoot<Wire::FleetSnapshot>();
+    snapshot.setVersion(SnapshotVersion);
+    this->writeDelta(0, snapshot.initState());
+    auto replies = snapshot.initReplies(static_cast<unsigned>(this->replyOrder.size()));
+    unsigned next = 0;
+    for (const auto &[index, requestId] : this->replyOrder) {
+        auto reply = replies[next++];
+        reply.setIndex(index);
+        reply.setRequestId(requestId);
+        reply.setReply(dataOf(this->replies.at(requestId)));
+    }
+    return flatBytes(builder);
+}
+
+void FleetState::restore(std::string_view bytes)
+{
+    FlatMessage message(bytes);
+    const auto snapshot = message.root<Wire::FleetSnapshot>();
+    KJ_REQUIRE(snapshot.getVersion() == SnapshotVersion, "unknown version of the fleet snapshot");
+    *this = FleetState{};
+    this->applyDelta(snapshot.getState());
+    for (const auto reply : snapshot.getReplies()) {
+        this->replies.emplace(textOf(reply.getRequestId()), bytesOf(reply.getReply()));
+        this->replyOrder.emplace(reply.getIndex(), textOf(reply.getRequestId()));
+    }
+}
+
+} // namespace Chestnuthook
--- /dev/null
+++ b/src/fleet/fleet_cmd.cpp
@@ -0,0 +1,303 @@
+/** @file fleet_cmd.cpp  Commands on the fleet state: each is tested, then executed, by one function. */
+#include "fleet/fleet_base.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include <capnp/message.h>
+
+#include "core/hash_func.h"
+#include "fleet/declaration_func.h"
+#include "rpc/message_func.h"
+
+namespace Chestnuthook
+{
+
+namespace
+{
+
+constexpr std::size_t MaxRememberedReplies = 4096;
+constexpr std::size_t KeyHashBytes = 32;
+
+void writeReply(Wire::FleetReply::Builder reply, const Result<Epoch> &result)
+{
+    if (!result) {
+        writeFailure(reply.initFailure(), result.error());
+    } else if (result->value != 0) {
+        reply.setEpoch(result->value);
+    } else {
+        reply.setDone();
+    }
+}
+
+Result<Epoch> checkChanges(capnp::List<Wire::Declaration>::Reader changes)
+{
+    for (const auto change : changes) {
+        if (change.getJson().size() == 0) {
+            continue;
+        }
+        const Result<void> checked
+            = checkDeclaration(textOf(change.getSection()), textOf(change.getName()), textOf(change.getJson()));
+        if (!checked) {
+            return tl::unexpected(checked.error());
+        }
+    }
+    return Epoch{};
+}
+
+} // namespace
+
+std::string FleetState::apply(std::uint64_t index, std::string_view command)
+{
+    FlatMessage message(command);
+    const auto reader = message.root<Wire::FleetCommand>();
+    const std::string requestId = textOf(reader.getRequestId());
+    const auto remembered = this->replies.find(requestId);
+    if (!requestId.empty() && remembered != this->replies.end()) {
+        this->lastIndex = index;
+        return remembered->second;
+    }
+    Result<Epoch> result = this->doCommand(reader, index, CommandMode::Test);
+    if (result) {
+        result = this->doCommand(reader, index, CommandMode::Execute);
+    }
+    this->lastIndex = index;
+    capnp::MallocMessageBuilder builder;
+    auto reply = builder.initRoot<Wire::FleetReply>();
+    reply.setIndex(index);
+    reply.setRevision(this->declarationRevision.value);
+    writeReply(reply, result);
+    std::string bytes = flatBytes(builder);
+    if (!requestId.empty()) {
+        this->rememberReply(requestId, bytes);
+    }
+    return bytes;
+}
+
+Result<Epoch> FleetState::doCommand(Wire::FleetCommand::Reader command, std::uint64_t index, CommandMode mode)
+{
+    switch (command.which()) {
+    case Wire::FleetCommand::APPLY:
+        return this->doApply(command, index, mode);
+    case Wire::FleetCommand::ISSUE_KEY:
+        return this->doIssueKey(command, index, mode);
+    case Wire::FleetCommand::WITHDRAW_KEY:
+        return this->doWithdrawKey(command, index, mode);
+    case Wire::FleetCommand::GRANT_LEASE:
+        return this->doGrantLease(command, index, mode);
+    case Wire::FleetCommand::END_LEASE:
+        return this->doEndLease(command, index, mode);
+    case Wire::FleetCommand::SET_ENTRY_STATE:
+        return this->doSetEntryState(command, index, mode);
+    case Wire::FleetCommand::STRIKE:
+        return this->doStrike(command, index, mode);
+    case Wire::FleetCommand::ORDER:
+        return this->doOrder(command, index, mode);
+    }
+    return fail(ErrorKind::BadRequest, "unknown fleet command");
+}
+
+Result<Epoch> FleetState::doApply(Wire::FleetCommand::Reader command, std::uint64_t index, CommandMode mode)
+{
+    const auto apply = command.getApply();
+    if (apply.getExpectedRevision() != this->declarationRevision.value) {
+        return fail(ErrorKind::StaleRevision,
+            "expected " + std::to_string(apply.getExpectedRevision()) + ", current "
+                + std::to_string(this->declarationRevision.value));
+    }
+    if (mode == CommandMode::Test) {
+        return checkChanges(apply.getChanges());
+    }
+    for (const auto change : apply.getChanges()) {
+        const DeclarationName name{textOf(change.getSection()), textOf(change.getName())};
+        if (change.getJson().size() == 0) {
+            this->declarations.remove(name, index);
+        } else {
+            this->declarations.put(name, DeclarationRecord{textOf(change.getJson())}, index);
+        }
+    }
+    this->declarationRevision = Revision{this->declarationRevision.value + 1};
+    return Epoch{};
+}
+
+Result<Epoch> FleetState::doIssueKey(Wire::FleetCommand::Reader command, std::uint64_t index, CommandMode mode)
+{
+    const auto key = command.getIssueKey();
+    const KeyId id{textOf(key.getId())};
+    const TenantId tenant{textOf(key.getTenant())};
+    if (id.empty() || key.getHash().size() != KeyHashBytes) {
+        return fail(ErrorKind::BadRequest, "a key needs an id and a SHA-256 hash");
+    }
+    if (this->keys.all().contains(id)) {
+        return fail(ErrorKind::Conflict, "key id " + id.text + " was used before");
+    }
+    if (this->declarations.find(DeclarationName{"tenants", tenant.text}) == nullptr) {
+        return fail(ErrorKind::NotFound, "tenant " + tenant.text + " is not declared");
+    }
+    if (mode == CommandMode::Execute) {
+        this->keys.put(id, KeyRecord{id, tenant, bytesOf(key.getHash()), false, textOf(key.getNote())}, index);
+    }
+    return Epoch{};
+}
+
+Result<Epoch> FleetState::doWithdrawKey(Wire::FleetCommand::Reader command, std::uint64_t index, CommandMode mode)
+{
+    const KeyId id{textOf(command.getWithdrawKey())};
+    const KeyRecord *record = this->keys.find(id);
+    if (record == nullptr) {
+        return fail(ErrorKind::NotFound, "no key " + id.text);
+    }
+    if (mode == CommandMode::Execute && !record->withdrawn) {
+        KeyRecord withdrawn = *record;
+        withdrawn.withdrawn = true;
+        this->keys.put(id, std::move(withdrawn), index);
+    }
+    return Epoch{};
+}
+
+Result<Epoch> FleetState::doGrantLease(Wire::FleetCommand::Reader command, std::uint64_t index, CommandMode mode)
+{
+    const auto entry = command.getGrantLease();
+    const EntryId id{textOf(entry.getId())};
+    if (id.empty() || entry.getAddress().size() == 0) {
+        return fail(ErrorKind::BadRequest, "an entry needs an id and an address");
+    }
+    if (mode == CommandMode::Test) {
+        return Epoch{};
+    }
+    const Epoch epoch{index};
+    this->entries.put(id,
+        EntryRecord{id, epoch, textOf(entry.getAddress()), textOf(entry.getRpcAddress()),
+            DataCentreId{textOf(entry.getDataCentre())},
+            entry.getState() == Wire::EntryState::DRAINING ? EntryState::Draining : EntryState::Live},
+        index);
+    this->assignSlots(index);
+    return epoch;
+}
+
+Result<Epoch> FleetState::doEndLease(Wire::FleetCommand::Reader command, std::uint64_t index, CommandMode mode)
+{
+    const EntryId id{textOf(command.getEndLease().getEntry())};
+    const EntryRecord *record = this->entries.find(id);
+    if (record == nullptr || record->epoch.value != command.getEndLease().getEpoch()) {
+        return fail(ErrorKind::StaleEpoch, "entry " + id.text + " holds no lease of that epoch");
+    }
+    if (mode == CommandMode::Execute) {
+        this->entries.remove(id, index);
+        this->assignSlots(index);
+    }
+    return Epoch{};
+}
+
+Result<Epoch> FleetState::doSetEntryState(Wire::FleetCommand::Reader command, std::uint64_t index, CommandMode mode)
+{
+    const auto change = command.getSetEntryState();
+    const EntryId id{textOf(change.getEntry())};
+    const EntryRecord *record = this->entries.find(id);
+    if (record == nullptr || record->epoch.value != change.getEpoch()) {
+        return fail(ErrorKind::StaleEpoch, "entry " + id.text + " holds no lease of that epoch");
+    }
+    if (mode == CommandMode::Execute) {
+        EntryRecord changed = *record;
+        changed.state = change.getState() == Wire::EntryState::DRAINING ? EntryState::Draining : EntryState::Live;
+        this->entries.put(id, std::move(changed), index);
+        this->assignSlots(index);
+    }
+    return Epoch{};
+}
+
+Result<Epoch> FleetState::doStrike(Wire::FleetCommand::Reader command, std::uint64_t index, CommandMode mode)
+{
+    const auto strike = command.getStrike();
+    const std::string fingerprint = textOf(strike.getFingerprint());
+    if (fingerprint.empty() || strike.getEndpoints().size() == 0) {
+        return fail(ErrorKind::BadRequest, "a strike needs a fingerprint and an endpoint");
+    }
+    if (mode == CommandMode::Test) {
+        return Epoch{};
+    }
+    const StrikeRecord *known = this->strikes.find(fingerprint);
+    StrikeRecord record;
+    if (known != nullptr && known->expiresAtMs > command.getNowMs()) {
+        record = *known;
+    }
+    for (const auto endpoint : strike.getEndpoints()) {
+        const EndpointId id{textOf(endpoint)};
+        if (std::find(record.endpoints.begin(), record.endpoints.end(), id) == record.endpoints.end()) {
+            record.endpoints.push_back(id);
+            ++record.strikes;
+        }
+    }
+    record.expiresAtMs = std::max(record.expiresAtMs, strike.getExpiresAtMs());
+    this->strikes.put(fingerprint, std::move(record), index);
+    return Epoch{};
+}
+
+Result<Epoch> FleetState::doOrder(Wire::FleetCommand::Reader command, std::uint64_t index, CommandMode mode)
+{
+    const auto order = command.getOrder();
+    const EndpointId endpoint{textOf(order.getEndpoint())};
+    const OrderRecord *known = this->orders.find(endpoint);
+    if (known != nullptr && known->fence > order.getFence()) {
+        return fail(ErrorKind::StaleEpoch, "a later leader has given endpoint " + endpoint.text + " an order");
+    }
+    if (mode == CommandMode::Execute) {
+        this->orders.put(endpoint, OrderRecord{textOf(order.getJson()), order.getFence(), order.getConfirmed()}, index);
+    }
+    return Epoch{};
+}
+
+void FleetState::assignSlots(std::uint64_t index)
+{
+    std::map<EntryId, std::vector<SlotId>> owned;
+    for (const auto &[id, row] : this->entries.all()) {
+        if (!row.removed && row.record.state == EntryState::Live) {
+            owned[id] = {};
+        }
+    }
+    const std::size_t live = owned.size();
+    const std::size_t share = live == 0 ? 0 : (SlotCount + live - 1) / live;
+    std::vector<SlotId> homeless;
+    for (std::uint16_t number = 0; number < SlotCount; ++number) {
+        const SlotId slot{number};
+        const SlotRecord *record = this->slots.find(slot);
+        const auto owner = record == nullptr ? owned.end() : owned.find(record->owner);
+        if (owner == owned.end() || owner->second.size() >= share) {
+            homeless.push_back(slot);
+        } else {
+            owner->second.push_back(slot);
+        }
+    }
+    for (const SlotId slot : homeless) {
+        const SlotRecord *record = this->slots.find(slot);
+        const auto least = std::min_element(owned.begin(), owned.end(), [](const auto &left, const auto &right) {
+            return left.second.size() < right.second.size();
+        });
+        const EntryId owner = least == owned.end() ? EntryId{} : least->first;
+        if (record != nullptr && record->owner == owner) {
+            continue;
+        }
+        if (least != owned.end()) {
+            least->second.push_back(slot);
+        }
+        this->slots.put(slot, SlotRecord{owner, Epoch{index}}, index);
+    }
+}
+
+void FleetState::rememberReply(const std::string &requestId, std::string reply)
+{
+    this->replies.emplace(requestId, std::move(reply));
+    this->replyOrder.emplace(this->lastIndex, requestId);
+    if (this->replyOrder.size() > MaxRememberedReplies) {
+        this->replies.erase(this->replyOrder.begin()->second);
+        this->replyOrder.erase(this->replyOrder.begin());
+    }
+}
+
+SlotId slotOf(std::string_view id)
+{
+    return SlotId{static_cast<std::uint16_t>(hash64(id) % SlotCount)};
+}
+
+} // namespace Chestnuthook
--- /dev/null
+++ b/src/program/call_request_func.cpp
@@ -0,0 +1,201 @@
+/** @file call_request_func.cpp  Checks calls field by field. */
+#include "program/call_request_type.h"
+
+#include <algorithm>
+#include <array>
+
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+#include <Poco/TextEncoding.h>
+#include <Poco/UTF8Encoding.h>
+
+#include "core/hash_func.h"
+
+namespace Chestnuthook
+{
+
+namespace
+{
+
+constexpr int MaxDepth = 32;
+constexpr std::size_t MaxMessages = 4096;
+constexpr std::array<std::string_view, 4> Roles = {"system", "user", "assistant", "tool"};
+constexpr std::array<std::string_view, 6> Methods = {"GET", "HEAD", "PUT", "DELETE", "POST", "PATCH"};
+
+using Object = Poco::JSON::Object::Ptr;
+
+tl::unexpected<Error> bad(const std::string &what)
+{
+    return fail(ErrorKind::BadRequest, what);
+}
+
+Result<Object> parseObject(const std::string &body)
+{
+    try {
+        Poco::JSON::Parser parser;
+        parser.setDepth(MaxDepth);
+        return parser.parse(body).extract<Object>();
+    } catch (const std::exception &) {
+        return bad("the body is not a JSON object of at most 32 levels");
+    }
+}
+
+Result<std::string> textField(const Object &object, const std::string &name)
+{
+    const Poco::Dynamic::Var value = object->get(name);
+    if (value.isEmpty() || !value.isString() || value.extract<std::string>().empty()) {
+        return bad("field " + name + " must be a text that is not empty");
+    }
+    return value.extract<std::string>();
+}
+
+Result<bool> flagField(const Object &object, const std::string &name)
+{
+    const Poco::Dynamic::Var value = object->get(name);
+    if (value.isEmpty()) {
+        return false;
+    }
+    if (!value.isBoolean()) {
+        return bad("field " + name + " must be true or false");
+    }
+    return value.extract<bool>();
+}
+
+Result<std::uint32_t> countField(const Object &object, const std::string &name)
+{
+    const Poco::Dynamic::Var value = object->get(name);
+    if (value.isEmpty()) {
+        return 0;
+    }
+    if (!value.isInteger() || value.isBoolean() || value.convert<std::int64_t>() < 1
+        || value.convert<std::int64_t>() > 1'000'000) {
+        return bad("field " + name + " must be a whole number from 1 to 1000000");
+    }
+    return value.convert<std::uint32_t>();
+}
+
+Result<std::vector<ChatMessage>> readMessages(const Object &object)
+{
+    const Poco::JSON::Array::Ptr list = object->isArray("messages") ? object->getArray("messages") : nullptr;
+    if (list.isNull() || list->size() == 0 || list->size() > MaxMessages) {
+        return bad("field messages must be a list of 1 to 4096 messages");
+    }
+    std::vector<ChatMessage> messages;
+    for (unsigned i = 0; i < list->size(); ++i) {
+        const Object message = list->isObject(i) ? list->getObject(i) : nullptr;
+        const Poco::Dynamic::Var content = message.isNull() ? Poco::Dynamic::Var() : message->get("content");
+        const Result<std::string> role = message.isNull() ? bad("") : textField(message, "role");
+        const bool known = role && std::find(Roles.begin(), Roles.end(), *role) != Roles.end();
+        if (!known || !content.isString()) {
+            return bad("messages[" + std::to_string(i) + "] needs a role (system, user, assistant, tool) and a text content");
+        }
+        messages.push_back(ChatMessage{*role, content.extract<std::string>()});
+    }
+    return messages;
+}
+
+Result<CallRequest> parseModelCall(const Object &object, CallRequest call)
+{
+    const auto model = textField(object, "model");
+    const auto messages = readMessages(object);
+    const auto maxTokens = countField(object, "max_tokens");
+    const auto stream = flagField(object, "stream");
+    if (!model || !messages || !maxTokens || !stream) {
+        const Error &error = !model ? model.error()
+            : !messages             ? messages.error()
+            : !maxTokens            ? maxTokens.error()
+                                    : stream.error();
+        return tl::unexpected(error);
+    }
+    call.model = ModelId{*model};
+    call.messages = *messages;
+    call.maxTokens = *maxTokens;
+    call.stream = *stream;
+    return call;
+}
+
+Result<CallRequest> parseToolCall(const Object &object, CallRequest call)
+{
+    call.kind = CallKind::Tool;
+    const auto service = textField(object, "service");
+    const auto method = textField(object, "method");
+    const auto path = textField(object, "path");
+    const auto idempotent = flagField(object, "idempotent");
+    if (!service || !method || !path || !idempotent) {
+        const Error &error = !service ? service.error()
+            : !method                 ? method.error()
+            : !path                   ? path.error()
+                                      : idempotent.error();
+        return tl::unexpected(error);
+    }
+    if (std::find(Methods.begin(), Methods.end(), *method) == Methods.end()) {
+        return bad("field method must be GET, HEAD, PUT, DELETE, POST or PATCH");
+    }
+    const bool clean = path->front() == '/' && std::none_of(path->begin(), path->end(), [](unsigned char letter) {
+        return letter <= ' ' || letter == 0x7f;
+    });
+    if (!clean) {
+        return bad("field path must begin with / and hold no blanks or control characters");
+    }
+    call.service = ServiceId{*service};
+    call.method = *method;
+    call.path = *path;
+    call.idempotent = *idempotent;
+    const Poco::Dynamic::Var toolBody = object->get("body");
+    call.toolBody = toolBody.isEmpty() ? std::string() : Poco::Dynamic::Var::toString(toolBody);
+    if (toolBody.isString()) {
+        call.toolBody = toolBody.extract<std::string>();
+    }
+    return call;
+}
+
+bool isUtf8(const std::string &text)
+{
+    const Poco::UTF8Encoding encoding;
+    const auto *at = reinterpret_cast<const unsigned char *>(text.data());
+    const auto *end = at + text.size();
+    while (at < end) {
+        const int length = encoding.sequenceLength(at, static_cast<int>(end - at));
+        if (length < 1 || length > end - at || !Poco::UTF8Encoding::isLegal(at, length)) {
+            return false;
+        }
+        at += length;
+    }
+    return true;
+}
+
+} // namespace
+
+Result<CallRequest> parseCall(const std::string &body)
+{
+    if (!isUtf8(body)) {
+        return bad("the body is not UTF-8");
+    }
+    const Result<Object> object = parseObject(body);
+    if (!object) {
+        return tl::unexpected(object.error());
+    }
+    CallRequest call;
+    call.digest = sha256Hex(body);
+    call.body = body;
+    const Result<std::string> kind = textField(*object, "kind");
+    if (kind && *kind == "model") {
+        return parseModelCall(*object, std::move(call));
+    }
+    if (kind && *kind == "tool") {
+        return parseToolCall(*object, std::move(call));
+    }
+    return bad("field kind must be model or tool");
+}
+
+Result<std::vector<ChatMessage>> parseMessages(const std::string &body)
+{
+    const Result<Object> object = parseObject(body);
+    if (!object) {
+        return tl::unexpected(object.error());
+    }
+    return readMessages(*object);
+}
+
+} // namespace Chestnuthook
--- /dev/null
+++ b/src/program/journal_cmd.cpp
@@ -0,0 +1,239 @@
+/** @file journal_cmd.cpp  Commands on the program journal: each is tested, then executed, by one function. */
+#include "program/journal_base.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <capnp/message.h>
+
+#include "fleet/fleet_base.h"
+#include "rpc/message_func.h"
+
+namespace Chestnuthook
+{
+
+std::string JournalState::apply(std::uint64_t index, std::string_view command)
+{
+    FlatMessage message(command);
+    const auto reader = message.root<Wire::JournalCommand>();
+    Result<void> result = this->doCommand(reader, false);
+    if (result) {
+        result = this->doCommand(reader, true);
+    }
+    this->lastIndex = index;
+    capnp::MallocMessageBuilder builder;
+    auto reply = builder.initRoot<Wire::JournalReply>();
+    reply.setIndex(index);
+    if (result) {
+        reply.setDone();
+    } else {
+        writeFailure(reply.initFailure(), result.error());
+    }
+    return flatBytes(builder);
+}
+
+Result<void> JournalState::doCommand(Wire::JournalCommand::Reader command, bool execute)
+{
+    if (command.isOpenSlots()) {
+        return this->doOpenSlots(command, execute);
+    }
+    const SlotId slot{command.getSlot()};
+    const Epoch current = this->epochOf(slot);
+    if (command.getEpoch() < current.value) {
+        return fail(ErrorKind::StaleEpoch, "slot " + std::to_string(slot.value) + " has a later owner");
+    }
+    if (command.getEpoch() != current.value) {
+        return fail(ErrorKind::StaleEpoch, "slot " + std::to_string(slot.value) + " was not opened under this epoch");
+    }
+    switch (command.which()) {
+    case Wire::JournalCommand::OPEN_SLOTS:
+        break;
+    case Wire::JournalCommand::CREATE:
+        return this->doCreate(command, execute);
+    case Wire::JournalCommand::BEGIN:
+        return this->doBegin(command, execute);
+    case Wire::JournalCommand::END:
+        return this->doEnd(command, execute);
+    case Wire::JournalCommand::END_PROGRAM:
+        return this->doEndProgram(command, execute);
+    case Wire::JournalCommand::RELEASED:
+        return this->doReleased(command, execute);
+    case Wire::JournalCommand::RESERVE:
+        return this->doReserve(command, execute);
+    case Wire::JournalCommand::FORGET:
+        return this->doForget(command, execute);
+    }
+    return fail(ErrorKind::BadRequest, "unknown journal command");
+}
+
+Result<ProgramRecord *> JournalState::openProgram(const std::string &id)
+{
+    const auto found = this->programs.find(ProgramId{id});
+    if (found == this->programs.end()) {
+        return fail(ErrorKind::NotFound, "no program " + id);
+    }
+    if (found->second.ended()) {
+        return fail(ErrorKind::ProgramEnded, "program " + id);
+    }
+    return &found->second;
+}
+
+Result<void> JournalState::doOpenSlots(Wire::JournalCommand::Reader command, bool execute)
+{
+    for (const auto opened : command.getOpenSlots()) {
+        const SlotId slot{opened.getSlot()};
+        if (opened.getEpoch() < this->epochOf(slot).value) {
+            return fail(ErrorKind::StaleEpoch, "slot " + std::to_string(slot.value) + " has a later owner");
+        }
+        if (execute) {
+            this->epochs[slot] = Epoch{opened.getEpoch()};
+        }
+    }
+    return {};
+}
+
+Result<void> JournalState::doCreate(Wire::JournalCommand::Reader command, bool execute)
+{
+    ProgramRecord program = readProgram(command.getCreate());
+    if (program.id.empty() || slotOf(program.id.text).value != command.getSlot()) {
+        return fail(ErrorKind::BadRequest, "the program is not of this slot");
+    }
+    if (this->programs.contains(program.id)) {
+        return fail(ErrorKind::Conflict, "program " + program.id.text + " is there already");
+    }
+    if (execute) {
+        this->adopt(std::move(program));
+    }
+    return {};
+}
+
+Result<void> JournalState::doBegin(Wire::JournalCommand::Reader command, bool execute)
+{
+    const auto begin = command.getBegin();
+    const Result<ProgramRecord *> program = this->openProgram(textOf(begin.getProgram()));
+    if (!program) {
+        return tl::unexpected(program.error());
+    }
+    CallRecord call = readCall(begin.getCall());
+    if (call.number.value != (*program)->calls.size() + 1) {
+        return fail(ErrorKind::Conflict, "call " + std::to_string(call.number.value) + " is not the next one");
+    }
+    if (!(*program)->calls.empty() && (*program)->calls.back().state != CallState::Ended) {
+        return fail(ErrorKind::Conflict, "the call before it has not ended");
+    }
+    if (execute) {
+        call.state = CallState::Intent;
+        (*program)->calls.push_back(std::move(call));
+    }
+    return {};
+}
+
+Result<void> JournalState::doEnd(Wire::JournalCommand::Reader command, bool execute)
+{
+    const auto end = command.getEnd();
+    const Result<ProgramRecord *> program = this->openProgram(textOf(end.getProgram()));
+    if (!program) {
+        return tl::unexpected(program.error());
+    }
+    CallRecord call = readCall(end.getCall());
+    std::vector<CallRecord> &calls = (*program)->calls;
+    const bool intent = !calls.empty() && calls.back().number == call.number && calls.back().state == CallState::Intent;
+    const bool next = call.number.value == calls.size() + 1 && (calls.empty() || calls.back().state == CallState::Ended);
+    if (!intent && !next) {
+        return fail(ErrorKind::Conflict, "call " + std::to_string(call.number.value) + " can't end now");
+    }
+    if (intent && calls.back().attempt != call.attempt) {
+        return fail(ErrorKind::Conflict, "the result is of another attempt");
+    }
+    if (!execute) {
+        return {};
+    }
+    call.state = CallState::Ended;
+    (*program)->spent.calls += 1;
+    (*program)->spent.tokens += call.tokens;
+    auto &releases = (*program)->releases;
+    if (!call.endpoint.empty() && std::find(releases.begin(), releases.end(), call.endpoint) == releases.end()) {
+        releases.push_back(call.endpoint);
+    }
+    if (intent) {
+        calls.back() = std::move(call);
+    } else {
+        calls.push_back(std::move(call));
+    }
+    return {};
+}
+
+Result<void> JournalState::doEndProgram(Wire::JournalCommand::Reader command, bool execute)
+{
+    const Result<ProgramRecord *> program = this->openProgram(textOf(command.getEndProgram()));
+    if (!program) {
+        return tl::unexpected(program.error());
+    }
+    if (execute) {
+        (*program)->endedMs = command.getNowMs();
+    }
+    return {};
+}
+
+Result<void> JournalState::doReleased(Wire::JournalCommand::Reader command, bool execute)
+{
+    const auto released = command.getReleased();
+    const auto found = this->programs.find(ProgramId{textOf(released.getProgram())});
+    if (found == this->programs.end()) {
+        return fail(ErrorKind::NotFound, "no such program");
+    }
+    if (execute) {
+        std::erase(found->second.releases, EndpointId{textOf(released.getEndpoint())});
+    }
+    return {};
+}
+
+Result<void> JournalState::doReserve(Wire::JournalCommand::Reader command, bool execute)
+{
+    const auto reserve = command.getReserve();
+    const auto found = this->programs.find(ProgramId{textOf(reserve.getProgram())});
+    if (found == this->programs.end()) {
+        return fail(ErrorKind::NotFound, "no such program");
+    }
+    const Budget amount = readBudget(reserve.getAmount());
+    const Budget &budget = found->second.budget;
+    Budget &spent = found->second.spent;
+    if (reserve.getGiveBack()) {
+        if (amount.calls > spent.calls || amount.tokens > spent.tokens) {
+            return fail(ErrorKind::Conflict, "more is given back than was taken");
+        }
+        if (execute) {
+            spent.calls -= amount.calls;
+            spent.tokens -= amount.tokens;
+        }
+        return {};
+    }
+    if (amount.calls > budget.calls - spent.calls || amount.tokens > budget.tokens - spent.tokens) {
+        return fail(ErrorKind::BudgetSpent, "program " + found->first.text);
+    }
+    if (execute) {
+        spent.calls += amount.calls;
+        spent.tokens += amount.tokens;
+    }
+    return {};
+}
+
+Result<void> JournalState::doForget(Wire::JournalCommand::Reader command, bool execute)
+{
+    for (const auto id : command.getForget()) {
+        const auto found = this->programs.find(ProgramId{textOf(id)});
+        if (found == this->programs.end()) {
+            continue;
+        }
+        if (!found->second.ended() || !found->second.releases.empty()) {
+            return fail(ErrorKind::Conflict, "program " + found->first.text + " is not done with");
+        }
+        if (execute) {
+            this->bySlot[slotOf(found->first.text)].erase(found->first);
+            this->programs.erase(found);
+        }
+    }
+    return {};
+}
+
+} // namespace Chestnuthook
--- /dev/null
+++ b/src/rpc/control_loop_base.cpp
@@ -0,0 +1,81 @@
+/** @file control_loop_base.cpp  Runs the event loop and the timer service of the control thread. */
+#include "rpc/control_loop_base.h"
+
+#include <csignal>
+
+#include "observe/log_func.h"
+
+namespace Chestnuthook
+{
+
+namespace
+{
+
+/** Resolution of the timer service. */
+constexpr auto TickPeriod = 10 * kj::MILLISECONDS;
+
+} // namespace
+
+ControlLoop::ControlLoop(std::string secret, std::string party)
+    : io(kj::setupAsyncIo())
+    , executor(kj::getCurrentThreadExecutor())
+    , rpcContext{this->io.provider->getNetwork(), this->io.provider->getTimer(), std::move(secret), std::move(party)}
+    , tasks(this->failures)
+    , stopped(nullptr)
+{
+    auto paf = kj::newPromiseAndFulfiller<void>();
+    this->stopped = kj::mv(paf.promise);
+    this->stopFulfiller = kj::mv(paf.fulfiller);
+}
+
+void ControlLoop::captureSignals()
+{
+    kj::UnixEventPort::captureSignal(SIGTERM);
+    kj::UnixEventPort::captureSignal(SIGINT);
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+void ControlLoop::run()
+{
+    this->tasks.add(this->tick());
+    this->stopped.wait(this->io.waitScope);
+}
+
+void ControlLoop::stop()
+{
+    this->stopFulfiller->fulfill();
+}
+
+void ControlLoop::onTerminate(std::function<void()> action)
+{
+    this->tasks.add(this->waitForSignal(std::move(action)));
+}
+
+kj::Promise<void> ControlLoop::waitForSignal(std::function<void()> action)
+{
+    auto terminate = this->io.unixEventPort.onSignal(SIGTERM).ignoreResult();
+    auto interrupt = this->io.unixEventPort.onSignal(SIGINT).ignoreResult();
+    return terminate.exclusiveJoin(kj::mv(interrupt)).then([action = std::move(action)]() {
+        action();
+    });
+}
+
+void ControlLoop::detach(kj::Promise<void> promise)
+{
+    this->tasks.add(kj::mv(promise));
+}
+
+kj::Promise<void> ControlLoop::tick()
+{
+    return this->io.provider->getTimer().afterDelay(TickPeriod).then([this]() {
+        this->timerService.runDue();
+        return this->tick();
+    });
+}
+
+void ControlLoop::LogFailures::taskFailed(kj::Exception &&exception)
+{
+    logEvent(EventKind::ChildFailed, {{"child", "background"}, {"error", exception.getDescription().cStr()}});
+}
+
+} // namespace Chestnuthook
--- /dev/null
+++ b/src/rpc/message_func.cpp
@@ -0,0 +1,48 @@
+/** @file message_func.cpp  Flat messages and errors on the wire. */
+#include "rpc/message_func.h"
+
+#include <cstring>
+
+#include "table/error_table.h"
+
+namespace Chestnuthook
+{
+
+std::string flatBytes(capnp::MessageBuilder &message)
+{
+    const kj::Array<capnp::word> words = capnp::messageToFlatArray(message);
+    const auto bytes = words.asBytes();
+    return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
+}
+
+FlatMessage::FlatMessage(std::string_view bytes)
+{
+    KJ_REQUIRE(bytes.size() % sizeof(capnp::word) == 0, "a message is made of whole words");
+    this->words = kj::heapArray<capnp::word>(bytes.size() / sizeof(capnp::word));
+    if (!bytes.empty()) {
+        std::memcpy(this->words.begin(), bytes.data(), bytes.size());
+    }
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords = this->words.size() * 4 + 1024;
+    this->reader = kj::heap<capnp::FlatArrayMessageReader>(this->words, options);
+}
+
+void writeFailure(Wire::Failure::Builder builder, const Error &error)
+{
+    builder.setCode(std::string(errorRow(error.kind).code));
+    builder.setWhat(error.what);
+    builder.setRan(std::string(nameOf(error.ran)));
+    builder.setRetryAfterMs(error.retryAfterMs);
+}
+
+Error readFailure(Wire::Failure::Reader reader)
+{
+    Error error;
+    error.kind = errorKindOf(textOf(reader.getCode())).value_or(ErrorKind::Internal);
+    error.what = textOf(reader.getWhat());
+    error.ran = parseName<Ran>(textOf(reader.getRan())).value_or(Ran::Unknown);
+    error.retryAfterMs = reader.getRetryAfterMs();
+    return error;
+}
+
+} // namespace Chestnuthook
--- /dev/null
+++ b/src/rpc/rpc_link_base.cpp
@@ -0,0 +1,159 @@
+/** @file rpc_link_base.cpp  Connecting, authenticating and accepting. */
+#include "rpc/rpc_link_base.h"
+
+#include <utility>
+
+namespace Chestnuthook
+{
+
+namespace
+{
+
+constexpr auto ConnectTimeout = 700 * kj::MILLISECONDS;
+
+/** Limits of one message from another process; a peer is authenticated, but may be broken. */
+constexpr std::uint64_t MaxMessageWords = 64ULL * 1024 * 1024 / 8;
+
+capnp::ReaderOptions readerOptions()
+{
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords = MaxMessageWords;
+    return options;
+}
+
+/** One accepted connection; kept alive until it ends. */
+struct AcceptedConnection
+{
+    AcceptedConnection(kj::Own<kj::AsyncIoStream> accepted, capnp::Capability::Client bootstrap)
+        : stream(kj::mv(accepted))
+        , network(*this->stream, capnp::rpc::twoparty::Side::SERVER, readerOptions())
+        , system(capnp::makeRpcServer(this->network, kj::mv(bootstrap)))
+    {
+    }
+
+    kj::Own<kj::AsyncIoStream> stream; ///< The socket.
+    capnp::TwoPartyVatNetwork network; ///< Frames messages on it.
+    capnp::RpcSystem<capnp::rpc::twoparty::VatId> system; ///< Serves the gate.
+};
+
+/** The accept loop of one port and the tasks of its connections. */
+class RpcPort final : private kj::TaskSet::ErrorHandler
+{
+public:
+    RpcPort(kj::Own<kj::ConnectionReceiver> receiver, Wire::Gate::Client gate)
+        : receiver(kj::mv(receiver))
+        , gate(kj::mv(gate))
+        , tasks(*this)
+    {
+    }
+
+    kj::Promise<void> acceptLoop()
+    {
+        return this->receiver->accept().then([this](kj::Own<kj::AsyncIoStream> &&stream) {
+            auto connection = kj::heap<AcceptedConnection>(kj::mv(stream), this->gate);
+            auto ended = connection->network.onDisconnect();
+            this->tasks.add(ended.attach(kj::mv(connection)));
+            return this->acceptLoop();
+        });
+    }
+
+private:
+    void taskFailed(kj::Exception && /*exception*/) override
+    {
+        // A connection that ended with an error is gone like any other.
+    }
+
+    kj::Own<kj::ConnectionReceiver> receiver; ///< The listening socket.
+    Wire::Gate::Client gate; ///< Bootstrap of each connection.
+    kj::TaskSet tasks; ///< One task per connection.
+};
+
+} // namespace
+
+struct RpcLink::Connection
+{
+    explicit Connection(kj::Own<kj::AsyncIoStream> connected)
+        : stream(kj::mv(connected))
+        , network(*this->stream, capnp::rpc::twoparty::Side::CLIENT, readerOptions())
+        , system(capnp::makeRpcClient(this->network))
+    {
+    }
+
+    Wire::Gate::Client gate()
+    {
+        capnp::MallocMessageBuilder message;
+        auto vat = message.initRoot<capnp::rpc::twoparty::VatId>();
+        vat.setSide(capnp::rpc::twoparty::Side::SERVER);
+        return this->system.bootstrap(vat).castAs<Wire::Gate>();
+    }
+
+    kj::Own<kj::AsyncIoStream> stream; ///< The socket.
+    capnp::TwoPartyVatNetwork network; ///< Frames messages on it.
+    capnp::RpcSystem<capnp::rpc::twoparty::VatId> system; ///< Runs the calls.
+    OfferedServices offered; ///< Set once the gate is passed.
+    bool ready = false; ///< Whether the gate is passed.
+};
+
+RpcLink::RpcLink(RpcContext &context, std::string address)
+    : context(context)
+    , address(std::move(address))
+{
+}
+
+kj::Promise<void> RpcLink::connect()
+{
+    return this->context.network.parseAddress(this->address)
+        .then([](kj::Own<kj::NetworkAddress> &&parsed) {
+            auto connected = parsed->connect();
+            return connected.attach(kj::mv(parsed));
+        })
+        .then([this](kj::Own<kj::AsyncIoStream> &&stream) {
+            this->connection = std::make_shared<Connection>(kj::mv(stream));
+            return passGate(this->connection->gate(), this->context.secret, this->context.party);
+        })
+        .then([this](capnp::Response<Wire::Prover::ProveResults> &&response) {
+            KJ_REQUIRE(this->connection != nullptr, "the link was reset");
+            auto offered = response.getServices();
+            this->connection->offered = OfferedServices{offered.getControl(), offered.getPeer()};
+            this->connection->ready = true;
+        });
+}
+
+kj::Promise<OfferedServices> RpcLink::services()
+{
+    if (this->connection != nullptr && this->connection->ready) {
+        return OfferedServices(this->connection->offered);
+    }
+    if (this->connecting == nullptr) {
+        this->connection = nullptr;
+        this->connecting = this->context.timer.timeoutAfter(ConnectTimeout, this->connect()).fork();
+    }
+    auto branch = KJ_ASSERT_NONNULL(this->connecting).addBranch();
+    return branch.then(
+        [this]() -> kj::Promise<OfferedServices> {
+            this->connecting = nullptr;
+            KJ_REQUIRE(this->connection != nullptr && this->connection->ready, "the link was reset");
+            return OfferedServices(this->connection->offered);
+        },
+        [this](kj::Exception &&exception) -> kj::Promise<OfferedServices> {
+            this->reset();
+            return kj::mv(exception);
+        });
+}
+
+void RpcLink::reset()
+{
+    this->connecting = nullptr;
+    this->connection = nullptr;
+}
+
+kj::Promise<void> serveRpc(RpcContext &context, const std::string &address, OfferedServices services)
+{
+    return context.network.parseAddress(address).then([&context, services = kj::mv(services)](auto &&parsed) mutable {
+        auto port = kj::heap<RpcPort>(parsed->listen(), makeGate(context.secret, kj::mv(services)));
+        auto loop = port->acceptLoop();
+        return loop.attach(kj::mv(port));
+    });
+}
+
+} // namespace Chestnuthook
--- /dev/null
+++ b/src/table/metric_table.cpp
@@ -0,0 +1,73 @@
+/** @file metric_table.cpp  The table of metrics. */
+#include "table/metric_table.h"
+
+#include <array>
+
+namespace Chestnuthook
+{
+
+namespace
+{
+
+constexpr auto MetricRows = std::to_array<MetricRow>({
+    {MetricKind::RequestsTotal, "chestnuthook_requests_total", MetricType::Counter, "tenant", "Requests received."},
+    {MetricKind::RequestsRefused, "chestnuthook_requests_refused_total", MetricType::Counter, "tenant",
+        "Requests refused."},
+    {MetricKind::CallsStarted, "chestnuthook_calls_started_total", MetricType::Counter, "endpoint",
+        "Attempts of calls started."},
+    {MetricKind::CallsEnded, "chestnuthook_calls_ended_total", MetricType::Counter, "endpoint",
+        "Attempts of calls ended."},
+    {MetricKind::CallDurationMs, "chestnuthook_call_duration_ms", MetricType::Histogram, "endpoint",
+        "Time of a call, in milliseconds."},
+    {MetricKind::FirstTokenMs, "chestnuthook_first_token_ms", MetricType::Histogram, "endpoint",
+        "Time to the first token, in milliseconds."},
+    {MetricKind::JournalWriteMs, "chestnuthook_journal_write_ms", MetricType::Histogram, "",
+        "Time of a journal write to its commit, in milliseconds."},
+    {MetricKind::JournalBytes, "chestnuthook_journal_bytes_total", MetricType::Counter, "",
+        "Bytes written to journals."},
+    {MetricKind::ControlBytesSent, "chestnuthook_control_bytes_sent_total", MetricType::Counter, "",
+        "Bytes sent for control."},
+    {MetricKind::ControlBytesReceived, "chestnuthook_control_bytes_received_total", MetricType::Counter, "",
+        "Bytes received for control."},
+    {MetricKind::PermitsGranted, "chestnuthook_permits_granted_total", MetricType::Counter, "endpoint",
+        "Permits granted."},
+    {MetricKind::PermitWaitMs, "chestnuthook_permit_wait_ms", MetricType::Histogram, "endpoint",
+        "Wait for a permit, in milliseconds."},
+    {MetricKind::RetriesTotal, "chestnuthook_retries_total", MetricType::Counter, "endpoint",
+        "Attempts after the first."},
+    {MetricKind::FreshnessAgeMs, "chestnuthook_freshness_age_ms", MetricType::Gauge, "",
+        "Age of the last confirmed read, in milliseconds."},
+    {MetricKind::OpenStreams, "chestnuthook_open_streams", MetricType::Gauge, "endpoint", "Streams open now."},
+    {MetricKind::OpenPrograms, "chestnuthook_open_programs", MetricType::Gauge, "tenant", "Programs under way now."},
+    {MetricKind::TokensRecomputed, "chestnuthook_tokens_recomputed_total", MetricType::Counter, "endpoint",
+        "Prompt tokens computed though cached once."},
+    {MetricKind::TokensCached, "chestnuthook_tokens_cached_total", MetricType::Counter, "endpoint",
+        "Prompt tokens taken from caches."},
+    {MetricKind::AdmissionHoldMs, "chestnuthook_admission_hold_ms", MetricType::Histogram, "tenant",
+        "Time held at admission, in milliseconds."},
+    {MetricKind::LogAppends, "chestnuthook_log_appends_total", MetricType::Counter, "",
+        "Records appended to replicated logs."},
+    {MetricKind::LogSyncs, "chestnuthook_log_syncs_total", MetricType::Counter, "", "Syncs of replicated logs."},
+    {MetricKind::StrikesTotal, "chestnuthook_strikes_total", MetricType::Counter, "tenant",
+        "Strikes against requests that crash endpoints."},
+});
+
+constexpr bool isWhole()
+{
+    for (std::size_t i = 0; i < MetricRows.size(); ++i) {
+        if (static_cast<std::size_t>(MetricRows[i].kind) != i) {
+            return false;
+        }
+    }
+    return MetricRows.size() == MetricCount;
+}
+static_assert(isWhole(), "each MetricKind has one row, in order");
+
+} // namespace
+
+const MetricRow &metricRow(MetricKind kind)
+{
+    return MetricRows.at(static_cast<std::size_t>(kind));
+}
+
+} // namespace Chestnuthook
