--- a/src/admission/token_bucket_type.h
+++ b/src/admission/token_bucket_type.h
@@ -13,7 +13,8 @@
 {
 public:
     /** A bucket that begins empty. */
-    explicit TokenBucket(Instant now) : updated(now)
+    explicit TokenBucket(Instant now)
+        : updated(now)
     {
     }
 
@@ -63,10 +64,10 @@
         }
     }
 
-    double rate = 0;  ///< Requests per second.
+    double rate = 0; ///< Requests per second.
     double burst = 0; ///< Upper bound of `level`.
     double level = 0; ///< Requests that may come now.
-    Instant updated;  ///< When `level` was right.
+    Instant updated; ///< When `level` was right.
 };
 
 } // namespace Chestnuthook
--- a/src/client/control_client_base.cpp
+++ b/src/client/control_client_base.cpp
@@ -24,7 +24,8 @@
 
 } // namespace
 
-ControlClient::ControlClient(RpcContext &context, const std::vector<std::string> &addresses) : context(context)
+ControlClient::ControlClient(RpcContext &context, const std::vector<std::string> &addresses)
+    : context(context)
 {
     for (const std::string &address : addresses) {
         this->links.push_back(std::make_unique<RpcLink>(context, address));
--- a/src/client/control_client_base.h
+++ b/src/client/control_client_base.h
@@ -55,9 +55,9 @@
     kj::Promise<Wire::Control::Client> control();
     void follow(const std::string &leader);
 
-    RpcContext &context;                         ///< Outlives this.
+    RpcContext &context; ///< Outlives this.
     std::vector<std::unique_ptr<RpcLink>> links; ///< One per control member.
-    std::size_t current = 0;                     ///< Index of the member in use.
+    std::size_t current = 0; ///< Index of the member in use.
 };
 
 } // namespace Chestnuthook
--- a/src/consensus/log_file_base.h
+++ b/src/consensus/log_file_base.h
@@ -29,9 +29,9 @@
     [[nodiscard]] Result<std::uint64_t> append(std::string_view record);
 
 private:
-    int descriptor = -1;         ///< The open file.
+    int descriptor = -1; ///< The open file.
     std::uint64_t lastIndex = 0; ///< Index of the last record.
-    bool failed = false;         ///< A write or sync failed; the file's end is unknown.
+    bool failed = false; ///< A write or sync failed; the file's end is unknown.
 };
 
 } // namespace Chestnuthook
--- a/src/control/control_service_base.cpp
+++ b/src/control/control_service_base.cpp
@@ -57,7 +57,8 @@
 class ControlServer final : public Wire::Control::Server
 {
 public:
-    explicit ControlServer(ControlMember &member) : member(member)
+    explicit ControlServer(ControlMember &member)
+        : member(member)
     {
     }
 
@@ -196,7 +197,9 @@
 
 } // namespace
 
-ControlMember::ControlMember(ControlLoop &loop, std::string memberId) : memberId(std::move(memberId)), loop(loop)
+ControlMember::ControlMember(ControlLoop &loop, std::string memberId)
+    : memberId(std::move(memberId))
+    , loop(loop)
 {
 }
 
--- a/src/control/control_service_base.h
+++ b/src/control/control_service_base.h
@@ -29,11 +29,11 @@
     /** Ends the leases whose holders were not heard. */
     void expireLeases();
 
-    ReplicaGroup<FleetState> fleet;     ///< Declarations, keys, leases, slots.
+    ReplicaGroup<FleetState> fleet; ///< Declarations, keys, leases, slots.
     ReplicaGroup<JournalState> journal; ///< Programs.
-    LeaseKeeper leases;                 ///< Meaningful while this member leads.
-    const std::string memberId;         ///< Shown to operators.
-    ControlLoop &loop;                  ///< Outlives this.
+    LeaseKeeper leases; ///< Meaningful while this member leads.
+    const std::string memberId; ///< Shown to operators.
+    ControlLoop &loop; ///< Outlives this.
 
 private:
     TimerSubscription expiry; ///< Runs expireLeases.
--- a/src/control/lease_keeper_base.h
+++ b/src/control/lease_keeper_base.h
@@ -22,7 +22,7 @@
 /** What the leader knows of one entry beyond its replicated record. */
 struct HeardEntry
 {
-    Instant heard;                     ///< When its last request arrived.
+    Instant heard; ///< When its last request arrived.
     std::uint64_t inForceRevision = 0; ///< Revision that it said to serve under.
 };
 
--- a/src/core/hybrid_clock_type.h
+++ b/src/core/hybrid_clock_type.h
@@ -14,7 +14,7 @@
 /** One reading; text order equals this order while wall times have 13 digits (years 2001 to 2286). */
 struct HybridTime
 {
-    std::int64_t wallMs = 0;   ///< Milliseconds since 1970 UTC, or of the latest event seen if that is later.
+    std::int64_t wallMs = 0; ///< Milliseconds since 1970 UTC, or of the latest event seen if that is later.
     std::uint32_t counter = 0; ///< Orders events of one millisecond; at most MaxCounter.
 
     static constexpr std::uint32_t MaxCounter = 9999; ///< What four digits hold; then the wall part moves on.
--- a/src/core/id_type.h
+++ b/src/core/id_type.h
@@ -17,7 +17,8 @@
     std::string text; ///< The id as it is shown to people and sent between processes.
 
     TextId() = default;
-    explicit TextId(std::string value) : text(std::move(value))
+    explicit TextId(std::string value)
+        : text(std::move(value))
     {
     }
 
@@ -35,26 +36,27 @@
     Number value = 0; ///< The raw number.
 
     NumberId() = default;
-    constexpr explicit NumberId(Number number) : value(number)
+    constexpr explicit NumberId(Number number)
+        : value(number)
     {
     }
     auto operator<=>(const NumberId &) const = default;
 };
 
-using TenantId = TextId<struct TenantTag>;         ///< A customer of the operator.
-using KeyId = TextId<struct KeyTag>;               ///< Names a caller's key; not the key itself.
-using EntryId = TextId<struct EntryTag>;           ///< One entry instance's process identity.
-using EndpointId = TextId<struct EndpointTag>;     ///< A back end: engine replica or service replica, `ip:port`.
-using ServiceId = TextId<struct ServiceTag>;       ///< A plain service by name.
-using ModelId = TextId<struct ModelTag>;           ///< A model by name.
+using TenantId = TextId<struct TenantTag>; ///< A customer of the operator.
+using KeyId = TextId<struct KeyTag>; ///< Names a caller's key; not the key itself.
+using EntryId = TextId<struct EntryTag>; ///< One entry instance's process identity.
+using EndpointId = TextId<struct EndpointTag>; ///< A back end: engine replica or service replica, `ip:port`.
+using ServiceId = TextId<struct ServiceTag>; ///< A plain service by name.
+using ModelId = TextId<struct ModelTag>; ///< A model by name.
 using DataCentreId = TextId<struct DataCentreTag>; ///< A data centre by name.
-using ProgramId = TextId<struct ProgramTag>;       ///< An agent program; its slot is a function of this id.
-using AttemptId = TextId<struct AttemptTag>;       ///< One try of one call at one endpoint; never reused.
+using ProgramId = TextId<struct ProgramTag>; ///< An agent program; its slot is a function of this id.
+using AttemptId = TextId<struct AttemptTag>; ///< One try of one call at one endpoint; never reused.
 using RequestId = TextId<struct RequestTag>; ///< Names an operator's or caller's request, so that a resend is seen.
 
-using SlotId = NumberId<struct SlotTag, std::uint16_t>;     ///< One of SlotCount shares of all programs.
-using Epoch = NumberId<struct EpochTag>;                    ///< Grows with each change of a slot's owner.
-using Revision = NumberId<struct RevisionTag>;              ///< Revision of the fleet state: its log index.
+using SlotId = NumberId<struct SlotTag, std::uint16_t>; ///< One of SlotCount shares of all programs.
+using Epoch = NumberId<struct EpochTag>; ///< Grows with each change of a slot's owner.
+using Revision = NumberId<struct RevisionTag>; ///< Revision of the fleet state: its log index.
 using CallNumber = NumberId<struct CallTag, std::uint32_t>; ///< Position of a call in its program, from 1.
 
 } // namespace Chestnuthook
--- a/src/core/name_table_type.h
+++ b/src/core/name_table_type.h
@@ -13,7 +13,7 @@
 template<typename Enum>
 struct NameRow
 {
-    Enum value;            ///< The enumerator.
+    Enum value; ///< The enumerator.
     std::string_view name; ///< Its name; unique in its table.
 };
 
--- a/src/core/settings_func.cpp
+++ b/src/core/settings_func.cpp
@@ -28,7 +28,7 @@
 /** A flag's value and where it came from. */
 struct Given
 {
-    std::string value;  ///< The text as given.
+    std::string value; ///< The text as given.
     std::string source; ///< `--flag` or the variable's name, for messages.
 };
 
@@ -60,8 +60,8 @@
 struct CommandLine
 {
     std::map<std::string, Given, std::less<>> flags; ///< Known flags by name; the last one given wins.
-    std::vector<char *> words;                       ///< The program's name and all that is no flag.
-    bool help = false;                               ///< `--help` was given.
+    std::vector<char *> words; ///< The program's name and all that is no flag.
+    bool help = false; ///< `--help` was given.
 };
 
 CommandLine readCommandLine(int argc, char **argv, const std::vector<SettingCheck> &checks, std::vector<Error> &faults)
--- a/src/core/settings_func.h
+++ b/src/core/settings_func.h
@@ -19,17 +19,17 @@
 /** One row of a daemon's table of settings. Only flags with a row are accepted. */
 struct SettingCheck
 {
-    std::string_view flag;      ///< The gflags name; the variable is CHESTNUTHOOK_ and this name in upper case.
-    std::string_view group;     ///< Heading in `--help`; rows of one group stand together.
+    std::string_view flag; ///< The gflags name; the variable is CHESTNUTHOOK_ and this name in upper case.
+    std::string_view group; ///< Heading in `--help`; rows of one group stand together.
     SettingCheckFunction check; ///< Empty where every value of the flag's type is right.
-    std::string_view remedy;    ///< What to do about a fault; for people.
+    std::string_view remedy; ///< What to do about a fault; for people.
 };
 
 /** What loadSettings found. */
 struct SettingsOutcome
 {
     std::vector<Error> faults; ///< All faults, each of kind BadSetting with its remedy; empty where all is right.
-    std::string help;          ///< The text of `--help` where that was asked for, else empty.
+    std::string help; ///< The text of `--help` where that was asked for, else empty.
 };
 
 /** Sets the flags from the command line, else from the environment; leaves the words that are no flags in @p argv.
--- a/src/core/timer_base.cpp
+++ b/src/core/timer_base.cpp
@@ -75,7 +75,7 @@
     struct Restore
     {
         Id &running; ///< The queue's mark.
-        Id outer;    ///< What it was.
+        Id outer; ///< What it was.
         ~Restore()
         {
             this->running = this->outer;
@@ -96,12 +96,14 @@
 }
 
 TimerSubscription::TimerSubscription(std::weak_ptr<TimerQueue> timerQueue, TimerQueue::Id timerId)
-    : queue(std::move(timerQueue)), id(timerId)
+    : queue(std::move(timerQueue))
+    , id(timerId)
 {
 }
 
 TimerSubscription::TimerSubscription(TimerSubscription &&other) noexcept
-    : queue(std::move(other.queue)), id(std::exchange(other.id, 0))
+    : queue(std::move(other.queue))
+    , id(std::exchange(other.id, 0))
 {
 }
 
@@ -137,7 +139,8 @@
 }
 
 TimerService::TimerService(ClockFunction clockFunction)
-    : clock(std::move(clockFunction)), queue(std::make_shared<TimerQueue>())
+    : clock(std::move(clockFunction))
+    , queue(std::make_shared<TimerQueue>())
 {
 }
 
--- a/src/core/timer_base.h
+++ b/src/core/timer_base.h
@@ -36,14 +36,14 @@
 private:
     struct Entry
     {
-        Duration period{0};           ///< Zero for a callback that runs once.
+        Duration period{0}; ///< Zero for a callback that runs once.
         std::function<void()> action; ///< What to run.
     };
     using Key = std::pair<Instant, Id>;
 
-    std::map<Key, Entry> entries;          ///< All waiting callbacks in the order in which they run.
+    std::map<Key, Entry> entries; ///< All waiting callbacks in the order in which they run.
     std::unordered_map<Id, Instant> dueOf; ///< Due time of each waiting id; same ids as `entries`.
-    Id next = 1;                           ///< Grows; ids are never reused.
+    Id next = 1; ///< Grows; ids are never reused.
     Id running = 0; ///< Id of the repeating callback that runs now; 0 where none does or it was cancelled.
 };
 
@@ -66,7 +66,7 @@
 
 private:
     std::weak_ptr<TimerQueue> queue; ///< Empty where nothing is subscribed.
-    TimerQueue::Id id = 0;           ///< The callback in `queue`; 0 where nothing is subscribed.
+    TimerQueue::Id id = 0; ///< The callback in `queue`; 0 where nothing is subscribed.
 };
 
 /** Time and callbacks for the control thread. Callbacks may subscribe and cancel. Not thread-safe but for `now`. */
@@ -93,7 +93,7 @@
     [[nodiscard]] std::size_t pending() const;
 
 protected:
-    ClockFunction clock;               ///< Gives the current instant; never goes back.
+    ClockFunction clock; ///< Gives the current instant; never goes back.
     std::shared_ptr<TimerQueue> queue; ///< Shared with subscriptions, which may outlive the service.
 };
 
--- a/src/core/timer_type.h
+++ b/src/core/timer_type.h
@@ -18,7 +18,8 @@
     std::int64_t us = 0; ///< Microseconds since an arbitrary start.
 
     constexpr Instant() = default;
-    constexpr explicit Instant(std::int64_t microseconds) : us(microseconds)
+    constexpr explicit Instant(std::int64_t microseconds)
+        : us(microseconds)
     {
     }
     friend constexpr bool operator==(const Instant &, const Instant &) = default;
--- a/src/ctl/ctl_command_func.cpp
+++ b/src/ctl/ctl_command_func.cpp
@@ -32,8 +32,8 @@
 struct Change
 {
     DeclarationName name; ///< What changes.
-    std::string json;     ///< The new object; empty where it goes.
-    bool added = false;   ///< It wasn't there.
+    std::string json; ///< The new object; empty where it goes.
+    bool added = false; ///< It wasn't there.
 };
 
 CtlExit complain(const Error &error)
--- a/src/ctl/ctl_session_base.cpp
+++ b/src/ctl/ctl_session_base.cpp
@@ -18,7 +18,9 @@
 } // namespace
 
 CtlSession::CtlSession(std::string secret, const std::vector<std::string> &addresses)
-    : loop(std::move(secret), "ctl"), client(this->loop.rpc(), addresses), controls(addresses)
+    : loop(std::move(secret), "ctl")
+    , client(this->loop.rpc(), addresses)
+    , controls(addresses)
 {
 }
 
--- a/src/ctl/ctl_session_base.h
+++ b/src/ctl/ctl_session_base.h
@@ -28,8 +28,8 @@
     Result<capnp::Response<Wire::Control::StatusResults>> status(const std::string &address);
 
 private:
-    ControlLoop loop;                  ///< Runs while a call waits.
-    ControlClient client;              ///< To the members.
+    ControlLoop loop; ///< Runs while a call waits.
+    ControlClient client; ///< To the members.
     std::vector<std::string> controls; ///< Their addresses.
 };
 
--- a/src/ctl/declaration_file_base.cpp
+++ b/src/ctl/declaration_file_base.cpp
@@ -76,7 +76,8 @@
 class Merger
 {
 public:
-    explicit Merger(DeclarationFiles &result) : result(result)
+    explicit Merger(DeclarationFiles &result)
+        : result(result)
     {
     }
 
@@ -161,8 +162,8 @@
         this->result.faults.push_back(Error{ErrorKind::BadDeclaration, std::move(what), Ran::No, 0});
     }
 
-    DeclarationFiles &result;                        ///< Gets items and faults.
-    std::map<DeclarationName, YAML::Node> nodes;     ///< Merged so far.
+    DeclarationFiles &result; ///< Gets items and faults.
+    std::map<DeclarationName, YAML::Node> nodes; ///< Merged so far.
     std::map<DeclarationName, DeclaredItem> origins; ///< Where each was written last.
 };
 
--- a/src/ctl/declaration_file_base.h
+++ b/src/ctl/declaration_file_base.h
@@ -18,7 +18,7 @@
 {
     std::string json; ///< The object.
     std::string file; ///< Of its last part.
-    int line = 0;     ///< From 1.
+    int line = 0; ///< From 1.
 };
 
 using DeclaredItems = std::map<DeclarationName, DeclaredItem>;
@@ -26,7 +26,7 @@
 /** What reading and checking gave. */
 struct DeclarationFiles
 {
-    DeclaredItems items;       ///< All declarations that could be read.
+    DeclaredItems items; ///< All declarations that could be read.
     std::vector<Error> faults; ///< Each with file, line, path and remedy.
 };
 
--- a/src/endpoint/attempt_type.h
+++ b/src/endpoint/attempt_type.h
@@ -19,36 +19,36 @@
 /** A header of a request or an answer. */
 struct HttpHeader
 {
-    std::string name;  ///< As sent.
+    std::string name; ///< As sent.
     std::string value; ///< As sent.
 };
 
 /** What is sent to an endpoint. It never holds the caller's key. */
 struct AttemptRequest
 {
-    AttemptId attempt;          ///< Sent as X-Attempt-Id; the answer must carry it back where the endpoint echoes it.
-    ProgramId program;          ///< Sent as X-Program-Id.
-    std::string address;        ///< ip:port of the endpoint.
-    std::string method;         ///< HTTP method.
-    std::string path;           ///< With the query.
-    std::string contentType;    ///< Of the body; empty for none.
-    std::string body;           ///< As sent.
+    AttemptId attempt; ///< Sent as X-Attempt-Id; the answer must carry it back where the endpoint echoes it.
+    ProgramId program; ///< Sent as X-Program-Id.
+    std::string address; ///< ip:port of the endpoint.
+    std::string method; ///< HTTP method.
+    std::string path; ///< With the query.
+    std::string contentType; ///< Of the body; empty for none.
+    std::string body; ///< As sent.
     std::int64_t timeoutMs = 0; ///< From the connect to the last byte.
 };
 
 /** How an attempt ended. */
 struct AttemptOutcome
 {
-    bool sent = false;                  ///< At least one byte may have reached the endpoint; never falsely false.
-    bool complete = false;              ///< The whole answer was read.
-    std::uint16_t status = 0;           ///< HTTP status; 0 where none came.
-    std::string contentType;            ///< Of the answer.
-    std::string body;                   ///< A service's answer; an engine's text so far.
-    std::string finishReason;           ///< Of an engine's answer.
-    std::uint64_t promptTokens = 0;     ///< As the engine counted.
+    bool sent = false; ///< At least one byte may have reached the endpoint; never falsely false.
+    bool complete = false; ///< The whole answer was read.
+    std::uint16_t status = 0; ///< HTTP status; 0 where none came.
+    std::string contentType; ///< Of the answer.
+    std::string body; ///< A service's answer; an engine's text so far.
+    std::string finishReason; ///< Of an engine's answer.
+    std::uint64_t promptTokens = 0; ///< As the engine counted.
     std::uint64_t completionTokens = 0; ///< As the engine counted.
-    std::uint64_t cachedTokens = 0;     ///< Prompt tokens that the engine had cached.
-    std::string what;                   ///< Why it is not complete; for people.
+    std::uint64_t cachedTokens = 0; ///< Prompt tokens that the engine had cached.
+    std::string what; ///< Why it is not complete; for people.
 };
 
 /** Ends an attempt from another thread. */
@@ -78,8 +78,8 @@
     }
 
 private:
-    std::mutex mutex;                    ///< Guards `abort`.
-    std::function<void()> abort;         ///< Breaks the attempt's connection.
+    std::mutex mutex; ///< Guards `abort`.
+    std::function<void()> abort; ///< Breaks the attempt's connection.
     std::atomic<bool> cancelled = false; ///< Never falls.
 };
 
--- a/src/endpoint/instance_list_base.h
+++ b/src/endpoint/instance_list_base.h
@@ -17,11 +17,11 @@
 /** One endpoint as the platform lists it. */
 struct ListedEndpoint
 {
-    EndpointId id;                            ///< ip:port.
+    EndpointId id; ///< ip:port.
     EndpointKind kind = EndpointKind::Engine; ///< What it serves.
-    std::string name;                         ///< Model of an engine, or name of a service.
-    DataCentreId dataCentre;                  ///< Where it is.
-    bool leaving = false;                     ///< Gets nothing new.
+    std::string name; ///< Model of an engine, or name of a service.
+    DataCentreId dataCentre; ///< Where it is.
+    bool leaving = false; ///< Gets nothing new.
 };
 
 using EndpointList = std::vector<ListedEndpoint>;
--- a/src/entry/call_runner_base.cpp
+++ b/src/entry/call_runner_base.cpp
@@ -16,6 +16,7 @@
 {
 
 constexpr int StatusOk = 200;
+constexpr std::size_t BytesPerToken = 4; ///< For estimates only.
 
 std::string messageJson(const ChatMessage &message)
 {
@@ -49,7 +50,10 @@
 
 CallRunner::CallRunner(
     EntryContext &context, Poco::Net::HTTPServerResponse &response, ProgramId program, TenantId tenant)
-    : context(context), response(response), program(std::move(program)), tenant(std::move(tenant))
+    : context(context)
+    , response(response)
+    , program(std::move(program))
+    , tenant(std::move(tenant))
 {
 }
 
@@ -69,37 +73,38 @@
     }
 }
 
-Result<EndpointId> CallRunner::chooseEndpoint(EndpointKind kind, const std::string &name)
+DispatchDemand CallRunner::demandOf(const CallRequest &request, const CallStart &start) const
 {
-    const std::shared_ptr<const EndpointList> list = this->context.endpoints.load();
-    std::vector<EndpointId> fitting;
-    for (const ListedEndpoint &endpoint : *list) {
-        if (endpoint.kind == kind && endpoint.name == name && !endpoint.leaving) {
-            fitting.push_back(endpoint.id);
-        }
-    }
-    if (fitting.empty()) {
-        return fail(ErrorKind::NoEndpoint, name);
-    }
-    return fitting[this->context.nextEndpoint++ % fitting.size()];
+    DispatchDemand demand;
+    const bool model = request.kind == CallKind::Model;
+    demand.kind = model ? EndpointKind::Engine : EndpointKind::Service;
+    demand.name = model ? request.model.text : request.service.text;
+    demand.program = this->program;
+    demand.tenant = this->tenant;
+    demand.maxTokens = request.maxTokens;
+    for (const ChatMessage &message : start.history) {
+        demand.promptTokens += message.content.size() / BytesPerToken;
+    }
+    return demand;
 }
 
 void CallRunner::runModel(const CallRequest &request, CallStart start)
 {
     CallRecord call = std::move(start.call);
-    const Result<EndpointId> endpoint = this->chooseEndpoint(EndpointKind::Engine, request.model.text);
-    if (!endpoint) {
-        call.failure = endpoint.error();
+    const DispatchDemand demand = this->demandOf(request, start);
+    const Result<DispatchPermit> permit = this->context.dispatch.acquire(demand);
+    if (!permit) {
+        call.failure = permit.error();
         this->finish(std::move(call), false);
         return;
     }
-    call.endpoint = *endpoint;
+    call.endpoint = permit->endpoint;
     const auto view = this->context.follower.views.get();
     const auto model = view->models.find(request.model);
     AttemptRequest attempt;
     attempt.attempt = call.attempt;
     attempt.program = this->program;
-    attempt.address = endpoint->text;
+    attempt.address = permit->endpoint.text;
     attempt.method = "POST";
     attempt.path = "/v1/chat/completions";
     attempt.contentType = "application/json";
@@ -110,6 +115,7 @@
         return !request.stream || this->writeDelta(text);
     };
     const AttemptOutcome outcome = runEngineAttempt(attempt, sink, cancel);
+    this->context.dispatch.release(*permit, demand, outcome);
     call.answer = outcome.body;
     call.tokens = outcome.promptTokens + outcome.completionTokens;
     call.status = StatusOk;
@@ -122,19 +128,20 @@
 void CallRunner::runTool(const CallRequest &request, CallStart start)
 {
     CallRecord call = std::move(start.call);
-    const Result<EndpointId> endpoint = this->chooseEndpoint(EndpointKind::Service, request.service.text);
-    if (!endpoint) {
-        call.failure = endpoint.error();
+    const DispatchDemand demand = this->demandOf(request, start);
+    const Result<DispatchPermit> permit = this->context.dispatch.acquire(demand);
+    if (!permit) {
+        call.failure = permit.error();
         this->finish(std::move(call), false);
         return;
     }
-    call.endpoint = *endpoint;
+    call.endpoint = permit->endpoint;
     const auto view = this->context.follower.views.get();
     const auto service = view->services.find(request.service);
     AttemptRequest attempt;
     attempt.attempt = call.attempt;
     attempt.program = this->program;
-    attempt.address = endpoint->text;
+    attempt.address = permit->endpoint.text;
     attempt.method = request.method;
     attempt.path = request.path;
     attempt.contentType = request.toolBody.empty() ? "" : "application/json";
@@ -142,6 +149,7 @@
     attempt.timeoutMs = service == view->services.end() ? 30'000 : service->second.timeoutMs;
     CancelToken cancel;
     const AttemptOutcome outcome = runServiceAttempt(attempt, cancel);
+    this->context.dispatch.release(*permit, demand, outcome);
     call.answer = outcome.body;
     call.status = outcome.status;
     if (!outcome.complete) {
--- a/src/entry/call_runner_base.h
+++ b/src/entry/call_runner_base.h
@@ -29,14 +29,14 @@
     void startStream();
     bool writeDelta(std::string_view text);
     void endStream(const CallRecord &call);
-    Result<EndpointId> chooseEndpoint(EndpointKind kind, const std::string &name);
+    DispatchDemand demandOf(const CallRequest &request, const CallStart &start) const;
 
-    EntryContext &context;                   ///< Of the entry.
+    EntryContext &context; ///< Of the entry.
     Poco::Net::HTTPServerResponse &response; ///< To the caller.
-    ProgramId program;                       ///< Whose call it is.
-    TenantId tenant;                         ///< For whom it runs.
-    std::ostream *stream = nullptr;          ///< Set once a streamed answer has begun.
-    bool callerGone = false;                 ///< A write to the caller failed.
+    ProgramId program; ///< Whose call it is.
+    TenantId tenant; ///< For whom it runs.
+    std::ostream *stream = nullptr; ///< Set once a streamed answer has begun.
+    bool callerGone = false; ///< A write to the caller failed.
 };
 
 /** The engine's request: history and new messages as a chat completion. */
--- a/src/entry/entry_daemon_base.cpp
+++ b/src/entry/entry_daemon_base.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <utility>
 
+#include "entry/entry_peer_base.h"
 #include "observe/log_func.h"
 
 namespace Chestnuthook
@@ -34,7 +35,6 @@
     , context(this->loop, this->follower, this->programs)
     , server(this->context)
 {
-    this->context.endpoints.store(std::make_shared<const EndpointList>());
 }
 
 EntryDaemon::~EntryDaemon()
@@ -86,6 +86,20 @@
             [this]() {
                 return this->programs.ready();
             }});
+    table.push_back({.name = "peers",
+        .start =
+            [this]() {
+                OfferedServices services{nullptr, kj::heap<EntryPeerServer>(this->context)};
+                this->loop.detach(
+                    serveRpc(this->loop.rpc(), this->settings.rpcAddress, kj::mv(services))
+                        .catch_([this](kj::Exception &&exception) {
+                            this->fault = Error{ErrorKind::AddressInUse, exception.getDescription().cStr(), Ran::No, 0};
+                            this->loop.stop();
+                        }));
+                return Result<void>();
+            },
+        .stop = {},
+        .ready = {}});
     table.push_back({.name = "callers",
         .start =
             [this]() {
@@ -110,6 +124,9 @@
     logEvent(EventKind::ProcessStarted, {{"listen", this->settings.address}, {"entry", this->settings.id.text}});
     this->loop.run();
     root.stop();
+    if (this->fault) {
+        return tl::unexpected(*this->fault);
+    }
     return {};
 }
 
@@ -119,7 +136,7 @@
     this->listThread = std::thread([this]() {
         while (this->polling) {
             if (auto list = fetchInstances(this->settings.platform)) {
-                this->context.endpoints.store(std::make_shared<const EndpointList>(std::move(*list)));
+                this->context.dispatch.setEndpoints(std::make_shared<const EndpointList>(std::move(*list)));
             }
             std::this_thread::sleep_for(ListPollPeriod);
         }
--- a/src/entry/entry_daemon_base.h
+++ b/src/entry/entry_daemon_base.h
@@ -16,13 +16,13 @@
 /** Checked settings of an entry. */
 struct EntrySettings
 {
-    std::string address;               ///< For callers, ip:port.
-    std::string rpcAddress;            ///< For other entries, ip:port.
+    std::string address; ///< For callers, ip:port.
+    std::string rpcAddress; ///< For other entries, ip:port.
     std::vector<std::string> controls; ///< Control members, ip:port.
-    std::string platform;              ///< Instance list, ip:port.
-    EntryId id;                        ///< Of this process.
-    DataCentreId dataCentre;           ///< Of this instance.
-    std::string secret;                ///< The fleet's secret.
+    std::string platform; ///< Instance list, ip:port.
+    EntryId id; ///< Of this process.
+    DataCentreId dataCentre; ///< Of this instance.
+    std::string secret; ///< The fleet's secret.
 };
 
 class EntryDaemon
@@ -42,16 +42,17 @@
     void stopListPoll();
     void beginDrain();
 
-    EntrySettings settings;            ///< As checked.
-    ControlLoop loop;                  ///< The control thread's.
-    ControlClient client;              ///< To the control members.
-    FleetFollower follower;            ///< The copy of the fleet state.
-    ProgramRuntime programs;           ///< Owned programs.
-    EntryContext context;              ///< Shared with traffic threads.
-    EntryServer server;                ///< Callers.
+    EntrySettings settings; ///< As checked.
+    ControlLoop loop; ///< The control thread's.
+    ControlClient client; ///< To the control members.
+    FleetFollower follower; ///< The copy of the fleet state.
+    ProgramRuntime programs; ///< Owned programs.
+    EntryContext context; ///< Shared with traffic threads.
+    EntryServer server; ///< Callers.
+    std::optional<Error> fault; ///< Why the daemon ends by itself.
     std::atomic<bool> polling = false; ///< The list is polled.
-    std::thread listThread;            ///< Polls the platform's list.
-    std::thread stopThread;            ///< Ends the server while the control thread goes on.
+    std::thread listThread; ///< Polls the platform's list.
+    std::thread stopThread; ///< Ends the server while the control thread goes on.
 };
 
 } // namespace Chestnuthook
--- a/src/entry/fleet_follower_base.cpp
+++ b/src/entry/fleet_follower_base.cpp
@@ -69,7 +69,10 @@
 } // namespace
 
 FleetFollower::FleetFollower(ControlClient &client, TimerService &timers, EntryRecord self)
-    : self(std::move(self)), client(client), timers(timers), reading(kj::READY_NOW)
+    : self(std::move(self))
+    , client(client)
+    , timers(timers)
+    , reading(kj::READY_NOW)
 {
 }
 
--- a/src/entry/fleet_follower_base.h
+++ b/src/entry/fleet_follower_base.h
@@ -31,20 +31,20 @@
     [[nodiscard]] bool isFresh() const;
 
     FleetViewHolder views; ///< For traffic threads.
-    FleetState state;      ///< The copy; never moves to an older state.
-    EntryRecord self;      ///< With the epoch of the lease; 0 where there is none.
+    FleetState state; ///< The copy; never moves to an older state.
+    EntryRecord self; ///< With the epoch of the lease; 0 where there is none.
 
 private:
     void poll();
     void take(const SyncResponse &response, Instant sentAt);
     void publish();
 
-    ControlClient &client;          ///< Outlives this.
-    TimerService &timers;           ///< Outlives this.
+    ControlClient &client; ///< Outlives this.
+    TimerService &timers; ///< Outlives this.
     TimerSubscription subscription; ///< The periodic read.
-    kj::Promise<void> reading;      ///< The read under way.
-    bool busy = false;              ///< A read is under way; at most one is.
-    bool wasFresh = false;          ///< To tell changes of freshness.
+    kj::Promise<void> reading; ///< The read under way.
+    bool busy = false; ///< A read is under way; at most one is.
+    bool wasFresh = false; ///< To tell changes of freshness.
 };
 
 } // namespace Chestnuthook
--- a/src/entry/fleet_view_type.h
+++ b/src/entry/fleet_view_type.h
@@ -21,20 +21,20 @@
 struct Caller
 {
     TenantId tenant; ///< For whom requests run.
-    KeyId key;       ///< Which key came.
+    KeyId key; ///< Which key came.
 };
 
 /** Immutable; replaced as a whole. */
 struct FleetView
 {
-    Revision revision;                               ///< Of the declarations.
+    Revision revision; ///< Of the declarations.
     std::unordered_map<std::string, Caller> callers; ///< By raw SHA-256 of the key; withdrawn keys are not in it.
-    std::unordered_map<TenantId, TenantDeclaration> tenants;    ///< Declared tenants.
-    std::unordered_map<ModelId, ModelDeclaration> models;       ///< Declared models.
+    std::unordered_map<TenantId, TenantDeclaration> tenants; ///< Declared tenants.
+    std::unordered_map<ModelId, ModelDeclaration> models; ///< Declared models.
     std::unordered_map<ServiceId, ServiceDeclaration> services; ///< Declared services.
-    SiteDeclaration site;                                       ///< Budgets and retention.
-    std::vector<EntryRecord> entries;                           ///< With a lease; draining ones too.
-    std::vector<SlotRecord> slots;                              ///< By slot number.
+    SiteDeclaration site; ///< Budgets and retention.
+    std::vector<EntryRecord> entries; ///< With a lease; draining ones too.
+    std::vector<SlotRecord> slots; ///< By slot number.
 };
 
 /** The current view; read by traffic threads, written by the control thread. */
@@ -62,7 +62,7 @@
 
 private:
     std::atomic<std::shared_ptr<const FleetView>> view; ///< Null until the first confirmed read.
-    std::atomic<std::int64_t> freshUntilUs = 0;         ///< From when the last confirmed read was sent, plus the bound.
+    std::atomic<std::int64_t> freshUntilUs = 0; ///< From when the last confirmed read was sent, plus the bound.
 };
 
 } // namespace Chestnuthook
--- a/src/entry/http_server_base.cpp
+++ b/src/entry/http_server_base.cpp
@@ -21,7 +21,8 @@
 
 } // namespace
 
-EntryServer::EntryServer(EntryContext &context) : context(context)
+EntryServer::EntryServer(EntryContext &context)
+    : context(context)
 {
 }
 
--- a/src/entry/http_server_base.h
+++ b/src/entry/http_server_base.h
@@ -25,8 +25,8 @@
     void stop();
 
 private:
-    EntryContext &context;                         ///< Of the entry.
-    std::unique_ptr<Poco::ThreadPool> threads;     ///< One thread for each open connection.
+    EntryContext &context; ///< Of the entry.
+    std::unique_ptr<Poco::ThreadPool> threads; ///< One thread for each open connection.
     std::unique_ptr<Poco::Net::HTTPServer> server; ///< Null until started.
 };
 
--- a/src/entry/program_runtime_base.cpp
+++ b/src/entry/program_runtime_base.cpp
@@ -45,7 +45,9 @@
 } // namespace
 
 ProgramRuntime::ProgramRuntime(FleetFollower &follower, ControlClient &client)
-    : follower(follower), client(client), takingOver(kj::READY_NOW)
+    : follower(follower)
+    , client(client)
+    , takingOver(kj::READY_NOW)
 {
 }
 
--- a/src/entry/program_runtime_base.h
+++ b/src/entry/program_runtime_base.h
@@ -21,24 +21,24 @@
 /** A slot that this entry owns. */
 struct OwnedSlot
 {
-    Epoch epoch;        ///< Under which the journal takes its writes.
+    Epoch epoch; ///< Under which the journal takes its writes.
     bool ready = false; ///< Opened in the journal and its programs loaded.
 };
 
 /** What to do about a call that was accepted. */
 struct CallStart
 {
-    bool stored = false;              ///< The call has ended; `call` is its result.
-    CallRecord call;                  ///< The stored result, or the call to run.
+    bool stored = false; ///< The call has ended; `call` is its result.
+    CallRecord call; ///< The stored result, or the call to run.
     std::vector<ChatMessage> history; ///< Messages and answers of the calls before it.
 };
 
 /** What a caller asks of a new program. */
 struct ProgramWish
 {
-    TenantId tenant;       ///< Of the caller's key.
-    Budget budget;         ///< Parts that are 0 take the site's defaults.
-    ProgramId parent;      ///< Empty for a root.
+    TenantId tenant; ///< Of the caller's key.
+    Budget budget; ///< Parts that are 0 take the site's defaults.
+    ProgramId parent; ///< Empty for a root.
     std::string requestId; ///< Of the caller; empty for none.
 };
 
@@ -72,12 +72,12 @@
     kj::Promise<Result<void>> commit(const ProgramId &program, std::string command);
     Result<ProgramId> mintId() const;
 
-    FleetFollower &follower;                ///< Outlives this.
-    ControlClient &client;                  ///< Outlives this.
-    JournalState copy;                      ///< Of the owned slots; holds only what the journal has committed.
-    std::map<SlotId, OwnedSlot> owned;      ///< By the fleet state.
+    FleetFollower &follower; ///< Outlives this.
+    ControlClient &client; ///< Outlives this.
+    JournalState copy; ///< Of the owned slots; holds only what the journal has committed.
+    std::map<SlotId, OwnedSlot> owned; ///< By the fleet state.
     std::map<ProgramId, AttemptId> running; ///< Calls under way; at most one per program.
-    kj::Promise<void> takingOver;           ///< Chain of take-overs.
+    kj::Promise<void> takingOver; ///< Chain of take-overs.
 };
 
 } // namespace Chestnuthook
--- a/src/entry/request_handler_base.cpp
+++ b/src/entry/request_handler_base.cpp
@@ -99,7 +99,8 @@
 
 } // namespace
 
-RequestHandler::RequestHandler(EntryContext &context) : context(context)
+RequestHandler::RequestHandler(EntryContext &context)
+    : context(context)
 {
 }
 
@@ -189,28 +190,6 @@
     return caller->second;
 }
 
-Result<void> RequestHandler::admit(const Caller &caller)
-{
-    const auto view = this->context.follower.views.get();
-    const auto tenant = view->tenants.find(caller.tenant);
-    if (tenant == view->tenants.end()) {
-        return fail(ErrorKind::UnknownKey, "the tenant is not declared");
-    }
-    const Instant now = this->context.loop.timers().now();
-    const std::lock_guard lock(this->context.bucketMutex);
-    const auto [bucket, added] = this->context.buckets.try_emplace(caller.tenant, now);
-    bucket->second.declare(tenant->second.ratePerSecond, tenant->second.burst, now);
-    if (added) {
-        bucket->second.fill();
-    }
-    if (bucket->second.take(now)) {
-        return {};
-    }
-    Error error{ErrorKind::RateExceeded, caller.tenant.text, Ran::No, 0};
-    error.retryAfterMs = bucket->second.waitFor(now).count() / 1000 + 1;
-    return tl::unexpected(error);
-}
-
 void RequestHandler::programs(Request &request, Response &response, const std::vector<std::string> &path)
 {
     const Result<Caller> caller = this->authenticate(request);
@@ -243,7 +222,7 @@
 {
     const Result<std::string> body = readBody(request);
     Result<ProgramWish> wish = body ? parseWish(*body) : tl::unexpected(body.error());
-    const Result<void> admitted = wish ? this->admit(caller) : tl::unexpected(wish.error());
+    const Result<void> admitted = wish ? this->context.admission.admit(caller) : tl::unexpected(wish.error());
     if (!admitted) {
         replyError(response, admitted.error());
         return;
@@ -278,7 +257,7 @@
     const Result<CallNumber> number = parseNumber(path[4]);
     const Result<std::string> body = number ? readBody(request) : tl::unexpected(number.error());
     const Result<CallRequest> call = body ? parseCall(*body) : tl::unexpected(body.error());
-    const Result<void> admitted = call ? this->admit(caller) : tl::unexpected(call.error());
+    const Result<void> admitted = call ? this->context.admission.admit(caller) : tl::unexpected(call.error());
     if (!admitted) {
         replyError(response, admitted.error());
         return;
--- a/src/entry/request_handler_base.h
+++ b/src/entry/request_handler_base.h
@@ -35,16 +35,14 @@
     /** Whom the request runs for. Errors: UnknownKey, NotReady. */
     Result<Caller> authenticate(const Request &request);
 
-    /** Counts the request against the tenant's rate. Errors: RateExceeded. */
-    Result<void> admit(const Caller &caller);
-
     EntryContext &context; ///< Of the entry.
 };
 
 class RequestHandlerFactory final : public Poco::Net::HTTPRequestHandlerFactory
 {
 public:
-    explicit RequestHandlerFactory(EntryContext &context) : context(context)
+    explicit RequestHandlerFactory(EntryContext &context)
+        : context(context)
     {
     }
     Poco::Net::HTTPRequestHandler *createRequestHandler(const Poco::Net::HTTPServerRequest & /*request*/) override
--- a/src/fakes/fake_answer_func.h
+++ b/src/fakes/fake_answer_func.h
@@ -17,26 +17,26 @@
 /** One message of a chat. */
 struct FakeMessage
 {
-    std::string role;    ///< `system`, `user`, `assistant` or `tool`.
+    std::string role; ///< `system`, `user`, `assistant` or `tool`.
     std::string content; ///< The text.
 };
 
 /** A chat completion request as the engine reads it. */
 struct FakeChat
 {
-    std::string model;                 ///< The model asked for.
+    std::string model; ///< The model asked for.
     std::vector<FakeMessage> messages; ///< Without a last message of the assistant.
-    std::string sent;                  ///< Assistant text that is to be continued; empty for a fresh answer.
-    std::uint64_t maxTokens = 0;       ///< Bounds the whole answer, with what was sent before.
-    bool stream = false;               ///< Answer as server-sent events.
-    std::int64_t priority = 0;         ///< Lower runs first.
+    std::string sent; ///< Assistant text that is to be continued; empty for a fresh answer.
+    std::uint64_t maxTokens = 0; ///< Bounds the whole answer, with what was sent before.
+    bool stream = false; ///< Answer as server-sent events.
+    std::int64_t priority = 0; ///< Lower runs first.
 };
 
 /** What is left of an answer. */
 struct FakeAnswer
 {
     std::vector<std::string> pieces; ///< One per token still to be sent; their concatenation continues what was sent.
-    bool cut = false;                ///< maxTokens ended it (`length`), not the answer itself (`stop`).
+    bool cut = false; ///< maxTokens ended it (`length`), not the answer itself (`stop`).
 };
 
 /** Reads the body of a chat completion. */
--- a/src/fakes/fake_cache_base.cpp
+++ b/src/fakes/fake_cache_base.cpp
@@ -10,7 +10,9 @@
 {
 
 FakeCache::FakeCache(std::size_t blockBound, std::size_t wordsPerBlock, std::function<bool()> gapTaker)
-    : maxBlocks(blockBound), blockWords(std::max<std::size_t>(wordsPerBlock, 1)), takeGap(std::move(gapTaker))
+    : maxBlocks(blockBound)
+    , blockWords(std::max<std::size_t>(wordsPerBlock, 1))
+    , takeGap(std::move(gapTaker))
 {
 }
 
--- a/src/fakes/fake_cache_base.h
+++ b/src/fakes/fake_cache_base.h
@@ -19,9 +19,9 @@
 struct FakeCacheEvent
 {
     std::uint64_t sequence = 0; ///< From 1, by steps of 1 unless a gap was ordered.
-    bool stored = true;         ///< Stored, else evicted.
-    std::uint64_t block = 0;    ///< Hash of the chain up to and with the block.
-    std::string program;        ///< Who stored it, or who used it when it went.
+    bool stored = true; ///< Stored, else evicted.
+    std::uint64_t block = 0; ///< Hash of the chain up to and with the block.
+    std::string program; ///< Who stored it, or who used it when it went.
 };
 
 /** A prefix cache; not thread-safe. */
@@ -50,7 +50,7 @@
     struct Block
     {
         std::list<std::uint64_t>::iterator place; ///< Its place in `order`.
-        std::set<std::string> users;              ///< Programs that used it; the empty name for requests without one.
+        std::set<std::string> users; ///< Programs that used it; the empty name for requests without one.
     };
 
     [[nodiscard]] std::vector<std::uint64_t> chainOf(
@@ -61,14 +61,14 @@
     void evict(std::uint64_t hash);
     void note(bool stored, std::uint64_t hash, const std::string &program);
 
-    std::size_t maxBlocks;                           ///< Never changes.
-    std::size_t blockWords;                          ///< Never changes; at least 1.
-    std::function<bool()> takeGap;                   ///< Asked once for each event.
+    std::size_t maxBlocks; ///< Never changes.
+    std::size_t blockWords; ///< Never changes; at least 1.
+    std::function<bool()> takeGap; ///< Asked once for each event.
     std::unordered_map<std::uint64_t, Block> blocks; ///< At most maxBlocks, by hash.
-    std::list<std::uint64_t> order;                  ///< All hashes of `blocks`, the least recently used first.
-    std::map<std::string, std::size_t> held;         ///< Blocks that each program uses; never 0.
-    std::deque<FakeCacheEvent> events;               ///< At most EventBound, oldest first.
-    std::uint64_t next = 1;                          ///< Sequence of the event to come.
+    std::list<std::uint64_t> order; ///< All hashes of `blocks`, the least recently used first.
+    std::map<std::string, std::size_t> held; ///< Blocks that each program uses; never 0.
+    std::deque<FakeCacheEvent> events; ///< At most EventBound, oldest first.
+    std::uint64_t next = 1; ///< Sequence of the event to come.
 };
 
 } // namespace Chestnuthook
--- a/src/fakes/fake_fault_base.h
+++ b/src/fakes/fake_fault_base.h
@@ -21,10 +21,10 @@
 struct FakeFaultSpec
 {
     FakeFaultKind kind = FakeFaultKind::Refuse; ///< What goes wrong.
-    std::string match;                          ///< Text that the body must hold; empty for any.
-    std::string path;                           ///< Prefix of the path; empty for the stand-in's work paths.
-    std::uint64_t count = 1;                    ///< How many requests it still strikes.
-    std::int64_t delayMs = 0;                   ///< Milliseconds; its meaning depends on the kind.
+    std::string match; ///< Text that the body must hold; empty for any.
+    std::string path; ///< Prefix of the path; empty for the stand-in's work paths.
+    std::uint64_t count = 1; ///< How many requests it still strikes.
+    std::int64_t delayMs = 0; ///< Milliseconds; its meaning depends on the kind.
     std::uint64_t afterTokens = 0; ///< Crash and truncate: tokens streamed before it strikes; 0 for the kind's own.
 };
 
@@ -44,7 +44,7 @@
 private:
     FakeFaultSpec strike(std::vector<FakeFaultSpec>::iterator spec);
 
-    std::mutex mutex;                 ///< Guards all below.
+    std::mutex mutex; ///< Guards all below.
     std::vector<FakeFaultSpec> specs; ///< In order of arrival; each has a count of at least 1.
 };
 
--- a/src/fakes/fake_ledger_base.h
+++ b/src/fakes/fake_ledger_base.h
@@ -24,16 +24,16 @@
 /** One request as a stand-in saw it. */
 struct FakeLedgerEntry
 {
-    std::string attempt;                                      ///< Header X-Attempt-Id, or empty.
-    std::string program;                                      ///< Header X-Program-Id, or empty.
-    std::string method;                                       ///< The HTTP method.
-    std::string path;                                         ///< The path without the query.
-    std::string query;                                        ///< The query without its question mark.
+    std::string attempt; ///< Header X-Attempt-Id, or empty.
+    std::string program; ///< Header X-Program-Id, or empty.
+    std::string method; ///< The HTTP method.
+    std::string path; ///< The path without the query.
+    std::string query; ///< The query without its question mark.
     std::vector<std::pair<std::string, std::string>> headers; ///< All headers in their order.
-    std::string bodyDigest;                                   ///< Hash of the body in hex.
-    std::string note;                           ///< What the stand-in made of it, such as an order and its fence.
-    std::int64_t startMs = 0;                   ///< Unix time of arrival in milliseconds.
-    std::int64_t endMs = 0;                     ///< Unix time of the end in milliseconds; 0 while it runs.
+    std::string bodyDigest; ///< Hash of the body in hex.
+    std::string note; ///< What the stand-in made of it, such as an order and its fence.
+    std::int64_t startMs = 0; ///< Unix time of arrival in milliseconds.
+    std::int64_t endMs = 0; ///< Unix time of the end in milliseconds; 0 while it runs.
     FakeOutcome outcome = FakeOutcome::Running; ///< How it ended.
 };
 
@@ -53,9 +53,9 @@
     [[nodiscard]] Poco::JSON::Object::Ptr toJson() const;
 
 private:
-    mutable std::mutex mutex;            ///< Guards all below.
+    mutable std::mutex mutex; ///< Guards all below.
     std::deque<FakeLedgerEntry> entries; ///< At most EntryBound, oldest first.
-    std::size_t dropped = 0;             ///< Number of the first entry that is still held.
+    std::size_t dropped = 0; ///< Number of the first entry that is still held.
 };
 
 } // namespace Chestnuthook
--- a/src/fakes/fake_platform_base.cpp
+++ b/src/fakes/fake_platform_base.cpp
@@ -66,7 +66,8 @@
     return instances;
 }
 
-FakePlatform::FakePlatform(FakePlatformOptions settings) : options(std::move(settings))
+FakePlatform::FakePlatform(FakePlatformOptions settings)
+    : options(std::move(settings))
 {
     this->versions.push_back({0, this->options.instances});
 }
--- a/src/fakes/fake_platform_base.h
+++ b/src/fakes/fake_platform_base.h
@@ -15,20 +15,20 @@
 /** One instance in the platform's list. */
 struct FakeInstance
 {
-    std::string address;        ///< `ip:port`.
-    std::string kind;           ///< `engine` or `service`.
-    std::string name;           ///< Of the engine or service.
-    std::string dataCentre;     ///< Where it stands.
+    std::string address; ///< `ip:port`.
+    std::string kind; ///< `engine` or `service`.
+    std::string name; ///< Of the engine or service.
+    std::string dataCentre; ///< Where it stands.
     std::string state = "live"; ///< `live` or `leaving`.
 };
 
 /** Settings of the platform. */
 struct FakePlatformOptions
 {
-    std::vector<FakeInstance> instances;             ///< The list at the start.
-    std::int64_t listLagMs = 500;                    ///< The list shows changes this many milliseconds late.
+    std::vector<FakeInstance> instances; ///< The list at the start.
+    std::int64_t listLagMs = 500; ///< The list shows changes this many milliseconds late.
     std::int64_t weightBytesPerSecond = 100'000'000; ///< What the weight store gives out in all.
-    std::int64_t modelBytes = 10'000'000;            ///< Size of a model's weights where a load names none.
+    std::int64_t modelBytes = 10'000'000; ///< Size of a model's weights where a load names none.
 };
 
 /** Reads `ip:port/kind/name/data_centre,...`. */
@@ -51,7 +51,7 @@
 private:
     struct Version
     {
-        std::int64_t sinceMs = 0;            ///< When it became true, Unix time in milliseconds.
+        std::int64_t sinceMs = 0; ///< When it became true, Unix time in milliseconds.
         std::vector<FakeInstance> instances; ///< The whole list.
     };
 
@@ -60,8 +60,8 @@
     FakeOutcome loadWeights(FakeExchange &exchange);
     std::int64_t reserveLoad(std::int64_t takesMs);
 
-    FakePlatformOptions options;  ///< Never changes.
-    std::mutex mutex;             ///< Guards all below.
+    FakePlatformOptions options; ///< Never changes.
+    std::mutex mutex; ///< Guards all below.
     std::deque<Version> versions; ///< Oldest first, never empty; only the first may be older than the lag.
     std::int64_t busyUntilMs = 0; ///< The weight store gives its whole rate to one load until then.
 };
--- a/src/fakes/fake_server_func.cpp
+++ b/src/fakes/fake_server_func.cpp
@@ -231,7 +231,9 @@
 class FakeHandler : public Poco::Net::HTTPRequestHandler
 {
 public:
-    FakeHandler(FakeCommon &commonParts, const FakeServe &serveRest) : common(commonParts), serve(serveRest)
+    FakeHandler(FakeCommon &commonParts, const FakeServe &serveRest)
+        : common(commonParts)
+        , serve(serveRest)
     {
     }
 
@@ -247,14 +249,16 @@
     }
 
 private:
-    FakeCommon &common;     ///< Outlives the server.
+    FakeCommon &common; ///< Outlives the server.
     const FakeServe &serve; ///< Outlives the server.
 };
 
 class FakeHandlerFactory : public Poco::Net::HTTPRequestHandlerFactory
 {
 public:
-    FakeHandlerFactory(FakeCommon &commonParts, const FakeServe &serveRest) : common(commonParts), serve(serveRest)
+    FakeHandlerFactory(FakeCommon &commonParts, const FakeServe &serveRest)
+        : common(commonParts)
+        , serve(serveRest)
     {
     }
 
@@ -264,7 +268,7 @@
     }
 
 private:
-    FakeCommon &common;     ///< Outlives the server.
+    FakeCommon &common; ///< Outlives the server.
     const FakeServe &serve; ///< Outlives the server.
 };
 
@@ -397,7 +401,9 @@
 }
 
 FakeServer::FakeServer(FakeCommon &commonParts, FakeServe serveRest)
-    : common(commonParts), serve(std::move(serveRest)), pool(2, ConnectionBound + 2, PoolIdleSeconds, ThreadStackBytes)
+    : common(commonParts)
+    , serve(std::move(serveRest))
+    , pool(2, ConnectionBound + 2, PoolIdleSeconds, ThreadStackBytes)
 {
 }
 
--- a/src/fakes/fake_server_func.h
+++ b/src/fakes/fake_server_func.h
@@ -27,27 +27,27 @@
 /** What each stand-in has besides its own state. */
 struct FakeCommon
 {
-    std::string name;       ///< The name of the service or engine.
+    std::string name; ///< The name of the service or engine.
     std::string dataCentre; ///< Where it says that it stands.
-    std::string workPath;   ///< Prefix of the paths that faults without a path strike.
-    FakeLedger ledger;      ///< All requests but health checks and `/fake/` routes.
-    FakeFault faults;       ///< What is still to go wrong.
+    std::string workPath; ///< Prefix of the paths that faults without a path strike.
+    FakeLedger ledger; ///< All requests but health checks and `/fake/` routes.
+    FakeFault faults; ///< What is still to go wrong.
 };
 
 /** One request with its answer under way; lives on the thread of its connection. */
 struct FakeExchange
 {
-    Poco::Net::HTTPServerRequest &request;    ///< The request.
-    Poco::Net::HTTPServerResponse &response;  ///< The answer.
-    int socket = -1;                          ///< The connection, to see whether the client has gone.
-    std::string path;                         ///< The path without the query.
+    Poco::Net::HTTPServerRequest &request; ///< The request.
+    Poco::Net::HTTPServerResponse &response; ///< The answer.
+    int socket = -1; ///< The connection, to see whether the client has gone.
+    std::string path; ///< The path without the query.
     std::map<std::string, std::string> query; ///< The decoded parameters of the query.
-    std::string body;                         ///< The whole body.
-    std::string attempt;                      ///< Header X-Attempt-Id.
-    std::string program;                      ///< Header X-Program-Id.
-    std::string answerAttempt;          ///< The attempt id that the answer carries; another one where it is crossed.
+    std::string body; ///< The whole body.
+    std::string attempt; ///< Header X-Attempt-Id.
+    std::string program; ///< Header X-Program-Id.
+    std::string answerAttempt; ///< The attempt id that the answer carries; another one where it is crossed.
     std::optional<FakeFaultSpec> fault; ///< What goes wrong with it.
-    std::string note;                   ///< Goes into the ledger.
+    std::string note; ///< Goes into the ledger.
 };
 
 using FakeServe = std::function<FakeOutcome(FakeExchange &)>; ///< Answers one request.
@@ -88,9 +88,9 @@
     Result<std::string> start(const std::string &address);
 
 private:
-    FakeCommon &common;                            ///< Outlives the server.
-    FakeServe serve;                               ///< Answers what the common routes don't.
-    Poco::ThreadPool pool;                         ///< One thread per connection.
+    FakeCommon &common; ///< Outlives the server.
+    FakeServe serve; ///< Answers what the common routes don't.
+    Poco::ThreadPool pool; ///< One thread per connection.
     std::unique_ptr<Poco::Net::HTTPServer> server; ///< Set by start().
 };
 
--- a/src/fakes/fake_service_base.cpp
+++ b/src/fakes/fake_service_base.cpp
@@ -8,7 +8,8 @@
 namespace Chestnuthook
 {
 
-FakeService::FakeService(FakeCommon &commonParts) : common(commonParts)
+FakeService::FakeService(FakeCommon &commonParts)
+    : common(commonParts)
 {
 }
 
--- a/src/fakes/fake_service_base.h
+++ b/src/fakes/fake_service_base.h
@@ -18,7 +18,7 @@
     FakeOutcome serve(FakeExchange &exchange);
 
 private:
-    FakeCommon &common;                      ///< Outlives the service.
+    FakeCommon &common; ///< Outlives the service.
     std::atomic<std::uint64_t> sequence = 0; ///< Requests that took effect.
 };
 
--- a/src/fleet/declaration_func.cpp
+++ b/src/fleet/declaration_func.cpp
@@ -133,7 +133,7 @@
     }
 
     Poco::JSON::Object::Ptr object; ///< Null where the text was no object.
-    std::string fault;              ///< The first fault; empty where there is none.
+    std::string fault; ///< The first fault; empty where there is none.
 };
 
 } // namespace
--- a/src/fleet/declaration_type.h
+++ b/src/fleet/declaration_type.h
@@ -13,39 +13,39 @@
 /** A customer's share. */
 struct TenantDeclaration
 {
-    TenantId id;              ///< Its name.
+    TenantId id; ///< Its name.
     double ratePerSecond = 0; ///< Requests per second, counted over all entries.
-    double burst = 0;         ///< Requests that may come at once.
-    double weight = 1;        ///< Share of endpoints under overload, against the other tenants.
+    double burst = 0; ///< Requests that may come at once.
+    double weight = 1; ///< Share of endpoints under overload, against the other tenants.
 };
 
 /** A model that callers may name. */
 struct ModelDeclaration
 {
-    ModelId id;                  ///< Its name.
+    ModelId id; ///< Its name.
     std::uint32_t maxTokens = 0; ///< Upper bound of a call's max_tokens.
-    std::int64_t timeoutMs = 0;  ///< Deadline of a call in milliseconds.
-    std::uint32_t replicas = 0;  ///< Endpoints that should serve it; 0 for all.
+    std::int64_t timeoutMs = 0; ///< Deadline of a call in milliseconds.
+    std::uint32_t replicas = 0; ///< Endpoints that should serve it; 0 for all.
 };
 
 /** A plain service that the system routes to. */
 struct ServiceDeclaration
 {
-    ServiceId id;                               ///< Its name.
+    ServiceId id; ///< Its name.
     std::vector<std::string> idempotentMethods; ///< Methods that may be repeated.
-    std::int64_t timeoutMs = 0;                 ///< Deadline of a call in milliseconds.
-    bool open = false;                          ///< Requests need no key.
-    bool checksFencing = false;                 ///< Its endpoints refuse orders with an old fencing number.
+    std::int64_t timeoutMs = 0; ///< Deadline of a call in milliseconds.
+    bool open = false; ///< Requests need no key.
+    bool checksFencing = false; ///< Its endpoints refuse orders with an old fencing number.
 };
 
 /** Settings of the whole site. */
 struct SiteDeclaration
 {
-    std::uint64_t defaultCalls = 0;  ///< Budget of a program that names none.
+    std::uint64_t defaultCalls = 0; ///< Budget of a program that names none.
     std::uint64_t defaultTokens = 0; ///< Budget of a program that names none.
-    std::uint64_t defaultMs = 0;     ///< Budget of a program that names none, wall time.
-    std::uint32_t maxDepth = 0;      ///< Levels of sub-agents.
-    std::int64_t retentionMs = 0;    ///< How long ended programs are kept.
+    std::uint64_t defaultMs = 0; ///< Budget of a program that names none, wall time.
+    std::uint32_t maxDepth = 0; ///< Levels of sub-agents.
+    std::int64_t retentionMs = 0; ///< How long ended programs are kept.
 };
 
 } // namespace Chestnuthook
--- a/src/fleet/fleet_base.h
+++ b/src/fleet/fleet_base.h
@@ -52,11 +52,11 @@
     }
 
     VersionedTable<DeclarationName, DeclarationRecord> declarations; ///< What operators declared.
-    VersionedTable<KeyId, KeyRecord> keys;             ///< All keys; withdrawn ones stay, so that withdrawal is final.
-    VersionedTable<EntryId, EntryRecord> entries;      ///< Leases.
-    VersionedTable<SlotId, SlotRecord> slots;          ///< Owners; one row per slot once an entry was live.
+    VersionedTable<KeyId, KeyRecord> keys; ///< All keys; withdrawn ones stay, so that withdrawal is final.
+    VersionedTable<EntryId, EntryRecord> entries; ///< Leases.
+    VersionedTable<SlotId, SlotRecord> slots; ///< Owners; one row per slot once an entry was live.
     VersionedTable<std::string, StrikeRecord> strikes; ///< By fingerprint.
-    VersionedTable<EndpointId, OrderRecord> orders;    ///< By endpoint.
+    VersionedTable<EndpointId, OrderRecord> orders; ///< By endpoint.
 
 private:
     Result<Epoch> doApply(Wire::FleetCommand::Reader command, std::uint64_t index, CommandMode mode);
@@ -72,9 +72,9 @@
     void assignSlots(std::uint64_t index);
     void rememberReply(const std::string &requestId, std::string reply);
 
-    std::uint64_t lastIndex = 0;                     ///< Log index of the last applied command.
-    Revision declarationRevision;                    ///< Grows by one with each accepted apply.
-    std::map<std::string, std::string> replies;      ///< First replies by request id, so that a resend gets the same.
+    std::uint64_t lastIndex = 0; ///< Log index of the last applied command.
+    Revision declarationRevision; ///< Grows by one with each accepted apply.
+    std::map<std::string, std::string> replies; ///< First replies by request id, so that a resend gets the same.
     std::map<std::uint64_t, std::string> replyOrder; ///< Request ids by index, oldest first, to bound `replies`.
     std::uint64_t oldestDelta = 0; ///< Copies older than this get a whole copy: tombstones before it are pruned.
 };
--- a/src/fleet/fleet_type.h
+++ b/src/fleet/fleet_type.h
@@ -17,7 +17,7 @@
 struct DeclarationName
 {
     std::string section; ///< "tenants", "models", "services", …
-    std::string name;    ///< Unique in its section.
+    std::string name; ///< Unique in its section.
     auto operator<=>(const DeclarationName &) const = default;
 };
 
@@ -30,11 +30,11 @@
 /** A caller's key; the key itself is never stored. */
 struct KeyRecord
 {
-    KeyId id;               ///< Shown to operators.
-    TenantId tenant;        ///< For whom requests with this key run.
-    std::string hash;       ///< SHA-256 of the key, raw.
+    KeyId id; ///< Shown to operators.
+    TenantId tenant; ///< For whom requests with this key run.
+    std::string hash; ///< SHA-256 of the key, raw.
     bool withdrawn = false; ///< Final once set: no command clears it.
-    std::string note;       ///< Free text of the operator.
+    std::string note; ///< Free text of the operator.
 };
 
 enum class EntryState : std::uint8_t { Live, Draining };
@@ -42,11 +42,11 @@
 /** The lease of one entry. */
 struct EntryRecord
 {
-    EntryId id;                          ///< Identity of the process; a restarted process has a new one.
-    Epoch epoch;                         ///< Log index of the grant, so it is never used twice.
-    std::string address;                 ///< For callers.
-    std::string rpcAddress;              ///< For other entries.
-    DataCentreId dataCentre;             ///< From the entry's settings.
+    EntryId id; ///< Identity of the process; a restarted process has a new one.
+    Epoch epoch; ///< Log index of the grant, so it is never used twice.
+    std::string address; ///< For callers.
+    std::string rpcAddress; ///< For other entries.
+    DataCentreId dataCentre; ///< From the entry's settings.
     EntryState state = EntryState::Live; ///< A draining entry gets no slots.
 };
 
@@ -54,23 +54,23 @@
 struct SlotRecord
 {
     EntryId owner; ///< Empty where no entry is live.
-    Epoch epoch;   ///< Grows with each change of owner.
+    Epoch epoch; ///< Grows with each change of owner.
 };
 
 /** A request that was in flight where endpoints died. */
 struct StrikeRecord
 {
-    std::uint32_t strikes = 0;         ///< Deaths that it is suspected of.
+    std::uint32_t strikes = 0; ///< Deaths that it is suspected of.
     std::vector<EndpointId> endpoints; ///< Where.
-    std::int64_t expiresAtMs = 0;      ///< After this it counts as clean.
+    std::int64_t expiresAtMs = 0; ///< After this it counts as clean.
 };
 
 /** The last order given to an endpoint. */
 struct OrderRecord
 {
-    std::string json;        ///< As sent.
+    std::string json; ///< As sent.
     std::uint64_t fence = 0; ///< Never lower than that of an earlier order for this endpoint.
-    bool confirmed = false;  ///< The endpoint has carried it out.
+    bool confirmed = false; ///< The endpoint has carried it out.
 };
 
 } // namespace Chestnuthook
--- a/src/fleet/versioned_table_type.h
+++ b/src/fleet/versioned_table_type.h
@@ -17,9 +17,9 @@
 public:
     struct Row
     {
-        Record record;           ///< The record; the last one where it was removed.
+        Record record; ///< The record; the last one where it was removed.
         std::uint64_t index = 0; ///< Log index of the last change.
-        bool removed = false;    ///< A tombstone.
+        bool removed = false; ///< A tombstone.
     };
 
     /** Sets the record of @p key as of @p index. */
--- a/src/observe/event_ring_base.cpp
+++ b/src/observe/event_ring_base.cpp
@@ -72,7 +72,8 @@
     return quoted;
 }
 
-EventRing::EventRing(std::size_t eventCapacity) : capacity(std::max<std::size_t>(eventCapacity, 1))
+EventRing::EventRing(std::size_t eventCapacity)
+    : capacity(std::max<std::size_t>(eventCapacity, 1))
 {
 }
 
--- a/src/observe/event_ring_base.h
+++ b/src/observe/event_ring_base.h
@@ -18,10 +18,10 @@
 /** One event as kept. */
 struct Event
 {
-    std::uint64_t sequence = 0;                 ///< Position in this process's events, from 1; the ring sets it.
-    HybridTime hybridTime;                      ///< Orders events across processes that talk to each other.
-    std::int64_t wallMs = 0;                    ///< Milliseconds since 1970 UTC, by this machine's clock.
-    std::string process;                        ///< Name and instance of the process.
+    std::uint64_t sequence = 0; ///< Position in this process's events, from 1; the ring sets it.
+    HybridTime hybridTime; ///< Orders events across processes that talk to each other.
+    std::int64_t wallMs = 0; ///< Milliseconds since 1970 UTC, by this machine's clock.
+    std::string process; ///< Name and instance of the process.
     EventKind kind = EventKind::ProcessStarted; ///< What happened.
     std::vector<std::pair<std::string, std::string>> fields; ///< The particulars; never a key, a body or a secret.
 };
@@ -43,9 +43,9 @@
     [[nodiscard]] std::string toJson(std::uint64_t sinceSequence, std::size_t limit) const;
 
 private:
-    const std::size_t capacity;     ///< At least 1.
-    mutable std::mutex mutex;       ///< Guards all below; held for copies only.
-    std::deque<Event> events;       ///< At most `capacity`, with growing sequence numbers without gaps.
+    const std::size_t capacity; ///< At least 1.
+    mutable std::mutex mutex; ///< Guards all below; held for copies only.
+    std::deque<Event> events; ///< At most `capacity`, with growing sequence numbers without gaps.
     std::uint64_t lastSequence = 0; ///< Of the newest event; 0 before the first.
 };
 
--- a/src/observe/log_func.cpp
+++ b/src/observe/log_func.cpp
@@ -39,12 +39,12 @@
 /** What logEvent needs of this process; never destroyed, as threads may log until the end. */
 struct Observer
 {
-    std::mutex clockMutex;                           ///< Guards `clock`.
-    HybridClock clock;                               ///< The process's hybrid clock.
-    std::string process = "chestnuthook";            ///< Name and instance; set before threads start.
-    EventRing ring;                                  ///< The process's events.
+    std::mutex clockMutex; ///< Guards `clock`.
+    HybridClock clock; ///< The process's hybrid clock.
+    std::string process = "chestnuthook"; ///< Name and instance; set before threads start.
+    EventRing ring; ///< The process's events.
     std::atomic<EventLevel> level{EventLevel::Info}; ///< Lowest level that is logged.
-    std::atomic<bool> started{false};                ///< Sinks stand.
+    std::atomic<bool> started{false}; ///< Sinks stand.
 };
 
 Observer &observer()
--- a/src/observe/log_func.h
+++ b/src/observe/log_func.h
@@ -18,7 +18,7 @@
 struct Field
 {
     std::string_view name; ///< A word of letters, digits and `_`.
-    std::string value;     ///< Any text; it is quoted and escaped as needed.
+    std::string value; ///< Any text; it is quoted and escaped as needed.
 };
 
 /** Starts logging to stderr, and to @p logFile where that isn't empty. Call once, before threads start.
--- a/src/observe/metrics_base.cpp
+++ b/src/observe/metrics_base.cpp
@@ -20,7 +20,7 @@
 namespace
 {
 
-constexpr unsigned int BinCount = 80;   ///< Ten bins for each power of ten.
+constexpr unsigned int BinCount = 80; ///< Ten bins for each power of ten.
 constexpr unsigned int BinsPerLine = 5; ///< Bins that one line of /metrics covers.
 constexpr double LeastMs = 0.01;
 constexpr double MostMs = 1e6;
@@ -75,21 +75,22 @@
         }
     }
 
-    std::atomic<std::int64_t> value{0};   ///< Value of a counter or gauge; sum in microseconds of a histogram.
+    std::atomic<std::int64_t> value{0}; ///< Value of a counter or gauge; sum in microseconds of a histogram.
     std::unique_ptr<Histogram> histogram; ///< Set for histograms only.
-    std::atomic<bool> used{false};        ///< Something was recorded.
+    std::atomic<bool> used{false}; ///< Something was recorded.
 };
 
 /** One metric with all its label values. */
 struct Metrics::Family
 {
-    const MetricRow *row = nullptr;                                       ///< Its row of the table; set once.
-    std::unique_ptr<Series> bare;                                         ///< Without a label.
-    mutable std::shared_mutex mutex;                                      ///< Guards the map, not the series in it.
+    const MetricRow *row = nullptr; ///< Its row of the table; set once.
+    std::unique_ptr<Series> bare; ///< Without a label.
+    mutable std::shared_mutex mutex; ///< Guards the map, not the series in it.
     std::map<std::string, std::unique_ptr<Series>, std::less<>> labelled; ///< By label value; never shrinks.
 };
 
-Metrics::Metrics() : families(std::make_unique<Family[]>(MetricCount))
+Metrics::Metrics()
+    : families(std::make_unique<Family[]>(MetricCount))
 {
     for (std::size_t i = 0; i < MetricCount; ++i) {
         this->families[i].row = &metricRow(static_cast<MetricKind>(i));
--- a/src/program/call_request_type.h
+++ b/src/program/call_request_type.h
@@ -16,25 +16,25 @@
 /** One message of a conversation. */
 struct ChatMessage
 {
-    std::string role;    ///< system, user, assistant or tool.
+    std::string role; ///< system, user, assistant or tool.
     std::string content; ///< Text.
 };
 
 /** A checked call. */
 struct CallRequest
 {
-    CallKind kind = CallKind::Model;   ///< Which of the fields below count.
-    std::string digest;                ///< SHA-256 of the body.
-    std::string body;                  ///< As it came.
-    ModelId model;                     ///< Model calls: which.
+    CallKind kind = CallKind::Model; ///< Which of the fields below count.
+    std::string digest; ///< SHA-256 of the body.
+    std::string body; ///< As it came.
+    ModelId model; ///< Model calls: which.
     std::vector<ChatMessage> messages; ///< Model calls: the new messages.
-    std::uint32_t maxTokens = 0;       ///< Model calls: bound of the answer; 0 for the model's own.
-    bool stream = false;               ///< Model calls: the caller wants events.
-    ServiceId service;                 ///< Tool calls: which.
-    std::string method;                ///< Tool calls: HTTP method.
-    std::string path;                  ///< Tool calls: with the query.
-    std::string toolBody;              ///< Tool calls: as sent.
-    bool idempotent = false;           ///< Tool calls: may be repeated.
+    std::uint32_t maxTokens = 0; ///< Model calls: bound of the answer; 0 for the model's own.
+    bool stream = false; ///< Model calls: the caller wants events.
+    ServiceId service; ///< Tool calls: which.
+    std::string method; ///< Tool calls: HTTP method.
+    std::string path; ///< Tool calls: with the query.
+    std::string toolBody; ///< Tool calls: as sent.
+    bool idempotent = false; ///< Tool calls: may be repeated.
 };
 
 /** Parses and checks the body of a call. Errors: BadRequest with the field and what to do. */
--- a/src/program/journal_base.h
+++ b/src/program/journal_base.h
@@ -71,9 +71,9 @@
     Result<void> doForget(Wire::JournalCommand::Reader command, bool execute);
     Result<ProgramRecord *> openProgram(const std::string &id);
 
-    std::uint64_t lastIndex = 0;                        ///< Log index of the last applied command.
-    std::map<SlotId, Epoch> epochs;                     ///< Highest epoch opened per slot. Never falls.
-    std::map<ProgramId, ProgramRecord> programs;        ///< Open programs, and ended ones within their retention.
+    std::uint64_t lastIndex = 0; ///< Log index of the last applied command.
+    std::map<SlotId, Epoch> epochs; ///< Highest epoch opened per slot. Never falls.
+    std::map<ProgramId, ProgramRecord> programs; ///< Open programs, and ended ones within their retention.
     std::map<SlotId, std::map<ProgramId, bool>> bySlot; ///< Programs of each slot.
 };
 
--- a/src/program/program_type.h
+++ b/src/program/program_type.h
@@ -17,48 +17,48 @@
 /** What a program may use, or has used. */
 struct Budget
 {
-    std::uint64_t calls = 0;        ///< Number of calls.
-    std::uint64_t tokens = 0;       ///< Prompt and completion tokens.
+    std::uint64_t calls = 0; ///< Number of calls.
+    std::uint64_t tokens = 0; ///< Prompt and completion tokens.
     std::uint64_t milliseconds = 0; ///< Wall time from creation.
-    std::uint32_t depth = 0;        ///< Levels of sub-agents below.
+    std::uint32_t depth = 0; ///< Levels of sub-agents below.
     bool operator==(const Budget &) const = default;
 };
 
 enum class CallState : std::uint8_t {
     Intent, ///< Non-idempotent; journaled before its first byte left. It may have run.
-    Ended,  ///< Has its final result.
+    Ended, ///< Has its final result.
 };
 
 /** One call of a program. */
 struct CallRecord
 {
-    CallNumber number;                   ///< Position in the program, from 1.
-    std::string digest;                  ///< SHA-256 of the request's content; tells a resend from a conflict.
-    AttemptId attempt;                   ///< The attempt that made, or is to make, the result.
+    CallNumber number; ///< Position in the program, from 1.
+    std::string digest; ///< SHA-256 of the request's content; tells a resend from a conflict.
+    AttemptId attempt; ///< The attempt that made, or is to make, the result.
     CallState state = CallState::Intent; ///< Ended is final.
-    std::string request;                 ///< Body of the request.
-    std::string answer;                  ///< Body of the answer.
-    std::uint16_t status = 0;            ///< HTTP status of the answer.
-    std::optional<Error> failure;        ///< Set where the call ended without an answer.
-    std::uint64_t tokens = 0;            ///< Charged to the budget.
-    EndpointId endpoint;                 ///< Where it ran.
-    std::int64_t deadlineMs = 0;         ///< Wall time after which an intent without a result ends as unknown.
+    std::string request; ///< Body of the request.
+    std::string answer; ///< Body of the answer.
+    std::uint16_t status = 0; ///< HTTP status of the answer.
+    std::optional<Error> failure; ///< Set where the call ended without an answer.
+    std::uint64_t tokens = 0; ///< Charged to the budget.
+    EndpointId endpoint; ///< Where it ran.
+    std::int64_t deadlineMs = 0; ///< Wall time after which an intent without a result ends as unknown.
 };
 
 /** One program. Invariant: calls are numbered 1..n without gaps, and only the last may be an intent. */
 struct ProgramRecord
 {
-    ProgramId id;                     ///< Its slot is slotOf(id).
-    TenantId tenant;                  ///< Only this tenant's keys reach it.
-    ProgramId parent;                 ///< Empty at a root.
-    std::vector<ProgramId> children;  ///< Sub-agents; ended with it.
-    Budget budget;                    ///< As granted. Invariant: spent <= budget in every part.
-    Budget spent;                     ///< Used, with blocks that were never returned.
-    std::int64_t createdMs = 0;       ///< Wall time.
-    std::int64_t endedMs = 0;         ///< Wall time; 0 while open.
-    std::vector<CallRecord> calls;    ///< In order.
+    ProgramId id; ///< Its slot is slotOf(id).
+    TenantId tenant; ///< Only this tenant's keys reach it.
+    ProgramId parent; ///< Empty at a root.
+    std::vector<ProgramId> children; ///< Sub-agents; ended with it.
+    Budget budget; ///< As granted. Invariant: spent <= budget in every part.
+    Budget spent; ///< Used, with blocks that were never returned.
+    std::int64_t createdMs = 0; ///< Wall time.
+    std::int64_t endedMs = 0; ///< Wall time; 0 while open.
+    std::vector<CallRecord> calls; ///< In order.
     std::vector<EndpointId> releases; ///< Endpoints that may still hold its cache.
-    std::string requestId;            ///< Of its creation.
+    std::string requestId; ///< Of its creation.
 
     [[nodiscard]] bool ended() const
     {
--- a/src/rpc/control_loop_base.h
+++ b/src/rpc/control_loop_base.h
@@ -74,14 +74,14 @@
         void taskFailed(kj::Exception &&exception) override;
     };
 
-    kj::AsyncIoContext io;                             ///< The event loop.
-    const kj::Executor &executor;                      ///< Way in for other threads.
-    SteadyTimer timerService;                          ///< Run by `tick`.
-    RpcContext rpcContext;                             ///< For links and ports.
-    LogFailures failures;                              ///< Logs failed background work.
-    kj::TaskSet tasks;                                 ///< Background work.
+    kj::AsyncIoContext io; ///< The event loop.
+    const kj::Executor &executor; ///< Way in for other threads.
+    SteadyTimer timerService; ///< Run by `tick`.
+    RpcContext rpcContext; ///< For links and ports.
+    LogFailures failures; ///< Logs failed background work.
+    kj::TaskSet tasks; ///< Background work.
     kj::Own<kj::PromiseFulfiller<void>> stopFulfiller; ///< Ends `run`.
-    kj::Promise<void> stopped;                         ///< Waited for by `run`.
+    kj::Promise<void> stopped; ///< Waited for by `run`.
 };
 
 } // namespace Chestnuthook
--- a/src/rpc/gate_func.cpp
+++ b/src/rpc/gate_func.cpp
@@ -39,7 +39,8 @@
 {
 public:
     ProverServer(std::string expected, OfferedServices services)
-        : expected(std::move(expected)), services(std::move(services))
+        : expected(std::move(expected))
+        , services(std::move(services))
     {
     }
 
@@ -54,14 +55,16 @@
     }
 
 private:
-    std::string expected;     ///< The only proof that is accepted.
+    std::string expected; ///< The only proof that is accepted.
     OfferedServices services; ///< Handed out after the proof.
 };
 
 class GateServer final : public Wire::Gate::Server
 {
 public:
-    GateServer(std::string secret, OfferedServices services) : secret(std::move(secret)), services(std::move(services))
+    GateServer(std::string secret, OfferedServices services)
+        : secret(std::move(secret))
+        , services(std::move(services))
     {
     }
 
@@ -78,7 +81,7 @@
     }
 
 private:
-    std::string secret;       ///< Shared by the fleet's processes.
+    std::string secret; ///< Shared by the fleet's processes.
     OfferedServices services; ///< Handed out after a proof.
 };
 
--- a/src/rpc/gate_func.h
+++ b/src/rpc/gate_func.h
@@ -15,7 +15,7 @@
 /** What a process offers behind its gate; a null client offers nothing. */
 struct OfferedServices
 {
-    Wire::Control::Client control = nullptr;  ///< Set at a control member.
+    Wire::Control::Client control = nullptr; ///< Set at a control member.
     capnp::Capability::Client peer = nullptr; ///< Member or EntryPeer.
 };
 
--- a/src/rpc/message_func.h
+++ b/src/rpc/message_func.h
@@ -31,7 +31,7 @@
     }
 
 private:
-    kj::Array<capnp::word> words;                  ///< Aligned copy of the bytes.
+    kj::Array<capnp::word> words; ///< Aligned copy of the bytes.
     kj::Own<capnp::FlatArrayMessageReader> reader; ///< Reads `words`.
 };
 
--- a/src/rpc/rpc_link_base.cpp
+++ b/src/rpc/rpc_link_base.cpp
@@ -31,8 +31,8 @@
     {
     }
 
-    kj::Own<kj::AsyncIoStream> stream;                    ///< The socket.
-    capnp::TwoPartyVatNetwork network;                    ///< Frames messages on it.
+    kj::Own<kj::AsyncIoStream> stream; ///< The socket.
+    capnp::TwoPartyVatNetwork network; ///< Frames messages on it.
     capnp::RpcSystem<capnp::rpc::twoparty::VatId> system; ///< Serves the gate.
 };
 
@@ -41,7 +41,9 @@
 {
 public:
     RpcPort(kj::Own<kj::ConnectionReceiver> receiver, Wire::Gate::Client gate)
-        : receiver(kj::mv(receiver)), gate(kj::mv(gate)), tasks(*this)
+        : receiver(kj::mv(receiver))
+        , gate(kj::mv(gate))
+        , tasks(*this)
     {
     }
 
@@ -62,8 +64,8 @@
     }
 
     kj::Own<kj::ConnectionReceiver> receiver; ///< The listening socket.
-    Wire::Gate::Client gate;                  ///< Bootstrap of each connection.
-    kj::TaskSet tasks;                        ///< One task per connection.
+    Wire::Gate::Client gate; ///< Bootstrap of each connection.
+    kj::TaskSet tasks; ///< One task per connection.
 };
 
 } // namespace
@@ -85,14 +87,16 @@
         return this->system.bootstrap(vat).castAs<Wire::Gate>();
     }
 
-    kj::Own<kj::AsyncIoStream> stream;                    ///< The socket.
-    capnp::TwoPartyVatNetwork network;                    ///< Frames messages on it.
+    kj::Own<kj::AsyncIoStream> stream; ///< The socket.
+    capnp::TwoPartyVatNetwork network; ///< Frames messages on it.
     capnp::RpcSystem<capnp::rpc::twoparty::VatId> system; ///< Runs the calls.
-    OfferedServices offered;                              ///< Set once the gate is passed.
-    bool ready = false;                                   ///< Whether the gate is passed.
+    OfferedServices offered; ///< Set once the gate is passed.
+    bool ready = false; ///< Whether the gate is passed.
 };
 
-RpcLink::RpcLink(RpcContext &context, std::string address) : context(context), address(std::move(address))
+RpcLink::RpcLink(RpcContext &context, std::string address)
+    : context(context)
+    , address(std::move(address))
 {
 }
 
--- a/src/rpc/rpc_link_base.h
+++ b/src/rpc/rpc_link_base.h
@@ -17,9 +17,9 @@
 struct RpcContext
 {
     kj::Network &network; ///< Of the control thread.
-    kj::Timer &timer;     ///< Of the control thread.
-    std::string secret;   ///< The fleet's secret.
-    std::string party;    ///< Who we are, for the other end's log.
+    kj::Timer &timer; ///< Of the control thread.
+    std::string secret; ///< The fleet's secret.
+    std::string party; ///< Who we are, for the other end's log.
 };
 
 /** A link to one address. All calls are for the control thread only. */
@@ -47,9 +47,9 @@
 
     kj::Promise<void> connect();
 
-    RpcContext &context;                           ///< Outlives the link.
-    std::string address;                           ///< ip:port of the other end.
-    std::shared_ptr<Connection> connection;        ///< Null where there is none; set before the gate is passed.
+    RpcContext &context; ///< Outlives the link.
+    std::string address; ///< ip:port of the other end.
+    std::shared_ptr<Connection> connection; ///< Null where there is none; set before the gate is passed.
     kj::Maybe<kj::ForkedPromise<void>> connecting; ///< Set while a connection is under way.
 };
 
--- a/src/supervisor/child_type.h
+++ b/src/supervisor/child_type.h
@@ -24,7 +24,7 @@
 
 /** Which children are started again with one that failed. */
 enum class RestartStrategy : std::uint8_t {
-    OneForOne,  ///< That one only.
+    OneForOne, ///< That one only.
     RestForOne, ///< That one and all after it in the table.
 };
 
@@ -43,22 +43,22 @@
 /** One row of a supervisor's table. All functions run on the control thread. */
 struct ChildSpecification
 {
-    std::string_view name;                            ///< Unique in its table; must outlive the supervisor.
+    std::string_view name; ///< Unique in its table; must outlive the supervisor.
     RestartPolicy restart = RestartPolicy::Permanent; ///< When it is started again.
-    std::chrono::milliseconds stopTimeout{0};         ///< A stop that takes longer is logged; 0 for no bound.
-    std::function<Result<void>()> start;              ///< Starts it; an error leaves nothing running.
-    std::function<void()> stop;                       ///< Stops it; harmless where it isn't running. May be empty.
+    std::chrono::milliseconds stopTimeout{0}; ///< A stop that takes longer is logged; 0 for no bound.
+    std::function<Result<void>()> start; ///< Starts it; an error leaves nothing running.
+    std::function<void()> stop; ///< Stops it; harmless where it isn't running. May be empty.
     std::function<Result<void>()> ready; ///< An error says why it isn't ready. May be empty: ready while it runs.
 };
 
 /** What /readyz shows of a child. */
 struct ChildState
 {
-    std::string name;                       ///< Path of names from the root's child on, with `/` between.
+    std::string name; ///< Path of names from the root's child on, with `/` between.
     ChildPhase phase = ChildPhase::Stopped; ///< Where it is in its life.
-    bool ready = false;                     ///< Runs and says that it is ready.
-    std::uint64_t restarts = 0;             ///< Times that it was started again.
-    std::optional<Error> error;             ///< The last failure, or why it isn't ready.
+    bool ready = false; ///< Runs and says that it is ready.
+    std::uint64_t restarts = 0; ///< Times that it was started again.
+    std::optional<Error> error; ///< The last failure, or why it isn't ready.
 };
 
 } // namespace Chestnuthook
--- a/src/supervisor/supervisor_base.cpp
+++ b/src/supervisor/supervisor_base.cpp
@@ -13,7 +13,10 @@
 
 Supervisor::Supervisor(std::string supervisorName, RestartStrategy restartStrategy, RestartIntensity restartIntensity,
     TimerService &timerService, std::vector<ChildSpecification> childTable)
-    : label(std::move(supervisorName)), strategy(restartStrategy), intensity(restartIntensity), timers(timerService)
+    : label(std::move(supervisorName))
+    , strategy(restartStrategy)
+    , intensity(restartIntensity)
+    , timers(timerService)
 {
     for (ChildSpecification &specification : childTable) {
         this->addChild(std::move(specification));
--- a/src/supervisor/supervisor_base.h
+++ b/src/supervisor/supervisor_base.h
@@ -18,8 +18,8 @@
 /** How many restarts are borne before the supervisor gives up. */
 struct RestartIntensity
 {
-    std::size_t maxRestarts = 3;                     ///< Restarts borne within `period`.
-    Duration period = std::chrono::seconds(10);      ///< The span that is looked at.
+    std::size_t maxRestarts = 3; ///< Restarts borne within `period`.
+    Duration period = std::chrono::seconds(10); ///< The span that is looked at.
     Duration pause = std::chrono::milliseconds(100); ///< Wait before a child is tried again whose restart failed.
 };
 
@@ -60,12 +60,12 @@
 private:
     struct Child
     {
-        ChildSpecification specification;       ///< Its row.
-        Supervisor *nested = nullptr;           ///< Set where the child is a supervisor.
+        ChildSpecification specification; ///< Its row.
+        Supervisor *nested = nullptr; ///< Set where the child is a supervisor.
         ChildPhase phase = ChildPhase::Stopped; ///< Where it is in its life.
-        std::uint64_t restarts = 0;             ///< Times that it was started again.
-        std::optional<Error> error;             ///< The last failure.
-        TimerSubscription restartTimer;         ///< Active while it waits for its restart.
+        std::uint64_t restarts = 0; ///< Times that it was started again.
+        std::optional<Error> error; ///< The last failure.
+        TimerSubscription restartTimer; ///< Active while it waits for its restart.
     };
 
     Child *find(std::string_view name);
@@ -75,16 +75,16 @@
     void restart(std::size_t index);
     void giveUp(const Error &error);
 
-    const std::string label;                         ///< Name of this supervisor.
-    const RestartStrategy strategy;                  ///< Which children restart together.
-    const RestartIntensity intensity;                ///< When to give up.
-    TimerService &timers;                            ///< Outlives this.
-    std::vector<Child> children;                     ///< In start order; fixed once started.
-    std::deque<Instant> restartTimes;                ///< Restarts within the period, oldest first.
+    const std::string label; ///< Name of this supervisor.
+    const RestartStrategy strategy; ///< Which children restart together.
+    const RestartIntensity intensity; ///< When to give up.
+    TimerService &timers; ///< Outlives this.
+    std::vector<Child> children; ///< In start order; fixed once started.
+    std::deque<Instant> restartTimes; ///< Restarts within the period, oldest first.
     std::function<void(const Error &)> giveUpAction; ///< May be empty.
-    TimerSubscription giveUpTimer;                   ///< Active once the intensity is exceeded, until this has stopped.
-    bool running = false;                            ///< Between start and stop.
-    bool hasGivenUp = false;                         ///< Until the next start.
+    TimerSubscription giveUpTimer; ///< Active once the intensity is exceeded, until this has stopped.
+    bool running = false; ///< Between start and stop.
+    bool hasGivenUp = false; ///< Until the next start.
 };
 
 } // namespace Chestnuthook
--- a/src/table/error_table.h
+++ b/src/table/error_table.h
@@ -15,12 +15,12 @@
 /** What callers and operators see of an ErrorKind. */
 struct ErrorRow
 {
-    ErrorKind kind;           ///< The kind; rows stand in the order of the enumerators.
-    std::string_view code;    ///< Stable text for programs.
-    int httpStatus;           ///< Status of the answer.
-    int exitCode;             ///< Exit code of a process that ends of it.
+    ErrorKind kind; ///< The kind; rows stand in the order of the enumerators.
+    std::string_view code; ///< Stable text for programs.
+    int httpStatus; ///< Status of the answer.
+    int exitCode; ///< Exit code of a process that ends of it.
     std::string_view message; ///< What went wrong.
-    std::string_view remedy;  ///< What to do about it.
+    std::string_view remedy; ///< What to do about it.
 };
 
 template<>
--- a/src/table/event_table.cpp
+++ b/src/table/event_table.cpp
@@ -13,9 +13,9 @@
 /** Name and level of a kind of event. */
 struct EventRow
 {
-    EventKind kind;        ///< The kind; rows stand in the order of the enumerators.
+    EventKind kind; ///< The kind; rows stand in the order of the enumerators.
     std::string_view name; ///< Its name in logs and time lines.
-    EventLevel level;      ///< How much it matters.
+    EventLevel level; ///< How much it matters.
 };
 
 constexpr auto EventRows = std::to_array<EventRow>({
--- a/src/table/event_table.h
+++ b/src/table/event_table.h
@@ -56,10 +56,10 @@
 
 /** How much an event matters. */
 enum class EventLevel : std::uint8_t {
-    Debug,   ///< One of many; in the ring always, in the log only on demand.
-    Info,    ///< A change of state.
+    Debug, ///< One of many; in the ring always, in the log only on demand.
+    Info, ///< A change of state.
     Warning, ///< A fault that was dealt with.
-    Error,   ///< A fault that needs a person.
+    Error, ///< A fault that needs a person.
 };
 
 /** The level of @p kind. */
--- a/src/table/metric_table.h
+++ b/src/table/metric_table.h
@@ -41,11 +41,11 @@
 /** One row of the table of metrics. */
 struct MetricRow
 {
-    MetricKind kind;        ///< The kind; rows stand in the order of the enumerators.
-    std::string_view name;  ///< Name in /metrics.
-    MetricType type;        ///< How it is counted.
+    MetricKind kind; ///< The kind; rows stand in the order of the enumerators.
+    std::string_view name; ///< Name in /metrics.
+    MetricType type; ///< How it is counted.
     std::string_view label; ///< Name of the optional label; empty where it takes none.
-    std::string_view help;  ///< One line for people.
+    std::string_view help; ///< One line for people.
 };
 
 [[nodiscard]] const MetricRow &metricRow(MetricKind kind);
--- a/tests/support/process_fleet.cpp
+++ b/tests/support/process_fleet.cpp
@@ -226,7 +226,8 @@
     return {std::istreambuf_iterator<char>(stream), {}};
 }
 
-ProcessFleet::ProcessFleet(FleetSize wanted) : size(std::move(wanted))
+ProcessFleet::ProcessFleet(FleetSize wanted)
+    : size(std::move(wanted))
 {
     const bool verse = this->size.site == "kortagatt";
     this->tenant = verse ? "bjarkaprent" : "tamarbond";
--- a/tests/support/process_fleet.h
+++ b/tests/support/process_fleet.h
@@ -16,10 +16,10 @@
 /** An HTTP answer; status 0 where the connection failed. */
 struct HttpAnswer
 {
-    int status = 0;                             ///< HTTP status.
-    std::string body;                           ///< All that came.
+    int status = 0; ///< HTTP status.
+    std::string body; ///< All that came.
     std::map<std::string, std::string> headers; ///< Of the answer.
-    bool complete = false;                      ///< The body ended as HTTP says it should.
+    bool complete = false; ///< The body ended as HTTP says it should.
 };
 
 using Headers = std::vector<std::pair<std::string, std::string>>;
@@ -54,26 +54,26 @@
 
 private:
     bool reaped = false; ///< It has ended and was waited for.
-    int exitCode = -1;   ///< Valid once reaped.
+    int exitCode = -1; ///< Valid once reaped.
 };
 
 /** What a finished command printed. */
 struct CommandResult
 {
-    int exitCode = -1;  ///< As ChildProcess::wait gives it.
+    int exitCode = -1; ///< As ChildProcess::wait gives it.
     std::string output; ///< Standard output and error.
 };
 
 /** How many of each a fleet has. */
 struct FleetSize
 {
-    int controls = 1;                      ///< Control members.
-    int entries = 1;                       ///< Entries.
-    int engines = 1;                       ///< Fake engines.
-    int services = 1;                      ///< Fake services.
-    std::string site = "kortagatt";        ///< Overlay under deploy/.
-    std::vector<std::string> engineFlags;  ///< Added to each engine's command line.
-    std::vector<std::string> entryFlags;   ///< Added to each entry's command line.
+    int controls = 1; ///< Control members.
+    int entries = 1; ///< Entries.
+    int engines = 1; ///< Fake engines.
+    int services = 1; ///< Fake services.
+    std::string site = "kortagatt"; ///< Overlay under deploy/.
+    std::vector<std::string> engineFlags; ///< Added to each engine's command line.
+    std::vector<std::string> entryFlags; ///< Added to each entry's command line.
     std::vector<std::string> controlFlags; ///< Added to each control member's command line.
 };
 
@@ -107,18 +107,18 @@
     /** Requests in the ledger of the fake at @p address that contain @p text. */
     static int ledgerCount(const std::string &address, const std::string &text);
 
-    const FleetSize size;                                           ///< As asked for.
-    std::string folder;                                             ///< Data, logs and secret.
-    std::string tenant;                                             ///< First tenant of the site.
-    std::string model;                                              ///< Model of the site.
-    std::string service;                                            ///< Service of the site.
-    std::string key;                                                ///< Key of the first tenant.
-    std::vector<std::string> controlAddresses;                      ///< ip:port by index.
-    std::vector<std::string> entryAddresses;                        ///< For callers.
-    std::vector<std::string> entryRpcAddresses;                     ///< For other entries.
-    std::vector<std::string> engineAddresses;                       ///< Fakes.
-    std::vector<std::string> serviceAddresses;                      ///< Fakes.
-    std::string platformAddress;                                    ///< Fake.
+    const FleetSize size; ///< As asked for.
+    std::string folder; ///< Data, logs and secret.
+    std::string tenant; ///< First tenant of the site.
+    std::string model; ///< Model of the site.
+    std::string service; ///< Service of the site.
+    std::string key; ///< Key of the first tenant.
+    std::vector<std::string> controlAddresses; ///< ip:port by index.
+    std::vector<std::string> entryAddresses; ///< For callers.
+    std::vector<std::string> entryRpcAddresses; ///< For other entries.
+    std::vector<std::string> engineAddresses; ///< Fakes.
+    std::vector<std::string> serviceAddresses; ///< Fakes.
+    std::string platformAddress; ///< Fake.
     std::map<std::string, std::unique_ptr<ChildProcess>> processes; ///< By name, such as control-0.
 
 private:
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -31,7 +31,8 @@
 /** Runs loadSettings over these words; keeps the words that are left. */
 struct Line
 {
-    explicit Line(std::vector<std::string> given) : words(std::move(given))
+    explicit Line(std::vector<std::string> given)
+        : words(std::move(given))
     {
         this->words.insert(this->words.begin(), "program");
         for (std::string &word : this->words) {
@@ -47,15 +48,16 @@
     }
 
     std::vector<std::string> words; ///< Storage of argv.
-    std::vector<char *> pointers;   ///< argv.
-    SettingsOutcome outcome;        ///< What was found.
-    std::vector<std::string> left;  ///< Words that are no flags.
+    std::vector<char *> pointers; ///< argv.
+    SettingsOutcome outcome; ///< What was found.
+    std::vector<std::string> left; ///< Words that are no flags.
 };
 
 /** Sets a variable for one test. */
 struct Variable
 {
-    Variable(std::string variable, const char *value) : name(std::move(variable))
+    Variable(std::string variable, const char *value)
+        : name(std::move(variable))
     {
         setenv(this->name.c_str(), value, 1);
     }
--- a/tests/unit/supervisor_test.cpp
+++ b/tests/unit/supervisor_test.cpp
@@ -18,10 +18,10 @@
 /** Children that write their starts (a, b, …) and stops (A, B, …) into one text. */
 struct Fixture
 {
-    VirtualTimer timers;   ///< Virtual time.
-    std::string trace;     ///< What happened.
+    VirtualTimer timers; ///< Virtual time.
+    std::string trace; ///< What happened.
     int failingStarts = 0; ///< Starts of `b` that fail from now on.
-    bool ready = true;     ///< Whether `b` says that it is ready.
+    bool ready = true; ///< Whether `b` says that it is ready.
 
     ChildSpecification child(std::string_view name, RestartPolicy policy = RestartPolicy::Permanent)
     {
