Retry budget of a fleet without messages; seams for isolated calls

Cause: call runners need leave to retry, and suspects must run alone; neither had a seam. Change: RetryBudget bounds retries by a tenth of first attempts at each entry, so by a tenth fleet-wide; full jitter; Dispatch::mayRetry and retryDelay; DispatchDemand::isolated (not yet acted on).

--- a/src/entry/dispatch_base.cpp
+++ b/src/entry/dispatch_base.cpp
@@ -4,10 +4,23 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/hash_func.h"
+
 namespace Chestnuthook
 {
 
+namespace
+{
+
+std::string targetOf(const DispatchDemand &demand)
+{
+    return (demand.kind == EndpointKind::Engine ? "engine/" : "service/") + demand.name;
+}
+
+} // namespace
+
 Dispatch::Dispatch()
+    : jitterSeed(hash64(randomHex(sizeof(std::uint64_t))))
 {
     this->list.store(std::make_shared<const EndpointList>());
 }
@@ -35,6 +48,10 @@
     if (fitting.empty()) {
         return fail(ErrorKind::NoEndpoint, demand.name);
     }
+    {
+        const std::lock_guard lock(this->retryMutex);
+        this->retryBudgets[targetOf(demand)].onAttempt();
+    }
     return DispatchPermit{++this->lastPermit, fitting[this->turn++ % fitting.size()], 0};
 }
 
@@ -43,4 +60,16 @@
 {
 }
 
+bool Dispatch::mayRetry(const DispatchDemand &demand)
+{
+    const std::lock_guard lock(this->retryMutex);
+    return this->retryBudgets[targetOf(demand)].take();
+}
+
+Duration Dispatch::retryDelay(unsigned retry)
+{
+    const std::lock_guard lock(this->retryMutex);
+    return jitteredRetryDelay(retry, this->jitterSeed);
+}
+
 } // namespace Chestnuthook
--- a/src/entry/dispatch_base.h
+++ b/src/entry/dispatch_base.h
@@ -3,7 +3,9 @@
 
 #include <atomic>
 #include <cstdint>
+#include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <vector>
 
@@ -11,6 +13,7 @@
 #include "core/id_type.h"
 #include "endpoint/attempt_type.h"
 #include "endpoint/instance_list_base.h"
+#include "policy/retry_budget_base.h"
 #include "program/call_request_type.h"
 
 namespace Chestnuthook
@@ -28,7 +31,8 @@
     std::uint64_t attainedTokens = 0; ///< Service that the program has had; less goes first.
     std::string fingerprint; ///< Of tenant and content, for quarantine.
     std::vector<EndpointId> avoid; ///< Endpoints that failed this call before.
-    std::int64_t deadlineMs = 0; ///< How long the attempt may wait for its turn, in milliseconds.
+    std::int64_t deadlineMs = 0; ///< How long the attempt may wait for its turn, in milliseconds; 0 for the default.
+    bool isolated = false; ///< Suspected of crashing endpoints: nothing else is in flight at its endpoint.
 };
 
 /** Leave to run one attempt at one endpoint; given back by `release`, exactly once. */
@@ -51,6 +55,13 @@
     /** The attempt has ended; what it says of the endpoint's health and of the request is taken in. */
     void release(const DispatchPermit &permit, const DispatchDemand &demand, const AttemptOutcome &outcome);
 
+    /** Takes one retry of @p demand's call out of the retry budget of its model or service.
+     * @return false where retries have used it up: the call then fails with the error of its last attempt. */
+    bool mayRetry(const DispatchDemand &demand);
+
+    /** How long to wait before retry number @p retry (from 1): exponential, with full jitter. */
+    [[nodiscard]] Duration retryDelay(unsigned retry);
+
     /** Takes in the platform's latest list. */
     void setEndpoints(std::shared_ptr<const EndpointList> list);
 
@@ -60,6 +71,9 @@
     std::atomic<std::shared_ptr<const EndpointList>> list; ///< The platform's list; never null.
     std::atomic<std::uint64_t> turn = 0; ///< Turns through the endpoints.
     std::atomic<std::uint64_t> lastPermit = 0; ///< Id of the last permit.
+    std::mutex retryMutex; ///< Guards the members below; held for arithmetic only.
+    std::map<std::string, RetryBudget> retryBudgets; ///< By kind and name of the target.
+    std::uint64_t jitterSeed; ///< State of the jitter's generator.
 };
 
 } // namespace Chestnuthook
