--- a/src/program/journal_base.h
+++ b/src/program/journal_base.h
@@ -22,7 +22,8 @@
     /** Applies a committed command (flat Wire::JournalCommand) at @p index. @return the flat Wire::JournalReply. */
     std::string apply(std::uint64_t index, std::string_view command);
 
-    /** Tests @p command and, with @p execute, executes it. */
+    /** Tests @p command and, with @p execute, executes it. A command that was executed before, as its attempt, block or
+     * child id tells, passes and changes nothing, so that a proposer may send again what it had no answer to. */
     [[nodiscard]] Result<void> doCommand(Wire::JournalCommand::Reader command, bool execute);
 
     /** The program of @p id, or null. */
@@ -68,6 +69,8 @@
     Result<void> doEndProgram(Wire::JournalCommand::Reader command, bool execute);
     Result<void> doReleased(Wire::JournalCommand::Reader command, bool execute);
     Result<void> doReserve(Wire::JournalCommand::Reader command, bool execute);
+    Result<void> doCarve(Wire::JournalCommand::Reader command, bool execute);
+    Result<void> doChildEnded(Wire::JournalCommand::Reader command, bool execute);
     Result<void> doForget(Wire::JournalCommand::Reader command, bool execute);
     Result<ProgramRecord *> openProgram(const std::string &id);
 
--- a/src/program/journal_cmd.cpp
+++ b/src/program/journal_cmd.cpp
@@ -12,6 +12,42 @@
 namespace Chestnuthook
 {
 
+namespace
+{
+
+/** Whether the call of this number is of this very attempt, so that a command about it has been executed before. */
+bool hasAttempt(const ProgramRecord &program, const CallRecord &call)
+{
+    const CallRecord *known = program.find(call.number);
+    return known != nullptr && known->attempt == call.attempt;
+}
+
+void addRelease(ProgramRecord &program, const EndpointId &endpoint)
+{
+    auto &releases = program.releases;
+    if (!endpoint.empty() && std::find(releases.begin(), releases.end(), endpoint) == releases.end()) {
+        releases.push_back(endpoint);
+    }
+}
+
+/** Takes @p call in as the result of the last call, of which @p covered tokens are paid for. */
+void endCall(ProgramRecord &program, CallRecord call, std::uint64_t covered)
+{
+    std::vector<CallRecord> &calls = program.calls;
+    const bool intent = !calls.empty() && calls.back().number == call.number;
+    const std::uint64_t uncovered = call.tokens - std::min(call.tokens, covered);
+    program.spent.tokens += std::min(uncovered, program.budget.tokens - program.spent.tokens);
+    call.state = CallState::Ended;
+    if (intent) {
+        calls.back() = std::move(call);
+    } else {
+        program.spent.calls += 1;
+        calls.push_back(std::move(call));
+    }
+}
+
+} // namespace
+
 std::string JournalState::apply(std::uint64_t index, std::string_view command)
 {
     FlatMessage message(command);
@@ -62,6 +98,10 @@
         return this->doReserve(command, execute);
     case Wire::JournalCommand::FORGET:
         return this->doForget(command, execute);
+    case Wire::JournalCommand::CARVE:
+        return this->doCarve(command, execute);
+    case Wire::JournalCommand::CHILD_ENDED:
+        return this->doChildEnded(command, execute);
     }
     return fail(ErrorKind::BadRequest, "unknown journal command");
 }
@@ -98,7 +138,11 @@
     if (program.id.empty() || slotOf(program.id.text).value != command.getSlot()) {
         return fail(ErrorKind::BadRequest, "the program is not of this slot");
     }
-    if (this->programs.contains(program.id)) {
+    if (const ProgramRecord *known = this->find(program.id)) {
+        if (known->tenant == program.tenant && known->requestId == program.requestId
+            && known->parent == program.parent) {
+            return {};
+        }
         return fail(ErrorKind::Conflict, "program " + program.id.text + " is there already");
     }
     if (execute) {
@@ -110,19 +154,27 @@
 Result<void> JournalState::doBegin(Wire::JournalCommand::Reader command, bool execute)
 {
     const auto begin = command.getBegin();
+    CallRecord call = readCall(begin.getCall());
+    const ProgramRecord *known = this->find(ProgramId{textOf(begin.getProgram())});
+    if (known != nullptr && hasAttempt(*known, call)) {
+        return {};
+    }
     const Result<ProgramRecord *> program = this->openProgram(textOf(begin.getProgram()));
     if (!program) {
         return tl::unexpected(program.error());
     }
-    CallRecord call = readCall(begin.getCall());
     if (call.number.value != (*program)->calls.size() + 1) {
         return fail(ErrorKind::Conflict, "call " + std::to_string(call.number.value) + " is not the next one");
     }
     if (!(*program)->calls.empty() && (*program)->calls.back().state != CallState::Ended) {
         return fail(ErrorKind::Conflict, "the call before it has not ended");
     }
+    if ((*program)->spent.calls >= (*program)->budget.calls) {
+        return fail(ErrorKind::BudgetSpent, "program " + (*program)->id.text);
+    }
     if (execute) {
         call.state = CallState::Intent;
+        (*program)->spent.calls += 1;
         (*program)->calls.push_back(std::move(call));
     }
     return {};
@@ -131,47 +183,52 @@
 Result<void> JournalState::doEnd(Wire::JournalCommand::Reader command, bool execute)
 {
     const auto end = command.getEnd();
-    const Result<ProgramRecord *> program = this->openProgram(textOf(end.getProgram()));
-    if (!program) {
-        return tl::unexpected(program.error());
-    }
     CallRecord call = readCall(end.getCall());
-    std::vector<CallRecord> &calls = (*program)->calls;
+    const auto found = this->programs.find(ProgramId{textOf(end.getProgram())});
+    if (found == this->programs.end()) {
+        return fail(ErrorKind::NotFound, "no program " + textOf(end.getProgram()));
+    }
+    ProgramRecord &program = found->second;
+    std::vector<CallRecord> &calls = program.calls;
+    if (hasAttempt(program, call) && program.find(call.number)->state == CallState::Ended) {
+        return {};
+    }
     const bool intent = !calls.empty() && calls.back().number == call.number && calls.back().state == CallState::Intent;
     const bool next =
         call.number.value == calls.size() + 1 && (calls.empty() || calls.back().state == CallState::Ended);
+    const bool untouched = call.failure && call.failure->ran == Ran::No;
+    if (untouched && next) {
+        return {}; // The intent was taken back before.
+    }
     if (!intent && !next) {
         return fail(ErrorKind::Conflict, "call " + std::to_string(call.number.value) + " can't end now");
     }
     if (intent && calls.back().attempt != call.attempt) {
         return fail(ErrorKind::Conflict, "the result is of another attempt");
     }
-    if (!execute) {
-        return {};
+    if (next && program.ended()) {
+        return fail(ErrorKind::ProgramEnded, "program " + program.id.text);
     }
-    call.state = CallState::Ended;
-    (*program)->spent.calls += 1;
-    (*program)->spent.tokens += call.tokens;
-    auto &releases = (*program)->releases;
-    if (!call.endpoint.empty() && std::find(releases.begin(), releases.end(), call.endpoint) == releases.end()) {
-        releases.push_back(call.endpoint);
+    if (next && program.spent.calls >= program.budget.calls) {
+        return fail(ErrorKind::BudgetSpent, "program " + program.id.text);
     }
-    if (intent) {
-        calls.back() = std::move(call);
-    } else {
-        calls.push_back(std::move(call));
+    if (execute && untouched) {
+        calls.pop_back();
+        program.spent.calls -= 1;
+    } else if (execute) {
+        endCall(program, std::move(call), end.getCovered());
     }
     return {};
 }
 
 Result<void> JournalState::doEndProgram(Wire::JournalCommand::Reader command, bool execute)
 {
-    const Result<ProgramRecord *> program = this->openProgram(textOf(command.getEndProgram()));
-    if (!program) {
-        return tl::unexpected(program.error());
+    const auto found = this->programs.find(ProgramId{textOf(command.getEndProgram())});
+    if (found == this->programs.end()) {
+        return fail(ErrorKind::NotFound, "no program " + textOf(command.getEndProgram()));
     }
-    if (execute) {
-        (*program)->endedMs = command.getNowMs();
+    if (execute && !found->second.ended()) {
+        found->second.endedMs = command.getNowMs();
     }
     return {};
 }
@@ -196,6 +253,10 @@
     if (found == this->programs.end()) {
         return fail(ErrorKind::NotFound, "no such program");
     }
+    const std::string id = textOf(reserve.getId());
+    if (!id.empty() && id == found->second.lastReserve) {
+        return {};
+    }
     const Budget amount = readBudget(reserve.getAmount());
     const Budget &budget = found->second.budget;
     Budget &spent = found->second.spent;
@@ -206,15 +267,62 @@
         if (execute) {
             spent.calls -= amount.calls;
             spent.tokens -= amount.tokens;
+            found->second.lastReserve = id;
         }
         return {};
     }
+    if (found->second.ended()) {
+        return fail(ErrorKind::ProgramEnded, "program " + found->first.text);
+    }
     if (amount.calls > budget.calls - spent.calls || amount.tokens > budget.tokens - spent.tokens) {
         return fail(ErrorKind::BudgetSpent, "program " + found->first.text);
     }
     if (execute) {
         spent.calls += amount.calls;
         spent.tokens += amount.tokens;
+        found->second.lastReserve = id;
+        addRelease(found->second, EndpointId{textOf(reserve.getEndpoint())});
+    }
+    return {};
+}
+
+Result<void> JournalState::doCarve(Wire::JournalCommand::Reader command, bool execute)
+{
+    const auto carve = command.getCarve();
+    const Result<ProgramRecord *> parent = this->openProgram(textOf(carve.getProgram()));
+    if (!parent) {
+        return tl::unexpected(parent.error());
+    }
+    const ProgramId child{textOf(carve.getChild())};
+    std::vector<ProgramId> &children = (*parent)->children;
+    if (std::find(children.begin(), children.end(), child) != children.end()) {
+        return {};
+    }
+    const Budget amount = readBudget(carve.getAmount());
+    const Budget &budget = (*parent)->budget;
+    Budget &spent = (*parent)->spent;
+    if (budget.depth == 0 || amount.depth >= budget.depth) {
+        return fail(ErrorKind::BudgetSpent, "program " + (*parent)->id.text + " may have no deeper sub-agents");
+    }
+    if (amount.calls > budget.calls - spent.calls || amount.tokens > budget.tokens - spent.tokens) {
+        return fail(ErrorKind::BudgetSpent, "program " + (*parent)->id.text);
+    }
+    if (execute) {
+        spent.calls += amount.calls;
+        spent.tokens += amount.tokens;
+        children.push_back(child);
+    }
+    return {};
+}
+
+Result<void> JournalState::doChildEnded(Wire::JournalCommand::Reader command, bool execute)
+{
+    const auto found = this->programs.find(ProgramId{textOf(command.getChildEnded().getProgram())});
+    if (found == this->programs.end() || !found->second.ended()) {
+        return fail(ErrorKind::Conflict, "the parent has not ended");
+    }
+    if (execute) {
+        std::erase(found->second.children, ProgramId{textOf(command.getChildEnded().getChild())});
     }
     return {};
 }
@@ -226,7 +334,7 @@
         if (found == this->programs.end()) {
             continue;
         }
-        if (!found->second.ended() || !found->second.releases.empty()) {
+        if (!found->second.ended() || !found->second.releases.empty() || !found->second.children.empty()) {
             return fail(ErrorKind::Conflict, "program " + found->first.text + " is not done with");
         }
         if (execute) {
--- a/src/program/program_type.cpp
+++ b/src/program/program_type.cpp
@@ -101,6 +101,7 @@
     }
     writeIds(builder.initReleases(static_cast<unsigned>(program.releases.size())), program.releases);
     builder.setRequestId(program.requestId);
+    builder.setLastReserve(program.lastReserve);
 }
 
 ProgramRecord readProgram(Wire::Program::Reader reader)
@@ -119,6 +120,7 @@
     }
     program.releases = readIds<EndpointId>(reader.getReleases());
     program.requestId = textOf(reader.getRequestId());
+    program.lastReserve = textOf(reader.getLastReserve());
     return program;
 }
 
--- a/src/program/program_type.h
+++ b/src/program/program_type.h
@@ -59,6 +59,7 @@
     std::vector<CallRecord> calls; ///< In order.
     std::vector<EndpointId> releases; ///< Endpoints that may still hold its cache.
     std::string requestId; ///< Of its creation.
+    std::string lastReserve; ///< Id of the last block taken or returned; it is not done twice.
 
     [[nodiscard]] bool ended() const
     {
--- a/src/rpc/entry.capnp
+++ b/src/rpc/entry.capnp
@@ -2,6 +2,7 @@
 # What an entry offers the other entries.
 using Cxx = import "/capnp/c++.capnp";
 using Common = import "common.capnp";
+using Program = import "program.capnp";
 $Cxx.namespace("Chestnuthook::Wire");
 
 struct AdmitRequest {
@@ -59,4 +60,6 @@
     release @2 (endpoint :Text, entry :Text, permits :List(UInt64)) -> ();
     # Runs a request whose program this entry owns; the answer goes to the sink.
     forward @3 (request :ForwardedRequest, sink :AnswerSink) -> ();
+    # The result of an attempt that began under an earlier owner of the program.
+    result @4 (program :Text, call :Program.Call) -> (failure :Common.Failure);
 }
--- a/src/rpc/entry.capnp.c++
+++ b/src/rpc/entry.capnp.c++
@@ -848,7 +848,7 @@
   0, 0, nullptr, nullptr, nullptr, { &s_ffc1b8eee072eff2, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<58> b_cbc20751db84b3ce = {
+static const ::capnp::_::AlignedData<68> b_cbc20751db84b3ce = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     206, 179, 132, 219,  81,   7, 194, 203,
      12,   0,   0,   0,   3,   0,   0,   0,
@@ -858,46 +858,54 @@
      21,   0,   0,   0, 178,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0,   7,   1,   0,   0,
-    185,   0,   0,   0,   7,   0,   0,   0,
+     25,   0,   0,   0,  71,   1,   0,   0,
+    225,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     101, 110, 116, 114, 121,  46,  99,  97,
     112, 110, 112,  58,  69, 110, 116, 114,
     121,  80, 101, 101, 114,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     16,   0,   0,   0,   3,   0,   5,   0,
+     20,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       1, 105, 166,  85, 195,  97,  62, 220,
      33,  53, 190, 209,  47, 214,  27, 137,
-    113,   0,   0,   0,  50,   0,   0,   0,
+    145,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    101,   0,   0,   0,   7,   0,   0,   0,
+    133,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     163,  30,  66,  67,  15,  55,  10, 181,
     117,  87,  33, 175, 154, 253, 101, 147,
-     89,   0,   0,   0,  58,   0,   0,   0,
+    121,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     77,   0,   0,   0,   7,   0,   0,   0,
+    109,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
      34, 253, 227,  71, 156, 205, 120, 222,
     173, 133,  25, 237, 137,  86,  52, 199,
-     65,   0,   0,   0,  66,   0,   0,   0,
+     97,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     53,   0,   0,   0,   7,   0,   0,   0,
+     85,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
     145, 144, 189, 105, 213,   9,  13, 160,
     158,  96, 226,   9,  67, 222, 126, 182,
-     41,   0,   0,   0,  66,   0,   0,   0,
+     73,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0,   7,   0,   0,   0,
+     61,   0,   0,   0,   7,   0,   0,   0,
+      4,   0,   0,   0,   0,   0,   0,   0,
+    190, 217, 239, 126, 201,  29, 206, 141,
+     63,  76, 117, 130,   0, 106, 200, 183,
+     49,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     37,   0,   0,   0,   7,   0,   0,   0,
      97, 100, 109, 105, 116,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
     112, 101, 114, 109, 105, 116,   0,   0,
@@ -906,24 +914,28 @@
       0,   0,   0,   0,   0,   0,   1,   0,
     102, 111, 114, 119,  97, 114, 100,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    114, 101, 115, 117, 108, 116,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_cbc20751db84b3ce = b_cbc20751db84b3ce.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_cbc20751db84b3ce[] = {
   &s_891bd62fd1be3521,
+  &s_8dce1dc97eefd9be,
   &s_9365fd9aaf215775,
   &s_a00d09d569bd9091,
   &s_b50a370f43421ea3,
   &s_b67ede4309e2609e,
+  &s_b7c86a0082754c3f,
   &s_c7345689ed1985ad,
   &s_dc3e61c355a66901,
   &s_de78cd9c47e3fd22,
 };
-static const uint16_t m_cbc20751db84b3ce[] = {0, 3, 1, 2};
+static const uint16_t m_cbc20751db84b3ce[] = {0, 3, 1, 2, 4};
 const ::capnp::_::RawSchema s_cbc20751db84b3ce = {
-  0xcbc20751db84b3ce, b_cbc20751db84b3ce.words, 58, d_cbc20751db84b3ce, m_cbc20751db84b3ce,
-  8, 4, nullptr, nullptr, nullptr, { &s_cbc20751db84b3ce, nullptr, nullptr, 0, 0, nullptr }
+  0xcbc20751db84b3ce, b_cbc20751db84b3ce.words, 68, d_cbc20751db84b3ce, m_cbc20751db84b3ce,
+  10, 5, nullptr, nullptr, nullptr, { &s_cbc20751db84b3ce, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<38> b_dc3e61c355a66901 = {
@@ -1326,6 +1338,115 @@
   0, 0, nullptr, nullptr, nullptr, { &s_b67ede4309e2609e, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<48> b_8dce1dc97eefd9be = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    190, 217, 239, 126, 201,  29, 206, 141,
+     22,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      2,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  34,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    101, 110, 116, 114, 121,  46,  99,  97,
+    112, 110, 112,  58,  69, 110, 116, 114,
+    121,  80, 101, 101, 114,  46, 114, 101,
+    115, 117, 108, 116,  36,  80,  97, 114,
+     97, 109, 115,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+    112, 114, 111, 103, 114,  97, 109,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99,  97, 108, 108,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    252,  21,  32, 135, 122, 226,  18, 141,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_8dce1dc97eefd9be = b_8dce1dc97eefd9be.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_8dce1dc97eefd9be[] = {
+  &s_8d12e27a872015fc,
+};
+static const uint16_t m_8dce1dc97eefd9be[] = {1, 0};
+static const uint16_t i_8dce1dc97eefd9be[] = {0, 1};
+const ::capnp::_::RawSchema s_8dce1dc97eefd9be = {
+  0x8dce1dc97eefd9be, b_8dce1dc97eefd9be.words, 48, d_8dce1dc97eefd9be, m_8dce1dc97eefd9be,
+  1, 2, i_8dce1dc97eefd9be, nullptr, nullptr, { &s_8dce1dc97eefd9be, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<33> b_b7c86a0082754c3f = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     63,  76, 117, 130,   0, 106, 200, 183,
+     22,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  42,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    101, 110, 116, 114, 121,  46,  99,  97,
+    112, 110, 112,  58,  69, 110, 116, 114,
+    121,  80, 101, 101, 114,  46, 114, 101,
+    115, 117, 108, 116,  36,  82, 101, 115,
+    117, 108, 116, 115,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    102,  97, 105, 108, 117, 114, 101,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    115, 133, 113, 131, 180,  21, 235, 240,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_b7c86a0082754c3f = b_b7c86a0082754c3f.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_b7c86a0082754c3f[] = {
+  &s_f0eb15b483718573,
+};
+static const uint16_t m_b7c86a0082754c3f[] = {0};
+static const uint16_t i_b7c86a0082754c3f[] = {0};
+const ::capnp::_::RawSchema s_b7c86a0082754c3f = {
+  0xb7c86a0082754c3f, b_b7c86a0082754c3f.words, 33, d_b7c86a0082754c3f, m_b7c86a0082754c3f,
+  1, 1, i_b7c86a0082754c3f, nullptr, nullptr, { &s_b7c86a0082754c3f, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -1549,6 +1670,16 @@
       "entry.capnp:EntryPeer", "forward",
       0xcbc20751db84b3ceull, 3);
 }
+::capnp::Request< ::Chestnuthook::Wire::EntryPeer::ResultParams,  ::Chestnuthook::Wire::EntryPeer::ResultResults>
+EntryPeer::Client::resultRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::Chestnuthook::Wire::EntryPeer::ResultParams,  ::Chestnuthook::Wire::EntryPeer::ResultResults>(
+      0xcbc20751db84b3ceull, 4, sizeHint);
+}
+::kj::Promise<void> EntryPeer::Server::result(ResultContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "entry.capnp:EntryPeer", "result",
+      0xcbc20751db84b3ceull, 4);
+}
 ::capnp::Capability::Server::DispatchCallResult EntryPeer::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -1587,6 +1718,12 @@
              ::Chestnuthook::Wire::EntryPeer::ForwardParams,  ::Chestnuthook::Wire::EntryPeer::ForwardResults>(context)),
         false
       };
+    case 4:
+      return {
+        result(::capnp::Capability::Server::internalGetTypedContext<
+             ::Chestnuthook::Wire::EntryPeer::ResultParams,  ::Chestnuthook::Wire::EntryPeer::ResultResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -1666,6 +1803,22 @@
 constexpr ::capnp::_::RawSchema const* EntryPeer::ForwardResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// EntryPeer::ResultParams
+constexpr uint16_t EntryPeer::ResultParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t EntryPeer::ResultParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind EntryPeer::ResultParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* EntryPeer::ResultParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// EntryPeer::ResultResults
+constexpr uint16_t EntryPeer::ResultResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t EntryPeer::ResultResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind EntryPeer::ResultResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* EntryPeer::ResultResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/src/rpc/entry.capnp.h
+++ b/src/rpc/entry.capnp.h
@@ -14,6 +14,7 @@
 #endif
 
 #include "common.capnp.h"
+#include "program.capnp.h"
 
 CAPNP_BEGIN_HEADER
 
@@ -42,6 +43,8 @@
 CAPNP_DECLARE_SCHEMA(c7345689ed1985ad);
 CAPNP_DECLARE_SCHEMA(a00d09d569bd9091);
 CAPNP_DECLARE_SCHEMA(b67ede4309e2609e);
+CAPNP_DECLARE_SCHEMA(8dce1dc97eefd9be);
+CAPNP_DECLARE_SCHEMA(b7c86a0082754c3f);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -268,6 +271,8 @@
   struct ReleaseResults;
   struct ForwardParams;
   struct ForwardResults;
+  struct ResultParams;
+  struct ResultResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -397,6 +402,36 @@
   };
 };
 
+struct EntryPeer::ResultParams {
+  ResultParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8dce1dc97eefd9be, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EntryPeer::ResultResults {
+  ResultResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b7c86a0082754c3f, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class AdmitRequest::Reader {
@@ -1575,6 +1610,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::Chestnuthook::Wire::EntryPeer::ForwardParams,  ::Chestnuthook::Wire::EntryPeer::ForwardResults> forwardRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Chestnuthook::Wire::EntryPeer::ResultParams,  ::Chestnuthook::Wire::EntryPeer::ResultResults> resultRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1607,6 +1644,10 @@
   typedef  ::Chestnuthook::Wire::EntryPeer::ForwardResults ForwardResults;
   typedef ::capnp::CallContext<ForwardParams, ForwardResults> ForwardContext;
   virtual ::kj::Promise<void> forward(ForwardContext context);
+  typedef  ::Chestnuthook::Wire::EntryPeer::ResultParams ResultParams;
+  typedef  ::Chestnuthook::Wire::EntryPeer::ResultResults ResultResults;
+  typedef ::capnp::CallContext<ResultParams, ResultResults> ResultContext;
+  virtual ::kj::Promise<void> result(ResultContext context);
 
   inline  ::Chestnuthook::Wire::EntryPeer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -2284,6 +2325,180 @@
 };
 #endif  // !CAPNP_LITE
 
+class EntryPeer::ResultParams::Reader {
+public:
+  typedef ResultParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasProgram() const;
+  inline  ::capnp::Text::Reader getProgram() const;
+
+  inline bool hasCall() const;
+  inline  ::Chestnuthook::Wire::Call::Reader getCall() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryPeer::ResultParams::Builder {
+public:
+  typedef ResultParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasProgram();
+  inline  ::capnp::Text::Builder getProgram();
+  inline void setProgram( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initProgram(unsigned int size);
+  inline void adoptProgram(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownProgram();
+
+  inline bool hasCall();
+  inline  ::Chestnuthook::Wire::Call::Builder getCall();
+  inline void setCall( ::Chestnuthook::Wire::Call::Reader value);
+  inline  ::Chestnuthook::Wire::Call::Builder initCall();
+  inline void adoptCall(::capnp::Orphan< ::Chestnuthook::Wire::Call>&& value);
+  inline ::capnp::Orphan< ::Chestnuthook::Wire::Call> disownCall();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryPeer::ResultParams::Pipeline {
+public:
+  typedef ResultParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::Chestnuthook::Wire::Call::Pipeline getCall();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EntryPeer::ResultResults::Reader {
+public:
+  typedef ResultResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFailure() const;
+  inline  ::Chestnuthook::Wire::Failure::Reader getFailure() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryPeer::ResultResults::Builder {
+public:
+  typedef ResultResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFailure();
+  inline  ::Chestnuthook::Wire::Failure::Builder getFailure();
+  inline void setFailure( ::Chestnuthook::Wire::Failure::Reader value);
+  inline  ::Chestnuthook::Wire::Failure::Builder initFailure();
+  inline void adoptFailure(::capnp::Orphan< ::Chestnuthook::Wire::Failure>&& value);
+  inline ::capnp::Orphan< ::Chestnuthook::Wire::Failure> disownFailure();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryPeer::ResultResults::Pipeline {
+public:
+  typedef ResultResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::Chestnuthook::Wire::Failure::Pipeline getFailure();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline bool AdmitRequest::Reader::hasTenant() const {
@@ -3416,6 +3631,118 @@
 }
 #endif  // !CAPNP_LITE
 
+inline bool EntryPeer::ResultParams::Reader::hasProgram() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryPeer::ResultParams::Builder::hasProgram() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader EntryPeer::ResultParams::Reader::getProgram() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder EntryPeer::ResultParams::Builder::getProgram() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EntryPeer::ResultParams::Builder::setProgram( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder EntryPeer::ResultParams::Builder::initProgram(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void EntryPeer::ResultParams::Builder::adoptProgram(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> EntryPeer::ResultParams::Builder::disownProgram() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool EntryPeer::ResultParams::Reader::hasCall() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryPeer::ResultParams::Builder::hasCall() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Chestnuthook::Wire::Call::Reader EntryPeer::ResultParams::Reader::getCall() const {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::Call>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::Chestnuthook::Wire::Call::Builder EntryPeer::ResultParams::Builder::getCall() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::Call>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Chestnuthook::Wire::Call::Pipeline EntryPeer::ResultParams::Pipeline::getCall() {
+  return  ::Chestnuthook::Wire::Call::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void EntryPeer::ResultParams::Builder::setCall( ::Chestnuthook::Wire::Call::Reader value) {
+  ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::Call>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::Chestnuthook::Wire::Call::Builder EntryPeer::ResultParams::Builder::initCall() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::Call>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void EntryPeer::ResultParams::Builder::adoptCall(
+    ::capnp::Orphan< ::Chestnuthook::Wire::Call>&& value) {
+  ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::Call>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Chestnuthook::Wire::Call> EntryPeer::ResultParams::Builder::disownCall() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::Call>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool EntryPeer::ResultResults::Reader::hasFailure() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryPeer::ResultResults::Builder::hasFailure() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Chestnuthook::Wire::Failure::Reader EntryPeer::ResultResults::Reader::getFailure() const {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::Failure>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Chestnuthook::Wire::Failure::Builder EntryPeer::ResultResults::Builder::getFailure() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::Failure>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Chestnuthook::Wire::Failure::Pipeline EntryPeer::ResultResults::Pipeline::getFailure() {
+  return  ::Chestnuthook::Wire::Failure::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void EntryPeer::ResultResults::Builder::setFailure( ::Chestnuthook::Wire::Failure::Reader value) {
+  ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::Failure>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Chestnuthook::Wire::Failure::Builder EntryPeer::ResultResults::Builder::initFailure() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::Failure>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EntryPeer::ResultResults::Builder::adoptFailure(
+    ::capnp::Orphan< ::Chestnuthook::Wire::Failure>&& value) {
+  ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::Failure>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Chestnuthook::Wire::Failure> EntryPeer::ResultResults::Builder::disownFailure() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::Failure>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/rpc/program.capnp
+++ b/src/rpc/program.capnp
@@ -42,6 +42,7 @@
     calls @8 :List(Call);
     releases @9 :List(Text); # Endpoints whose cache release is not confirmed.
     requestId @10 :Text;    # Of the request that created it.
+    lastReserve @11 :Text;  # Id of the last block taken or returned; a resend of it changes nothing.
 }
 
 struct JournalCommand {
@@ -59,6 +60,7 @@
         end :group {
             program @8 :Text;
             call @9 :Call;
+            covered @17 :UInt64; # Tokens of the call that a block has paid for already.
         }
         endProgram @10 :Text;
         released :group {
@@ -69,8 +71,19 @@
             program @13 :Text;
             amount @14 :Budget;  # A block taken (or, with `giveBack`, returned).
             giveBack @15 :Bool;
+            id @18 :Text;        # A resend under the same id changes nothing.
+            endpoint @19 :Text;  # About to run a call of the program, so that its cache must be released there.
         }
         forget @16 :List(Text); # Ended programs whose retention is over.
+        carve :group {
+            program @20 :Text;   # The parent.
+            child @21 :Text;
+            amount @22 :Budget;  # Taken from the parent for the child.
+        }
+        childEnded :group {
+            program @23 :Text;
+            child @24 :Text;     # Has ended after its parent.
+        }
     }
 }
 
--- a/src/rpc/program.capnp.h
+++ b/src/rpc/program.capnp.h
@@ -34,6 +34,8 @@
 CAPNP_DECLARE_SCHEMA(8017f51ab8fe84c6);
 CAPNP_DECLARE_SCHEMA(febd3c6c2ed9889f);
 CAPNP_DECLARE_SCHEMA(82d9250b89607610);
+CAPNP_DECLARE_SCHEMA(a23d3bb6ed06d66e);
+CAPNP_DECLARE_SCHEMA(c706290f7a767f29);
 CAPNP_DECLARE_SCHEMA(bf5b15d1512b1d4e);
 CAPNP_DECLARE_SCHEMA(8c989766ffe33c58);
 CAPNP_DECLARE_SCHEMA(eca8b133417f27ec);
@@ -84,7 +86,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b7207b7c01b9d6c5, 2, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(b7207b7c01b9d6c5, 2, 10)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -106,14 +108,18 @@
     RELEASED,
     RESERVE,
     FORGET,
+    CARVE,
+    CHILD_ENDED,
   };
   struct Begin;
   struct End;
   struct Released;
   struct Reserve;
+  struct Carve;
+  struct ChildEnded;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(deb35e61002b18ae, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(deb35e61002b18ae, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -128,7 +134,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9c0892626b76917d, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(9c0892626b76917d, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -143,7 +149,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8017f51ab8fe84c6, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(8017f51ab8fe84c6, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -158,7 +164,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(febd3c6c2ed9889f, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(febd3c6c2ed9889f, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -173,7 +179,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(82d9250b89607610, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(82d9250b89607610, 4, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct JournalCommand::Carve {
+  Carve() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a23d3bb6ed06d66e, 4, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct JournalCommand::ChildEnded {
+  ChildEnded() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c706290f7a767f29, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -527,6 +563,9 @@
   inline bool hasRequestId() const;
   inline  ::capnp::Text::Reader getRequestId() const;
 
+  inline bool hasLastReserve() const;
+  inline  ::capnp::Text::Reader getLastReserve() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -626,6 +665,13 @@
   inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
 
+  inline bool hasLastReserve();
+  inline  ::capnp::Text::Builder getLastReserve();
+  inline void setLastReserve( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initLastReserve(unsigned int size);
+  inline void adoptLastReserve(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownLastReserve();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -706,6 +752,12 @@
   inline bool hasForget() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getForget() const;
 
+  inline bool isCarve() const;
+  inline typename Carve::Reader getCarve() const;
+
+  inline bool isChildEnded() const;
+  inline typename ChildEnded::Reader getChildEnded() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -793,6 +845,14 @@
   inline void adoptForget(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownForget();
 
+  inline bool isCarve();
+  inline typename Carve::Builder getCarve();
+  inline typename Carve::Builder initCarve();
+
+  inline bool isChildEnded();
+  inline typename ChildEnded::Builder getChildEnded();
+  inline typename ChildEnded::Builder initChildEnded();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -945,6 +1005,8 @@
   inline bool hasCall() const;
   inline  ::Chestnuthook::Wire::Call::Reader getCall() const;
 
+  inline  ::uint64_t getCovered() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -987,6 +1049,9 @@
   inline void adoptCall(::capnp::Orphan< ::Chestnuthook::Wire::Call>&& value);
   inline ::capnp::Orphan< ::Chestnuthook::Wire::Call> disownCall();
 
+  inline  ::uint64_t getCovered();
+  inline void setCovered( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1130,6 +1195,12 @@
 
   inline bool getGiveBack() const;
 
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline bool hasEndpoint() const;
+  inline  ::capnp::Text::Reader getEndpoint() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1175,6 +1246,20 @@
   inline bool getGiveBack();
   inline void setGiveBack(bool value);
 
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline bool hasEndpoint();
+  inline  ::capnp::Text::Builder getEndpoint();
+  inline void setEndpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
+  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1202,6 +1287,199 @@
 };
 #endif  // !CAPNP_LITE
 
+class JournalCommand::Carve::Reader {
+public:
+  typedef Carve Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasProgram() const;
+  inline  ::capnp::Text::Reader getProgram() const;
+
+  inline bool hasChild() const;
+  inline  ::capnp::Text::Reader getChild() const;
+
+  inline bool hasAmount() const;
+  inline  ::Chestnuthook::Wire::Budget::Reader getAmount() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class JournalCommand::Carve::Builder {
+public:
+  typedef Carve Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasProgram();
+  inline  ::capnp::Text::Builder getProgram();
+  inline void setProgram( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initProgram(unsigned int size);
+  inline void adoptProgram(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownProgram();
+
+  inline bool hasChild();
+  inline  ::capnp::Text::Builder getChild();
+  inline void setChild( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initChild(unsigned int size);
+  inline void adoptChild(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownChild();
+
+  inline bool hasAmount();
+  inline  ::Chestnuthook::Wire::Budget::Builder getAmount();
+  inline void setAmount( ::Chestnuthook::Wire::Budget::Reader value);
+  inline  ::Chestnuthook::Wire::Budget::Builder initAmount();
+  inline void adoptAmount(::capnp::Orphan< ::Chestnuthook::Wire::Budget>&& value);
+  inline ::capnp::Orphan< ::Chestnuthook::Wire::Budget> disownAmount();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class JournalCommand::Carve::Pipeline {
+public:
+  typedef Carve Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::Chestnuthook::Wire::Budget::Pipeline getAmount();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class JournalCommand::ChildEnded::Reader {
+public:
+  typedef ChildEnded Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasProgram() const;
+  inline  ::capnp::Text::Reader getProgram() const;
+
+  inline bool hasChild() const;
+  inline  ::capnp::Text::Reader getChild() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class JournalCommand::ChildEnded::Builder {
+public:
+  typedef ChildEnded Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasProgram();
+  inline  ::capnp::Text::Builder getProgram();
+  inline void setProgram( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initProgram(unsigned int size);
+  inline void adoptProgram(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownProgram();
+
+  inline bool hasChild();
+  inline  ::capnp::Text::Builder getChild();
+  inline void setChild( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initChild(unsigned int size);
+  inline void adoptChild(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownChild();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class JournalCommand::ChildEnded::Pipeline {
+public:
+  typedef ChildEnded Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class JournalReply::Reader {
 public:
   typedef JournalReply Reads;
@@ -2170,6 +2448,40 @@
       ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
+inline bool Program::Reader::hasLastReserve() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool Program::Builder::hasLastReserve() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Program::Reader::getLastReserve() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Program::Builder::getLastReserve() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void Program::Builder::setLastReserve( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Program::Builder::initLastReserve(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+}
+inline void Program::Builder::adoptLastReserve(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Program::Builder::disownLastReserve() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
 inline  ::Chestnuthook::Wire::JournalCommand::Which JournalCommand::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
@@ -2372,6 +2684,7 @@
 inline typename JournalCommand::End::Builder JournalCommand::Builder::initEnd() {
   _builder.setDataField<JournalCommand::Which>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, JournalCommand::END);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, 0);
   _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
   _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
   return typename JournalCommand::End::Builder(_builder);
@@ -2475,6 +2788,8 @@
   _builder.setDataField<bool>(::capnp::bounded<32>() * ::capnp::ELEMENTS, 0);
   _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
   _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).clear();
   return typename JournalCommand::Reserve::Builder(_builder);
 }
 inline bool JournalCommand::Reader::isForget() const {
@@ -2537,6 +2852,53 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool JournalCommand::Reader::isCarve() const {
+  return which() == JournalCommand::CARVE;
+}
+inline bool JournalCommand::Builder::isCarve() {
+  return which() == JournalCommand::CARVE;
+}
+inline typename JournalCommand::Carve::Reader JournalCommand::Reader::getCarve() const {
+  KJ_IREQUIRE((which() == JournalCommand::CARVE),
+              "Must check which() before get()ing a union member.");
+  return typename JournalCommand::Carve::Reader(_reader);
+}
+inline typename JournalCommand::Carve::Builder JournalCommand::Builder::getCarve() {
+  KJ_IREQUIRE((which() == JournalCommand::CARVE),
+              "Must check which() before get()ing a union member.");
+  return typename JournalCommand::Carve::Builder(_builder);
+}
+inline typename JournalCommand::Carve::Builder JournalCommand::Builder::initCarve() {
+  _builder.setDataField<JournalCommand::Which>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, JournalCommand::CARVE);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).clear();
+  return typename JournalCommand::Carve::Builder(_builder);
+}
+inline bool JournalCommand::Reader::isChildEnded() const {
+  return which() == JournalCommand::CHILD_ENDED;
+}
+inline bool JournalCommand::Builder::isChildEnded() {
+  return which() == JournalCommand::CHILD_ENDED;
+}
+inline typename JournalCommand::ChildEnded::Reader JournalCommand::Reader::getChildEnded() const {
+  KJ_IREQUIRE((which() == JournalCommand::CHILD_ENDED),
+              "Must check which() before get()ing a union member.");
+  return typename JournalCommand::ChildEnded::Reader(_reader);
+}
+inline typename JournalCommand::ChildEnded::Builder JournalCommand::Builder::getChildEnded() {
+  KJ_IREQUIRE((which() == JournalCommand::CHILD_ENDED),
+              "Must check which() before get()ing a union member.");
+  return typename JournalCommand::ChildEnded::Builder(_builder);
+}
+inline typename JournalCommand::ChildEnded::Builder JournalCommand::Builder::initChildEnded() {
+  _builder.setDataField<JournalCommand::Which>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, JournalCommand::CHILD_ENDED);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
+  return typename JournalCommand::ChildEnded::Builder(_builder);
+}
 inline bool JournalCommand::Begin::Reader::hasProgram() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2722,6 +3084,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t JournalCommand::End::Reader::getCovered() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t JournalCommand::End::Builder::getCovered() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void JournalCommand::End::Builder::setCovered( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool JournalCommand::Released::Reader::hasProgram() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2877,6 +3253,249 @@
       ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool JournalCommand::Reserve::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool JournalCommand::Reserve::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader JournalCommand::Reserve::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder JournalCommand::Reserve::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void JournalCommand::Reserve::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder JournalCommand::Reserve::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void JournalCommand::Reserve::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> JournalCommand::Reserve::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool JournalCommand::Reserve::Reader::hasEndpoint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool JournalCommand::Reserve::Builder::hasEndpoint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader JournalCommand::Reserve::Reader::getEndpoint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder JournalCommand::Reserve::Builder::getEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void JournalCommand::Reserve::Builder::setEndpoint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder JournalCommand::Reserve::Builder::initEndpoint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void JournalCommand::Reserve::Builder::adoptEndpoint(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> JournalCommand::Reserve::Builder::disownEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool JournalCommand::Carve::Reader::hasProgram() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool JournalCommand::Carve::Builder::hasProgram() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader JournalCommand::Carve::Reader::getProgram() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder JournalCommand::Carve::Builder::getProgram() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void JournalCommand::Carve::Builder::setProgram( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder JournalCommand::Carve::Builder::initProgram(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void JournalCommand::Carve::Builder::adoptProgram(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> JournalCommand::Carve::Builder::disownProgram() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool JournalCommand::Carve::Reader::hasChild() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool JournalCommand::Carve::Builder::hasChild() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader JournalCommand::Carve::Reader::getChild() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder JournalCommand::Carve::Builder::getChild() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void JournalCommand::Carve::Builder::setChild( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder JournalCommand::Carve::Builder::initChild(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void JournalCommand::Carve::Builder::adoptChild(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> JournalCommand::Carve::Builder::disownChild() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool JournalCommand::Carve::Reader::hasAmount() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool JournalCommand::Carve::Builder::hasAmount() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Chestnuthook::Wire::Budget::Reader JournalCommand::Carve::Reader::getAmount() const {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::Budget>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::Chestnuthook::Wire::Budget::Builder JournalCommand::Carve::Builder::getAmount() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::Budget>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Chestnuthook::Wire::Budget::Pipeline JournalCommand::Carve::Pipeline::getAmount() {
+  return  ::Chestnuthook::Wire::Budget::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void JournalCommand::Carve::Builder::setAmount( ::Chestnuthook::Wire::Budget::Reader value) {
+  ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::Budget>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::Chestnuthook::Wire::Budget::Builder JournalCommand::Carve::Builder::initAmount() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::Budget>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void JournalCommand::Carve::Builder::adoptAmount(
+    ::capnp::Orphan< ::Chestnuthook::Wire::Budget>&& value) {
+  ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::Budget>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Chestnuthook::Wire::Budget> JournalCommand::Carve::Builder::disownAmount() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::Budget>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool JournalCommand::ChildEnded::Reader::hasProgram() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool JournalCommand::ChildEnded::Builder::hasProgram() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader JournalCommand::ChildEnded::Reader::getProgram() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder JournalCommand::ChildEnded::Builder::getProgram() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void JournalCommand::ChildEnded::Builder::setProgram( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder JournalCommand::ChildEnded::Builder::initProgram(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void JournalCommand::ChildEnded::Builder::adoptProgram(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> JournalCommand::ChildEnded::Builder::disownProgram() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool JournalCommand::ChildEnded::Reader::hasChild() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool JournalCommand::ChildEnded::Builder::hasChild() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader JournalCommand::ChildEnded::Reader::getChild() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder JournalCommand::ChildEnded::Builder::getChild() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void JournalCommand::ChildEnded::Builder::setChild( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder JournalCommand::ChildEnded::Builder::initChild(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void JournalCommand::ChildEnded::Builder::adoptChild(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> JournalCommand::ChildEnded::Builder::disownChild() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::Chestnuthook::Wire::JournalReply::Which JournalReply::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
