--- a/src/endpoint/attempt_type.h
+++ b/src/endpoint/attempt_type.h
@@ -33,7 +33,8 @@
     std::string path; ///< With the query.
     std::string contentType; ///< Of the body; empty for none.
     std::string body; ///< As sent.
-    std::int64_t timeoutMs = 0; ///< From the connect to the last byte.
+    std::int64_t timeoutMs = 0; ///< Longest pause between two bytes; the whole attempt ends by AttemptDeadlines.
+    std::vector<HttpHeader> headers; ///< More headers.
 };
 
 /** How an attempt ended. */
@@ -49,6 +50,7 @@
     std::uint64_t completionTokens = 0; ///< As the engine counted.
     std::uint64_t cachedTokens = 0; ///< Prompt tokens that the engine had cached.
     std::string what; ///< Why it is not complete; for people.
+    bool broken = false; ///< The connection ended or failed before the answer was whole.
 };
 
 /** Ends an attempt from another thread. */
@@ -65,6 +67,17 @@
         }
     }
 
+    /** Ends the attempt because its time has run out; nothing more may start under this token. Thread-safe. */
+    void expire()
+    {
+        this->expired = true;
+        this->cancel();
+    }
+
+    [[nodiscard]] bool isExpired() const
+    {
+        return this->expired;
+    }
     [[nodiscard]] bool isCancelled() const
     {
         return this->cancelled;
@@ -81,6 +94,7 @@
     std::mutex mutex; ///< Guards `abort`.
     std::function<void()> abort; ///< Breaks the attempt's connection.
     std::atomic<bool> cancelled = false; ///< Never falls.
+    std::atomic<bool> expired = false; ///< Cancelled by a deadline. Never falls.
 };
 
 /** Takes an engine's text as it comes. @return false to end the attempt. */
--- a/src/endpoint/http_attempt_func.cpp
+++ b/src/endpoint/http_attempt_func.cpp
@@ -27,6 +27,7 @@
 constexpr std::string_view DataPrefix = "data: ";
 
 using Session = Poco::Net::HTTPClientSession;
+using Response = Poco::Net::HTTPResponse;
 
 /** Connects and sends; `outcome.sent` is set before the first byte is written. @return the answer's stream, or null. */
 std::istream *send(
@@ -44,6 +45,9 @@
     if (!request.contentType.empty()) {
         http.setContentType(request.contentType);
     }
+    for (const HttpHeader &header : request.headers) {
+        http.set(header.name, header.value);
+    }
     http.setContentLength(static_cast<std::streamsize>(request.body.size()));
     try {
         // A failed connect leaves the endpoint untouched; POCO would connect only on sending.
@@ -132,6 +136,7 @@
         }
     }
     outcome.what = "the stream ended before [DONE]";
+    outcome.broken = true;
 }
 
 /** Sends @p request and gives the answer to @p read; exceptions end up in the outcome. */
@@ -151,7 +156,7 @@
         Poco::Net::HTTPResponse response;
         if (std::istream *stream = send(session, request, response, outcome)) {
             if (isOwnAnswer(response, request)) {
-                read(*stream, outcome);
+                read(*stream, response, outcome);
             } else {
                 outcome.what = "the answer is of another attempt";
             }
@@ -159,6 +164,7 @@
     } catch (const std::exception &exception) {
         outcome.what = exception.what();
         outcome.complete = false;
+        outcome.broken = true;
     }
     cancel.onCancel({});
     return outcome;
@@ -168,15 +174,19 @@
 
 AttemptOutcome runServiceAttempt(const AttemptRequest &request, CancelToken &cancel)
 {
-    return runAttempt(request, cancel, [](std::istream &stream, AttemptOutcome &outcome) {
-        readWhole(stream, outcome.body);
-        outcome.complete = true;
-    });
+    return runAttempt(
+        request, cancel, [&request](std::istream &stream, const Response &response, AttemptOutcome &outcome) {
+            readWhole(stream, outcome.body);
+            const bool bodiless = request.method == "HEAD" || !response.hasContentLength();
+            outcome.complete = bodiless || response.getContentLength64() == static_cast<Poco::Int64>(outcome.body.size());
+            outcome.broken = !outcome.complete;
+            outcome.what = outcome.complete ? "" : "the answer ended before its length";
+        });
 }
 
 AttemptOutcome runEngineAttempt(const AttemptRequest &request, const TextSink &sink, CancelToken &cancel)
 {
-    return runAttempt(request, cancel, [&sink](std::istream &stream, AttemptOutcome &outcome) {
+    return runAttempt(request, cancel, [&sink](std::istream &stream, const Response &, AttemptOutcome &outcome) {
         if (outcome.status != Poco::Net::HTTPResponse::HTTP_OK) {
             readWhole(stream, outcome.what);
             return;
--- a/src/entry/call_runner_base.h
+++ b/src/entry/call_runner_base.h
@@ -1,48 +1,37 @@
-/** @file call_runner_base.h  Runs one accepted call at an endpoint and gives the answer to the caller. */
+/** @file call_runner_base.h  Gives one caller the answer to a call: the stored one, or the running call's as it comes. */
 #pragma once
 
 #include <string>
 
-#include <Poco/Net/HTTPServerResponse.h>
-
-#include "endpoint/attempt_type.h"
+#include "entry/answer_writer_base.h"
 #include "entry/entry_context_type.h"
 #include "program/call_request_type.h"
 
 namespace Chestnuthook
 {
 
-/** For one call on one traffic thread. */
+/** For one request on one traffic thread. */
 class CallRunner
 {
 public:
-    CallRunner(EntryContext &context, Poco::Net::HTTPServerResponse &response, ProgramId program, TenantId tenant);
+    CallRunner(EntryContext &context, AnswerWriter &answer, ProgramId program, TenantId tenant);
+
+    /** Begins or joins the call and passes its answer on. Errors: those of the call, where nothing was written yet. */
+    Result<void> run(CallNumber number, const CallRequest &request);
 
-    /** Begins, runs and ends the call; always answers the caller. */
-    void run(CallNumber number, const CallRequest &request);
+    /** Runs an idempotent request to a plain service, of which nothing is kept. */
+    Result<void> runPlain(const CallRequest &request, std::int64_t timeoutMs);
 
 private:
-    void runModel(const CallRequest &request, CallStart start);
-    void runTool(const CallRequest &request, CallStart start);
-    void finish(CallRecord call, bool stream);
-    void replyStored(const CallRecord &call, bool stream);
-    void startStream();
-    bool writeDelta(std::string_view text);
-    void endStream(const CallRecord &call);
-    DispatchDemand demandOf(const CallRequest &request, const CallStart &start) const;
+    Result<void> startWorker(const CallRequest &request, const CallStart &start);
+    Result<void> follow(CallStream &stream, const CallRequest &request, const AttemptId &attempt);
+    Result<void> reply(const Result<CallRecord> &result, const CallRequest &request);
+    void writeText(const CallRequest &request, const AttemptId &attempt, std::string_view text);
 
     EntryContext &context; ///< Of the entry.
-    Poco::Net::HTTPServerResponse &response; ///< To the caller.
-    ProgramId program; ///< Whose call it is.
+    AnswerWriter &answer; ///< To the caller.
+    ProgramId program; ///< Whose call it is; empty for none.
     TenantId tenant; ///< For whom it runs.
-    std::ostream *stream = nullptr; ///< Set once a streamed answer has begun.
-    bool callerGone = false; ///< A write to the caller failed.
 };
 
-/** The engine's request: history and new messages as a chat completion. */
-[[nodiscard]] std::string engineBody(const CallRequest &request, const std::vector<ChatMessage> &history);
-
-/** A whole chat completion as JSON. */
-[[nodiscard]] std::string completionJson(const CallRecord &call, const std::string &model);
-
 } // namespace Chestnuthook
--- a/src/entry/entry_daemon_base.h
+++ b/src/entry/entry_daemon_base.h
@@ -41,15 +41,20 @@
     void startListPoll();
     void stopListPoll();
     void beginDrain();
+    void drain();
+    void releaseCache(const ProgramId &program, const EndpointId &endpoint);
 
     EntrySettings settings; ///< As checked.
     ControlLoop loop; ///< The control thread's.
     ControlClient client; ///< To the control members.
     FleetFollower follower; ///< The copy of the fleet state.
+    PeerLinks peers; ///< Other entries.
     ProgramRuntime programs; ///< Owned programs.
+    Quarantine quarantine; ///< Requests that crash endpoints.
     EntryContext context; ///< Shared with traffic threads.
     EntryServer server; ///< Callers.
     std::optional<Error> fault; ///< Why the daemon ends by itself.
+    TimerSubscription deadlineTimer; ///< Ends attempts whose time has run out.
     std::atomic<bool> polling = false; ///< The list is polled.
     std::thread listThread; ///< Polls the platform's list.
     std::thread stopThread; ///< Ends the server while the control thread goes on.
--- a/src/entry/entry_peer_base.h
+++ b/src/entry/entry_peer_base.h
@@ -19,6 +19,7 @@
     kj::Promise<void> permit(PermitContext context) override;
     kj::Promise<void> release(ReleaseContext context) override;
     kj::Promise<void> forward(ForwardContext context) override;
+    kj::Promise<void> result(ResultContext context) override;
 
 private:
     EntryContext &entry; ///< Outlives the server.
--- a/src/entry/entry_peer_forward.cpp
+++ b/src/entry/entry_peer_forward.cpp
@@ -1,12 +1,158 @@
-/** @file entry_peer_forward.cpp  Requests forwarded by other entries, for programs that this entry owns. */
+/** @file entry_peer_forward.cpp  Requests forwarded by other entries, for programs that this entry owns, and results of
+ * attempts that began there. */
+#include <atomic>
+#include <memory>
+#include <utility>
+
 #include "entry/entry_peer_base.h"
+#include "entry/program_service_base.h"
+#include "rpc/message_func.h"
 
 namespace Chestnuthook
 {
 
-kj::Promise<void> EntryPeerServer::forward(ForwardContext /*context*/)
+namespace
+{
+
+/** Shared by the RPC call on the control thread and the worker that serves it. */
+struct ForwardedCall
+{
+    kj::Maybe<Wire::AnswerSink::Client> sink; ///< For the control thread.
+    kj::Maybe<kj::Own<kj::PromiseFulfiller<void>>> done; ///< For the control thread.
+    std::atomic<bool> gone = false; ///< The other entry no longer reads.
+};
+
+/** Sends the answer to the entry that the caller reached. */
+class PeerAnswerWriter final : public AnswerWriter
+{
+public:
+    PeerAnswerWriter(EntryContext &entry, std::shared_ptr<ForwardedCall> call)
+        : entry(entry)
+        , call(std::move(call))
+    {
+    }
+
+    void start(int status, const std::vector<HttpHeader> &headers, std::int64_t /*length*/) override
+    {
+        this->started = true;
+        this->send([&](Wire::AnswerSink::Client &sink) {
+            auto request = sink.startRequest();
+            request.setStatus(static_cast<std::uint16_t>(status));
+            auto list = request.initHeaders(static_cast<unsigned>(headers.size()));
+            for (unsigned i = 0; i < list.size(); ++i) {
+                list[i].setName(headers[i].name);
+                list[i].setValue(headers[i].value);
+            }
+            return request.send().ignoreResult();
+        });
+    }
+    bool write(std::string_view bytes) override
+    {
+        this->send([&](Wire::AnswerSink::Client &sink) {
+            auto request = sink.writeRequest();
+            request.setBytes(dataOf(bytes));
+            return request.send().ignoreResult();
+        });
+        return !this->isGone();
+    }
+    void end() override
+    {
+        this->send([](Wire::AnswerSink::Client &sink) {
+            return sink.endRequest().send().ignoreResult();
+        });
+    }
+    bool isGone() override
+    {
+        return this->call->gone;
+    }
+    [[nodiscard]] bool isStarted() const override
+    {
+        return this->started;
+    }
+
+private:
+    template<typename Send>
+    void send(const Send &sendOn)
+    {
+        this->entry.loop.call([&]() -> kj::Promise<void> {
+            KJ_IF_MAYBE (sink, this->call->sink) {
+                return sendOn(*sink).catch_([call = this->call](kj::Exception && /*exception*/) {
+                    call->gone = true;
+                });
+            }
+            return kj::READY_NOW;
+        });
+    }
+
+    EntryContext &entry; ///< Outlives this.
+    std::shared_ptr<ForwardedCall> call; ///< The RPC call.
+    bool started = false; ///< The head was sent.
+};
+
+void serveForwarded(EntryContext &entry, const std::shared_ptr<ForwardedCall> &call, const CallerRequest &request)
+{
+    kj::Maybe<kj::Exception> failure;
+    try {
+        PeerAnswerWriter answer(entry, call);
+        ProgramService service(entry, answer, request);
+        const Result<void> checked = service.check();
+        if (!checked) {
+            replyError(answer, checked.error());
+        } else if (service.isOwn()) {
+            service.serve();
+        } else {
+            failure = KJ_EXCEPTION(FAILED, "not_ready: the program has moved");
+        }
+    } catch (const std::exception &exception) {
+        failure = KJ_EXCEPTION(FAILED, "internal", exception.what());
+    }
+    entry.loop.call([&]() {
+        call->sink = nullptr;
+        KJ_IF_MAYBE (done, call->done) {
+            KJ_IF_MAYBE (exception, failure) {
+                (*done)->reject(kj::mv(*exception));
+            } else {
+                (*done)->fulfill();
+            }
+        }
+        call->done = nullptr;
+    });
+    --entry.openRequests;
+}
+
+} // namespace
+
+kj::Promise<void> EntryPeerServer::forward(ForwardContext context)
+{
+    auto call = std::make_shared<ForwardedCall>();
+    call->sink = context.getParams().getSink();
+    auto paf = kj::newPromiseAndFulfiller<void>();
+    call->done = kj::mv(paf.fulfiller);
+    CallerRequest request = readRequest(context.getParams().getRequest());
+    context.allowCancellation();
+    ++this->entry.openRequests;
+    const Result<void> started = this->entry.workers.run([&entry = this->entry, call, request = std::move(request)]() {
+        serveForwarded(entry, call, request);
+    });
+    if (!started) {
+        --this->entry.openRequests;
+        KJ_FAIL_REQUIRE("overloaded: no thread is free");
+    }
+    return paf.promise.attach(kj::defer([call]() {
+        call->gone = true;
+    }));
+}
+
+kj::Promise<void> EntryPeerServer::result(ResultContext context)
 {
-    KJ_FAIL_REQUIRE("not_ready: requests are not forwarded");
+    const auto params = context.getParams();
+    return this->entry.programs
+        .takeResult(ProgramId{textOf(params.getProgram())}, readCall(params.getCall()), params.getCovered())
+        .then([context](Result<void> &&done) mutable {
+            if (!done) {
+                writeFailure(context.getResults().initFailure(), done.error());
+            }
+        });
 }
 
 } // namespace Chestnuthook
--- a/src/entry/http_reply_func.cpp
+++ b/src/entry/http_reply_func.cpp
@@ -1,7 +1,7 @@
-/** @file http_reply_func.cpp  Answers to callers. */
+/** @file http_reply_func.cpp  Bodies of answers. */
 #include "entry/http_reply_func.h"
 
-#include <ostream>
+#include <algorithm>
 
 #include "observe/event_ring_base.h"
 #include "table/error_table.h"
@@ -9,18 +9,38 @@
 namespace Chestnuthook
 {
 
-void replyText(Poco::Net::HTTPServerResponse &response, int status, const std::string &type, const std::string &body)
+namespace
 {
-    response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
-    response.setContentType(type);
-    response.sendBuffer(body.data(), body.size());
+
+std::string callJson(const CallRecord &call)
+{
+    return R"({"number":)" + std::to_string(call.number.value) + R"(,"state":)"
+        + (call.state == CallState::Ended ? R"("ended")" : R"("intent")") + R"(,"status":)"
+        + std::to_string(call.status) + R"(,"tokens":)" + std::to_string(call.tokens) + R"(,"request":)"
+        + jsonQuoted(call.request) + R"(,"answer":)" + jsonQuoted(call.answer)
+        + (call.failure ? "," + errorJson(*call.failure).substr(1) : "}");
+}
+
+std::string finishOf(const CallRecord &call)
+{
+    return jsonQuoted(call.finishReason.empty() ? "stop" : call.finishReason);
 }
 
-void replyJson(Poco::Net::HTTPServerResponse &response, int status, const std::string &body)
+std::string usageJson(const CallRecord &call)
 {
-    replyText(response, status, "application/json", body);
+    const std::uint64_t prompt = std::min(call.promptTokens, call.tokens);
+    return R"("usage":{"prompt_tokens":)" + std::to_string(prompt) + R"(,"completion_tokens":)"
+        + std::to_string(call.tokens - prompt) + R"(,"total_tokens":)" + std::to_string(call.tokens) + "}";
 }
 
+std::string headOf(const AttemptId &attempt, const std::string &object, const std::string &model)
+{
+    return R"({"id":)" + jsonQuoted("chatcmpl-" + attempt.text) + R"(,"object":")" + object + R"(","created":0,"model":)"
+        + jsonQuoted(model);
+}
+
+} // namespace
+
 std::string errorJson(const Error &error)
 {
     const ErrorRow &row = errorRow(error.kind);
@@ -30,12 +50,36 @@
         + std::to_string(error.retryAfterMs) + "}}";
 }
 
-void replyError(Poco::Net::HTTPServerResponse &response, const Error &error)
+std::string programJson(const ProgramRecord &program)
 {
-    if (error.retryAfterMs > 0) {
-        response.set("Retry-After", std::to_string((error.retryAfterMs + 999) / 1000));
+    std::string calls;
+    for (const CallRecord &call : program.calls) {
+        calls += (calls.empty() ? "" : ",") + callJson(call);
     }
-    replyJson(response, errorRow(error.kind).httpStatus, errorJson(error));
+    return R"({"id":)" + jsonQuoted(program.id.text) + R"(,"state":)" + (program.ended() ? R"("ended")" : R"("open")")
+        + R"(,"budget_left":{"calls":)" + std::to_string(program.budget.calls - program.spent.calls) + R"(,"tokens":)"
+        + std::to_string(program.budget.tokens - std::min(program.budget.tokens, program.spent.tokens))
+        + R"(},"calls":[)" + calls + "]}";
+}
+
+std::string completionJson(const CallRecord &call, const std::string &model)
+{
+    return headOf(call.attempt, "chat.completion", model)
+        + R"(,"choices":[{"index":0,"message":{"role":"assistant","content":)" + jsonQuoted(call.answer)
+        + R"(},"finish_reason":)" + finishOf(call) + "}]," + usageJson(call) + "}";
+}
+
+std::string chunkEvent(const AttemptId &attempt, const std::string &model, std::string_view text)
+{
+    return "data: " + headOf(attempt, "chat.completion.chunk", model) + R"(,"choices":[{"index":0,"delta":{"content":)"
+        + jsonQuoted(text) + R"(},"finish_reason":null}]})" + "\n\n";
+}
+
+std::string lastEvents(const CallRecord &call, const std::string &model)
+{
+    return "data: " + headOf(call.attempt, "chat.completion.chunk", model)
+        + R"(,"choices":[{"index":0,"delta":{},"finish_reason":)" + finishOf(call) + "}]," + usageJson(call)
+        + "}\n\ndata: [DONE]\n\n";
 }
 
 } // namespace Chestnuthook
--- a/src/entry/http_reply_func.h
+++ b/src/entry/http_reply_func.h
@@ -1,25 +1,25 @@
-/** @file http_reply_func.h  Writes answers and errors to callers. */
+/** @file http_reply_func.h  Bodies of answers as callers see them. */
 #pragma once
 
 #include <string>
 
-#include <Poco/Net/HTTPServerResponse.h>
-
 #include "core/error_type.h"
+#include "program/program_type.h"
 
 namespace Chestnuthook
 {
 
-/** Sends @p body as JSON. */
-void replyJson(Poco::Net::HTTPServerResponse &response, int status, const std::string &body);
+/** The JSON of @p error as callers see it. */
+[[nodiscard]] std::string errorJson(const Error &error);
 
-/** Sends text of another type. */
-void replyText(Poco::Net::HTTPServerResponse &response, int status, const std::string &type, const std::string &body);
+/** A program with its calls and what is left of its budget. */
+[[nodiscard]] std::string programJson(const ProgramRecord &program);
 
-/** Sends @p error with its code, message, remedy, and whether the request ran. */
-void replyError(Poco::Net::HTTPServerResponse &response, const Error &error);
+/** A whole chat completion. */
+[[nodiscard]] std::string completionJson(const CallRecord &call, const std::string &model);
 
-/** The JSON of @p error as callers see it. */
-[[nodiscard]] std::string errorJson(const Error &error);
+/** One event of a streamed chat completion; @p last ends it. */
+[[nodiscard]] std::string chunkEvent(const AttemptId &attempt, const std::string &model, std::string_view text);
+[[nodiscard]] std::string lastEvents(const CallRecord &call, const std::string &model);
 
 } // namespace Chestnuthook
--- /dev/null
+++ b/src/entry/program_command_internal.h
@@ -0,0 +1,25 @@
+/** @file program_command_internal.h  Parts that the files of ProgramRuntime share. */
+#pragma once
+
+#include <capnp/message.h>
+
+#include "fleet/fleet_base.h"
+#include "observe/log_func.h"
+#include "program/journal_base.h"
+#include "rpc/message_func.h"
+
+namespace Chestnuthook
+{
+
+using JournalMessage = capnp::MallocMessageBuilder;
+
+inline Wire::JournalCommand::Builder initCommand(JournalMessage &message, const ProgramId &program, Epoch epoch)
+{
+    auto command = message.initRoot<Wire::JournalCommand>();
+    command.setSlot(slotOf(program.text).value);
+    command.setEpoch(epoch.value);
+    command.setNowMs(wallMsNow());
+    return command;
+}
+
+} // namespace Chestnuthook
--- a/src/entry/program_runtime_base.cpp
+++ b/src/entry/program_runtime_base.cpp
@@ -1,13 +1,11 @@
-/** @file program_runtime_base.cpp  Owner's side of programs. */
+/** @file program_runtime_base.cpp  Slots, look-ups and creation of programs. */
 #include "entry/program_runtime_base.h"
 
+#include <algorithm>
 #include <utility>
 
-#include <capnp/message.h>
-
 #include "core/hash_func.h"
-#include "observe/log_func.h"
-#include "rpc/message_func.h"
+#include "entry/program_command_internal.h"
 
 namespace Chestnuthook
 {
@@ -16,38 +14,31 @@
 {
 
 constexpr std::size_t IdBytes = 12;
+constexpr std::size_t KeyPrefixDigits = 16;
 
-using Command = capnp::MallocMessageBuilder;
-
-Wire::JournalCommand::Builder initCommand(Command &message, const ProgramId &program, Epoch epoch)
-{
-    auto command = message.initRoot<Wire::JournalCommand>();
-    command.setSlot(slotOf(program.text).value);
-    command.setEpoch(epoch.value);
-    command.setNowMs(wallMsNow());
-    return command;
-}
-
-std::vector<ChatMessage> historyOf(const ProgramRecord &program)
+struct LogFailures final : kj::TaskSet::ErrorHandler
 {
-    std::vector<ChatMessage> history;
-    for (const CallRecord &call : program.calls) {
-        const Result<CallRequest> request = parseCall(call.request);
-        if (!request || request->kind != CallKind::Model || call.failure) {
-            continue;
-        }
-        history.insert(history.end(), request->messages.begin(), request->messages.end());
-        history.push_back(ChatMessage{"assistant", call.answer});
+    void taskFailed(kj::Exception &&exception) override
+    {
+        logEvent(EventKind::ChildFailed, {{"child", "programs"}, {"error", exception.getDescription().cStr()}});
     }
-    return history;
-}
+};
 
 } // namespace
 
-ProgramRuntime::ProgramRuntime(FleetFollower &follower, ControlClient &client)
+ProgramId programOfKey(const TenantId &tenant, const std::string &key)
+{
+    return ProgramId{"p-" + sha256Hex(tenant.text + '\0' + key).substr(0, IdBytes * 2)};
+}
+
+ProgramRuntime::ProgramRuntime(FleetFollower &follower, ControlClient &client, PeerLinks &peers, kj::Timer &timer)
     : follower(follower)
     , client(client)
+    , peers(peers)
+    , timer(timer)
     , takingOver(kj::READY_NOW)
+    , failures(kj::heap<LogFailures>())
+    , taskSet(kj::heap<kj::TaskSet>(*this->failures))
 {
 }
 
@@ -61,7 +52,10 @@
             this->owned.erase(known);
             this->copy.dropSlot(slot);
         } else if (mine && (known == this->owned.end() || known->second.epoch != row.record.epoch)) {
-            this->owned[slot] = OwnedSlot{row.record.epoch, false};
+            this->owned[slot] = OwnedSlot{row.record.epoch, false, true};
+            gained.emplace_back(slot, row.record.epoch);
+        } else if (mine && !known->second.ready && !known->second.opening) {
+            known->second.opening = true;
             gained.emplace_back(slot, row.record.epoch);
         }
     }
@@ -70,13 +64,15 @@
                                .then([this, gained = std::move(gained)]() mutable {
                                    return this->takeOver(std::move(gained));
                                })
-                               .eagerlyEvaluate(nullptr);
+                               .eagerlyEvaluate([](kj::Exception &&exception) {
+                                   logEvent(EventKind::SlotMoved, {{"failed", exception.getDescription().cStr()}});
+                               });
     }
 }
 
 kj::Promise<void> ProgramRuntime::takeOver(std::vector<std::pair<SlotId, Epoch>> slots)
 {
-    Command message;
+    JournalMessage message;
     auto list = message.initRoot<Wire::JournalCommand>().initOpenSlots(static_cast<unsigned>(slots.size()));
     for (unsigned i = 0; i < list.size(); ++i) {
         list[i].setSlot(slots[i].first.value);
@@ -90,30 +86,53 @@
             return this->client.loadSlots(slots);
         })
         .then([this, slots](Result<std::vector<ProgramRecord>> &&programs) {
-            for (const auto &[slot, epoch] : slots) {
-                const auto known = this->owned.find(slot);
-                if (known == this->owned.end() || known->second.epoch != epoch) {
-                    continue;
-                }
-                if (programs) {
-                    known->second.ready = true;
-                } else {
-                    this->owned.erase(known); // Tried again after the next change of the fleet state.
-                }
-            }
-            if (!programs) {
-                logEvent(EventKind::SlotMoved, {{"failed", programs.error().what}});
+            if (programs) {
+                this->adoptSlots(slots, std::move(*programs));
+                logEvent(EventKind::SlotMoved, {{"slots", std::to_string(slots.size())}});
                 return;
             }
-            for (ProgramRecord &program : *programs) {
-                if (this->owned.contains(slotOf(program.id.text))) {
-                    this->copy.adopt(std::move(program));
+            for (const auto &[slot, epoch] : slots) {
+                const auto known = this->owned.find(slot);
+                if (known != this->owned.end() && known->second.epoch == epoch) {
+                    known->second.opening = false; // Tried again by the upkeep.
                 }
             }
-            logEvent(EventKind::SlotMoved, {{"slots", std::to_string(slots.size())}});
+            logEvent(EventKind::SlotMoved, {{"failed", programs.error().what}});
         });
 }
 
+void ProgramRuntime::adoptSlots(
+    const std::vector<std::pair<SlotId, Epoch>> &slots, std::vector<ProgramRecord> programs)
+{
+    std::set<SlotId> taken;
+    for (const auto &[slot, epoch] : slots) {
+        const auto known = this->owned.find(slot);
+        if (known != this->owned.end() && known->second.epoch == epoch) {
+            known->second = OwnedSlot{epoch, true, false};
+            this->copy.dropSlot(slot);
+            this->copy.adoptSlotEpoch(slot, epoch);
+            taken.insert(slot);
+        }
+    }
+    for (ProgramRecord &program : programs) {
+        if (!taken.contains(slotOf(program.id.text))) {
+            continue;
+        }
+        if (program.ended() || (!program.calls.empty() && program.calls.back().state == CallState::Intent)) {
+            this->pending.insert(program.id);
+        }
+        this->copy.adopt(std::move(program));
+    }
+}
+
+void ProgramRuntime::reload(SlotId slot)
+{
+    const auto known = this->owned.find(slot);
+    if (known != this->owned.end()) {
+        known->second.ready = false;
+    }
+}
+
 Result<void> ProgramRuntime::ready() const
 {
     if (!this->follower.isFresh()) {
@@ -127,11 +146,20 @@
     return {};
 }
 
-Result<const ProgramRecord *> ProgramRuntime::findFor(const ProgramId &program, const TenantId &tenant) const
+Result<Epoch> ProgramRuntime::readyEpoch(const ProgramId &program) const
 {
     const auto slot = this->owned.find(slotOf(program.text));
     if (slot == this->owned.end() || !slot->second.ready) {
-        return fail(ErrorKind::NotReady, "program " + program.text + " is served by another entry");
+        return fail(ErrorKind::NotReady, "program " + program.text + " is being moved to another entry");
+    }
+    return slot->second.epoch;
+}
+
+Result<const ProgramRecord *> ProgramRuntime::findFor(const ProgramId &program, const TenantId &tenant) const
+{
+    const Result<Epoch> epoch = this->readyEpoch(program);
+    if (!epoch) {
+        return tl::unexpected(epoch.error());
     }
     const ProgramRecord *record = this->copy.find(program);
     if (record == nullptr) {
@@ -152,13 +180,12 @@
     return **found;
 }
 
-Result<ProgramId> ProgramRuntime::mintId() const
+Result<ProgramId> ProgramRuntime::mintId(const std::string &prefix) const
 {
     constexpr int MaxTries = 100'000;
     for (int i = 0; i < MaxTries; ++i) {
-        ProgramId id{"p-" + randomHex(IdBytes)};
-        const auto slot = this->owned.find(slotOf(id.text));
-        if (slot != this->owned.end() && slot->second.ready) {
+        const ProgramId id{"p-" + prefix + randomHex(IdBytes - prefix.size() / 2)};
+        if (this->readyEpoch(id)) {
             return id;
         }
     }
@@ -167,129 +194,116 @@
 
 kj::Promise<Result<void>> ProgramRuntime::commit(const ProgramId &program, std::string command)
 {
-    return this->client.submitJournal(command).then([this, command, program](Result<void> &&done) {
-        if (!done || !this->owned.contains(slotOf(program.text))) {
-            return Result<void>(kj::mv(done));
+    const Result<Epoch> epoch = this->readyEpoch(program);
+    if (!epoch) {
+        return Result<void>(tl::unexpected(epoch.error()));
+    }
+    const SlotId slot = slotOf(program.text);
+    return this->client.submitJournal(command).then([this, command, slot, epoch = *epoch](Result<void> &&done) {
+        const auto known = this->owned.find(slot);
+        if (known == this->owned.end() || known->second.epoch != epoch || !known->second.ready) {
+            return Result<void>(kj::mv(done)); // The copy is gone or will be read anew.
         }
         FlatMessage message(command);
-        this->copy.adoptSlotEpoch(slotOf(program.text), this->owned.at(slotOf(program.text)).epoch);
-        return this->copy.doCommand(message.root<Wire::JournalCommand>(), true);
+        const bool differs = done && !this->copy.doCommand(message.root<Wire::JournalCommand>(), true);
+        const bool unknown = !done && done.error().kind == ErrorKind::NoQuorum;
+        if (differs || unknown) {
+            this->reload(slot);
+        }
+        return Result<void>(kj::mv(done));
     });
 }
 
-kj::Promise<Result<ProgramId>> ProgramRuntime::create(ProgramWish wish)
+Result<ProgramRecord> ProgramRuntime::newProgram(const ProgramWish &wish) const
 {
-    const Result<ProgramId> id = this->mintId();
-    if (!id) {
-        return Result<ProgramId>(tl::unexpected(id.error()));
-    }
     const SiteDeclaration &site = this->follower.views.get()->site;
     ProgramRecord program;
-    program.id = *id;
     program.tenant = wish.tenant;
     program.parent = wish.parent;
-    program.budget = wish.budget;
-    program.budget.calls = wish.budget.calls == 0 ? site.defaultCalls : wish.budget.calls;
-    program.budget.tokens = wish.budget.tokens == 0 ? site.defaultTokens : wish.budget.tokens;
-    program.budget.milliseconds = wish.budget.milliseconds == 0 ? site.defaultMs : wish.budget.milliseconds;
     program.createdMs = wallMsNow();
-    program.requestId = wish.requestId;
-    Command message;
-    auto command = initCommand(message, *id, this->owned.at(slotOf(id->text)).epoch);
-    writeProgram(command.initCreate(), program);
-    return this->commit(*id, flatBytes(message)).then([id = *id](Result<void> &&done) -> Result<ProgramId> {
-        if (!done) {
-            return tl::unexpected(done.error());
-        }
-        logEvent(EventKind::ProgramCreated, {{"program", id.text}});
-        return id;
-    });
-}
-
-Result<CallStart> ProgramRuntime::checkCall(
-    const ProgramRecord &program, CallNumber number, const CallRequest &request) const
-{
-    if (const CallRecord *known = program.find(number)) {
-        if (known->digest != request.digest) {
-            return fail(ErrorKind::Conflict, "call " + std::to_string(number.value) + " was made with other content");
+    program.requestId = wish.requestKey.empty() ? "" : wish.requestKey + ":" + wish.digest;
+    Budget bound{site.defaultCalls, site.defaultTokens, site.defaultMs, site.maxDepth};
+    const std::string digest = wish.requestKey.empty() ? "" : sha256Hex(wish.requestKey).substr(0, KeyPrefixDigits);
+    if (wish.parent.empty()) {
+        program.id = wish.requestKey.empty() ? ProgramId{} : programOfKey(wish.tenant, wish.requestKey);
+    } else {
+        const auto parent = this->findFor(wish.parent, wish.tenant);
+        if (!parent) {
+            return tl::unexpected(parent.error());
         }
-        if (known->state == CallState::Ended) {
-            return CallStart{true, *known, {}};
+        const Budget &all = (*parent)->budget;
+        const Budget &spent = (*parent)->spent;
+        const auto age = static_cast<std::uint64_t>(std::max<std::int64_t>(0, wallMsNow() - (*parent)->createdMs));
+        bound = Budget{(all.calls - spent.calls) / 2, (all.tokens - spent.tokens) / 2,
+            all.milliseconds - std::min(all.milliseconds, age), all.depth == 0 ? 0 : all.depth - 1};
+        for (const ProgramId &child : (*parent)->children) {
+            if (!digest.empty() && child.text.starts_with("p-" + digest)) {
+                program.id = child;
+            }
         }
-        return fail(ErrorKind::Conflict, "call " + std::to_string(number.value) + " is under way");
     }
-    if (program.ended()) {
-        return fail(ErrorKind::ProgramEnded, "program " + program.id.text);
+    program.budget.calls = wish.budget.calls == 0 ? bound.calls : wish.budget.calls;
+    program.budget.tokens = wish.budget.tokens == 0 ? bound.tokens : wish.budget.tokens;
+    program.budget.milliseconds = wish.budget.milliseconds == 0 ? bound.milliseconds : wish.budget.milliseconds;
+    if (!wish.parent.empty()) {
+        program.budget.milliseconds = std::min(program.budget.milliseconds, bound.milliseconds);
     }
-    if (number.value != program.calls.size() + 1 || this->running.contains(program.id)) {
-        return fail(ErrorKind::Conflict,
-            "call " + std::to_string(number.value) + " must wait for the one before it; the next is "
-                + std::to_string(program.calls.size() + 1));
+    program.budget.depth = bound.depth;
+    if (program.id.empty()) {
+        const Result<ProgramId> id = this->mintId(digest);
+        if (!id) {
+            return tl::unexpected(id.error());
+        }
+        program.id = *id;
     }
-    const bool spent = program.spent.calls >= program.budget.calls || program.spent.tokens >= program.budget.tokens
-        || wallMsNow() - program.createdMs >= static_cast<std::int64_t>(program.budget.milliseconds);
-    if (spent) {
-        return fail(ErrorKind::BudgetSpent, "program " + program.id.text);
+    return program;
+}
+
+kj::Promise<Result<void>> ProgramRuntime::carve(const ProgramRecord &parent, const ProgramRecord &child)
+{
+    const Result<Epoch> epoch = this->readyEpoch(parent.id);
+    if (!epoch) {
+        return Result<void>(tl::unexpected(epoch.error()));
     }
-    CallStart start;
-    start.call.number = number;
-    start.call.digest = request.digest;
-    start.call.attempt = AttemptId{"a-" + randomHex(IdBytes)};
-    start.call.request = request.body;
-    start.history = historyOf(program);
-    return start;
+    JournalMessage message;
+    auto command = initCommand(message, parent.id, *epoch);
+    auto carved = command.initCarve();
+    carved.setProgram(parent.id.text);
+    carved.setChild(child.id.text);
+    writeBudget(carved.initAmount(), child.budget);
+    return this->commit(parent.id, flatBytes(message));
 }
 
-kj::Promise<Result<CallStart>> ProgramRuntime::beginCall(
-    ProgramId program, CallNumber number, TenantId tenant, CallRequest request)
+kj::Promise<Result<ProgramId>> ProgramRuntime::create(ProgramWish wish)
 {
-    const auto found = this->findFor(program, tenant);
-    Result<CallStart> start = found ? this->checkCall(**found, number, request) : tl::unexpected(found.error());
-    if (!start || start->stored) {
-        return start;
+    Result<ProgramRecord> made = this->newProgram(wish);
+    const Result<Epoch> epoch = made ? this->readyEpoch(made->id) : tl::unexpected(made.error());
+    if (!epoch) {
+        return Result<ProgramId>(tl::unexpected(epoch.error()));
     }
-    this->running[program] = start->call.attempt;
-    logEvent(EventKind::CallAccepted,
-        {{"program", program.text}, {"call", std::to_string(number.value)}, {"attempt", start->call.attempt.text}});
-    if (request.kind == CallKind::Model || request.idempotent) {
-        return start;
+    kj::Promise<Result<void>> carved = Result<void>();
+    if (!wish.parent.empty()) {
+        carved = this->carve(**this->findFor(wish.parent, wish.tenant), *made);
     }
-    Command message;
-    auto command = initCommand(message, program, this->owned.at(slotOf(program.text)).epoch);
-    auto begin = command.initBegin();
-    begin.setProgram(program.text);
-    writeCall(begin.initCall(), start->call);
-    return this->commit(program, flatBytes(message))
-        .then([this, program, start = std::move(start)](Result<void> &&done) mutable -> Result<CallStart> {
+    return carved
+        .then([this, program = *made, epoch = *epoch](Result<void> &&done) -> kj::Promise<Result<void>> {
+            if (!done) {
+                return Result<void>(kj::mv(done));
+            }
+            JournalMessage message;
+            auto command = initCommand(message, program.id, epoch);
+            writeProgram(command.initCreate(), program);
+            return this->commit(program.id, flatBytes(message));
+        })
+        .then([id = made->id](Result<void> &&done) -> Result<ProgramId> {
             if (!done) {
-                this->running.erase(program);
                 return tl::unexpected(done.error());
             }
-            return std::move(start);
+            logEvent(EventKind::ProgramCreated, {{"program", id.text}});
+            return id;
         });
 }
 
-kj::Promise<Result<void>> ProgramRuntime::endCall(ProgramId program, CallRecord call)
-{
-    const auto slot = this->owned.find(slotOf(program.text));
-    if (slot == this->owned.end()) {
-        this->running.erase(program);
-        return Result<void>(fail(ErrorKind::StaleEpoch, "the slot has another owner", Ran::Unknown));
-    }
-    Command message;
-    auto command = initCommand(message, program, slot->second.epoch);
-    auto end = command.initEnd();
-    end.setProgram(program.text);
-    writeCall(end.initCall(), call);
-    return this->commit(program, flatBytes(message)).then([this, program, call](Result<void> &&done) {
-        this->running.erase(program);
-        logEvent(EventKind::CallEnded,
-            {{"program", program.text}, {"call", std::to_string(call.number.value)},
-                {"status", std::to_string(call.status)}, {"endpoint", call.endpoint.text}});
-        return kj::mv(done);
-    });
-}
-
 kj::Promise<Result<void>> ProgramRuntime::endProgram(ProgramId program, TenantId tenant)
 {
     const auto found = this->findFor(program, tenant);
@@ -299,12 +313,18 @@
     if ((*found)->ended()) {
         return Result<void>();
     }
-    Command message;
-    auto command = initCommand(message, program, this->owned.at(slotOf(program.text)).epoch);
+    JournalMessage message;
+    auto command = initCommand(message, program, *this->readyEpoch(program));
     command.setEndProgram(program.text);
-    return this->commit(program, flatBytes(message)).then([program](Result<void> &&done) {
+    return this->commit(program, flatBytes(message)).then([this, program](Result<void> &&done) {
         if (done) {
             logEvent(EventKind::ProgramEnded, {{"program", program.text}});
+            this->pending.insert(program);
+            this->held.erase(program);
+            const auto call = this->running.find(program);
+            if (call != this->running.end() && call->second.stream->cancellable) {
+                call->second.stream->cancel.cancel();
+            }
         }
         return kj::mv(done);
     });
--- /dev/null
+++ b/src/entry/program_runtime_call.cpp
@@ -0,0 +1,348 @@
+/** @file program_runtime_call.cpp  Calls of programs: accepted in order, paid from the budget, ended once. */
+#include <algorithm>
+#include <utility>
+
+#include "core/hash_func.h"
+#include "entry/program_command_internal.h"
+#include "entry/program_runtime_base.h"
+
+namespace Chestnuthook
+{
+
+namespace
+{
+
+constexpr std::size_t IdBytes = 12;
+constexpr unsigned EndTries = 50;
+constexpr auto EndRetryDelay = 300 * kj::MILLISECONDS;
+
+/** Engines add marks around each message. */
+constexpr std::uint64_t TokensPerMessageMark = 8;
+
+/** A block covers about this many calls, and at most that share of what is left, as a crash loses it. */
+constexpr std::uint64_t CallsPerBlock = 4;
+constexpr std::uint64_t LargestBlockShare = 8;
+
+/** Time for the result of an intent to be journaled after its own deadline. */
+constexpr std::int64_t ResultGraceMs = 1000;
+
+/** Tokens of the history: the last model call's, whose prompt held all before it. */
+std::uint64_t historyTokens(const ProgramRecord &program)
+{
+    std::uint64_t tokens = 0;
+    for (const CallRecord &call : program.calls) {
+        tokens = std::max(tokens, call.tokens);
+    }
+    return tokens;
+}
+
+bool mayEndLater(const Error &error)
+{
+    return error.kind == ErrorKind::NoQuorum || error.kind == ErrorKind::NotLeader
+        || error.kind == ErrorKind::StaleEpoch || error.kind == ErrorKind::NotReady;
+}
+
+Error unknownOutcome(std::int64_t retryAfterMs)
+{
+    return Error{ErrorKind::OutcomeUnknown, "its result may still come", Ran::Unknown, retryAfterMs};
+}
+
+} // namespace
+
+std::vector<ChatMessage> historyOf(const ProgramRecord &program)
+{
+    std::vector<ChatMessage> history;
+    for (const CallRecord &call : program.calls) {
+        const Result<CallRequest> request = parseCall(call.request);
+        if (!request || request->kind != CallKind::Model || call.failure) {
+            continue;
+        }
+        history.insert(history.end(), request->messages.begin(), request->messages.end());
+        history.push_back(ChatMessage{"assistant", call.answer});
+    }
+    return history;
+}
+
+std::uint64_t ProgramRuntime::heldTokens(const ProgramId &program) const
+{
+    const auto found = this->held.find(program);
+    return found == this->held.end() ? 0 : found->second;
+}
+
+Result<CallStart> ProgramRuntime::checkKnown(
+    const ProgramRecord &program, const CallRecord *known, CallNumber number, const CallRequest &request) const
+{
+    const auto current = this->running.find(program.id);
+    const bool runs = current != this->running.end() && current->second.number == number;
+    if ((known != nullptr ? known->digest : current->second.digest) != request.digest) {
+        return fail(ErrorKind::Conflict, "call " + std::to_string(number.value) + " was made with other content");
+    }
+    CallStart start;
+    if (known != nullptr && known->state == CallState::Ended) {
+        start.stored = true;
+        start.call = *known;
+        return start;
+    }
+    if (!runs) {
+        return tl::unexpected(unknownOutcome(std::max<std::int64_t>(1, known->deadlineMs - wallMsNow())));
+    }
+    start.stream = current->second.stream;
+    start.call.number = number;
+    start.call.attempt = current->second.attempt;
+    return start;
+}
+
+Result<void> ProgramRuntime::planModel(
+    CallStart &start, const ProgramRecord &program, const CallRequest &request) const
+{
+    const auto view = this->follower.views.get();
+    const auto model = view->models.find(request.model);
+    if (model == view->models.end()) {
+        return fail(ErrorKind::NotFound, "no model " + request.model.text);
+    }
+    start.timeoutMs = model->second.timeoutMs;
+    start.promptBound = historyTokens(program) + TokensPerMessageMark;
+    for (const ChatMessage &message : request.messages) {
+        start.promptBound += message.content.size() + TokensPerMessageMark;
+    }
+    const std::uint64_t left = program.budget.tokens - program.spent.tokens + this->heldTokens(program.id);
+    if (left <= start.promptBound) {
+        return fail(ErrorKind::BudgetSpent,
+            "program " + program.id.text + " has " + std::to_string(left) + " tokens left; this prompt may take "
+                + std::to_string(start.promptBound));
+    }
+    const std::uint32_t most = model->second.maxTokens;
+    const std::uint32_t wanted = request.maxTokens == 0 ? most : std::min(request.maxTokens, most);
+    start.maxTokens = static_cast<std::uint32_t>(std::min<std::uint64_t>(wanted, left - start.promptBound));
+    start.history = historyOf(program);
+    return {};
+}
+
+Result<void> ProgramRuntime::planCall(CallStart &start, const ProgramRecord &program, const CallRequest &request) const
+{
+    const std::int64_t wallLeftMs =
+        program.createdMs + static_cast<std::int64_t>(program.budget.milliseconds) - wallMsNow();
+    if (program.spent.calls >= program.budget.calls || wallLeftMs <= 0) {
+        return fail(ErrorKind::BudgetSpent, "program " + program.id.text);
+    }
+    if (request.kind == CallKind::Model) {
+        const Result<void> planned = this->planModel(start, program, request);
+        if (!planned) {
+            return planned;
+        }
+    } else {
+        const auto view = this->follower.views.get();
+        const auto service = view->services.find(request.service);
+        if (service == view->services.end()) {
+            return fail(ErrorKind::NotFound, "no service " + request.service.text);
+        }
+        const auto &methods = service->second.idempotentMethods;
+        start.idempotent =
+            request.idempotent || std::find(methods.begin(), methods.end(), request.method) != methods.end();
+        start.timeoutMs = service->second.timeoutMs;
+    }
+    start.timeoutMs = std::min(start.timeoutMs, wallLeftMs);
+    return {};
+}
+
+Result<CallStart> ProgramRuntime::checkCall(
+    const ProgramRecord &program, CallNumber number, const CallRequest &request) const
+{
+    const CallRecord *known = program.find(number);
+    const auto current = this->running.find(program.id);
+    if (known != nullptr || (current != this->running.end() && current->second.number == number)) {
+        return this->checkKnown(program, known, number, request);
+    }
+    if (program.ended()) {
+        return fail(ErrorKind::ProgramEnded, "program " + program.id.text);
+    }
+    const bool waits = !program.calls.empty() && program.calls.back().state != CallState::Ended;
+    if (number.value != program.calls.size() + 1 || current != this->running.end() || waits) {
+        return fail(ErrorKind::Conflict,
+            "call " + std::to_string(number.value) + " must wait for the one before it; "
+                + std::to_string(program.calls.size()) + " were made");
+    }
+    CallStart start;
+    const Result<void> planned = this->planCall(start, program, request);
+    if (!planned) {
+        return tl::unexpected(planned.error());
+    }
+    start.fresh = true;
+    start.attainedTokens = program.spent.tokens;
+    start.call.number = number;
+    start.call.digest = request.digest;
+    start.call.attempt = AttemptId{"a-" + randomHex(IdBytes)};
+    start.call.request = request.body;
+    start.call.deadlineMs = wallMsNow() + start.timeoutMs + ResultGraceMs;
+    start.stream = std::make_shared<CallStream>(start.idempotent);
+    return start;
+}
+
+kj::Promise<Result<CallStart>> ProgramRuntime::beginCall(
+    ProgramId program, CallNumber number, TenantId tenant, CallRequest request)
+{
+    const auto found = this->findFor(program, tenant);
+    Result<CallStart> start = found ? this->checkCall(**found, number, request) : tl::unexpected(found.error());
+    if (!start || !start->fresh) {
+        if (start && start->stream != nullptr) {
+            start->stream->join();
+        }
+        return start;
+    }
+    start->stream->join();
+    this->running[program] = RunningCall{number, start->call.digest, start->call.attempt, start->stream};
+    logEvent(EventKind::CallAccepted,
+        {{"program", program.text}, {"call", std::to_string(number.value)}, {"attempt", start->call.attempt.text}});
+    if (start->idempotent) {
+        return start;
+    }
+    JournalMessage message;
+    auto command = initCommand(message, program, *this->readyEpoch(program));
+    auto begin = command.initBegin();
+    begin.setProgram(program.text);
+    writeCall(begin.initCall(), start->call);
+    return this->commit(program, flatBytes(message))
+        .then([this, program, start = std::move(start)](Result<void> &&done) mutable -> Result<CallStart> {
+            if (done) {
+                return std::move(start);
+            }
+            // The begin may have been committed all the same, but nothing was sent to a service.
+            this->neverSent.insert(start->call.attempt);
+            this->pending.insert(program);
+            this->running.erase(program);
+            start->stream->finish(tl::unexpected(done.error()));
+            return tl::unexpected(done.error());
+        });
+}
+
+kj::Promise<Result<void>> ProgramRuntime::prepareAttempt(
+    ProgramId program, EndpointId endpoint, std::uint64_t tokens)
+{
+    const Result<Epoch> epoch = this->readyEpoch(program);
+    const ProgramRecord *record = epoch ? this->copy.find(program) : nullptr;
+    if (record == nullptr) {
+        return Result<void>(fail(ErrorKind::NotReady, "program " + program.text + " is being moved"));
+    }
+    const std::uint64_t have = this->heldTokens(program);
+    const bool known = std::find(record->releases.begin(), record->releases.end(), endpoint) != record->releases.end();
+    if (have >= tokens && known) {
+        return Result<void>();
+    }
+    const std::uint64_t left = record->budget.tokens - record->spent.tokens;
+    const std::uint64_t missing = tokens - std::min(tokens, have);
+    const std::uint64_t block =
+        missing == 0 ? 0 : std::max(missing, std::min(CallsPerBlock * tokens, left / LargestBlockShare));
+    JournalMessage message;
+    auto command = initCommand(message, program, *epoch);
+    auto reserve = command.initReserve();
+    reserve.setProgram(program.text);
+    reserve.setId(randomHex(IdBytes));
+    reserve.setEndpoint(endpoint.text);
+    writeBudget(reserve.initAmount(), Budget{0, block, 0, 0});
+    return this->commit(program, flatBytes(message)).then([this, program, block](Result<void> &&done) {
+        if (done) {
+            this->held[program] += block;
+        }
+        return kj::mv(done);
+    });
+}
+
+kj::Promise<Result<CallRecord>> ProgramRuntime::endCall(ProgramId program, CallRecord call)
+{
+    const std::uint64_t covered = std::min(call.tokens, this->heldTokens(program));
+    return this->sendEnd(program, call, covered, EndTries)
+        .then([this, program, call, covered](Result<CallRecord> &&done) {
+            const auto block = this->held.find(program);
+            if (block != this->held.end()) {
+                block->second -= std::min(block->second, covered);
+            }
+            this->running.erase(program);
+            this->quietSinceMs[program] = wallMsNow();
+            logEvent(EventKind::CallEnded,
+                {{"program", program.text}, {"call", std::to_string(call.number.value)},
+                    {"status", std::to_string(call.status)}, {"endpoint", call.endpoint.text}});
+            return kj::mv(done);
+        });
+}
+
+void ProgramRuntime::dropCall(const ProgramId &program, std::uint64_t usedTokens)
+{
+    const auto block = this->held.find(program);
+    if (block != this->held.end()) {
+        block->second -= std::min(block->second, usedTokens);
+    }
+    this->running.erase(program);
+    this->pending.insert(program); // An intent without a result is ended after its deadline.
+    this->quietSinceMs[program] = wallMsNow();
+}
+
+kj::Promise<Result<CallRecord>> ProgramRuntime::sendEnd(
+    ProgramId program, CallRecord call, std::uint64_t covered, unsigned triesLeft)
+{
+    const bool here = this->readyEpoch(program).has_value();
+    auto sent = here ? this->takeResult(program, call, covered) : this->sendResult(program, call, covered);
+    return sent.then(
+        [this, program, call, covered, triesLeft](Result<void> &&done) -> kj::Promise<Result<CallRecord>> {
+            if (done) {
+                return Result<CallRecord>(call);
+            }
+            if (mayEndLater(done.error()) && triesLeft > 1) {
+                return this->timer.afterDelay(EndRetryDelay).then([this, program, call, covered, triesLeft]() {
+                    return this->sendEnd(program, call, covered, triesLeft - 1);
+                });
+            }
+            const ProgramRecord *record = this->copy.find(program);
+            const CallRecord *stored = record == nullptr ? nullptr : record->find(call.number);
+            if (stored != nullptr && stored->state == CallState::Ended && stored->digest == call.digest) {
+                return Result<CallRecord>(*stored); // A resend elsewhere ended first.
+            }
+            Error error = done.error();
+            error.ran = call.failure ? call.failure->ran : Ran::Yes;
+            return Result<CallRecord>(tl::unexpected(error));
+        });
+}
+
+kj::Promise<Result<void>> ProgramRuntime::takeResult(ProgramId program, CallRecord call, std::uint64_t covered)
+{
+    const Result<Epoch> epoch = this->readyEpoch(program);
+    if (!epoch) {
+        return Result<void>(tl::unexpected(epoch.error()));
+    }
+    JournalMessage message;
+    auto command = initCommand(message, program, *epoch);
+    auto end = command.initEnd();
+    end.setProgram(program.text);
+    end.setCovered(covered);
+    writeCall(end.initCall(), call);
+    return this->commit(program, flatBytes(message));
+}
+
+kj::Promise<Result<void>> ProgramRuntime::sendResult(ProgramId program, CallRecord call, std::uint64_t covered)
+{
+    const SlotRecord *slot = this->follower.state.slots.find(slotOf(program.text));
+    const EntryRecord *owner = slot == nullptr ? nullptr : this->follower.state.entries.find(slot->owner);
+    if (owner == nullptr || owner->id == this->follower.self.id) {
+        return Result<void>(fail(ErrorKind::NotReady, "the slot has no other owner yet"));
+    }
+    return this->peers.peer(owner->rpcAddress)
+        .then([program, call, covered](Wire::EntryPeer::Client &&peer) {
+            auto request = peer.resultRequest();
+            request.setProgram(program.text);
+            request.setCovered(covered);
+            writeCall(request.initCall(), call);
+            return request.send();
+        })
+        .then(
+            [](auto &&response) -> Result<void> {
+                if (response.hasFailure()) {
+                    return tl::unexpected(readFailure(response.getFailure()));
+                }
+                return {};
+            },
+            [this, address = owner->rpcAddress](kj::Exception &&exception) -> Result<void> {
+                this->peers.reset(address);
+                return fail(ErrorKind::NotReady, exception.getDescription().cStr());
+            });
+}
+
+} // namespace Chestnuthook
--- a/src/entry/request_handler_base.cpp
+++ b/src/entry/request_handler_base.cpp
@@ -1,16 +1,15 @@
 /** @file request_handler_base.cpp  Routes of the caller interface. */
 #include "entry/request_handler_base.h"
 
-#include <charconv>
+#include <algorithm>
 #include <istream>
 
-#include <Poco/JSON/Object.h>
-#include <Poco/JSON/Parser.h>
 #include <Poco/URI.h>
 
 #include "core/hash_func.h"
-#include "entry/call_runner_base.h"
 #include "entry/http_reply_func.h"
+#include "entry/program_service_base.h"
+#include "fleet/fleet_base.h"
 #include "observe/log_func.h"
 #include "observe/metrics_base.h"
 #include "table/error_table.h"
@@ -27,13 +26,6 @@
 constexpr int DirectoryTtlMs = 2000;
 constexpr std::string_view BearerPrefix = "Bearer ";
 
-std::vector<std::string> pathOf(const std::string &uri)
-{
-    std::vector<std::string> segments;
-    Poco::URI(uri).getPathSegments(segments);
-    return segments;
-}
-
 Result<std::string> readBody(Poco::Net::HTTPServerRequest &request)
 {
     std::string body(MaxBodyBytes + 1, '\0');
@@ -44,58 +36,32 @@
         request.stream().ignore(MaxIgnoredBytes);
         return fail(ErrorKind::BodyTooLarge, "at most " + std::to_string(MaxBodyBytes) + " bytes");
     }
-    return body;
-}
-
-Result<CallNumber> parseNumber(const std::string &text)
-{
-    std::uint32_t number = 0;
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
-    if (parsed.ec != std::errc{} || parsed.ptr != text.data() + text.size() || number == 0) {
-        return fail(ErrorKind::BadRequest, "the call number must be a whole number from 1");
+    const bool whole = !request.hasContentLength() || request.getContentLength64() == Poco::Int64(body.size());
+    if (!whole) {
+        return fail(ErrorKind::BadRequest, "the body is shorter than its Content-Length");
     }
-    return CallNumber{number};
+    return body;
 }
 
-Result<ProgramWish> parseWish(const std::string &body)
+/** Counts the requests that a planned stop waits for. */
+class OpenRequest
 {
-    ProgramWish wish;
-    if (body.empty()) {
-        return wish;
+public:
+    explicit OpenRequest(std::atomic<int> &count)
+        : count(count)
+    {
+        ++this->count;
     }
-    try {
-        const auto object = Poco::JSON::Parser().parse(body).extract<Poco::JSON::Object::Ptr>();
-        if (const auto budget = object->getObject("budget")) {
-            wish.budget.calls = budget->optValue<std::uint64_t>("calls", 0);
-            wish.budget.tokens = budget->optValue<std::uint64_t>("tokens", 0);
-            wish.budget.milliseconds = budget->optValue<std::uint64_t>("seconds", 0) * 1000;
-        }
-        wish.parent = ProgramId{object->optValue<std::string>("parent", "")};
-    } catch (const std::exception &) {
-        return fail(ErrorKind::BadRequest, "the body must be {\"budget\":{\"calls\":…,\"tokens\":…,\"seconds\":…}}");
+    ~OpenRequest()
+    {
+        --this->count;
     }
-    return wish;
-}
-
-std::string callJson(const CallRecord &call)
-{
-    return R"({"number":)" + std::to_string(call.number.value) + R"(,"state":)"
-        + (call.state == CallState::Ended ? R"("ended")" : R"("intent")") + R"(,"status":)"
-        + std::to_string(call.status) + R"(,"tokens":)" + std::to_string(call.tokens) + R"(,"request":)"
-        + jsonQuoted(call.request) + R"(,"answer":)" + jsonQuoted(call.answer) + "}";
-}
+    OpenRequest(const OpenRequest &) = delete;
+    OpenRequest &operator=(const OpenRequest &) = delete;
 
-std::string programJson(const ProgramRecord &program)
-{
-    std::string calls;
-    for (const CallRecord &call : program.calls) {
-        calls += (calls.empty() ? "" : ",") + callJson(call);
-    }
-    return R"({"id":)" + jsonQuoted(program.id.text) + R"(,"state":)" + (program.ended() ? R"("ended")" : R"("open")")
-        + R"(,"budget_left":{"calls":)" + std::to_string(program.budget.calls - program.spent.calls) + R"(,"tokens":)"
-        + std::to_string(program.budget.tokens - std::min(program.budget.tokens, program.spent.tokens))
-        + R"(},"calls":[)" + calls + "]}";
-}
+private:
+    std::atomic<int> &count; ///< Outlives this.
+};
 
 } // namespace
 
@@ -107,43 +73,47 @@
 void RequestHandler::handleRequest(Request &request, Response &response)
 {
     metrics().add(MetricKind::RequestsTotal);
+    const OpenRequest open(this->context.openRequests);
+    HttpAnswerWriter answer(request, response, this->context.draining);
+    Error error{ErrorKind::Internal, "", Ran::Unknown, 0};
     try {
-        this->route(request, response);
+        this->route(request, answer);
+        return;
     } catch (const std::exception &exception) {
-        logEvent(EventKind::RequestRejected, {{"error", exception.what()}});
-        if (!response.sent()) {
-            replyError(response, Error{ErrorKind::Internal, exception.what(), Ran::Unknown, 0});
-        }
+        error.what = exception.what();
     } catch (const kj::Exception &exception) {
-        logEvent(EventKind::RequestRejected, {{"error", exception.getDescription().cStr()}});
-        if (!response.sent()) {
-            replyError(response, Error{ErrorKind::Internal, exception.getDescription().cStr(), Ran::Unknown, 0});
-        }
+        error.what = exception.getDescription().cStr();
+    }
+    logEvent(EventKind::RequestRejected, {{"error", error.what}});
+    if (!response.sent()) {
+        replyError(answer, error);
     }
 }
 
-void RequestHandler::route(Request &request, Response &response)
+void RequestHandler::route(Request &request, HttpAnswerWriter &answer)
 {
-    const std::vector<std::string> path = pathOf(request.getURI());
+    const Poco::URI uri(request.getURI());
+    std::vector<std::string> path;
+    uri.getPathSegments(path);
     if (path == std::vector<std::string>{"healthz"}) {
-        replyText(response, 200, "text/plain", "ok\n");
+        replyText(answer, 200, "text/plain", "ok\n");
     } else if (path == std::vector<std::string>{"readyz"}) {
-        this->readyz(response);
+        this->readyz(answer);
     } else if (path == std::vector<std::string>{"metrics"}) {
-        replyText(response, 200, "text/plain; version=0.0.4", metrics().renderText());
+        replyText(answer, 200, "text/plain; version=0.0.4", metrics().renderText());
     } else if (path == std::vector<std::string>{"v1", "events"}) {
-        replyJson(response, 200, processEvents().toJson(0, MaxEvents));
+        replyJson(answer, 200, processEvents().toJson(0, MaxEvents));
     } else if (path == std::vector<std::string>{"v1", "entries"}) {
-        this->entries(response);
-    } else if (path.size() >= 2 && path[0] == "v1" && path[1] == "programs") {
-        this->programs(request, response, path);
+        this->entries(request, answer);
+    } else if (path.size() >= 2 && path[0] == "v1"
+        && (path[1] == "programs" || path[1] == "chat" || path[1] == "services")) {
+        this->serveCaller(request, answer, path);
     } else {
-        replyError(
-            response, Error{ErrorKind::NotFound, "no route " + Poco::URI(request.getURI()).getPath(), Ran::No, 0});
+        replyError(answer, Error{ErrorKind::NotFound, "no route " + uri.getPath(), Ran::No, 0});
     }
 }
 
-void RequestHandler::readyz(Response &response)
+void RequestHandler::readyz(HttpAnswerWriter &answer)
 {
     bool ready = true;
     std::string children;
@@ -156,24 +126,49 @@
             + (state.ready ? "true" : "false") + R"(,"error":)"
             + jsonQuoted(state.error ? errorText(*state.error) : std::string()) + "}";
     }
-    replyJson(response, ready ? 200 : 503,
+    replyJson(answer, ready ? 200 : 503,
         R"({"ready":)" + std::string(ready ? "true" : "false") + R"(,"children":[)" + children + "]}");
 }
 
-void RequestHandler::entries(Response &response)
+void RequestHandler::entries(Request &request, HttpAnswerWriter &answer)
 {
-    std::string list;
     const auto view = this->context.follower.views.get();
-    for (const EntryRecord &entry : view == nullptr ? std::vector<EntryRecord>() : view->entries) {
-        if (entry.state == EntryState::Live) {
-            list += (list.empty() ? "" : ",") + (R"({"address":)" + jsonQuoted(entry.address)) + R"(,"data_centre":)"
-                + jsonQuoted(entry.dataCentre.text) + "}";
+    std::vector<EntryRecord> live;
+    EntryId owner;
+    if (view != nullptr) {
+        std::copy_if(
+            view->entries.begin(), view->entries.end(), std::back_inserter(live), [](const EntryRecord &entry) {
+                return entry.state == EntryState::Live;
+            });
+        for (const auto &[name, value] : Poco::URI(request.getURI()).getQueryParameters()) {
+            owner = name == "program" ? view->slots.at(slotOf(value).value).owner : owner;
         }
     }
-    replyJson(response, 200, R"({"entries":[)" + list + R"(],"ttl_ms":)" + std::to_string(DirectoryTtlMs) + "}");
+    const auto rank = [&](const EntryRecord &entry) {
+        return entry.id == owner ? 0 : entry.dataCentre == this->context.dataCentre ? 1 : 2;
+    };
+    std::stable_sort(live.begin(), live.end(), [&](const EntryRecord &left, const EntryRecord &right) {
+        return rank(left) < rank(right);
+    });
+    std::string list;
+    for (const EntryRecord &entry : live) {
+        list += (list.empty() ? "" : ",") + (R"({"address":)" + jsonQuoted(entry.address)) + R"(,"data_centre":)"
+            + jsonQuoted(entry.dataCentre.text) + "}";
+    }
+    replyJson(answer, 200, R"({"entries":[)" + list + R"(],"ttl_ms":)" + std::to_string(DirectoryTtlMs) + "}");
+}
+
+bool RequestHandler::isOpen(const std::vector<std::string> &path) const
+{
+    const auto view = this->context.follower.views.get();
+    if (view == nullptr || path.size() < 3 || path[1] != "services") {
+        return false;
+    }
+    const auto service = view->services.find(ServiceId{path[2]});
+    return service != view->services.end() && service->second.open;
 }
 
-Result<Caller> RequestHandler::authenticate(const Request &request)
+Result<Caller> RequestHandler::authenticate(const Request &request, HttpAnswerWriter &answer)
 {
     const auto view = this->context.follower.views.get();
     if (view == nullptr || !this->context.follower.isFresh()) {
@@ -183,86 +178,52 @@
     if (!header.starts_with(BearerPrefix)) {
         return fail(ErrorKind::UnknownKey, "no key came; send Authorization: Bearer KEY");
     }
-    const auto caller = view->callers.find(sha256Raw(header.substr(BearerPrefix.size())));
+    const std::string hash = sha256Raw(header.substr(BearerPrefix.size()));
+    const auto caller = view->callers.find(hash);
     if (caller == view->callers.end()) {
         return fail(ErrorKind::UnknownKey, "");
     }
+    answer.isKeyValid = [&views = this->context.follower.views, hash]() {
+        return views.get()->callers.contains(hash);
+    };
     return caller->second;
 }
 
-void RequestHandler::programs(Request &request, Response &response, const std::vector<std::string> &path)
+void RequestHandler::serveCaller(Request &request, HttpAnswerWriter &answer, const std::vector<std::string> &path)
 {
-    const Result<Caller> caller = this->authenticate(request);
-    if (!caller) {
-        replyError(response, caller.error());
+    const Result<Caller> caller = this->authenticate(request, answer);
+    const bool open = !caller && caller.error().kind == ErrorKind::UnknownKey && this->isOpen(path);
+    if (!caller && !open) {
+        replyError(answer, caller.error());
         return;
     }
-    const std::string &method = request.getMethod();
-    if (path.size() == 2 && method == "POST") {
-        this->createProgram(request, response, *caller);
-    } else if (path.size() == 3 && method == "GET") {
-        this->showProgram(response, *caller, ProgramId{path[2]});
-    } else if (path.size() == 3 && method == "DELETE") {
-        const Result<void> ended = this->context.loop.call([&]() {
-            return this->context.programs.endProgram(ProgramId{path[2]}, caller->tenant);
-        });
-        if (ended) {
-            replyJson(response, 200, R"({"state":"ended"})");
-        } else {
-            replyError(response, ended.error());
-        }
-    } else if (path.size() == 5 && path[3] == "calls" && method == "POST") {
-        this->runCall(request, response, *caller, path);
-    } else {
-        replyError(response, Error{ErrorKind::NotFound, "no such route under /v1/programs", Ran::No, 0});
-    }
-}
-
-void RequestHandler::createProgram(Request &request, Response &response, const Caller &caller)
-{
-    const Result<std::string> body = readBody(request);
-    Result<ProgramWish> wish = body ? parseWish(*body) : tl::unexpected(body.error());
-    const Result<void> admitted = wish ? this->context.admission.admit(caller) : tl::unexpected(wish.error());
-    if (!admitted) {
-        replyError(response, admitted.error());
+    Result<std::string> body = readBody(request);
+    if (!body) {
+        replyError(answer, body.error());
         return;
     }
-    wish->tenant = caller.tenant;
-    wish->requestId = request.get("Idempotency-Key", "");
-    const Result<ProgramId> id = this->context.loop.call([&]() {
-        return this->context.programs.create(*wish);
-    });
-    if (id) {
-        replyJson(response, 201, R"({"id":)" + jsonQuoted(id->text) + "}");
-    } else {
-        replyError(response, id.error());
-    }
-}
-
-void RequestHandler::showProgram(Response &response, const Caller &caller, const ProgramId &program)
-{
-    const Result<ProgramRecord> record = this->context.loop.call([&]() {
-        return this->context.programs.get(program, caller.tenant);
-    });
-    if (record) {
-        replyJson(response, 200, programJson(*record));
-    } else {
-        replyError(response, record.error());
+    CallerRequest asked;
+    asked.method = request.getMethod();
+    asked.uri = request.getURI();
+    asked.path = path;
+    asked.contentType = request.getContentType() == Poco::Net::HTTPMessage::UNKNOWN_CONTENT_TYPE
+        ? ""
+        : request.getContentType();
+    asked.idempotencyKey = request.get("Idempotency-Key", "");
+    asked.program = request.get("X-Program-Id", "");
+    asked.body = std::move(*body);
+    asked.caller = open ? Caller{} : *caller;
+    ProgramService service(this->context, answer, asked);
+    Result<void> admitted = service.check();
+    const bool counted = asked.method != "GET" || path[1] == "services";
+    if (admitted && !open && counted && asked.method != "DELETE") {
+        admitted = this->context.admission.admit(asked.caller);
     }
-}
-
-void RequestHandler::runCall(
-    Request &request, Response &response, const Caller &caller, const std::vector<std::string> &path)
-{
-    const Result<CallNumber> number = parseNumber(path[4]);
-    const Result<std::string> body = number ? readBody(request) : tl::unexpected(number.error());
-    const Result<CallRequest> call = body ? parseCall(*body) : tl::unexpected(body.error());
-    const Result<void> admitted = call ? this->context.admission.admit(caller) : tl::unexpected(call.error());
     if (!admitted) {
-        replyError(response, admitted.error());
+        replyError(answer, admitted.error());
         return;
     }
-    CallRunner(this->context, response, ProgramId{path[2]}, caller.tenant).run(*number, *call);
+    service.serve();
 }
 
 } // namespace Chestnuthook
--- a/src/entry/request_handler_base.h
+++ b/src/entry/request_handler_base.h
@@ -9,6 +9,7 @@
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
 
+#include "entry/answer_writer_base.h"
 #include "entry/entry_context_type.h"
 
 namespace Chestnuthook
@@ -24,16 +25,16 @@
     using Request = Poco::Net::HTTPServerRequest;
     using Response = Poco::Net::HTTPServerResponse;
 
-    void route(Request &request, Response &response);
-    void programs(Request &request, Response &response, const std::vector<std::string> &path);
-    void entries(Response &response);
-    void readyz(Response &response);
-    void createProgram(Request &request, Response &response, const Caller &caller);
-    void showProgram(Response &response, const Caller &caller, const ProgramId &program);
-    void runCall(Request &request, Response &response, const Caller &caller, const std::vector<std::string> &path);
+    void route(Request &request, HttpAnswerWriter &answer);
+    void serveCaller(Request &request, HttpAnswerWriter &answer, const std::vector<std::string> &path);
+    void entries(Request &request, HttpAnswerWriter &answer);
+    void readyz(HttpAnswerWriter &answer);
 
     /** Whom the request runs for. Errors: UnknownKey, NotReady. */
-    Result<Caller> authenticate(const Request &request);
+    Result<Caller> authenticate(const Request &request, HttpAnswerWriter &answer);
+
+    /** Whether the request is to a service that needs no key. */
+    bool isOpen(const std::vector<std::string> &path) const;
 
     EntryContext &context; ///< Of the entry.
 };
--- a/src/fleet/fleet_cmd.cpp
+++ b/src/fleet/fleet_cmd.cpp
@@ -211,13 +211,19 @@
 {
     const auto strike = command.getStrike();
     const std::string fingerprint = textOf(strike.getFingerprint());
-    if (fingerprint.empty() || strike.getEndpoints().size() == 0) {
-        return fail(ErrorKind::BadRequest, "a strike needs a fingerprint and an endpoint");
+    if (fingerprint.empty()) {
+        return fail(ErrorKind::BadRequest, "a strike needs a fingerprint");
     }
     if (mode == CommandMode::Test) {
         return Epoch{};
     }
     const StrikeRecord *known = this->strikes.find(fingerprint);
+    if (strike.getEndpoints().size() == 0) {
+        if (known != nullptr && known->strikes == 1) {
+            this->strikes.remove(fingerprint, index); // A suspect that ran well alone. Refused requests stay refused.
+        }
+        return Epoch{};
+    }
     StrikeRecord record;
     if (known != nullptr && known->expiresAtMs > command.getNowMs()) {
         record = *known;
--- a/src/program/call_request_func.cpp
+++ b/src/program/call_request_func.cpp
@@ -11,6 +11,7 @@
 #include <Poco/UTF8Encoding.h>
 
 #include "core/hash_func.h"
+#include "observe/event_ring_base.h"
 
 namespace Chestnuthook
 {
@@ -143,6 +144,11 @@
     call.method = *method;
     call.path = *path;
     call.idempotent = *idempotent;
+    const Poco::Dynamic::Var contentType = object->get("content_type");
+    if (!contentType.isEmpty() && !contentType.isString()) {
+        return bad("field content_type must be a text");
+    }
+    call.contentType = contentType.isEmpty() ? "application/json" : contentType.extract<std::string>();
     const Poco::Dynamic::Var toolBody = object->get("body");
     call.toolBody = toolBody.isEmpty() ? std::string() : Poco::Dynamic::Var::toString(toolBody);
     if (toolBody.isString()) {
@@ -151,6 +157,35 @@
     return call;
 }
 
+std::string textOfParts(const Poco::JSON::Array::Ptr &parts)
+{
+    std::string text;
+    for (unsigned i = 0; i < parts->size(); ++i) {
+        const Object part = parts->isObject(i) ? parts->getObject(i) : nullptr;
+        text += part.isNull() ? "" : part->optValue<std::string>("text", "");
+    }
+    return text;
+}
+
+std::string messagesJson(const std::vector<ChatMessage> &messages)
+{
+    std::string json;
+    for (const ChatMessage &message : messages) {
+        json += (json.empty() ? "" : ",") + (R"({"role":)" + jsonQuoted(message.role)) + R"(,"content":)"
+            + jsonQuoted(message.content) + "}";
+    }
+    return "[" + json + "]";
+}
+
+/** The body of a model call with these fields. */
+std::string modelBody(
+    const ModelId &model, const std::vector<ChatMessage> &messages, std::uint32_t maxTokens, bool stream)
+{
+    return R"({"kind":"model","model":)" + jsonQuoted(model.text) + R"(,"messages":)" + messagesJson(messages)
+        + (maxTokens == 0 ? "" : R"(,"max_tokens":)" + std::to_string(maxTokens)) + R"(,"stream":)"
+        + (stream ? "true" : "false") + "}";
+}
+
 bool isUtf8(const std::string &text)
 {
     const Poco::UTF8Encoding encoding;
@@ -190,6 +225,55 @@
     return bad("field kind must be model or tool");
 }
 
+Result<CallRequest> serviceCall(const ServiceId &service, const std::string &method, const std::string &path,
+    const std::string &contentType, const std::string &body)
+{
+    return parseCall(R"({"kind":"tool","service":)" + jsonQuoted(service.text) + R"(,"method":)" + jsonQuoted(method)
+        + R"(,"path":)" + jsonQuoted(path) + R"(,"content_type":)" + jsonQuoted(contentType)
+        + (body.empty() ? "" : R"(,"body":)" + jsonQuoted(body)) + "}");
+}
+
+Result<CallRequest> chatCall(const std::string &body)
+{
+    if (!isUtf8(body)) {
+        return bad("the body is not UTF-8");
+    }
+    Result<Object> object = parseObject(body);
+    if (!object) {
+        return tl::unexpected(object.error());
+    }
+    const Poco::JSON::Array::Ptr list = (*object)->isArray("messages") ? (*object)->getArray("messages") : nullptr;
+    for (unsigned i = 0; !list.isNull() && i < list->size(); ++i) {
+        Object message = list->isObject(i) ? list->getObject(i) : nullptr;
+        if (!message.isNull() && message->isArray("content")) {
+            message->set("content", textOfParts(message->getArray("content")));
+        }
+    }
+    if (!(*object)->has("max_tokens") && (*object)->has("max_completion_tokens")) {
+        (*object)->set("max_tokens", (*object)->get("max_completion_tokens"));
+    }
+    const Result<CallRequest> call = parseModelCall(*object, CallRequest{});
+    if (!call) {
+        return call;
+    }
+    return parseCall(modelBody(call->model, call->messages, call->maxTokens, call->stream));
+}
+
+CallRequest withoutHistory(const CallRequest &call, const std::vector<ChatMessage> &history)
+{
+    const auto same = [](const ChatMessage &left, const ChatMessage &right) {
+        return left.role == right.role && left.content == right.content;
+    };
+    const bool repeats = history.size() < call.messages.size()
+        && std::equal(history.begin(), history.end(), call.messages.begin(), same);
+    if (!repeats || history.empty()) {
+        return call;
+    }
+    const std::vector<ChatMessage> fresh(
+        call.messages.begin() + static_cast<std::ptrdiff_t>(history.size()), call.messages.end());
+    return parseCall(modelBody(call.model, fresh, call.maxTokens, call.stream)).value_or(call);
+}
+
 Result<std::vector<ChatMessage>> parseMessages(const std::string &body)
 {
     const Result<Object> object = parseObject(body);
--- a/src/program/call_request_type.h
+++ b/src/program/call_request_type.h
@@ -34,12 +34,23 @@
     std::string method; ///< Tool calls: HTTP method.
     std::string path; ///< Tool calls: with the query.
     std::string toolBody; ///< Tool calls: as sent.
+    std::string contentType; ///< Tool calls: of the body; JSON where the caller gives none.
     bool idempotent = false; ///< Tool calls: may be repeated.
 };
 
 /** Parses and checks the body of a call. Errors: BadRequest with the field and what to do. */
 [[nodiscard]] Result<CallRequest> parseCall(const std::string &body);
 
+/** The tool call that a request to a plain service makes. Errors: BadRequest. */
+[[nodiscard]] Result<CallRequest> serviceCall(const ServiceId &service, const std::string &method,
+    const std::string &path, const std::string &contentType, const std::string &body);
+
+/** The model call that a customary chat completion makes; content may be a list of text parts. Errors: BadRequest. */
+[[nodiscard]] Result<CallRequest> chatCall(const std::string &body);
+
+/** The same call without the messages that @p history begins with, as ordinary clients send the whole conversation. */
+[[nodiscard]] CallRequest withoutHistory(const CallRequest &call, const std::vector<ChatMessage> &history);
+
 /** Parses a list of chat messages from a request body with a `messages` field. Errors: BadRequest. */
 [[nodiscard]] Result<std::vector<ChatMessage>> parseMessages(const std::string &body);
 
--- a/src/program/program_type.cpp
+++ b/src/program/program_type.cpp
@@ -64,6 +64,9 @@
     builder.setTokens(call.tokens);
     builder.setEndpoint(call.endpoint.text);
     builder.setDeadlineMs(call.deadlineMs);
+    builder.setFinishReason(call.finishReason);
+    builder.setPromptTokens(call.promptTokens);
+    builder.setContentType(call.contentType);
 }
 
 CallRecord readCall(Wire::Call::Reader reader)
@@ -82,6 +85,9 @@
     call.tokens = reader.getTokens();
     call.endpoint = EndpointId{textOf(reader.getEndpoint())};
     call.deadlineMs = reader.getDeadlineMs();
+    call.finishReason = textOf(reader.getFinishReason());
+    call.promptTokens = reader.getPromptTokens();
+    call.contentType = textOf(reader.getContentType());
     return call;
 }
 
--- a/src/program/program_type.h
+++ b/src/program/program_type.h
@@ -41,6 +41,9 @@
     std::uint16_t status = 0; ///< HTTP status of the answer.
     std::optional<Error> failure; ///< Set where the call ended without an answer.
     std::uint64_t tokens = 0; ///< Charged to the budget.
+    std::uint64_t promptTokens = 0; ///< Part of `tokens`.
+    std::string finishReason; ///< Of an engine's answer.
+    std::string contentType; ///< Of a service's answer.
     EndpointId endpoint; ///< Where it ran.
     std::int64_t deadlineMs = 0; ///< Wall time after which an intent without a result ends as unknown.
 };
--- a/src/rpc/entry.capnp
+++ b/src/rpc/entry.capnp
@@ -37,7 +37,7 @@
     tenant @2 :Text;        # Authenticated at the entry that the caller reached.
     keyId @3 :Text;
     idempotencyKey @4 :Text;
-    body @5 :Text;
+    body @5 :Data;
     stream @6 :Bool;
     hops @7 :UInt8;         # At most one.
     headers @8 :List(Header);
@@ -61,5 +61,5 @@
     # Runs a request whose program this entry owns; the answer goes to the sink.
     forward @3 (request :ForwardedRequest, sink :AnswerSink) -> ();
     # The result of an attempt that began under an earlier owner of the program.
-    result @4 (program :Text, call :Program.Call) -> (failure :Common.Failure);
+    result @4 (program :Text, call :Program.Call, covered :UInt64) -> (failure :Common.Failure);
 }
--- a/src/rpc/entry.capnp.h
+++ b/src/rpc/entry.capnp.h
@@ -410,7 +410,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8dce1dc97eefd9be, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(8dce1dc97eefd9be, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -858,7 +858,7 @@
   inline  ::capnp::Text::Reader getIdempotencyKey() const;
 
   inline bool hasBody() const;
-  inline  ::capnp::Text::Reader getBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
 
   inline bool getStream() const;
 
@@ -931,11 +931,11 @@
   inline ::capnp::Orphan< ::capnp::Text> disownIdempotencyKey();
 
   inline bool hasBody();
-  inline  ::capnp::Text::Builder getBody();
-  inline void setBody( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initBody(unsigned int size);
-  inline void adoptBody(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
 
   inline bool getStream();
   inline void setStream(bool value);
@@ -2348,6 +2348,8 @@
   inline bool hasCall() const;
   inline  ::Chestnuthook::Wire::Call::Reader getCall() const;
 
+  inline  ::uint64_t getCovered() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2390,6 +2392,9 @@
   inline void adoptCall(::capnp::Orphan< ::Chestnuthook::Wire::Call>&& value);
   inline ::capnp::Orphan< ::Chestnuthook::Wire::Call> disownCall();
 
+  inline  ::uint64_t getCovered();
+  inline void setCovered( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3025,29 +3030,29 @@
   return !_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ForwardedRequest::Reader::getBody() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::Data::Reader ForwardedRequest::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ForwardedRequest::Builder::getBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::Data::Builder ForwardedRequest::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void ForwardedRequest::Builder::setBody( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void ForwardedRequest::Builder::setBody( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ForwardedRequest::Builder::initBody(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::Data::Builder ForwardedRequest::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
 inline void ForwardedRequest::Builder::adoptBody(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ForwardedRequest::Builder::disownBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Data> ForwardedRequest::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
@@ -3704,6 +3709,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t EntryPeer::ResultParams::Reader::getCovered() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t EntryPeer::ResultParams::Builder::getCovered() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EntryPeer::ResultParams::Builder::setCovered( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool EntryPeer::ResultResults::Reader::hasFailure() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/rpc/program.capnp
+++ b/src/rpc/program.capnp
@@ -28,6 +28,9 @@
     tokens @8 :UInt64;      # Charged to the budget.
     endpoint @9 :Text;
     deadlineMs @10 :Int64;  # Wall time after which an intent without a result is `unknown`.
+    finishReason @11 :Text; # Of an engine's answer.
+    promptTokens @12 :UInt64; # Of `tokens`.
+    contentType @13 :Text;  # Of a service's answer.
 }
 
 struct Program {
--- a/src/rpc/program.capnp.h
+++ b/src/rpc/program.capnp.h
@@ -71,7 +71,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8d12e27a872015fc, 3, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(8d12e27a872015fc, 4, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -403,6 +403,14 @@
 
   inline  ::int64_t getDeadlineMs() const;
 
+  inline bool hasFinishReason() const;
+  inline  ::capnp::Text::Reader getFinishReason() const;
+
+  inline  ::uint64_t getPromptTokens() const;
+
+  inline bool hasContentType() const;
+  inline  ::capnp::Text::Reader getContentType() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -488,6 +496,23 @@
   inline  ::int64_t getDeadlineMs();
   inline void setDeadlineMs( ::int64_t value);
 
+  inline bool hasFinishReason();
+  inline  ::capnp::Text::Builder getFinishReason();
+  inline void setFinishReason( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFinishReason(unsigned int size);
+  inline void adoptFinishReason(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFinishReason();
+
+  inline  ::uint64_t getPromptTokens();
+  inline void setPromptTokens( ::uint64_t value);
+
+  inline bool hasContentType();
+  inline  ::capnp::Text::Builder getContentType();
+  inline void setContentType( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initContentType(unsigned int size);
+  inline void adoptContentType(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownContentType();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2096,6 +2121,88 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Call::Reader::hasFinishReason() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool Call::Builder::hasFinishReason() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Call::Reader::getFinishReason() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Call::Builder::getFinishReason() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void Call::Builder::setFinishReason( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Call::Builder::initFinishReason(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void Call::Builder::adoptFinishReason(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Call::Builder::disownFinishReason() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Call::Reader::getPromptTokens() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Call::Builder::getPromptTokens() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Call::Builder::setPromptTokens( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Call::Reader::hasContentType() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool Call::Builder::hasContentType() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Call::Reader::getContentType() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Call::Builder::getContentType() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void Call::Builder::setContentType( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Call::Builder::initContentType(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void Call::Builder::adoptContentType(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Call::Builder::disownContentType() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
 inline bool Program::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
