--- a/src/endpoint/http_attempt_func.cpp
+++ b/src/endpoint/http_attempt_func.cpp
@@ -178,7 +178,8 @@
         request, cancel, [&request](std::istream &stream, const Response &response, AttemptOutcome &outcome) {
             readWhole(stream, outcome.body);
             const bool bodiless = request.method == "HEAD" || !response.hasContentLength();
-            outcome.complete = bodiless || response.getContentLength64() == static_cast<Poco::Int64>(outcome.body.size());
+            outcome.complete =
+                bodiless || response.getContentLength64() == static_cast<Poco::Int64>(outcome.body.size());
             outcome.broken = !outcome.complete;
             outcome.what = outcome.complete ? "" : "the answer ended before its length";
         });
--- a/src/entry/call_runner_base.h
+++ b/src/entry/call_runner_base.h
@@ -1,4 +1,5 @@
-/** @file call_runner_base.h  Gives one caller the answer to a call: the stored one, or the running call's as it comes. */
+/** @file call_runner_base.h  Gives one caller the answer to a call: the stored one, or the running call's as it comes.
+ */
 #pragma once
 
 #include <string>
--- a/src/entry/call_worker_base.cpp
+++ b/src/entry/call_worker_base.cpp
@@ -21,8 +21,9 @@
 constexpr int StatusTooMany = 429;
 constexpr int StatusServerError = 500;
 
-/** A pause between two bytes that is longer counts as a hang. */
-constexpr std::int64_t QuietShare = 3;
+/** A pause between two bytes that is longer than this share of the deadline counts as a hang. */
+constexpr std::int64_t QuietShareOfEngine = 6;
+constexpr std::int64_t QuietShareOfService = 2;
 
 /** How long a call waits for an endpoint that can take it, while none is there. */
 constexpr unsigned MaxWaits = 15;
@@ -67,8 +68,7 @@
     return body;
 }
 
-CallWorker::CallWorker(
-    EntryContext &context, ProgramId program, TenantId tenant, CallRequest request, CallStart given)
+CallWorker::CallWorker(EntryContext &context, ProgramId program, TenantId tenant, CallRequest request, CallStart given)
     : context(context)
     , program(std::move(program))
     , tenant(std::move(tenant))
@@ -202,7 +202,8 @@
                          : this->request.toolBody;
     const std::string type = model ? "application/json" : this->request.contentType;
     attempt.contentType = attempt.body.empty() ? "" : type;
-    const std::int64_t quiet = this->start.idempotent ? this->start.timeoutMs / QuietShare : this->start.timeoutMs;
+    const std::int64_t share = model ? QuietShareOfEngine : this->start.idempotent ? QuietShareOfService : 1;
+    const std::int64_t quiet = this->start.timeoutMs / share;
     attempt.timeoutMs = std::max<std::int64_t>(1, std::min(quiet, this->leftMs()));
     return attempt;
 }
@@ -247,8 +248,7 @@
     if (this->call.failure) {
         return this->giveUp(this->call.failure->kind, this->call.failure->what);
     }
-    const Next next =
-        this->request.kind == CallKind::Model ? this->judgeEngine(outcome) : this->judgeService(outcome);
+    const Next next = this->request.kind == CallKind::Model ? this->judgeEngine(outcome) : this->judgeService(outcome);
     if (next == Next::Done) {
         return next;
     }
--- a/src/entry/forwarded_answer_base.cpp
+++ b/src/entry/forwarded_answer_base.cpp
@@ -121,11 +121,9 @@
                              })
                          .eagerlyEvaluate(nullptr);
     });
-    KJ_DEFER(
-        this->context.loop.call([&]() {
-            pipe->call = nullptr; // Cancels it where the caller has gone; the owner then stops reading.
-        });
-    );
+    KJ_DEFER(this->context.loop.call([&]() {
+        pipe->call = nullptr; // Cancels it where the caller has gone; the owner then stops reading.
+    }););
     bool open = true;
     while (open) {
         std::deque<Pipe::Piece> pieces;
--- a/src/entry/forwarded_answer_base.h
+++ b/src/entry/forwarded_answer_base.h
@@ -17,8 +17,8 @@
 public:
     ForwardedAnswer(EntryContext &context, AnswerWriter &answer);
 
-    /** Errors: NotReady where the other entry did not answer. The request is safe to forward again: a call that it began
-     * is known by its number and content. */
+    /** Errors: NotReady where the other entry did not answer. The request is safe to forward again: a call that it
+     * began is known by its number and content. */
     Result<void> run(const std::string &address, const CallerRequest &request);
 
 private:
--- a/src/entry/http_reply_func.cpp
+++ b/src/entry/http_reply_func.cpp
@@ -35,8 +35,8 @@
 
 std::string headOf(const AttemptId &attempt, const std::string &object, const std::string &model)
 {
-    return R"({"id":)" + jsonQuoted("chatcmpl-" + attempt.text) + R"(,"object":")" + object + R"(","created":0,"model":)"
-        + jsonQuoted(model);
+    return R"({"id":)" + jsonQuoted("chatcmpl-" + attempt.text) + R"(,"object":")" + object
+        + R"(","created":0,"model":)" + jsonQuoted(model);
 }
 
 } // namespace
--- a/src/entry/program_runtime_base.cpp
+++ b/src/entry/program_runtime_base.cpp
@@ -101,8 +101,7 @@
         });
 }
 
-void ProgramRuntime::adoptSlots(
-    const std::vector<std::pair<SlotId, Epoch>> &slots, std::vector<ProgramRecord> programs)
+void ProgramRuntime::adoptSlots(const std::vector<std::pair<SlotId, Epoch>> &slots, std::vector<ProgramRecord> programs)
 {
     std::set<SlotId> taken;
     for (const auto &[slot, epoch] : slots) {
--- a/src/entry/program_runtime_call.cpp
+++ b/src/entry/program_runtime_call.cpp
@@ -92,8 +92,7 @@
     return start;
 }
 
-Result<void> ProgramRuntime::planModel(
-    CallStart &start, const ProgramRecord &program, const CallRequest &request) const
+Result<void> ProgramRuntime::planModel(CallStart &start, const ProgramRecord &program, const CallRequest &request) const
 {
     const auto view = this->follower.views.get();
     const auto model = view->models.find(request.model);
@@ -215,8 +214,7 @@
         });
 }
 
-kj::Promise<Result<void>> ProgramRuntime::prepareAttempt(
-    ProgramId program, EndpointId endpoint, std::uint64_t tokens)
+kj::Promise<Result<void>> ProgramRuntime::prepareAttempt(ProgramId program, EndpointId endpoint, std::uint64_t tokens)
 {
     const Result<Epoch> epoch = this->readyEpoch(program);
     const ProgramRecord *record = epoch ? this->copy.find(program) : nullptr;
@@ -281,25 +279,24 @@
 {
     const bool here = this->readyEpoch(program).has_value();
     auto sent = here ? this->takeResult(program, call, covered) : this->sendResult(program, call, covered);
-    return sent.then(
-        [this, program, call, covered, triesLeft](Result<void> &&done) -> kj::Promise<Result<CallRecord>> {
-            if (done) {
-                return Result<CallRecord>(call);
-            }
-            if (mayEndLater(done.error()) && triesLeft > 1) {
-                return this->timer.afterDelay(EndRetryDelay).then([this, program, call, covered, triesLeft]() {
-                    return this->sendEnd(program, call, covered, triesLeft - 1);
-                });
-            }
-            const ProgramRecord *record = this->copy.find(program);
-            const CallRecord *stored = record == nullptr ? nullptr : record->find(call.number);
-            if (stored != nullptr && stored->state == CallState::Ended && stored->digest == call.digest) {
-                return Result<CallRecord>(*stored); // A resend elsewhere ended first.
-            }
-            Error error = done.error();
-            error.ran = call.failure ? call.failure->ran : Ran::Yes;
-            return Result<CallRecord>(tl::unexpected(error));
-        });
+    return sent.then([this, program, call, covered, triesLeft](Result<void> &&done) -> kj::Promise<Result<CallRecord>> {
+        if (done) {
+            return Result<CallRecord>(call);
+        }
+        if (mayEndLater(done.error()) && triesLeft > 1) {
+            return this->timer.afterDelay(EndRetryDelay).then([this, program, call, covered, triesLeft]() {
+                return this->sendEnd(program, call, covered, triesLeft - 1);
+            });
+        }
+        const ProgramRecord *record = this->copy.find(program);
+        const CallRecord *stored = record == nullptr ? nullptr : record->find(call.number);
+        if (stored != nullptr && stored->state == CallState::Ended && stored->digest == call.digest) {
+            return Result<CallRecord>(*stored); // A resend elsewhere ended first.
+        }
+        Error error = done.error();
+        error.ran = call.failure ? call.failure->ran : Ran::Yes;
+        return Result<CallRecord>(tl::unexpected(error));
+    });
 }
 
 kj::Promise<Result<void>> ProgramRuntime::takeResult(ProgramId program, CallRecord call, std::uint64_t covered)
--- a/src/entry/program_runtime_upkeep.cpp
+++ b/src/entry/program_runtime_upkeep.cpp
@@ -125,8 +125,8 @@
     call.failure = untouched ? Error{ErrorKind::NoQuorum, "", Ran::No, 0}
                              : Error{ErrorKind::OutcomeUnknown, "the entry that ran it was lost", Ran::Unknown, 0};
     call.status = 0;
-    this->detach(program.id,
-        this->takeResult(program.id, call, 0).then([this, id = program.id, call](Result<void> &&done) {
+    this->detach(
+        program.id, this->takeResult(program.id, call, 0).then([this, id = program.id, call](Result<void> &&done) {
             if (done) {
                 this->neverSent.erase(call.attempt);
                 logEvent(EventKind::CallEnded,
--- a/src/entry/request_handler_base.cpp
+++ b/src/entry/request_handler_base.cpp
@@ -206,9 +206,8 @@
     asked.method = request.getMethod();
     asked.uri = request.getURI();
     asked.path = path;
-    asked.contentType = request.getContentType() == Poco::Net::HTTPMessage::UNKNOWN_CONTENT_TYPE
-        ? ""
-        : request.getContentType();
+    asked.contentType =
+        request.getContentType() == Poco::Net::HTTPMessage::UNKNOWN_CONTENT_TYPE ? "" : request.getContentType();
     asked.idempotencyKey = request.get("Idempotency-Key", "");
     asked.program = request.get("X-Program-Id", "");
     asked.body = std::move(*body);
--- a/tests/support/process_fleet.cpp
+++ b/tests/support/process_fleet.cpp
@@ -347,6 +347,16 @@
         {"service", "--listen=" + this->serviceAddresses[index], "--name=" + this->service});
 }
 
+std::string ProcessFleet::basePath() const
+{
+    return sourcePath("deploy/base.yaml");
+}
+
+std::string ProcessFleet::sitePath() const
+{
+    return sourcePath("deploy/" + this->size.site + ".yaml");
+}
+
 CommandResult ProcessFleet::ctl(std::vector<std::string> arguments) const
 {
     std::string controls;
