--- a/src/entry/fleet_follower_base.cpp
+++ b/src/entry/fleet_follower_base.cpp
@@ -38,6 +38,41 @@
     }
 }
 
+void dropDeclaration(FleetView &view, const DeclarationName &name)
+{
+    view.tenants.erase(name.section == "tenants" ? TenantId{name.name} : TenantId{});
+    view.models.erase(name.section == "models" ? ModelId{name.name} : ModelId{});
+    view.services.erase(name.section == "services" ? ServiceId{name.name} : ServiceId{});
+}
+
+/** A key is usable while it is not withdrawn and its tenant is declared. */
+void takeKey(FleetView &view, const KeyId &id, const VersionedTable<KeyId, KeyRecord>::Row &row)
+{
+    const bool usable = !row.removed && !row.record.withdrawn && view.tenants.contains(row.record.tenant);
+    if (usable) {
+        view.callers[row.record.hash] = Caller{row.record.tenant, id};
+    } else {
+        view.callers.erase(row.record.hash);
+    }
+}
+
+/** Entries and slots are few and are taken whole. */
+void takeLeases(FleetView &view, const FleetState &state)
+{
+    view.entries.clear();
+    for (const auto &[id, row] : state.entries.all()) {
+        if (!row.removed) {
+            view.entries.push_back(row.record);
+        }
+    }
+    view.slots.assign(SlotCount, SlotRecord{});
+    for (const auto &[slot, row] : state.slots.all()) {
+        view.slots[slot.value] = row.record;
+    }
+}
+
+} // namespace
+
 std::shared_ptr<const FleetView> makeView(const FleetState &state)
 {
     auto view = std::make_shared<FleetView>();
@@ -49,25 +84,35 @@
         }
     }
     for (const auto &[id, row] : state.keys.all()) {
-        const bool usable = !row.removed && !row.record.withdrawn && view->tenants.contains(row.record.tenant);
-        if (usable) {
-            view->callers[row.record.hash] = Caller{row.record.tenant, id};
-        }
+        takeKey(*view, id, row);
     }
-    for (const auto &[id, row] : state.entries.all()) {
+    takeLeases(*view, state);
+    return view;
+}
+
+std::shared_ptr<const FleetView> updateView(const FleetView &old, const FleetState &state, std::uint64_t since)
+{
+    auto view = std::make_shared<FleetView>(old);
+    view->revision = state.revision();
+    bool tenantsCameOrWent = false;
+    state.declarations.forChangesAfter(since, [&](const DeclarationName &name, const auto &row) {
+        const bool wasThere = view->tenants.contains(TenantId{name.name});
         if (!row.removed) {
-            view->entries.push_back(row.record);
+            takeDeclaration(*view, name, row.record.json);
+        } else if (name.section == "site") {
+            view->site = parseSite("{}").value();
+        } else {
+            dropDeclaration(*view, name);
         }
-    }
-    view->slots.resize(SlotCount);
-    for (const auto &[slot, row] : state.slots.all()) {
-        view->slots[slot.value] = row.record;
-    }
+        tenantsCameOrWent = tenantsCameOrWent || wasThere != view->tenants.contains(TenantId{name.name});
+    });
+    state.keys.forChangesAfter(tenantsCameOrWent ? 0 : since, [&](const KeyId &id, const auto &row) {
+        takeKey(*view, id, row);
+    });
+    takeLeases(*view, state);
     return view;
 }
 
-} // namespace
-
 FleetFollower::FleetFollower(ControlClient &client, TimerService &timers, EntryRecord self)
     : self(std::move(self))
     , client(client)
@@ -142,7 +187,7 @@
     }
     const bool changed = this->state.index() != before || newLease;
     if (changed) {
-        this->publish();
+        this->publish(result.getDelta().getWhole() ? 0 : before);
     }
     this->views.setFreshUntil(sentAt + FreshnessBound);
     if (changed && this->onChange) {
@@ -150,10 +195,10 @@
     }
 }
 
-void FleetFollower::publish()
+void FleetFollower::publish(std::uint64_t since)
 {
     const auto old = this->views.get();
-    auto next = makeView(this->state);
+    auto next = old == nullptr || since == 0 ? makeView(this->state) : updateView(*old, this->state, since);
     if (old == nullptr || old->revision != next->revision) {
         logEvent(EventKind::ConfigurationInForce, {{"revision", std::to_string(next->revision.value)}});
     }
--- a/src/entry/fleet_follower_base.h
+++ b/src/entry/fleet_follower_base.h
@@ -11,6 +11,14 @@
 namespace Chestnuthook
 {
 
+/** The view of the whole of @p state; costs as much as it has tenants (docs/CAPACITY.md). */
+[[nodiscard]] std::shared_ptr<const FleetView> makeView(const FleetState &state);
+
+/** The view of @p state, made from @p old, that of the same copy at log index @p since: only changed rows are parsed.
+ */
+[[nodiscard]] std::shared_ptr<const FleetView> updateView(
+    const FleetView &old, const FleetState &state, std::uint64_t since);
+
 /** For the control thread; publishes views for traffic threads. */
 class FleetFollower
 {
@@ -37,7 +45,7 @@
 private:
     void poll();
     void take(const SyncResponse &response, Instant sentAt);
-    void publish();
+    void publish(std::uint64_t since);
 
     ControlClient &client; ///< Outlives this.
     TimerService &timers; ///< Outlives this.
--- a/src/fleet/fleet_base.cpp
+++ b/src/fleet/fleet_base.cpp
@@ -14,17 +14,6 @@
 namespace
 {
 
-/** Counts the rows changed after @p have. */
-template<typename Table>
-std::size_t countChanges(const Table &table, std::uint64_t have)
-{
-    std::size_t count = 0;
-    for (const auto &[key, row] : table.all()) {
-        count += row.index > have ? 1 : 0;
-    }
-    return count;
-}
-
 void writeRecord(Wire::FleetItem::Builder item, const DeclarationName &name, const DeclarationRecord &record)
 {
     auto declaration = item.initDeclaration();
@@ -83,18 +72,27 @@
     order.setConfirmed(record.confirmed);
 }
 
+template<typename Key, typename Row>
+void writeItem(Wire::FleetItem::Builder item, const Key &key, const Row &row)
+{
+    item.setIndex(row.index);
+    item.setRemoved(row.removed);
+    writeRecord(item, key, row.record);
+}
+
+/** Writes the rows changed after @p have; all, in the order of their keys, where that is 0. */
 template<typename Table>
 void writeChanges(const Table &table, std::uint64_t have, capnp::List<Wire::FleetItem>::Builder items, unsigned &next)
 {
-    for (const auto &[key, row] : table.all()) {
-        if (row.index <= have) {
-            continue;
+    if (have == 0) {
+        for (const auto &[key, row] : table.all()) {
+            writeItem(items[next++], key, row);
         }
-        auto item = items[next++];
-        item.setIndex(row.index);
-        item.setRemoved(row.removed);
-        writeRecord(item, key, row.record);
+        return;
     }
+    table.forChangesAfter(have, [&](const auto &key, const auto &row) {
+        writeItem(items[next++], key, row);
+    });
 }
 
 template<typename Table, typename Key, typename Record>
@@ -170,9 +168,9 @@
     builder.setTo(this->lastIndex);
     builder.setRevision(this->declarationRevision.value);
     builder.setWhole(whole);
-    const std::size_t count = countChanges(this->declarations, from) + countChanges(this->keys, from)
-        + countChanges(this->entries, from) + countChanges(this->slots, from) + countChanges(this->strikes, from)
-        + countChanges(this->orders, from);
+    const std::size_t count = this->declarations.countChangesAfter(from) + this->keys.countChangesAfter(from)
+        + this->entries.countChangesAfter(from) + this->slots.countChangesAfter(from)
+        + this->strikes.countChangesAfter(from) + this->orders.countChangesAfter(from);
     auto items = builder.initItems(static_cast<unsigned>(count));
     unsigned next = 0;
     writeChanges(this->declarations, from, items, next);
--- a/src/fleet/versioned_table_type.h
+++ b/src/fleet/versioned_table_type.h
@@ -5,7 +5,9 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <iterator>
 #include <map>
+#include <set>
 #include <utility>
 
 namespace Chestnuthook
@@ -22,10 +24,29 @@
         bool removed = false; ///< A tombstone.
     };
 
+    VersionedTable() = default;
+    VersionedTable(VersionedTable &&) noexcept = default;
+    VersionedTable &operator=(VersionedTable &&) noexcept = default;
+    ~VersionedTable() = default;
+    VersionedTable(const VersionedTable &other)
+        : rows(other.rows)
+    {
+        for (const auto &[key, row] : this->rows) {
+            this->changes.emplace(row.index, &key);
+        }
+    }
+    VersionedTable &operator=(const VersionedTable &other)
+    {
+        return *this = VersionedTable(other);
+    }
+
     /** Sets the record of @p key as of @p index. */
     void put(const Key &key, Record record, std::uint64_t index)
     {
-        this->rows[key] = Row{std::move(record), index, false};
+        const auto row = this->rows.try_emplace(key).first;
+        this->setIndex(row, index);
+        row->second.record = std::move(record);
+        row->second.removed = false;
     }
 
     /** Leaves a tombstone for @p key as of @p index; nothing where it isn't there. */
@@ -33,8 +54,8 @@
     {
         const auto row = this->rows.find(key);
         if (row != this->rows.end()) {
+            this->setIndex(row, index);
             row->second.removed = true;
-            row->second.index = index;
         }
     }
 
@@ -51,11 +72,32 @@
         return this->rows;
     }
 
+    /** Calls @p take with the key and row of each change after @p index, tombstones too, the oldest change first. The
+     * cost grows with the number of changes and not with the table. */
+    template<typename Take>
+    void forChangesAfter(std::uint64_t index, Take &&take) const
+    {
+        for (auto at = this->changes.lower_bound({index + 1, nullptr}); at != this->changes.end(); ++at) {
+            take(*at->second, this->rows.find(*at->second)->second);
+        }
+    }
+
+    /** How many rows changed after @p index. */
+    [[nodiscard]] std::size_t countChangesAfter(std::uint64_t index) const
+    {
+        return static_cast<std::size_t>(
+            std::distance(this->changes.lower_bound({index + 1, nullptr}), this->changes.end()));
+    }
+
     /** Drops tombstones older than @p index. */
     void prune(std::uint64_t index)
     {
-        std::erase_if(this->rows, [index](const auto &row) {
-            return row.second.removed && row.second.index < index;
+        std::erase_if(this->rows, [this, index](const auto &row) {
+            const bool old = row.second.removed && row.second.index < index;
+            if (old) {
+                this->changes.erase({row.second.index, &row.first});
+            }
+            return old;
         });
     }
 
@@ -67,7 +109,15 @@
     }
 
 private:
+    void setIndex(typename std::map<Key, Row>::iterator row, std::uint64_t index)
+    {
+        this->changes.erase({row->second.index, &row->first});
+        this->changes.emplace(index, &row->first);
+        row->second.index = index;
+    }
+
     std::map<Key, Row> rows; ///< Ordered, so that snapshots of equal states are equal.
+    std::set<std::pair<std::uint64_t, const Key *>> changes; ///< The index of each row, with its key inside `rows`.
 };
 
 } // namespace Chestnuthook
