--- /dev/null
+++ b/tests/support/raft_cluster.cpp
@@ -0,0 +1,467 @@
+/** @file raft_cluster.cpp  The simulated cluster. */
+#include "support/raft_cluster.h"
+
+#include <algorithm>
+#include <iterator>
+#include <sstream>
+
+namespace Chestnuthook::Testing
+{
+
+namespace
+{
+
+constexpr std::size_t SettleTicks = 4000;
+
+std::string joined(const std::vector<std::string> &words)
+{
+    std::string text;
+    for (const std::string &word : words) {
+        text += word + '\n';
+    }
+    return text;
+}
+
+std::vector<std::string> split(const std::string &text)
+{
+    std::vector<std::string> words;
+    std::istringstream stream(text);
+    for (std::string word; std::getline(stream, word);) {
+        words.push_back(word);
+    }
+    return words;
+}
+
+void persist(RaftRestored &disk, const RaftActions &actions)
+{
+    if (actions.install) {
+        disk.snapshot = *actions.install;
+        disk.baseIndex = disk.snapshot.index;
+        disk.baseTerm = disk.snapshot.term;
+        disk.entries.clear();
+    }
+    if (actions.hardState) {
+        disk.hardState = *actions.hardState;
+    }
+    for (const RaftEntry &entry : actions.append) {
+        if (entry.index > disk.baseIndex) {
+            disk.entries.resize(entry.index - disk.baseIndex - 1);
+            disk.entries.push_back(entry);
+        }
+    }
+}
+
+void persistCompaction(RaftRestored &disk, const RaftSnapshot &snapshot, std::uint64_t keepFrom)
+{
+    const std::uint64_t base = std::min(snapshot.index, keepFrom - 1);
+    if (snapshot.index <= disk.snapshot.index) {
+        return;
+    }
+    disk.snapshot = snapshot;
+    if (base > disk.baseIndex && base - disk.baseIndex <= disk.entries.size()) {
+        disk.baseTerm = disk.entries[base - disk.baseIndex - 1].term;
+        disk.entries.erase(
+            disk.entries.begin(), disk.entries.begin() + static_cast<std::ptrdiff_t>(base - disk.baseIndex));
+        disk.baseIndex = base;
+    }
+}
+
+} // namespace
+
+RaftCluster::RaftCluster(std::uint64_t seed, std::size_t members, const RaftSettings &settings)
+    : seed(seed)
+    , settings(settings)
+    , random(seed)
+{
+    RaftMembership membership;
+    for (std::size_t i = 0; i < members; ++i) {
+        const std::string id = "m" + std::to_string(i);
+        membership[id] = RaftMember{"address-" + id, true};
+    }
+    for (const auto &[id, member] : membership) {
+        this->start(id);
+    }
+    this->nodes["m0"].core->found(membership);
+    this->drain("m0");
+    this->syncAll("m0");
+}
+
+void RaftCluster::fault(const std::string &what)
+{
+    this->faults.push_back("seed " + std::to_string(this->seed) + " step " + std::to_string(this->step) + ": " + what);
+}
+
+const std::string &RaftCluster::anyNode()
+{
+    return std::next(this->nodes.begin(), static_cast<std::ptrdiff_t>(this->random() % this->nodes.size()))->first;
+}
+
+void RaftCluster::start(const std::string &id)
+{
+    RaftNode &node = this->nodes[id];
+    if (node.core != nullptr) {
+        return;
+    }
+    node.core = std::make_unique<RaftCore>(this->settings, id, this->seed * 1000 + ++this->starts, node.disk);
+    node.machine = split(node.disk.snapshot.data);
+    node.applied = node.disk.snapshot.index;
+}
+
+void RaftCluster::crash(const std::string &id)
+{
+    RaftNode &node = this->nodes[id];
+    node.core.reset();
+    node.writes.clear();
+}
+
+void RaftCluster::isolate(const std::string &id)
+{
+    for (const auto &[other, node] : this->nodes) {
+        this->cut(id, other);
+        this->cut(other, id);
+    }
+}
+
+void RaftCluster::runRandom(std::size_t steps)
+{
+    for (std::size_t i = 0; i < steps && this->faults.empty(); ++i) {
+        ++this->step;
+        this->randomEvent();
+    }
+    this->checkLogs();
+}
+
+void RaftCluster::randomEvent()
+{
+    const std::uint64_t dice = this->random() % 1000;
+    const std::string id = this->anyNode();
+    RaftNode &node = this->nodes[id];
+    if (dice < 450) {
+        this->deliverRandom();
+        return;
+    }
+    if (dice >= 955) {
+        this->randomFault(dice);
+        return;
+    }
+    if (node.core == nullptr) {
+        return;
+    }
+    if (dice < 650) {
+        node.core->tick();
+    } else if (dice < 800) {
+        this->syncSome(id, 1 + this->random() % 3);
+    } else if (dice < 900) {
+        this->propose(this->leader().empty() || dice < 820 ? id : this->leader());
+    } else if (dice < 930) {
+        this->requestRead(id);
+    } else if (dice < 940) {
+        this->compact(id);
+    } else {
+        this->changeMembership();
+    }
+    this->drain(id);
+}
+
+void RaftCluster::randomFault(std::uint64_t dice)
+{
+    const std::string id = this->anyNode();
+    if (dice < 961) {
+        this->crash(id);
+    } else if (dice < 980) {
+        this->start(id);
+    } else if (dice < 983) {
+        this->isolate(id);
+    } else if (dice < 988) {
+        this->cut(id, this->anyNode());
+    } else {
+        this->heal();
+    }
+}
+
+void RaftCluster::deliverRandom()
+{
+    if (this->network.empty()) {
+        return;
+    }
+    // Mostly the oldest messages, sometimes any: reordering and long delays.
+    const std::size_t window =
+        this->random() % 10 == 0 ? this->network.size() : std::min<std::size_t>(3, this->network.size());
+    const std::size_t at = this->random() % window;
+    const RaftMessage message = this->network[at];
+    const std::uint64_t dice = this->random() % 100;
+    if (dice >= 5) { // Else it stays and comes again.
+        this->network.erase(this->network.begin() + static_cast<std::ptrdiff_t>(at));
+    }
+    RaftNode &node = this->nodes[message.to];
+    if (dice >= 90 || node.core == nullptr || this->cuts.contains({message.from, message.to})) {
+        return;
+    }
+    node.core->receive(message);
+    this->drain(message.to);
+}
+
+std::size_t RaftCluster::deliver(const std::string &from, const std::string &to, std::size_t limit)
+{
+    std::size_t count = 0;
+    for (std::size_t i = 0; i < this->network.size() && count < limit;) {
+        if (this->network[i].from != from || this->network[i].to != to) {
+            ++i;
+            continue;
+        }
+        const RaftMessage message = this->network[i];
+        this->network.erase(this->network.begin() + static_cast<std::ptrdiff_t>(i));
+        if (this->nodes[to].core != nullptr) {
+            this->nodes[to].core->receive(message);
+            this->drain(to);
+        }
+        ++count;
+    }
+    return count;
+}
+
+void RaftCluster::runCalm(std::size_t ticks)
+{
+    for (std::size_t i = 0; i < ticks; ++i) {
+        for (auto &[id, node] : this->nodes) {
+            if (node.core != nullptr) {
+                node.core->tick();
+                this->drain(id);
+                this->syncAll(id);
+            }
+        }
+        for (int round = 0; round < 4; ++round) {
+            std::vector<RaftMessage> under = std::exchange(this->network, {});
+            for (const RaftMessage &message : under) {
+                RaftNode &node = this->nodes[message.to];
+                if (node.core != nullptr && !this->cuts.contains({message.from, message.to})) {
+                    node.core->receive(message);
+                    this->drain(message.to);
+                    this->syncAll(message.to);
+                }
+            }
+        }
+    }
+}
+
+void RaftCluster::healAndSettle()
+{
+    this->heal();
+    for (auto &[id, node] : this->nodes) {
+        this->start(id);
+    }
+    const std::uint64_t before = this->committed.empty() ? 0 : this->committed.rbegin()->first;
+    for (std::size_t i = 0; i < SettleTicks && this->faults.empty(); i += 20) {
+        this->runCalm(20);
+        const std::string leading = this->leader();
+        if (leading.empty()) {
+            continue;
+        }
+        this->propose(leading);
+        this->runCalm(10);
+        const RaftCore &core = *this->nodes[leading].core;
+        const bool equal = std::all_of(core.membership().begin(), core.membership().end(), [&](const auto &member) {
+            return this->nodes[member.first].core->commitIndex() == core.commitIndex();
+        });
+        if (equal && core.commitIndex() == core.lastIndex() && core.commitIndex() > before) {
+            this->checkLogs();
+            return;
+        }
+    }
+    this->fault("the members did not agree again after the faults ended");
+}
+
+void RaftCluster::drain(const std::string &id)
+{
+    RaftNode &node = this->nodes[id];
+    if (node.core != nullptr) {
+        this->carryOut(id, node.core->takeActions());
+        this->checkLeader(id);
+    }
+}
+
+void RaftCluster::carryOut(const std::string &id, RaftActions actions)
+{
+    RaftNode &node = this->nodes[id];
+    for (RaftMessage &message : actions.messages) {
+        this->network.push_back(std::move(message));
+    }
+    if (actions.install) {
+        node.machine = split(actions.install->data);
+        node.applied = actions.install->index;
+    }
+    for (const RaftEntry &entry : actions.committed) {
+        this->applyEntry(id, entry);
+    }
+    for (const RaftRead &read : actions.reads) {
+        const std::uint64_t least = this->reads[{id, read.id}];
+        this->confirmedReads += read.index != 0 ? 1 : 0;
+        if (read.index != 0 && read.index < least) {
+            this->fault("a confirmed read at " + id + " missed entry " + std::to_string(least));
+        }
+    }
+    if (actions.batch != 0) {
+        node.writes.push_back(RaftNode::Write{std::move(actions), {}, 0});
+    }
+}
+
+void RaftCluster::applyEntry(const std::string &id, const RaftEntry &entry)
+{
+    RaftNode &node = this->nodes[id];
+    if (entry.index != node.applied + 1) {
+        this->fault(id + " applies " + std::to_string(entry.index) + " after " + std::to_string(node.applied));
+    }
+    node.applied = entry.index;
+    const auto known = this->committed.emplace(entry.index, entry).first;
+    if (!(known->second == entry)) {
+        this->fault("state machine safety: " + id + " applies another entry at " + std::to_string(entry.index));
+    }
+    if (entry.kind == RaftEntryKind::Command) {
+        node.machine.push_back(entry.data);
+    }
+}
+
+void RaftCluster::checkLeader(const std::string &id)
+{
+    const RaftCore &core = *this->nodes[id].core;
+    if (core.role() != RaftRole::Leader) {
+        return;
+    }
+    const auto known = this->leaders.emplace(core.hardState().term, id);
+    if (known.first->second != id) {
+        this->fault("election safety: two leaders in term " + std::to_string(core.hardState().term));
+    }
+    if (!known.second) {
+        return;
+    }
+    for (const auto &[index, entry] : this->committed) {
+        const bool kept = index < core.firstIndex() || (index <= core.lastIndex() && core.entryAt(index) == entry);
+        if (!kept) {
+            this->fault("leader completeness: " + id + " leads without entry " + std::to_string(index));
+            return;
+        }
+    }
+}
+
+void RaftCluster::checkLogs()
+{
+    std::map<std::pair<std::uint64_t, std::uint64_t>, std::pair<RaftEntry, std::uint64_t>> seen;
+    for (const auto &[id, node] : this->nodes) {
+        if (node.core == nullptr) {
+            continue;
+        }
+        for (std::uint64_t i = node.core->firstIndex(); i <= node.core->lastIndex(); ++i) {
+            const RaftEntry &entry = node.core->entryAt(i);
+            const auto here = std::make_pair(entry, node.core->termAt(i - 1));
+            const auto known = seen.emplace(std::make_pair(i, entry.term), here).first;
+            if (!(known->second.first == entry) || known->second.second != here.second) {
+                this->fault("log matching: entries at " + std::to_string(i) + " of one term differ");
+            }
+        }
+        std::vector<std::string> expected;
+        for (const auto &[index, entry] : this->committed) {
+            if (index <= node.applied && entry.kind == RaftEntryKind::Command) {
+                expected.push_back(entry.data);
+            }
+        }
+        if (expected != node.machine) {
+            this->fault("state of " + id + " differs from the committed commands");
+        }
+    }
+}
+
+void RaftCluster::syncAll(const std::string &id)
+{
+    while (!this->nodes[id].writes.empty()) {
+        this->syncSome(id, this->nodes[id].writes.size());
+    }
+}
+
+void RaftCluster::syncSome(const std::string &id, std::size_t count)
+{
+    RaftNode &node = this->nodes[id];
+    std::uint64_t batch = 0;
+    for (; count > 0 && !node.writes.empty(); --count) {
+        const RaftNode::Write write = std::move(node.writes.front());
+        node.writes.pop_front();
+        if (write.snapshot.index != 0) {
+            persistCompaction(node.disk, write.snapshot, write.keepFrom);
+        } else {
+            persist(node.disk, write.actions);
+            batch = write.actions.batch;
+        }
+    }
+    if (batch != 0 && node.core != nullptr) {
+        node.core->synced(batch);
+        this->drain(id);
+    }
+}
+
+bool RaftCluster::propose(const std::string &id)
+{
+    RaftNode &node = this->nodes[id];
+    if (node.core == nullptr || !node.core->propose("command-" + std::to_string(this->nextCommand))) {
+        return false;
+    }
+    ++this->nextCommand;
+    this->drain(id);
+    return true;
+}
+
+void RaftCluster::requestRead(const std::string &id)
+{
+    const auto read = this->nodes[id].core->requestRead();
+    if (read) {
+        this->reads[{id, *read}] = this->committed.empty() ? 0 : this->committed.rbegin()->first;
+    }
+}
+
+void RaftCluster::compact(const std::string &id)
+{
+    RaftNode &node = this->nodes[id];
+    if (node.applied <= node.core->snapshot().index) {
+        return;
+    }
+    const std::uint64_t keepFrom = node.applied - std::min<std::uint64_t>(node.applied - 1, this->random() % 3);
+    node.core->compact(node.applied, joined(node.machine), keepFrom);
+    node.writes.push_back(RaftNode::Write{{}, node.core->snapshot(), keepFrom});
+}
+
+void RaftCluster::changeMembership()
+{
+    const std::string id = this->leader();
+    if (id.empty()) {
+        return;
+    }
+    RaftCore &core = *this->nodes[id].core;
+    RaftMembership next = core.membership();
+    const auto learner = std::find_if(next.begin(), next.end(), [](const auto &member) {
+        return !member.second.voter;
+    });
+    if (learner != next.end()) {
+        learner->second.voter = core.matchOf(learner->first) >= core.commitIndex();
+    } else if (next.size() > 2 && this->random() % 2 == 0) {
+        next.erase(std::next(next.begin(), static_cast<std::ptrdiff_t>(this->random() % next.size())));
+    } else if (this->nodes.size() < 8) {
+        const std::string added = "m" + std::to_string(this->nodes.size());
+        this->start(added);
+        next[added] = RaftMember{"address-" + added, false};
+    }
+    this->membershipChanges += core.proposeMembership(next) ? 1 : 0;
+    this->drain(id);
+}
+
+std::string RaftCluster::leader() const
+{
+    std::string found;
+    std::uint64_t term = 0;
+    for (const auto &[id, node] : this->nodes) {
+        if (node.core != nullptr && node.core->role() == RaftRole::Leader && node.core->hardState().term >= term) {
+            found = id;
+            term = node.core->hardState().term;
+        }
+    }
+    return found;
+}
+
+} // namespace Chestnuthook::Testing
