Request limits at the callers' socket, TLS for callers, and tests of what strangers get

A slow sender could hold an entry's thread without end, one address could hold all connections, and a body that ended early was passed on as if it were whole. Change: the callers' port measures header, request, sending time and connections by address; TLS with a certificate that is read again when its files change; a body shorter than its Content-Length is refused.

--- a/src/entry/entry_daemon_base.cpp
+++ b/src/entry/entry_daemon_base.cpp
@@ -103,7 +103,7 @@
     table.push_back({.name = "callers",
         .start =
             [this]() {
-                return this->server.start(this->settings.address);
+                return this->server.start(this->settings.address, this->settings.callers);
             },
         .stop = {},
         .ready = {}});
--- a/src/entry/entry_daemon_base.h
+++ b/src/entry/entry_daemon_base.h
@@ -23,6 +23,7 @@
     EntryId id; ///< Of this process.
     DataCentreId dataCentre; ///< Of this instance.
     std::string secret; ///< The fleet's secret.
+    CallerSettings callers; ///< Limits and certificate of the callers' port.
 };
 
 class EntryDaemon
--- a/src/entry/http_server_base.cpp
+++ b/src/entry/http_server_base.cpp
@@ -2,10 +2,9 @@
 #include "entry/http_server_base.h"
 
 #include <Poco/Net/HTTPServerParams.h>
-#include <Poco/Net/ServerSocket.h>
-#include <Poco/Net/SocketAddress.h>
 #include <Poco/ThreadPool.h>
 
+#include "entry/limited_socket_base.h"
 #include "entry/request_handler_base.h"
 
 namespace Chestnuthook
@@ -14,7 +13,6 @@
 namespace
 {
 
-constexpr int MaxConnections = 1024;
 constexpr int ThreadStackBytes = 256 * 1024;
 constexpr int IdleSeconds = 30;
 constexpr int Backlog = 512;
@@ -26,20 +24,27 @@
 {
 }
 
-Result<void> EntryServer::start(const std::string &address)
+Result<void> EntryServer::start(const std::string &address, const CallerSettings &callers)
 {
+    auto port = std::make_shared<CallerPort>(callers.limits);
+    if (!callers.tlsCertificate.empty()) {
+        port->certificate = std::make_unique<TlsCertificate>(callers.tlsCertificate, callers.tlsKey);
+        Result<void> loaded = port->certificate->load();
+        if (!loaded) {
+            return loaded;
+        }
+    }
     try {
-        Poco::Net::ServerSocket socket;
-        socket.bind(Poco::Net::SocketAddress(address), true);
-        socket.listen(Backlog);
         Poco::Net::HTTPServerParams::Ptr params(new Poco::Net::HTTPServerParams);
-        params->setMaxThreads(MaxConnections);
+        params->setMaxThreads(callers.limits.connections);
         params->setMaxQueued(Backlog);
         params->setTimeout(Poco::Timespan(IdleSeconds, 0));
         params->setKeepAlive(true);
-        this->threads = std::make_unique<Poco::ThreadPool>(2, MaxConnections, IdleSeconds, ThreadStackBytes);
+        this->threads =
+            std::make_unique<Poco::ThreadPool>(2, callers.limits.connections, IdleSeconds, ThreadStackBytes);
         this->server = std::make_unique<Poco::Net::HTTPServer>(
-            new RequestHandlerFactory(this->context), *this->threads, socket, params);
+            new RequestHandlerFactory(this->context), *this->threads, listenForCallers(port, address), params);
+        this->server->setConnectionFilter(connectionFilter());
         this->server->start();
     } catch (const Poco::Exception &exception) {
         return fail(ErrorKind::AddressInUse, address + ": " + exception.displayText());
--- a/src/entry/http_server_base.h
+++ b/src/entry/http_server_base.h
@@ -8,18 +8,27 @@
 
 #include "core/error_type.h"
 #include "entry/entry_context_type.h"
+#include "entry/request_limits_type.h"
 
 namespace Chestnuthook
 {
 
+/** Settings of the callers' port. */
+struct CallerSettings
+{
+    RequestLimits limits; ///< What one caller may make the entry hold.
+    std::string tlsCertificate; ///< PEM file; empty where callers connect without TLS.
+    std::string tlsKey; ///< PEM file.
+};
+
 /** Serves callers on traffic threads, one for each connection. */
 class EntryServer
 {
 public:
     explicit EntryServer(EntryContext &context);
 
-    /** Binds @p address. Errors: AddressInUse. */
-    Result<void> start(const std::string &address);
+    /** Binds @p address. Errors: AddressInUse, BadSetting for a certificate that can't be used. */
+    Result<void> start(const std::string &address, const CallerSettings &callers);
 
     /** Ends open connections and joins the threads. Not for the control thread, on which they may wait. */
     void stop();
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -19,6 +19,12 @@
 DEFINE_string(entry, "entry-1", "Name of this instance.");
 DEFINE_string(data_centre, "local", "Data centre of this instance.");
 DEFINE_string(secret_file, "", "File with the fleet's secret; else CHESTNUTHOOK_SECRET.");
+DEFINE_string(tls_certificate, "", "PEM file with the certificate shown to callers; empty: no TLS.");
+DEFINE_string(tls_key, "", "PEM file with the certificate's key.");
+DEFINE_int64(max_connections, 1024, "Open connections of all callers.");
+DEFINE_int64(max_connections_per_caller, 512, "Open connections from one address.");
+DEFINE_int64(max_header_bytes, 32768, "Bytes of a request's header.");
+DEFINE_int64(request_send_ms, 10000, "Time in which a caller must send a whole request, in milliseconds.");
 DEFINE_string(log_file, "", "File that gets the log lines besides standard error.");
 
 namespace
@@ -34,6 +40,12 @@
     {"entry", "identity", nonEmptyCheck(), "give a name that no other entry has"},
     {"data_centre", "identity", nonEmptyCheck(), "name the data centre of this instance"},
     {"secret_file", "security", {}, "name a readable file, or set CHESTNUTHOOK_SECRET"},
+    {"tls_certificate", "security", {}, "name a PEM file, and its key in tls_key"},
+    {"tls_key", "security", {}, "name a PEM file, and its certificate in tls_certificate"},
+    {"max_connections", "limits", rangeCheck(1, 100000), "give a number from 1; each connection takes a thread"},
+    {"max_connections_per_caller", "limits", rangeCheck(1, 100000), "give a number from 1"},
+    {"max_header_bytes", "limits", rangeCheck(1024, 1048576), "give a number of bytes from 1024 to 1048576"},
+    {"request_send_ms", "limits", rangeCheck(100, 600000), "give milliseconds from 100 to 600000"},
     {"log_file", "logging", {}, "name a file that this user may write"},
 };
 
@@ -48,6 +60,12 @@
     settings.id = EntryId{FLAGS_entry + "." + randomHex(4)};
     settings.dataCentre = DataCentreId{FLAGS_data_centre};
     settings.secret = std::move(secret);
+    settings.callers.tlsCertificate = FLAGS_tls_certificate;
+    settings.callers.tlsKey = FLAGS_tls_key;
+    settings.callers.limits.connections = static_cast<int>(FLAGS_max_connections);
+    settings.callers.limits.connectionsPerCaller = static_cast<int>(FLAGS_max_connections_per_caller);
+    settings.callers.limits.headerBytes = static_cast<std::size_t>(FLAGS_max_header_bytes);
+    settings.callers.limits.sendTime = std::chrono::milliseconds(FLAGS_request_send_ms);
     return settings;
 }
 
--- a/src/entry/request_handler_base.cpp
+++ b/src/entry/request_handler_base.cpp
@@ -44,6 +44,10 @@
         request.stream().ignore(MaxIgnoredBytes);
         return fail(ErrorKind::BodyTooLarge, "at most " + std::to_string(MaxBodyBytes) + " bytes");
     }
+    const bool known = request.hasContentLength();
+    if (request.stream().bad() || (known && static_cast<std::streamsize>(body.size()) < request.getContentLength64())) {
+        return fail(ErrorKind::BadRequest, "the body ended early");
+    }
     return body;
 }
 
--- /dev/null
+++ b/tests/unit/limits_test.cpp
@@ -0,0 +1,98 @@
+/** @file limits_test.cpp  Requests over a limit are found, whatever pieces they come in. */
+#define BOOST_TEST_MODULE limits
+#include <string>
+
+#include <boost/test/unit_test.hpp>
+
+#include "entry/limited_socket_base.h"
+
+using namespace Chestnuthook;
+
+namespace
+{
+
+const std::string Header = "POST /v1/programs HTTP/1.1\r\nHost: x\r\nContent-Length: 90000\r\n\r\n";
+
+/** Feeds @p text in pieces of @p size, one each @p pause. @return the first verdict that is not Within. */
+LimitVerdict feed(RequestMeter &meter, const std::string &text, std::size_t size, Duration pause, Instant &now)
+{
+    for (std::size_t at = 0; at < text.size(); at += size) {
+        const LimitVerdict verdict = meter.take(std::string_view(text).substr(at, size), now);
+        if (verdict != LimitVerdict::Within) {
+            return verdict;
+        }
+        now += pause;
+    }
+    return LimitVerdict::Within;
+}
+
+RequestLimits smallLimits()
+{
+    RequestLimits limits;
+    limits.headerBytes = 1000;
+    limits.requestBytes = 100'000;
+    limits.sendTime = std::chrono::seconds(10);
+    limits.connectionsPerCaller = 2;
+    limits.connections = 3;
+    return limits;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_header_without_end_is_cut_at_its_bound_in_pieces_of_any_size)
+{
+    for (const std::size_t size : {1UL, 7UL, 4096UL}) {
+        RequestMeter meter(smallLimits());
+        Instant now;
+        const std::string endless = "GET / HTTP/1.1\r\nX: " + std::string(2000, 'x');
+        BOOST_TEST((feed(meter, endless, size, Duration(0), now) == LimitVerdict::HeaderTooLarge));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_body_counts_for_the_request_and_not_for_the_header)
+{
+    for (const std::size_t size : {1UL, 7UL, 4096UL}) {
+        RequestMeter meter(smallLimits());
+        Instant now;
+        BOOST_TEST((feed(meter, Header + std::string(90'000, 'b'), size, Duration(0), now) == LimitVerdict::Within));
+        BOOST_TEST((feed(meter, std::string(20'000, 'b'), size, Duration(0), now) == LimitVerdict::RequestTooLarge));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_slow_sender_is_found_though_bytes_keep_coming)
+{
+    RequestMeter meter(smallLimits());
+    Instant now;
+    const LimitVerdict verdict = feed(meter, Header, 1, std::chrono::seconds(1), now);
+    BOOST_TEST((verdict == LimitVerdict::TooSlow));
+    BOOST_TEST((now > Instant() + std::chrono::seconds(10)));
+    BOOST_TEST((meter.timeLeft(now) == Duration(0)));
+}
+
+BOOST_AUTO_TEST_CASE(time_between_requests_and_in_answers_is_not_counted)
+{
+    RequestMeter meter(smallLimits());
+    Instant now;
+    for (int request = 0; request < 5; ++request) {
+        BOOST_TEST((feed(meter, Header, 16, std::chrono::milliseconds(1), now) == LimitVerdict::Within));
+        BOOST_TEST(meter.underWay());
+        now += std::chrono::seconds(60);
+        meter.answered();
+        BOOST_TEST(!meter.underWay());
+        now += std::chrono::seconds(60);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(connections_are_counted_by_address_and_in_all)
+{
+    ConnectionCounts counts(smallLimits());
+    BOOST_TEST(counts.add("10.0.0.1"));
+    BOOST_TEST(counts.add("10.0.0.1"));
+    BOOST_TEST(!counts.add("10.0.0.1"));
+    counts.remove("10.0.0.1");
+    BOOST_TEST(counts.add("10.0.0.2"));
+    BOOST_TEST(!counts.add("10.0.0.3"));
+    counts.remove("10.0.0.3");
+    counts.remove("10.0.0.1");
+    BOOST_TEST(counts.add("10.0.0.1"));
+}
