Declarations: one table of fields, all faults at once with file, line, path and remedy; ctl split by verb

Cause: a bad declaration told one fault an item, at the line of the item; four sections only; the ctl's verbs stood in one file. Change: src/fleet/declaration_table gives each field's type, bounds, standard value and remedy and drives parsers and checks. Files become trees whose nodes keep file and line through the merge. Before: 4 sections and 4 verbs. Conclusion: later verbs go into files of their own and a row of the table.

--- a/src/ctl/ctl_command_func.h
+++ b/src/ctl/ctl_command_func.h
@@ -1,25 +1,19 @@
-/** @file ctl_command_func.h  The commands of chestnuthook-ctl. */
+/** @file ctl_command_func.h  The table of verbs of chestnuthook-ctl and the choice among them. */
 #pragma once
 
 #include <string>
-#include <vector>
 
 #include "ctl/ctl_session_base.h"
+#include "ctl/ctl_type.h"
 
 namespace Chestnuthook
 {
 
-/** Exit codes, which scripts may rely on. */
-enum class CtlExit : int {
-    Done = 0, ///< All is well.
-    Failed = 1, ///< The fleet refused or can't be reached.
-    Usage = 2, ///< The command line is wrong.
-    BadDeclaration = 3, ///< A declaration file is wrong.
-    Lost = 4, ///< Another operator's change came first.
-    NotInForce = 5, ///< Accepted, but not yet in force on all entries.
-};
-
-/** Runs the command in @p words. @return the exit code. */
-[[nodiscard]] CtlExit runCtlCommand(CtlSession &session, const std::vector<std::string> &words);
+/** Whether @p words name a verb that needs no fleet and so no secret. */
+[[nodiscard]] bool isOfflineCommand(const Words &words);
+/** Runs the command in @p words; a wrong one gets the usage of its verb. @return the exit code. */
+[[nodiscard]] CtlExit runCtlCommand(CtlSession &session, const CtlOptions &options, const Words &words);
+/** Verbs by group and the exit codes, for `--help`. */
+[[nodiscard]] std::string ctlVerbsHelp();
 
 } // namespace Chestnuthook
--- /dev/null
+++ b/src/ctl/ctl_keys_func.cpp
@@ -0,0 +1,82 @@
+/** @file ctl_keys_func.cpp  keys issue, withdraw and list. */
+#include "core/hash_func.h"
+#include "ctl/ctl_submit_func.h"
+#include "ctl/ctl_verb_func.h"
+#include "rpc/message_func.h"
+
+namespace Chestnuthook
+{
+
+namespace
+{
+
+constexpr std::size_t KeyBytes = 24;
+constexpr std::size_t KeyIdBytes = 12;
+
+} // namespace
+
+CtlExit ctlIssueKey(CtlSession &session, const CtlOptions &options, const Words &words)
+{
+    const std::string key = "chk-" + randomHex(KeyBytes);
+    const std::string id = "k-" + randomHex(KeyIdBytes);
+    CommandMessage message;
+    auto record = initCommand(message, options).initIssueKey();
+    record.setId(id);
+    record.setTenant(words[0]);
+    record.setHash(dataOf(sha256Raw(key)));
+    record.setNote(options.note);
+    const Result<std::uint64_t> revision = submitCommand(session, message);
+    if (!revision) {
+        return complain(options, revision.error());
+    }
+    Poco::JSON::Object object(Poco::JSON_PRESERVE_KEY_ORDER);
+    object.set("id", id);
+    object.set("tenant", words[0]);
+    object.set("key", key);
+    printResult(options, "id " + id + "\nkey " + key + "\n", object);
+    return CtlExit::Done;
+}
+
+CtlExit ctlWithdrawKey(CtlSession &session, const CtlOptions &options, const Words &words)
+{
+    CommandMessage message;
+    initCommand(message, options).setWithdrawKey(words[0]);
+    const Result<std::uint64_t> revision = submitCommand(session, message);
+    if (!revision) {
+        return complain(options, revision.error());
+    }
+    Poco::JSON::Object object(Poco::JSON_PRESERVE_KEY_ORDER);
+    object.set("id", words[0]);
+    object.set("state", "withdrawn");
+    printResult(options, "key " + words[0] + " withdrawn\n", object);
+    return CtlExit::Done;
+}
+
+CtlExit ctlListKeys(CtlSession &session, const CtlOptions &options, const Words & /*words*/)
+{
+    const Result<FleetState> state = session.readFleet();
+    if (!state) {
+        return complain(options, state.error());
+    }
+    std::vector<Words> rows;
+    Poco::JSON::Array list;
+    for (const auto &[id, row] : state->keys.all()) {
+        const std::string keyState = row.record.withdrawn ? "withdrawn" : "active";
+        rows.push_back({id.text, row.record.tenant.text, keyState});
+        if (!row.record.note.empty()) {
+            rows.back().push_back(row.record.note);
+        }
+        Poco::JSON::Object object(Poco::JSON_PRESERVE_KEY_ORDER);
+        object.set("id", id.text);
+        object.set("tenant", row.record.tenant.text);
+        object.set("state", keyState);
+        object.set("note", row.record.note);
+        list.add(object);
+    }
+    Poco::JSON::Object object;
+    object.set("keys", list);
+    printResult(options, columns(rows), object);
+    return CtlExit::Done;
+}
+
+} // namespace Chestnuthook
--- a/src/ctl/ctl_session_base.cpp
+++ b/src/ctl/ctl_session_base.cpp
@@ -63,4 +63,22 @@
     return this->loop.wait(kj::mv(caught));
 }
 
+Result<std::vector<ProgramRecord>> CtlSession::loadSlots(std::uint16_t first, std::uint16_t count)
+{
+    std::vector<std::pair<SlotId, Epoch>> slots;
+    for (std::uint16_t number = first; number < first + count && number < SlotCount; ++number) {
+        slots.emplace_back(SlotId{number}, Epoch{});
+    }
+    Result<std::vector<ProgramRecord>> programs = fail(ErrorKind::NoQuorum, "no control member was asked");
+    for (unsigned tries = 0; tries < ReadTries && !programs; ++tries) {
+        programs = this->loop.wait(this->client.loadSlots(slots));
+    }
+    return programs;
+}
+
+void CtlSession::pause(std::chrono::milliseconds period)
+{
+    this->loop.wait(this->loop.kjTimer().afterDelay(period.count() * kj::MILLISECONDS));
+}
+
 } // namespace Chestnuthook
--- a/src/ctl/ctl_session_base.h
+++ b/src/ctl/ctl_session_base.h
@@ -1,6 +1,8 @@
 /** @file ctl_session_base.h  The operators' connection to the control members. */
 #pragma once
 
+#include <chrono>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -27,6 +29,12 @@
     /** Status of one member, by its address. Errors: NoQuorum where it doesn't answer. */
     Result<capnp::Response<Wire::Control::StatusResults>> status(const std::string &address);
 
+    /** Programs of @p count slots from @p first on, confirmed by a quorum. Errors: NoQuorum. */
+    Result<std::vector<ProgramRecord>> loadSlots(std::uint16_t first, std::uint16_t count);
+
+    /** Runs the loop for @p period. */
+    void pause(std::chrono::milliseconds period);
+
 private:
     ControlLoop loop; ///< Runs while a call waits.
     ControlClient client; ///< To the members.
--- /dev/null
+++ b/src/ctl/ctl_status_func.cpp
@@ -0,0 +1,180 @@
+/** @file ctl_status_func.cpp  status: members, entries, slots, revisions and freshness at a glance. */
+#include "ctl/ctl_status_func.h"
+
+#include <map>
+
+#include "ctl/ctl_verb_func.h"
+#include "rpc/message_func.h"
+
+namespace Chestnuthook
+{
+
+namespace
+{
+
+constexpr std::uint64_t LateHeartbeatMs = 1500; ///< Half of the freshness bound of 3 s.
+
+MemberGlance memberOf(const std::string &address, Wire::Status::Reader status)
+{
+    MemberGlance member;
+    member.address = address;
+    member.id = textOf(status.getMember());
+    member.leader = textOf(status.getLeader());
+    member.term = status.getTerm();
+    member.fleetIndex = status.getFleetIndex();
+    member.journalIndex = status.getJournalIndex();
+    member.revision = status.getRevision();
+    member.programs = status.getPrograms();
+    member.confirmed = status.getConfirmed();
+    return member;
+}
+
+/** Takes the latest of what members heard of each entry. */
+void takeEntries(Wire::Status::Reader status, std::map<std::string, EntryGlance> &entries)
+{
+    for (const auto row : status.getEntries()) {
+        EntryGlance entry;
+        entry.id = textOf(row.getEntry().getId());
+        entry.address = textOf(row.getEntry().getAddress());
+        entry.dataCentre = textOf(row.getEntry().getDataCentre());
+        entry.draining = row.getEntry().getState() == Wire::EntryState::DRAINING;
+        entry.inForce = row.getInForceRevision();
+        entry.heardMsAgo = row.getHeardMsAgo();
+        entry.heard = entry.inForce != 0 || entry.heardMsAgo != 0;
+        const auto known = entries.find(entry.id);
+        if (known == entries.end() || known->second.inForce < entry.inForce) {
+            entries[entry.id] = entry;
+        }
+    }
+}
+
+std::map<std::string, std::size_t> slotsPerEntry(const FleetState &state)
+{
+    std::map<std::string, std::size_t> counts;
+    for (const auto &[slot, row] : state.slots.all()) {
+        ++counts[row.record.owner.text];
+    }
+    return counts;
+}
+
+std::vector<Words> memberRows(const CtlOptions &options, const FleetGlance &glance)
+{
+    std::vector<Words> rows = {{"MEMBER", "ADDRESS", "STATE", "TERM", "REVISION", "FLEET", "JOURNAL", "PROGRAMS"}};
+    for (const MemberGlance &member : glance.members) {
+        if (!member.fault.empty()) {
+            rows.push_back({"?", member.address, coloured(options, ColourRed, "down: " + member.fault)});
+            continue;
+        }
+        const bool leads = !member.leader.empty() && (member.leader == member.address || member.leader == member.id);
+        const std::string state = !member.confirmed ? coloured(options, ColourYellow, "unconfirmed")
+                                                    : coloured(options, ColourGreen, leads ? "leader" : "confirmed");
+        rows.push_back({member.id, member.address, state, std::to_string(member.term), std::to_string(member.revision),
+            std::to_string(member.fleetIndex), std::to_string(member.journalIndex), std::to_string(member.programs)});
+    }
+    return rows;
+}
+
+std::vector<Words> entryRows(const CtlOptions &options, const FleetGlance &glance, std::uint64_t revision,
+    const std::map<std::string, std::size_t> &slots)
+{
+    std::vector<Words> rows = {{"ENTRY", "ADDRESS", "DATA CENTRE", "STATE", "SLOTS", "IN FORCE", "HEARD"}};
+    for (const EntryGlance &entry : glance.entries) {
+        const auto owned = slots.find(entry.id);
+        const bool late = !entry.heard || entry.heardMsAgo > LateHeartbeatMs;
+        const std::string heard = entry.heard ? std::to_string(entry.heardMsAgo) + " ms ago" : "not yet";
+        rows.push_back({entry.id, entry.address, entry.dataCentre,
+            entry.draining ? coloured(options, ColourYellow, "draining") : coloured(options, ColourGreen, "live"),
+            std::to_string(owned == slots.end() ? 0 : owned->second),
+            coloured(options, entry.inForce < revision ? ColourYellow : ColourGreen, std::to_string(entry.inForce)),
+            coloured(options, late ? ColourRed : ColourGreen, heard)});
+    }
+    return rows;
+}
+
+Poco::JSON::Object statusJson(
+    const FleetGlance &glance, std::uint64_t revision, const std::map<std::string, std::size_t> &slots)
+{
+    Poco::JSON::Array members;
+    for (const MemberGlance &member : glance.members) {
+        Poco::JSON::Object row(Poco::JSON_PRESERVE_KEY_ORDER);
+        row.set("address", member.address);
+        row.set("up", member.fault.empty());
+        row.set("fault", member.fault);
+        row.set("member", member.id);
+        row.set("leader", member.leader);
+        row.set("confirmed", member.confirmed);
+        row.set("term", member.term);
+        row.set("revision", member.revision);
+        row.set("fleet_index", member.fleetIndex);
+        row.set("journal_index", member.journalIndex);
+        row.set("programs", member.programs);
+        members.add(row);
+    }
+    Poco::JSON::Array entries;
+    for (const EntryGlance &entry : glance.entries) {
+        const auto owned = slots.find(entry.id);
+        Poco::JSON::Object row(Poco::JSON_PRESERVE_KEY_ORDER);
+        row.set("entry", entry.id);
+        row.set("address", entry.address);
+        row.set("data_centre", entry.dataCentre);
+        row.set("draining", entry.draining);
+        row.set("slots", owned == slots.end() ? 0 : owned->second);
+        row.set("in_force_revision", entry.inForce);
+        row.set("heard_ms_ago", entry.heard ? Poco::Dynamic::Var(entry.heardMsAgo) : Poco::Dynamic::Var());
+        entries.add(row);
+    }
+    Poco::JSON::Object object(Poco::JSON_PRESERVE_KEY_ORDER);
+    object.set("revision", revision);
+    object.set("confirmed", glance.confirmed);
+    object.set("members", members);
+    object.set("entries", entries);
+    return object;
+}
+
+} // namespace
+
+FleetGlance readGlance(CtlSession &session, const std::vector<std::string> &addresses)
+{
+    FleetGlance glance;
+    std::map<std::string, EntryGlance> entries;
+    for (const std::string &address : addresses) {
+        auto response = session.status(address);
+        if (!response) {
+            MemberGlance down;
+            down.address = address;
+            down.fault = response.error().what;
+            glance.members.push_back(std::move(down));
+            continue;
+        }
+        const auto status = response->getStatus();
+        glance.members.push_back(memberOf(address, status));
+        if (status.getConfirmed()) {
+            glance.confirmed = true;
+            takeEntries(status, entries);
+        }
+    }
+    for (auto &[id, entry] : entries) {
+        glance.entries.push_back(std::move(entry));
+    }
+    return glance;
+}
+
+CtlExit ctlStatus(CtlSession &session, const CtlOptions &options, const Words & /*words*/)
+{
+    const FleetGlance glance = readGlance(session, options.controls);
+    const Result<FleetState> state = glance.confirmed ? session.readFleet() : Result<FleetState>();
+    const bool known = glance.confirmed && state.has_value();
+    const std::uint64_t revision = known ? state->revision().value : 0;
+    const auto slots = known ? slotsPerEntry(*state) : std::map<std::string, std::size_t>();
+    std::string text = columns(memberRows(options, glance));
+    if (known) {
+        text += "\n" + columns(entryRows(options, glance, revision, slots)) + "\nrevision " + std::to_string(revision)
+            + "\n";
+    } else {
+        text += "\nno member could confirm its answer with a quorum; remedy: bring up a majority of the members\n";
+    }
+    printResult(options, text, statusJson(glance, revision, slots));
+    return known ? CtlExit::Done : CtlExit::Failed;
+}
+
+} // namespace Chestnuthook
--- /dev/null
+++ b/src/ctl/ctl_submit_func.h
@@ -0,0 +1,23 @@
+/** @file ctl_submit_func.h  Builds fleet commands and submits them. */
+#pragma once
+
+#include <cstdint>
+
+#include <capnp/message.h>
+
+#include "core/error_type.h"
+#include "ctl/ctl_session_base.h"
+#include "ctl/ctl_type.h"
+#include "rpc/fleet.capnp.h"
+
+namespace Chestnuthook
+{
+
+using CommandMessage = capnp::MallocMessageBuilder;
+
+/** A command with the options' request id, or a new one. */
+[[nodiscard]] Wire::FleetCommand::Builder initCommand(CommandMessage &message, const CtlOptions &options);
+/** Submits it. @return the revision in the reply. Errors: those of the fleet state; NoQuorum. */
+[[nodiscard]] Result<std::uint64_t> submitCommand(CtlSession &session, CommandMessage &message);
+
+} // namespace Chestnuthook
--- /dev/null
+++ b/src/ctl/declaration_change_func.cpp
@@ -0,0 +1,152 @@
+/** @file declaration_change_func.cpp  Compares declarations by their flattened fields. */
+#include "ctl/declaration_change_func.h"
+
+#include <map>
+#include <sstream>
+
+#include <Poco/JSON/Parser.h>
+
+namespace Chestnuthook
+{
+
+namespace
+{
+
+using Fields = std::map<std::string, std::string>;
+
+void flatten(const Poco::Dynamic::Var &value, const std::string &path, Fields &fields)
+{
+    if (value.type() != typeid(Poco::JSON::Object::Ptr)) {
+        std::ostringstream text;
+        Poco::JSON::Stringifier::stringify(value, text);
+        fields[path] = text.str();
+        return;
+    }
+    const auto object = value.extract<Poco::JSON::Object::Ptr>();
+    for (const std::string &name : object->getNames()) {
+        if (!object->isNull(name)) {
+            flatten(object->get(name), path.empty() ? name : path + "." + name, fields);
+        }
+    }
+}
+
+Fields fieldsOf(const std::string &json)
+{
+    Fields fields;
+    if (!json.empty()) {
+        flatten(Poco::JSON::Parser().parse(json), "", fields);
+    }
+    return fields;
+}
+
+std::vector<FieldChange> fieldChanges(const std::string &before, const std::string &after)
+{
+    Fields old = fieldsOf(before);
+    std::vector<FieldChange> changes;
+    for (const auto &[path, value] : fieldsOf(after)) {
+        const auto known = old.find(path);
+        if (known == old.end()) {
+            changes.push_back(FieldChange{path, "", value});
+            continue;
+        }
+        if (known->second != value) {
+            changes.push_back(FieldChange{path, known->second, value});
+        }
+        old.erase(known);
+    }
+    for (const auto &[path, value] : old) {
+        changes.push_back(FieldChange{path, value, ""});
+    }
+    return changes;
+}
+
+std::string fieldLine(const std::string &item, const FieldChange &field)
+{
+    const std::string path = item + "." + field.path;
+    if (field.before.empty()) {
+        return "+ " + path + ": " + field.after;
+    }
+    if (field.after.empty()) {
+        return "- " + path + ": " + field.before;
+    }
+    return "~ " + path + ": " + field.before + " -> " + field.after;
+}
+
+std::string pathOf(const DeclarationName &name)
+{
+    return name.section == name.name ? name.section : name.section + "." + name.name;
+}
+
+/** The value of a JSON text, which may be a scalar; null where it is empty. */
+Poco::Dynamic::Var valueOf(const std::string &json)
+{
+    return Poco::JSON::Parser().parse("[" + json + "]").extract<Poco::JSON::Array::Ptr>()->get(0);
+}
+
+std::string_view colourOf(char sign)
+{
+    return sign == '+' ? ColourGreen : sign == '-' ? ColourRed : ColourYellow;
+}
+
+} // namespace
+
+std::vector<DeclarationChange> declarationChanges(const FleetState &state, const DeclaredItems &items)
+{
+    std::vector<DeclarationChange> changes;
+    for (const auto &[name, item] : items) {
+        const DeclarationRecord *known = state.declarations.find(name);
+        const std::string before = known == nullptr ? "" : known->json;
+        std::vector<FieldChange> fields = fieldChanges(before, item.json);
+        if (known == nullptr || !fields.empty()) {
+            changes.push_back(DeclarationChange{name, before, item.json, std::move(fields)});
+        }
+    }
+    for (const auto &[name, row] : state.declarations.all()) {
+        if (!row.removed && !items.contains(name)) {
+            changes.push_back(DeclarationChange{name, row.record.json, "", fieldChanges(row.record.json, "")});
+        }
+    }
+    return changes;
+}
+
+std::string changesText(const CtlOptions &options, const std::vector<DeclarationChange> &changes)
+{
+    std::string text;
+    for (const DeclarationChange &change : changes) {
+        const std::string path = pathOf(change.name);
+        if (change.before.empty() || change.after.empty()) {
+            const std::string line = (change.before.empty() ? "+ " : "- ") + path;
+            text += coloured(options, colourOf(line.front()), line) + "\n";
+        }
+        for (const FieldChange &field : change.fields) {
+            const std::string line = fieldLine(path, field);
+            text += coloured(options, colourOf(line.front()), line) + "\n";
+        }
+    }
+    return text + std::to_string(changes.size())
+        + (changes.size() == 1 ? " declaration differs\n" : " declarations differ\n");
+}
+
+Poco::JSON::Array changesJson(const std::vector<DeclarationChange> &changes)
+{
+    Poco::JSON::Array list;
+    for (const DeclarationChange &change : changes) {
+        Poco::JSON::Array fields;
+        for (const FieldChange &field : change.fields) {
+            Poco::JSON::Object row(Poco::JSON_PRESERVE_KEY_ORDER);
+            row.set("path", field.path);
+            row.set("before", valueOf(field.before));
+            row.set("after", valueOf(field.after));
+            fields.add(row);
+        }
+        Poco::JSON::Object object(Poco::JSON_PRESERVE_KEY_ORDER);
+        object.set("section", change.name.section);
+        object.set("name", change.name.name);
+        object.set("change", change.before.empty() ? "added" : change.after.empty() ? "removed" : "changed");
+        object.set("fields", fields);
+        list.add(object);
+    }
+    return list;
+}
+
+} // namespace Chestnuthook
--- a/src/ctl/declaration_file_base.cpp
+++ b/src/ctl/declaration_file_base.cpp
@@ -1,13 +1,11 @@
-/** @file declaration_file_base.cpp  YAML to declarations, by yaml-cpp. */
+/** @file declaration_file_base.cpp  Merges declaration files and checks the whole, so that all faults are told at once.
+ */
 #include "ctl/declaration_file_base.h"
 
 #include <algorithm>
-#include <array>
-
-#include <yaml-cpp/yaml.h>
 
 #include "fleet/declaration_func.h"
-#include "observe/event_ring_base.h"
+#include "fleet/declaration_table.h"
 
 namespace Chestnuthook
 {
@@ -15,156 +13,122 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 4> Sections = {"site", "tenants", "models", "services"};
-constexpr int MaxDepth = 16;
-
-std::string place(const std::string &file, const YAML::Mark &mark, const std::string &path)
-{
-    return file + ":" + std::to_string(mark.line + 1) + ": " + path;
-}
-
-/** JSON of a scalar: numbers and truth values as such, unless they are quoted. */
-std::string scalarJson(const YAML::Node &node)
+std::vector<std::string_view> sectionNames()
 {
-    const std::string &text = node.Scalar();
-    bool flag = false;
-    double number = 0;
-    if (node.Tag() != "!" && YAML::convert<bool>::decode(node, flag)) {
-        return flag ? "true" : "false";
-    }
-    if (node.Tag() != "!" && YAML::convert<double>::decode(node, number)) {
-        const bool plain = text.find_first_not_of("+-.0123456789eE") == std::string::npos && text.front() != '+'
-            && text.front() != '.';
-        return plain ? text : jsonQuoted(text);
+    std::vector<std::string_view> names;
+    for (const SectionRow &row : declarationSections()) {
+        names.push_back(row.name);
     }
-    return jsonQuoted(text);
+    return names;
 }
 
-std::string toJson(const YAML::Node &node, int depth)
+std::string listed(const std::vector<std::string_view> &names)
 {
-    if (depth > MaxDepth || node.IsNull()) {
-        return "null";
+    std::string text;
+    for (const std::string_view name : names) {
+        text += text.empty() ? "" : ", ";
+        text += name;
     }
-    if (node.IsScalar()) {
-        return scalarJson(node);
-    }
-    std::string json;
-    for (const auto &part : node) {
-        json += json.empty() ? "" : ",";
-        json += node.IsMap() ? jsonQuoted(part.first.Scalar()) + ":" + toJson(part.second, depth + 1)
-                             : toJson(part, depth + 1);
-    }
-    return node.IsMap() ? "{" + json + "}" : "[" + json + "]";
+    return text;
 }
 
-/** Merges @p over into @p base, both maps. */
-void mergeMap(YAML::Node base, const YAML::Node &over)
-{
-    for (const auto &part : over) {
-        const std::string name = part.first.Scalar();
-        if (part.second.IsNull()) {
-            base.remove(name);
-        } else if (part.second.IsMap() && base[name] && base[name].IsMap()) {
-            mergeMap(base[name], part.second);
-        } else {
-            base[name] = YAML::Clone(part.second);
-        }
-    }
-}
-
-/** Collects declarations of one file into the merged maps. */
-class Merger
+/** Checks a merged tree and takes its items. */
+class TreeChecker
 {
 public:
-    explicit Merger(DeclarationFiles &result)
-        : result(result)
+    TreeChecker(const DeclarationNode &root, DeclarationFiles &result)
+        : root(root)
+        , result(result)
     {
     }
 
-    void addFile(const std::string &file)
+    void run()
     {
-        YAML::Node root;
-        try {
-            root = YAML::LoadFile(file);
-        } catch (const YAML::BadFile &) {
-            this->blame(file + ": can't be read; name a readable file");
-            return;
-        } catch (const YAML::Exception &exception) {
-            this->blame(place(file, exception.mark, "not YAML: ") + exception.msg);
-            return;
-        }
-        if (!root.IsMap()) {
-            this->blame(file + ":1: the file must hold a map of sections");
-            return;
-        }
-        for (const auto &section : root) {
-            this->addSection(file, section.first, section.second);
+        for (const auto &[name, section] : this->root.members) {
+            const SectionRow *row = findSection(name);
+            if (row == nullptr) {
+                this->blameSection(name, section.origin);
+            } else if (section.kind != DeclarationNodeKind::Map) {
+                this->blame(section.origin, name, "must be a map", "give its items by name");
+            } else {
+                this->takeSection(*row, section);
+            }
         }
     }
 
-    void finish()
+private:
+    void blame(const Origin &origin, std::string path, std::string what, std::string remedy)
     {
-        for (const auto &[name, node] : this->nodes) {
-            DeclaredItem item = this->origins[name];
-            item.json = toJson(node, 0);
-            const Result<void> checked = checkDeclaration(name.section, name.name, item.json);
-            if (!checked) {
-                this->blame(item.file + ":" + std::to_string(item.line) + ": " + name.section + "." + name.name + ": "
-                    + checked.error().what);
-            }
-            this->result.items[name] = std::move(item);
-        }
+        this->result.faults.push_back(DeclarationFault{origin, std::move(path), std::move(what), std::move(remedy)});
     }
 
-private:
-    void addSection(const std::string &file, const YAML::Node &key, const YAML::Node &section)
+    void blameSection(const std::string &name, const Origin &origin)
     {
-        const std::string &name = key.Scalar();
-        if (std::find(Sections.begin(), Sections.end(), name) == Sections.end()) {
-            this->blame(
-                place(file, key.Mark(), name) + ": section is not known; use site, tenants, models or services");
-            return;
-        }
-        if (!section.IsMap()) {
-            this->blame(place(file, key.Mark(), name) + ": must be a map; give items by name");
-            return;
-        }
-        if (name == "site") {
-            this->addItem(file, DeclarationName{name, name}, key, section);
+        const std::string near = nearestName(name, sectionNames());
+        this->blame(origin, name, "is not a section",
+            near.empty() ? "use " + listed(sectionNames()) : "did you mean " + near + "?");
+    }
+
+    void takeSection(const SectionRow &row, const DeclarationNode &section)
+    {
+        const std::string sectionName(row.name);
+        if (row.single) {
+            this->takeItem(row, DeclarationName{sectionName, sectionName}, section);
             return;
         }
-        for (const auto &item : section) {
-            this->addItem(file, DeclarationName{name, item.first.Scalar()}, item.first, item.second);
+        for (const auto &[name, item] : section.members) {
+            this->takeItem(row, DeclarationName{sectionName, name}, item);
         }
     }
 
-    void addItem(const std::string &file, const DeclarationName &name, const YAML::Node &key, const YAML::Node &item)
+    void takeItem(const SectionRow &row, const DeclarationName &name, const DeclarationNode &item)
     {
-        if (item.IsNull()) {
-            this->nodes.erase(name);
-            return;
+        const std::string path = row.single ? name.section : name.section + "." + name.name;
+        const std::string json = item.toJson();
+        for (const FieldFault &fault : declarationFaults(name.section, name.name, json)) {
+            std::string full = path;
+            for (const std::string &part : fault.path) {
+                full += "." + part;
+            }
+            this->blame(item.originOf(fault.path), std::move(full), fault.what, fault.remedy);
         }
-        if (!item.IsMap()) {
-            this->blame(place(file, key.Mark(), name.section + "." + name.name) + ": must be a map of fields");
-            return;
+        if (item.kind == DeclarationNodeKind::Map) {
+            this->checkReferences(row, path, item);
         }
-        this->origins[name] = DeclaredItem{"", file, key.Mark().line + 1};
-        const auto known = this->nodes.find(name);
-        if (known == this->nodes.end()) {
-            this->nodes.emplace(name, YAML::Clone(item));
-        } else {
-            mergeMap(known->second, item);
+        this->result.items[name] = DeclaredItem{json, item.origin};
+    }
+
+    void checkReferences(const SectionRow &row, const std::string &path, const DeclarationNode &item)
+    {
+        for (const FieldRow &field : row.fields) {
+            const DeclarationNode *value = field.reference.empty() ? nullptr : item.find(std::string(field.name));
+            if (value == nullptr || value->kind != DeclarationNodeKind::Scalar || value->scalar.empty()) {
+                continue;
+            }
+            const DeclarationNode *section = this->root.find(std::string(field.reference));
+            if (section == nullptr || section->find(value->scalar) == nullptr) {
+                this->blameReference(field, path + "." + std::string(field.name), *value, section);
+            }
         }
     }
 
-    void blame(std::string what)
+    void blameReference(
+        const FieldRow &field, std::string path, const DeclarationNode &value, const DeclarationNode *section)
     {
-        this->result.faults.push_back(Error{ErrorKind::BadDeclaration, std::move(what), Ran::No, 0});
+        std::vector<std::string_view> names;
+        if (section != nullptr) {
+            for (const auto &member : section->members) {
+                names.emplace_back(member.first);
+            }
+        }
+        const std::string near = nearestName(value.scalar, names);
+        const std::string sectionName(field.reference);
+        this->blame(value.origin, std::move(path), value.scalar + " is not declared in " + sectionName,
+            near.empty() ? "declare it in " + sectionName + " or name another" : "did you mean " + near + "?");
     }
 
+    const DeclarationNode &root; ///< All files, merged.
     DeclarationFiles &result; ///< Gets items and faults.
-    std::map<DeclarationName, YAML::Node> nodes; ///< Merged so far.
-    std::map<DeclarationName, DeclaredItem> origins; ///< Where each was written last.
 };
 
 } // namespace
@@ -172,11 +136,23 @@
 DeclarationFiles readDeclarations(const std::vector<std::string> &files)
 {
     DeclarationFiles result;
-    Merger merger(result);
+    DeclarationNode root;
+    root.kind = DeclarationNodeKind::Map;
     for (const std::string &file : files) {
-        merger.addFile(file);
+        const DeclarationNode tree = readDeclarationTree(file, [&](DeclarationFault fault) {
+            result.faults.push_back(std::move(fault));
+        });
+        if (tree.kind == DeclarationNodeKind::Map) {
+            mergeDeclarations(root, tree);
+        }
     }
-    merger.finish();
+    TreeChecker(root, result).run();
+    const auto position = [&](const DeclarationFault &fault) {
+        return std::find(files.begin(), files.end(), fault.origin.file) - files.begin();
+    };
+    std::stable_sort(result.faults.begin(), result.faults.end(), [&](const auto &left, const auto &right) {
+        return std::pair(position(left), left.origin.line) < std::pair(position(right), right.origin.line);
+    });
     return result;
 }
 
--- a/src/ctl/declaration_file_base.h
+++ b/src/ctl/declaration_file_base.h
@@ -1,13 +1,13 @@
 /** @file declaration_file_base.h  Reads the base file and the site's overlay (YAML), merges them, and gives each
- * declaration as JSON with the file and line it came from. Maps merge field by field, lists are replaced, null removes.
- */
+ * declaration as JSON with the file and line it came from. Maps merge field by field, lists whose items have a `name`
+ * merge by it, other lists and scalars are replaced, null removes. */
 #pragma once
 
 #include <map>
 #include <string>
 #include <vector>
 
-#include "core/error_type.h"
+#include "ctl/declaration_tree_type.h"
 #include "fleet/fleet_type.h"
 
 namespace Chestnuthook
@@ -17,8 +17,7 @@
 struct DeclaredItem
 {
     std::string json; ///< The object.
-    std::string file; ///< Of its last part.
-    int line = 0; ///< From 1.
+    Origin origin; ///< Of its last part.
 };
 
 using DeclaredItems = std::map<DeclarationName, DeclaredItem>;
@@ -27,7 +26,7 @@
 struct DeclarationFiles
 {
     DeclaredItems items; ///< All declarations that could be read.
-    std::vector<Error> faults; ///< Each with file, line, path and remedy.
+    std::vector<DeclarationFault> faults; ///< All faults, by file in the order given, then by line.
 };
 
 /** Reads, merges and checks @p files in order; later files go before earlier ones. */
--- a/src/entry/fleet_follower_base.cpp
+++ b/src/entry/fleet_follower_base.cpp
@@ -31,6 +31,18 @@
         if (const auto service = parseService(name.name, json)) {
             view.services[service->id] = *service;
         }
+    } else if (name.section == "routes") {
+        if (const auto route = parseRoute(name.name, json)) {
+            view.routes.push_back(*route);
+        }
+    } else if (name.section == "pools") {
+        if (const auto pool = parsePool(name.name, json)) {
+            view.pools[name.name] = *pool;
+        }
+    } else if (name.section == "adapters") {
+        if (const auto adapter = parseAdapter(name.name, json)) {
+            view.adapters[name.name] = *adapter;
+        }
     } else if (name.section == "site") {
         if (const auto site = parseSite(json)) {
             view.site = *site;
--- a/src/fleet/declaration_func.cpp
+++ b/src/fleet/declaration_func.cpp
@@ -1,215 +1,418 @@
-/** @file declaration_func.cpp  Reads declarations from JSON, field by field. */
+/** @file declaration_func.cpp  Checks and reads declarations' fields as their rows in the table say. */
 #include "fleet/declaration_func.h"
 
 #include <algorithm>
-#include <initializer_list>
+#include <cmath>
+#include <numeric>
 
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
 
+#include "fleet/declaration_table.h"
+
 namespace Chestnuthook
 {
 
 namespace
 {
 
-constexpr double MaxRate = 1e6;
-constexpr std::int64_t MaxTimeoutMs = 3'600'000;
-constexpr std::int64_t DefaultTimeoutMs = 30'000;
-constexpr std::uint32_t DefaultMaxTokens = 4096;
-constexpr std::uint64_t DefaultCalls = 88;
-constexpr std::uint64_t DefaultTokens = 130'000;
-constexpr std::uint64_t DefaultMs = 3'600'000;
-constexpr std::uint32_t DefaultDepth = 4;
-constexpr std::int64_t DefaultRetentionMs = 600'000;
+using Poco::Dynamic::Var;
 
-/** Reads the fields of one object and keeps the first fault. */
-class FieldReader
+constexpr double MsPerSecond = 1e3;
+
+std::string shown(double value)
+{
+    std::string text = std::to_string(value);
+    text.erase(text.find_last_not_of('0') + 1);
+    if (text.back() == '.') {
+        text.pop_back();
+    }
+    return text;
+}
+
+std::vector<std::string_view> fieldNames(const SectionRow &section)
+{
+    std::vector<std::string_view> names;
+    for (const FieldRow &row : section.fields) {
+        names.push_back(row.name);
+    }
+    return names;
+}
+
+/** Collects the faults of one item. */
+class FieldChecker
 {
 public:
-    FieldReader(const std::string &json, std::initializer_list<std::string_view> known)
+    FieldChecker(const SectionRow &section, const Poco::JSON::Object &object)
+        : section(section)
+        , object(object)
     {
-        try {
-            this->object = Poco::JSON::Parser().parse(json).extract<Poco::JSON::Object::Ptr>();
-        } catch (const Poco::Exception &exception) {
-            this->blame("", "is not an object; give fields by name");
-            return;
+    }
+
+    std::vector<FieldFault> run()
+    {
+        for (const std::string &name : this->object.getNames()) {
+            if (findField(this->section, name) == nullptr) {
+                this->blameUnknown(name);
+            }
         }
-        for (const std::string &name : this->object->getNames()) {
-            if (std::find(known.begin(), known.end(), name) == known.end()) {
-                this->blame(name, "is not known; remove it or mend its spelling");
+        for (const FieldRow &row : this->section.fields) {
+            const std::string name(row.name);
+            if (this->object.has(name) && !this->object.isNull(name)) {
+                this->checkValue(row, this->object.get(name));
+            } else if (row.required) {
+                this->blame({}, "field " + name + " is missing", "add " + name + ": " + std::string(row.remedy));
             }
         }
+        return std::move(this->faults);
+    }
+
+private:
+    void blame(std::vector<std::string> path, std::string what, std::string remedy)
+    {
+        this->faults.push_back(FieldFault{std::move(path), std::move(what), std::move(remedy)});
     }
 
-    double number(const std::string &name, double least, double most, double otherwise)
+    void blameUnknown(const std::string &name)
     {
-        if (!this->present(name)) {
-            return otherwise;
+        const std::string near = nearestName(name, fieldNames(this->section));
+        std::string known;
+        for (const std::string_view field : fieldNames(this->section)) {
+            known += known.empty() ? "" : ", ";
+            known += field;
         }
-        const Poco::Dynamic::Var value = this->object->get(name);
+        this->blame({name}, "is not a field of " + std::string(this->section.name),
+            near.empty() ? "remove it; the fields are " + known : "did you mean " + near + "?");
+    }
+
+    void checkNumber(const FieldRow &row, std::vector<std::string> path, const Var &value)
+    {
+        const bool whole = row.type != FieldType::Number;
         if (!value.isNumeric() || value.isBoolean()) {
-            this->blame(name, "must be a number");
-            return otherwise;
+            const std::string quoted = value.isString() ? ", not text; write it without quotes" : "";
+            this->blame(std::move(path), whole ? "must be a whole number" + quoted : "must be a number" + quoted,
+                std::string(row.remedy));
+            return;
         }
-        const auto found = value.convert<double>();
-        if (!(found >= least && found <= most)) {
-            this->blame(name, "must be from " + trimmed(least) + " to " + trimmed(most));
+        const auto number = value.convert<double>();
+        if (whole && number != std::floor(number)) {
+            this->blame(std::move(path), "must be a whole number", std::string(row.remedy));
+        } else if (!(number >= row.least && number <= row.most)) {
+            this->blame(std::move(path), "must be from " + shown(row.least) + " to " + shown(row.most),
+                std::string(row.remedy));
         }
-        return found;
     }
 
-    bool flag(const std::string &name)
+    void checkTexts(const FieldRow &row, const std::string &name, const Var &value)
     {
-        if (!this->present(name)) {
-            return false;
+        if (value.type() != typeid(Poco::JSON::Array::Ptr)) {
+            this->blame({name}, "must be a list", std::string(row.remedy));
+            return;
         }
-        const Poco::Dynamic::Var value = this->object->get(name);
-        if (!value.isBoolean()) {
-            this->blame(name, "must be true or false");
-            return false;
+        const auto array = value.extract<Poco::JSON::Array::Ptr>();
+        for (unsigned i = 0; i < array->size(); ++i) {
+            const Var part = array->get(i);
+            const std::string text = part.isString() ? part.convert<std::string>() : "";
+            const bool allowed = row.allowed.empty()
+                ? !text.empty()
+                : std::find(row.allowed.begin(), row.allowed.end(), text) != row.allowed.end();
+            if (!allowed) {
+                this->blame({name, std::to_string(i)}, (text.empty() ? "what stands there" : text) + " is not allowed",
+                    std::string(row.remedy));
+            }
         }
-        return value.convert<bool>();
     }
 
-    std::vector<std::string> texts(const std::string &name, const std::vector<std::string> &allowed)
+    void checkCounts(const FieldRow &row, const std::string &name, const Var &value)
     {
-        std::vector<std::string> found;
-        if (!this->present(name)) {
-            return found;
-        }
-        const Poco::JSON::Array::Ptr array = this->object->getArray(name);
-        if (array.isNull()) {
-            this->blame(name, "must be a list");
-            return found;
+        if (value.type() != typeid(Poco::JSON::Object::Ptr)) {
+            this->blame({name}, "must be a map of names to whole numbers", std::string(row.remedy));
+            return;
         }
-        for (std::size_t i = 0; i < array->size(); ++i) {
-            const std::string text = array->get(static_cast<unsigned>(i)).toString();
-            if (std::find(allowed.begin(), allowed.end(), text) == allowed.end()) {
-                this->blame(name, "holds " + text + ", which is not allowed there");
+        const auto map = value.extract<Poco::JSON::Object::Ptr>();
+        for (const std::string &key : map->getNames()) {
+            if (!isPlainName(key)) {
+                this->blame({name, key}, "is not a plain name",
+                    "use lower-case letters, digits, '-', '_' and '.', a letter first");
             }
-            found.push_back(text);
+            this->checkNumber(row, {name, key}, map->get(key));
         }
-        return found;
     }
 
-    void require(const std::string &name)
+    void checkValue(const FieldRow &row, const Var &value)
     {
-        if (!this->present(name)) {
-            this->blame(name, "is missing; add it");
+        const std::string name(row.name);
+        switch (row.type) {
+        case FieldType::Number:
+        case FieldType::Whole:
+            this->checkNumber(row, {name}, value);
+            return;
+        case FieldType::Flag:
+            if (!value.isBoolean()) {
+                this->blame({name}, "must be true or false", std::string(row.remedy));
+            }
+            return;
+        case FieldType::Text:
+            if (!value.isString() || value.convert<std::string>().empty()) {
+                this->blame({name}, "must be a text", std::string(row.remedy));
+            }
+            return;
+        case FieldType::Texts:
+            this->checkTexts(row, name, value);
+            return;
+        case FieldType::Counts:
+            this->checkCounts(row, name, value);
+            return;
         }
     }
 
-    template<typename T>
-    Result<T> finish(T value)
+    const SectionRow &section; ///< The item's section.
+    const Poco::JSON::Object &object; ///< The item.
+    std::vector<FieldFault> faults; ///< Found so far.
+};
+
+/** Rules that concern several fields of an item. */
+void addItemFaults(const SectionRow &section, const Poco::JSON::Object &object, std::vector<FieldFault> &faults)
+{
+    if (section.name == "pools" && object.has("model") == object.has("service")) {
+        faults.push_back({{}, "a pool serves either a model or a service", "give one of model and service"});
+    }
+    if (section.name == "routes" && object.has("path") && !object.optValue<std::string>("path", "/").starts_with('/')) {
+        faults.push_back({{"path"}, "must begin with /", "give the start of a path, such as /prices"});
+    }
+}
+
+Poco::JSON::Object::Ptr objectOf(const std::string &json)
+{
+    try {
+        return Poco::JSON::Parser().parse(json).extract<Poco::JSON::Object::Ptr>();
+    } catch (const Poco::Exception &) {
+        return nullptr;
+    }
+}
+
+/** Reads fields of an item that has no faults; a number that isn't given has its row's standard value. */
+class FieldReader
+{
+public:
+    static Result<FieldReader> open(const std::string &section, const std::string &name, const std::string &json)
     {
-        if (!this->fault.empty()) {
-            return fail(ErrorKind::BadDeclaration, this->fault);
+        const Result<void> checked = checkDeclaration(section, name, json);
+        if (!checked) {
+            return tl::unexpected(checked.error());
         }
-        return value;
+        return FieldReader(*findSection(section), objectOf(json));
     }
 
-private:
-    static std::string trimmed(double value)
+    [[nodiscard]] double number(const std::string &name) const
     {
-        std::string text = std::to_string(value);
-        text.erase(text.find_last_not_of('0') + 1);
-        if (text.back() == '.') {
-            text.pop_back();
+        return this->has(name) ? this->object->getValue<double>(name) : findField(this->section, name)->standard;
+    }
+    template<typename Number>
+    [[nodiscard]] Number whole(const std::string &name) const
+    {
+        return static_cast<Number>(std::llround(this->number(name)));
+    }
+    [[nodiscard]] bool flag(const std::string &name) const
+    {
+        return this->has(name) && this->object->getValue<bool>(name);
+    }
+    [[nodiscard]] std::string text(const std::string &name) const
+    {
+        return this->has(name) ? this->object->getValue<std::string>(name) : "";
+    }
+    [[nodiscard]] std::vector<std::string> texts(const std::string &name) const
+    {
+        std::vector<std::string> found;
+        if (this->has(name)) {
+            const Poco::JSON::Array::Ptr array = this->object->getArray(name);
+            for (unsigned i = 0; i < array->size(); ++i) {
+                found.push_back(array->getElement<std::string>(i));
+            }
+        }
+        return found;
+    }
+    [[nodiscard]] std::map<DataCentreId, std::uint32_t> counts(const std::string &name) const
+    {
+        std::map<DataCentreId, std::uint32_t> found;
+        if (this->has(name)) {
+            const Poco::JSON::Object::Ptr map = this->object->getObject(name);
+            for (const std::string &key : map->getNames()) {
+                found[DataCentreId{key}] = map->getValue<std::uint32_t>(key);
+            }
         }
-        return text;
+        return found;
     }
 
-    bool present(const std::string &name) const
+private:
+    FieldReader(const SectionRow &section, Poco::JSON::Object::Ptr object)
+        : section(section)
+        , object(std::move(object))
     {
-        return !this->object.isNull() && this->object->has(name) && !this->object->isNull(name);
     }
 
-    void blame(const std::string &name, const std::string &why)
+    [[nodiscard]] bool has(const std::string &name) const
     {
-        if (this->fault.empty()) {
-            this->fault = (name.empty() ? "the declaration" : "field " + name) + " " + why;
-        }
+        return this->object->has(name) && !this->object->isNull(name);
     }
 
-    Poco::JSON::Object::Ptr object; ///< Null where the text was no object.
-    std::string fault; ///< The first fault; empty where there is none.
+    const SectionRow &section; ///< The item's section.
+    Poco::JSON::Object::Ptr object; ///< Never null.
 };
 
 } // namespace
 
 Result<TenantDeclaration> parseTenant(const std::string &name, const std::string &json)
 {
-    FieldReader fields(json, {"rate", "burst", "weight"});
-    fields.require("rate");
-    fields.require("burst");
-    TenantDeclaration tenant;
-    tenant.id = TenantId{name};
-    tenant.ratePerSecond = fields.number("rate", 0.001, MaxRate, 1);
-    tenant.burst = fields.number("burst", 1, MaxRate, 1);
-    tenant.weight = fields.number("weight", 0.01, 100, 1);
-    return fields.finish(tenant);
+    return FieldReader::open("tenants", name, json).map([&](const FieldReader &fields) {
+        TenantDeclaration tenant;
+        tenant.id = TenantId{name};
+        tenant.ratePerSecond = fields.number("rate");
+        tenant.burst = fields.number("burst");
+        tenant.weight = fields.number("weight");
+        return tenant;
+    });
 }
 
 Result<ModelDeclaration> parseModel(const std::string &name, const std::string &json)
 {
-    FieldReader fields(json, {"max_tokens", "timeout_ms", "replicas"});
-    ModelDeclaration model;
-    model.id = ModelId{name};
-    model.maxTokens = static_cast<std::uint32_t>(fields.number("max_tokens", 1, 1e6, DefaultMaxTokens));
-    model.timeoutMs = static_cast<std::int64_t>(fields.number("timeout_ms", 1, MaxTimeoutMs, DefaultTimeoutMs));
-    model.replicas = static_cast<std::uint32_t>(fields.number("replicas", 0, 1e5, 0));
-    return fields.finish(model);
+    return FieldReader::open("models", name, json).map([&](const FieldReader &fields) {
+        ModelDeclaration model;
+        model.id = ModelId{name};
+        model.maxTokens = fields.whole<std::uint32_t>("max_tokens");
+        model.timeoutMs = fields.whole<std::int64_t>("timeout_ms");
+        model.replicas = fields.whole<std::uint32_t>("replicas");
+        return model;
+    });
+}
+
+Result<AdapterDeclaration> parseAdapter(const std::string &name, const std::string &json)
+{
+    return FieldReader::open("adapters", name, json).map([&](const FieldReader &fields) {
+        return AdapterDeclaration{name, ModelId{fields.text("model")}, fields.whole<std::uint32_t>("version")};
+    });
 }
 
 Result<ServiceDeclaration> parseService(const std::string &name, const std::string &json)
 {
-    static const std::vector<std::string> Methods = {"GET", "HEAD", "PUT", "DELETE", "POST", "PATCH", "OPTIONS"};
-    FieldReader fields(json, {"idempotent_methods", "timeout_ms", "open", "checks_fencing"});
-    ServiceDeclaration service;
-    service.id = ServiceId{name};
-    service.idempotentMethods = fields.texts("idempotent_methods", Methods);
-    service.timeoutMs = static_cast<std::int64_t>(fields.number("timeout_ms", 1, MaxTimeoutMs, DefaultTimeoutMs));
-    service.open = fields.flag("open");
-    service.checksFencing = fields.flag("checks_fencing");
-    return fields.finish(service);
+    return FieldReader::open("services", name, json).map([&](const FieldReader &fields) {
+        ServiceDeclaration service;
+        service.id = ServiceId{name};
+        service.idempotentMethods = fields.texts("idempotent_methods");
+        service.timeoutMs = fields.whole<std::int64_t>("timeout_ms");
+        service.open = fields.flag("open");
+        service.checksFencing = fields.flag("checks_fencing");
+        return service;
+    });
+}
+
+Result<PoolDeclaration> parsePool(const std::string &name, const std::string &json)
+{
+    return FieldReader::open("pools", name, json).map([&](const FieldReader &fields) {
+        PoolDeclaration pool;
+        pool.name = name;
+        pool.model = ModelId{fields.text("model")};
+        pool.service = ServiceId{fields.text("service")};
+        pool.replicas = fields.counts("replicas");
+        pool.checksFencing = fields.flag("checks_fencing");
+        return pool;
+    });
+}
+
+Result<RouteDeclaration> parseRoute(const std::string &name, const std::string &json)
+{
+    return FieldReader::open("routes", name, json).map([&](const FieldReader &fields) {
+        return RouteDeclaration{name, ServiceId{fields.text("service")}, fields.text("path"), fields.texts("methods")};
+    });
 }
 
 Result<SiteDeclaration> parseSite(const std::string &json)
 {
-    FieldReader fields(json, {"default_calls", "default_tokens", "default_seconds", "max_depth", "retention_seconds"});
-    SiteDeclaration site;
-    site.defaultCalls = static_cast<std::uint64_t>(fields.number("default_calls", 1, 1e6, DefaultCalls));
-    site.defaultTokens = static_cast<std::uint64_t>(fields.number("default_tokens", 1, 1e9, DefaultTokens));
-    site.defaultMs = static_cast<std::uint64_t>(fields.number("default_seconds", 1, 1e7, DefaultMs / 1e3) * 1e3);
-    site.maxDepth = static_cast<std::uint32_t>(fields.number("max_depth", 0, 64, DefaultDepth));
-    site.retentionMs =
-        static_cast<std::int64_t>(fields.number("retention_seconds", 0, 1e7, DefaultRetentionMs / 1e3) * 1e3);
-    return fields.finish(site);
+    return FieldReader::open("site", "site", json).map([&](const FieldReader &fields) {
+        SiteDeclaration site;
+        site.defaultCalls = fields.whole<std::uint64_t>("default_calls");
+        site.defaultTokens = fields.whole<std::uint64_t>("default_tokens");
+        site.defaultMs = static_cast<std::uint64_t>(fields.number("default_seconds") * MsPerSecond);
+        site.maxDepth = fields.whole<std::uint32_t>("max_depth");
+        site.retentionMs = static_cast<std::int64_t>(fields.number("retention_seconds") * MsPerSecond);
+        return site;
+    });
+}
+
+bool isOpenToAll(const ServiceDeclaration &service, const std::vector<RouteDeclaration> &routes,
+    const std::string &method, std::string_view path)
+{
+    if (service.open) {
+        return true;
+    }
+    // Paths with dot segments or escapes could name another resource at the service than the prefix says.
+    const bool plain = path.find("/.") == std::string_view::npos && path.find('%') == std::string_view::npos
+        && path.find("//") == std::string_view::npos;
+    return plain && std::any_of(routes.begin(), routes.end(), [&](const RouteDeclaration &route) {
+        const bool below = path.starts_with(route.path)
+            && (path.size() == route.path.size() || route.path.ends_with('/') || path[route.path.size()] == '/');
+        return route.service == service.id && below
+            && std::find(route.methods.begin(), route.methods.end(), method) != route.methods.end();
+    });
+}
+
+std::vector<FieldFault> declarationFaults(const std::string &section, const std::string &name, const std::string &json)
+{
+    std::vector<FieldFault> faults;
+    const SectionRow *row = findSection(section);
+    if (row == nullptr) {
+        return {{{}, "section " + section + " is not known", "see the sections in docs/OPERATIONS.md"}};
+    }
+    if (!isPlainName(name)) {
+        faults.push_back(
+            {{}, "is not a plain name", "use lower-case letters, digits, '-', '_' and '.', a letter first"});
+    }
+    const Poco::JSON::Object::Ptr object = objectOf(json);
+    if (object.isNull()) {
+        faults.push_back({{}, "must be a map of fields", "give the fields by name"});
+        return faults;
+    }
+    const std::vector<FieldFault> found = FieldChecker(*row, *object).run();
+    faults.insert(faults.end(), found.begin(), found.end());
+    addItemFaults(*row, *object, faults);
+    return faults;
 }
 
 Result<void> checkDeclaration(const std::string &section, const std::string &name, const std::string &json)
 {
-    const auto drop = [](auto &&parsed) -> Result<void> {
-        if (!parsed) {
-            return tl::unexpected(parsed.error());
-        }
+    const std::vector<FieldFault> faults = declarationFaults(section, name, json);
+    if (faults.empty()) {
         return {};
-    };
-    if (section == "tenants") {
-        return drop(parseTenant(name, json));
-    }
-    if (section == "models") {
-        return drop(parseModel(name, json));
     }
-    if (section == "services") {
-        return drop(parseService(name, json));
+    std::string path = section + "." + name;
+    for (const std::string &part : faults.front().path) {
+        path += "." + part;
     }
-    if (section == "site") {
-        return drop(parseSite(json));
+    return fail(ErrorKind::BadDeclaration, path + ": " + faults.front().what + "; remedy: " + faults.front().remedy);
+}
+
+std::string nearestName(std::string_view word, const std::vector<std::string_view> &names)
+{
+    constexpr std::size_t MaxEdits = 2;
+    std::string nearest;
+    std::size_t best = MaxEdits + 1;
+    for (const std::string_view name : names) {
+        std::vector<std::size_t> edits(name.size() + 1); // Levenshtein distance, row by row.
+        std::iota(edits.begin(), edits.end(), 0);
+        for (std::size_t i = 1; i <= word.size(); ++i) {
+            std::size_t diagonal = edits[0]++;
+            for (std::size_t j = 1; j <= name.size(); ++j) {
+                const std::size_t replaced = diagonal + (word[i - 1] == name[j - 1] ? 0 : 1);
+                diagonal = edits[j];
+                edits[j] = std::min({edits[j] + 1, edits[j - 1] + 1, replaced});
+            }
+        }
+        if (edits.back() < best) {
+            best = edits.back();
+            nearest = name;
+        }
     }
-    return fail(
-        ErrorKind::BadDeclaration, "section " + section + " is not known; use tenants, models, services or site");
+    return nearest;
 }
 
 } // namespace Chestnuthook
--- a/src/fleet/declaration_type.h
+++ b/src/fleet/declaration_type.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,14 @@
     std::uint32_t replicas = 0; ///< Endpoints that should serve it; 0 for all.
 };
 
+/** An adapter of a model. */
+struct AdapterDeclaration
+{
+    std::string name; ///< Its name.
+    ModelId model; ///< Which model it adapts.
+    std::uint32_t version = 0; ///< Version that endpoints should load.
+};
+
 /** A plain service that the system routes to. */
 struct ServiceDeclaration
 {
@@ -38,6 +47,25 @@
     bool checksFencing = false; ///< Its endpoints refuse orders with an old fencing number.
 };
 
+/** Endpoints that serve one model or one service. */
+struct PoolDeclaration
+{
+    std::string name; ///< Its name.
+    ModelId model; ///< Empty where it serves a service.
+    ServiceId service; ///< Empty where it serves a model.
+    std::map<DataCentreId, std::uint32_t> replicas; ///< Endpoints in each data centre.
+    bool checksFencing = false; ///< Its endpoints refuse orders with an old fencing number.
+};
+
+/** Paths of a service that need no key. */
+struct RouteDeclaration
+{
+    std::string name; ///< Its name.
+    ServiceId service; ///< Where it leads.
+    std::string path; ///< Start of the paths.
+    std::vector<std::string> methods; ///< HTTP methods.
+};
+
 /** Settings of the whole site. */
 struct SiteDeclaration
 {
