--- a/src/ctl/declaration_change_func.cpp
+++ b/src/ctl/declaration_change_func.cpp
@@ -22,10 +22,13 @@
         fields[path] = text.str();
         return;
     }
-    const auto object = value.extract<Poco::JSON::Object::Ptr>();
+    const auto &object = value.extract<Poco::JSON::Object::Ptr>();
     for (const std::string &name : object->getNames()) {
         if (!object->isNull(name)) {
-            flatten(object->get(name), path.empty() ? name : path + "." + name, fields);
+            std::string below = path;
+            below += path.empty() ? "" : ".";
+            below += name;
+            flatten(object->get(name), below, fields);
         }
     }
 }
--- a/src/ctl/declaration_file_base.cpp
+++ b/src/ctl/declaration_file_base.cpp
@@ -118,7 +118,7 @@
         std::vector<std::string_view> names;
         if (section != nullptr) {
             for (const auto &member : section->members) {
-                names.emplace_back(member.first);
+                names.emplace_back(member.name);
             }
         }
         const std::string near = nearestName(value.scalar, names);
--- a/src/ctl/declaration_tree_type.cpp
+++ b/src/ctl/declaration_tree_type.cpp
@@ -91,7 +91,7 @@
         const DeclarationNode *known = result.find(name);
         if (known == nullptr) {
             DeclarationNode member = this->read(node, line);
-            result.members.emplace_back(name, std::move(member));
+            result.members.push_back(DeclarationMember{name, std::move(member)});
         } else {
             this->fault(line, "stands twice in this file, first on line " + std::to_string(known->origin.line),
                 "keep one of the two");
@@ -114,7 +114,7 @@
                 this->addMember(result, name, fields, line);
             } else {
                 this->path.push_back(std::to_string(result.members.size()));
-                result.members.emplace_back("", this->read(item, line));
+                result.members.push_back(DeclarationMember{"", this->read(item, line)});
                 this->path.pop_back();
             }
         }
@@ -166,10 +166,10 @@
 
 const DeclarationNode *DeclarationNode::find(const std::string &name) const
 {
-    const auto found = std::find_if(this->members.begin(), this->members.end(), [&](const Member &member) {
-        return member.first == name;
+    const auto found = std::find_if(this->members.begin(), this->members.end(), [&](const DeclarationMember &member) {
+        return member.name == name;
     });
-    return found == this->members.end() ? nullptr : &found->second;
+    return found == this->members.end() ? nullptr : &found->node;
 }
 
 const Origin &DeclarationNode::originOf(const std::vector<std::string> &path) const
@@ -179,7 +179,7 @@
         const bool isList = node->kind == DeclarationNodeKind::List;
         const std::size_t position = isList ? std::stoul(part) : 0;
         const DeclarationNode *next = !isList ? node->find(part)
-            : position < node->members.size() ? &node->members[position].second
+            : position < node->members.size() ? &node->members[position].node
                                               : nullptr;
         if (next == nullptr) {
             break;
@@ -201,9 +201,9 @@
     }
     const bool isMap = this->kind == DeclarationNodeKind::Map;
     std::string json;
-    for (const auto &[name, member] : this->members) {
+    for (const DeclarationMember &member : this->members) {
         json += json.empty() ? "" : ",";
-        json += isMap ? jsonQuoted(name) + ":" + member.toJson() : member.toJson();
+        json += isMap ? jsonQuoted(member.name) + ":" + member.node.toJson() : member.node.toJson();
     }
     return isMap ? "{" + json + "}" : "[" + json + "]";
 }
@@ -218,19 +218,19 @@
         base = DeclarationNode{DeclarationNodeKind::Map, "", false, {}, {}};
     }
     base.origin = over.origin;
-    for (const auto &[name, member] : over.members) {
+    for (const DeclarationMember &member : over.members) {
         const auto known = std::find_if(base.members.begin(), base.members.end(), [&](const auto &candidate) {
-            return candidate.first == name;
+            return candidate.name == member.name;
         });
-        if (member.kind == DeclarationNodeKind::Null) {
+        if (member.node.kind == DeclarationNodeKind::Null) {
             if (known != base.members.end()) {
                 base.members.erase(known);
             }
         } else if (known != base.members.end()) {
-            mergeDeclarations(known->second, member);
+            mergeDeclarations(known->node, member.node);
         } else {
-            base.members.emplace_back(name, DeclarationNode{});
-            mergeDeclarations(base.members.back().second, member);
+            base.members.push_back(DeclarationMember{member.name, DeclarationNode{}});
+            mergeDeclarations(base.members.back().node, member.node);
         }
     }
 }
--- a/src/ctl/declaration_tree_type.h
+++ b/src/ctl/declaration_tree_type.h
@@ -5,7 +5,6 @@
 #include <cstdint>
 #include <functional>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace Chestnuthook
@@ -32,15 +31,15 @@
 
 enum class DeclarationNodeKind : std::uint8_t { Null, Scalar, Map, List };
 
+struct DeclarationMember;
+
 /** One node; children are members of maps, in the order of the files, or items of lists. */
 struct DeclarationNode
 {
-    using Member = std::pair<std::string, DeclarationNode>;
-
     DeclarationNodeKind kind = DeclarationNodeKind::Null; ///< Chooses which of the rest counts.
     std::string scalar; ///< Text of a scalar.
     bool quoted = false; ///< The scalar stood in quotes, so that it is a text.
-    std::vector<Member> members; ///< Of a map, with unique names; of a list, with empty ones.
+    std::vector<DeclarationMember> members; ///< Of a map, with unique names; of a list, with empty ones.
     Origin origin; ///< Of the key or item that wrote it last.
 
     /** The member of that name, or null. */
@@ -50,6 +49,13 @@
     [[nodiscard]] std::string toJson() const;
 };
 
+/** A child of a node. */
+struct DeclarationMember
+{
+    std::string name; ///< Its key in a map; empty in a list.
+    DeclarationNode node; ///< Its value.
+};
+
 /** Merges @p over into @p base: maps field by field, `null` removes, all else is replaced. */
 void mergeDeclarations(DeclarationNode &base, const DeclarationNode &over);
 
--- a/src/fleet/declaration_func.cpp
+++ b/src/fleet/declaration_func.cpp
@@ -109,7 +109,7 @@
             this->blame({name}, "must be a list", std::string(row.remedy));
             return;
         }
-        const auto array = value.extract<Poco::JSON::Array::Ptr>();
+        const auto &array = value.extract<Poco::JSON::Array::Ptr>();
         for (unsigned i = 0; i < array->size(); ++i) {
             const Var part = array->get(i);
             const std::string text = part.isString() ? part.convert<std::string>() : "";
@@ -129,7 +129,7 @@
             this->blame({name}, "must be a map of names to whole numbers", std::string(row.remedy));
             return;
         }
-        const auto map = value.extract<Poco::JSON::Object::Ptr>();
+        const auto &map = value.extract<Poco::JSON::Object::Ptr>();
         for (const std::string &key : map->getNames()) {
             if (!isPlainName(key)) {
                 this->blame({name, key}, "is not a plain name",
--- a/tests/process/ctl_test.cpp
+++ b/tests/process/ctl_test.cpp
@@ -28,7 +28,7 @@
 /** Writes an overlay that sets the rate of one tenant. */
 std::string overlay(const ProcessFleet &fleet, const std::string &name, int rate)
 {
-    const std::string path = fleet.folder + "/" + name + ".yaml";
+    std::string path = fleet.folder + "/" + name + ".yaml";
     std::ofstream(path) << "tenants:\n  vetrarkort:\n    rate: " << rate << "\n";
     return path;
 }
--- a/tests/unit/declaration_test.cpp
+++ b/tests/unit/declaration_test.cpp
@@ -35,7 +35,7 @@
 
     std::string add(const std::string &text)
     {
-        const std::string path = this->folder + "/" + std::to_string(this->count++) + ".yaml";
+        std::string path = this->folder + "/" + std::to_string(this->count++) + ".yaml";
         std::ofstream(path, std::ios::binary) << text;
         return path;
     }
@@ -49,6 +49,7 @@
 {
     Files files;
     std::vector<std::string> paths;
+    paths.reserve(texts.size());
     for (const std::string &text : texts) {
         paths.push_back(files.add(text));
     }
