--- a/src/client/control_client_base.cpp
+++ b/src/client/control_client_base.cpp
@@ -82,6 +82,7 @@
         auto request = control.submitRequest();
         request.setGroup(group);
         request.setCommand(dataOf(command));
+        writeHybridTime(request.initTime());
         return request.send();
     });
     return this->context.timer.timeoutAfter(CallTimeout, kj::mv(sent))
@@ -118,6 +119,7 @@
         auto params = request.initRequest();
         params.setHaveIndex(haveIndex);
         params.setInForceRevision(inForce);
+        writeHybridTime(params.initTime());
         auto wire = params.initEntry();
         wire.setId(entry.id.text);
         wire.setEpoch(entry.epoch.value);
@@ -129,6 +131,7 @@
     });
     return this->context.timer.timeoutAfter(CallTimeout, kj::mv(sent)).then([this](SyncResponse &&response) {
         const auto result = response.getResult();
+        observeHybridTime(result.getTime());
         if (result.isFailure()) {
             this->follow(textOf(result.getLeader()));
             KJ_FAIL_REQUIRE("the control member can't confirm", textOf(result.getFailure().getWhat()).c_str());
@@ -173,6 +176,7 @@
         .then(
             [this](auto &&response) {
                 const auto result = response.getResult();
+                observeHybridTime(result.getTime());
                 if (result.isFailure()) {
                     this->follow(textOf(result.getLeader()));
                     return Result<std::vector<ProgramRecord>>(tl::unexpected(readFailure(result.getFailure())));
--- a/src/control/control_service_base.cpp
+++ b/src/control/control_service_base.cpp
@@ -1,6 +1,7 @@
 /** @file control_service_base.cpp  The Control interface over the replicated groups. */
 #include "control/control_service_base.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <capnp/message.h>
@@ -14,6 +15,7 @@
 namespace
 {
 
+constexpr std::size_t MaxEventsPerRead = 1000;
 constexpr Duration ExpiryPeriod = std::chrono::milliseconds(250);
 
 /** The flat command that grants @p entry a lease. */
@@ -65,6 +67,7 @@
     kj::Promise<void> submit(SubmitContext context) override
     {
         const auto params = context.getParams();
+        observeHybridTime(params.getTime());
         std::string command = bytesOf(params.getCommand());
         auto proposed = params.getGroup() == Wire::Group::FLEET ? this->member.fleet.propose(std::move(command))
                                                                 : this->member.journal.propose(std::move(command));
@@ -81,9 +84,12 @@
     kj::Promise<void> sync(SyncContext context) override
     {
         const auto entry = context.getParams().getRequest().getEntry();
+        observeHybridTime(context.getParams().getRequest().getTime());
         const EntryRecord *known = this->member.fleet.machine.entries.find(EntryId{textOf(entry.getId())});
         const bool held = known != nullptr && known->epoch.value == entry.getEpoch();
-        if (held && known->state == stateOf(entry)) {
+        // An entry that an operator drains learns that from the delta; its own word doesn't bring it back.
+        const bool told = held && (known->state == stateOf(entry) || known->state == EntryState::Draining);
+        if (told) {
             return this->answerSync(context, known->epoch.value);
         }
         auto command = held ? setStateCommand(entry, known->epoch.value) : grantCommand(entry);
@@ -107,6 +113,7 @@
                 writeFailure(result.initFailure(), confirmed.error());
                 return;
             }
+            writeHybridTime(result.initTime());
             std::vector<const ProgramRecord *> programs;
             for (const auto slot : context.getParams().getSlots()) {
                 const auto found = this->member.journal.machine.programsOf(SlotId{slot.getSlot()});
@@ -147,6 +154,14 @@
         });
     }
 
+    kj::Promise<void> events(EventsContext context) override
+    {
+        const auto params = context.getParams();
+        const std::size_t limit = std::min<std::size_t>(params.getLimit(), MaxEventsPerRead);
+        context.getResults().setJson(processEvents().toJson(params.getSince(), limit));
+        return kj::READY_NOW;
+    }
+
 private:
     kj::Promise<void> answerSync(SyncContext context, std::uint64_t epoch)
     {
@@ -158,6 +173,7 @@
                 return;
             }
             const EntryId id{textOf(request.getEntry().getId())};
+            writeHybridTime(result.initTime());
             this->member.leases.heard(id, request.getInForceRevision(), this->member.loop.timers().now());
             auto delta = result.initDelta();
             this->member.fleet.machine.writeDelta(request.getHaveIndex(), delta.initDelta());
--- a/src/entry/entry_daemon_base.cpp
+++ b/src/entry/entry_daemon_base.cpp
@@ -62,6 +62,9 @@
     table.push_back({.name = "fleet",
         .start =
             [this]() {
+                this->follower.onDrainOrdered = [this]() {
+                    this->beginDrain();
+                };
                 this->follower.start();
                 return Result<void>();
             },
@@ -153,6 +156,9 @@
 
 void EntryDaemon::beginDrain()
 {
+    if (this->context.draining) {
+        return;
+    }
     logEvent(EventKind::DrainStarted, {});
     this->context.draining = true;
     this->follower.drain();
--- a/src/entry/fleet_follower_base.cpp
+++ b/src/entry/fleet_follower_base.cpp
@@ -123,6 +123,12 @@
     if (this->busy) {
         return;
     }
+    const EntryRecord *own = this->state.entries.find(this->self.id);
+    const bool ordered = own != nullptr && own->state == EntryState::Draining && this->self.state == EntryState::Live;
+    if (ordered && this->onDrainOrdered) {
+        this->onDrainOrdered(); // Ends in another poll, which reads.
+        return;
+    }
     this->busy = true;
     const Instant sentAt = this->timers.now();
     this->reading = this->client.sync(this->self, this->state.index(), this->state.revision().value)
--- a/src/entry/fleet_follower_base.h
+++ b/src/entry/fleet_follower_base.h
@@ -25,6 +25,7 @@
     void drain();
 
     /** Called after each read that changed something. */
+    std::function<void()> onDrainOrdered; ///< Called when an operator has set this entry to draining. May be empty.
     std::function<void()> onChange;
 
     /** Whether the view is recent enough to admit requests. */
--- a/src/entry/request_handler_base.cpp
+++ b/src/entry/request_handler_base.cpp
@@ -77,6 +77,22 @@
     return wish;
 }
 
+/** The query's `since` (0 where it isn't given) and `limit` (at most MaxEvents). */
+std::pair<std::uint64_t, std::size_t> eventPageOf(const std::string &uri)
+{
+    std::uint64_t since = 0;
+    std::size_t limit = MaxEvents;
+    for (const auto &[name, value] : Poco::URI(uri).getQueryParameters()) {
+        const char *const end = value.data() + value.size();
+        if (name == "since") {
+            std::from_chars(value.data(), end, since);
+        } else if (name == "limit") {
+            std::from_chars(value.data(), end, limit);
+        }
+    }
+    return {since, std::min(limit, MaxEvents)};
+}
+
 std::string callJson(const CallRecord &call)
 {
     return R"({"number":)" + std::to_string(call.number.value) + R"(,"state":)"
@@ -132,7 +148,8 @@
     } else if (path == std::vector<std::string>{"metrics"}) {
         replyText(response, 200, "text/plain; version=0.0.4", metrics().renderText());
     } else if (path == std::vector<std::string>{"v1", "events"}) {
-        replyJson(response, 200, processEvents().toJson(0, MaxEvents));
+        const auto [since, limit] = eventPageOf(request.getURI());
+        replyJson(response, 200, processEvents().toJson(since, limit));
     } else if (path == std::vector<std::string>{"v1", "entries"}) {
         this->entries(response);
     } else if (path.size() >= 2 && path[0] == "v1" && path[1] == "programs") {
--- a/src/rpc/common.capnp.c++
+++ b/src/rpc/common.capnp.c++
@@ -5,6 +5,64 @@
 
 namespace capnp {
 namespace schemas {
+static const ::capnp::_::AlignedData<47> b_a410e6c753936afe = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    254, 106, 147,  83, 199, 230,  16, 164,
+     13,   0,   0,   0,   1,   0,   2,   0,
+    213, 129, 219, 214, 147, 144,  47, 216,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 194,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 109, 109, 111, 110,  46,  99,
+     97, 112, 110, 112,  58,  72, 121,  98,
+    114, 105, 100,  84, 105, 109, 101,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+    119,  97, 108, 108,  77, 115,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 117, 110, 116, 101, 114,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_a410e6c753936afe = b_a410e6c753936afe.words;
+#if !CAPNP_LITE
+static const uint16_t m_a410e6c753936afe[] = {1, 0};
+static const uint16_t i_a410e6c753936afe[] = {0, 1};
+const ::capnp::_::RawSchema s_a410e6c753936afe = {
+  0xa410e6c753936afe, b_a410e6c753936afe.words, 47, nullptr, m_a410e6c753936afe,
+  0, 2, i_a410e6c753936afe, nullptr, nullptr, { &s_a410e6c753936afe, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<78> b_f0eb15b483718573 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     115, 133, 113, 131, 180,  21, 235, 240,
@@ -102,6 +160,14 @@
 namespace Chestnuthook {
 namespace Wire {
 
+// HybridTime
+constexpr uint16_t HybridTime::_capnpPrivate::dataWordSize;
+constexpr uint16_t HybridTime::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind HybridTime::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* HybridTime::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // Failure
 constexpr uint16_t Failure::_capnpPrivate::dataWordSize;
 constexpr uint16_t Failure::_capnpPrivate::pointerCount;
--- a/src/rpc/common.capnp.h
+++ b/src/rpc/common.capnp.h
@@ -16,6 +16,7 @@
 namespace capnp {
 namespace schemas {
 
+CAPNP_DECLARE_SCHEMA(a410e6c753936afe);
 CAPNP_DECLARE_SCHEMA(f0eb15b483718573);
 
 }  // namespace schemas
@@ -24,6 +25,21 @@
 namespace Chestnuthook {
 namespace Wire {
 
+struct HybridTime {
+  HybridTime() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a410e6c753936afe, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Failure {
   Failure() = delete;
 
@@ -41,6 +57,87 @@
 
 // =======================================================================================
 
+class HybridTime::Reader {
+public:
+  typedef HybridTime Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getWallMs() const;
+
+  inline  ::uint32_t getCounter() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class HybridTime::Builder {
+public:
+  typedef HybridTime Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getWallMs();
+  inline void setWallMs( ::int64_t value);
+
+  inline  ::uint32_t getCounter();
+  inline void setCounter( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class HybridTime::Pipeline {
+public:
+  typedef HybridTime Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Failure::Reader {
 public:
   typedef Failure Reads;
@@ -149,6 +246,34 @@
 
 // =======================================================================================
 
+inline  ::int64_t HybridTime::Reader::getWallMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t HybridTime::Builder::getWallMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void HybridTime::Builder::setWallMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t HybridTime::Reader::getCounter() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t HybridTime::Builder::getCounter() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void HybridTime::Builder::setCounter( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Failure::Reader::hasCode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/rpc/control.capnp
+++ b/src/rpc/control.capnp
@@ -37,6 +37,7 @@
     entry @0 :Fleet.Entry;  # Epoch 0 asks for a new lease.
     haveIndex @1 :UInt64;
     inForceRevision @2 :UInt64; # What the entry serves under; operators are shown it.
+    time @3 :Common.HybridTime;
 }
 
 struct SyncReply {
@@ -49,6 +50,7 @@
         }
         failure @4 :Common.Failure;
     }
+    time @5 :Common.HybridTime;
 }
 
 struct SlotEpoch {
@@ -62,6 +64,7 @@
         programs @1 :List(Program.Program);
         failure @2 :Common.Failure;
     }
+    time @3 :Common.HybridTime;
 }
 
 struct EntryStatus {
@@ -92,7 +95,7 @@
 
 interface Control {
     # A command of a group; answered by the leader once it is committed.
-    submit @0 (group :Group, command :Data) -> (result :SubmitReply);
+    submit @0 (group :Group, command :Data, time :Common.HybridTime) -> (result :SubmitReply);
     # Heartbeat, lease renewal and fleet delta in one; confirmed by a quorum.
     sync @1 (request :SyncRequest) -> (result :SyncReply);
     # Opened slots' programs, read at a confirmed index.
@@ -105,4 +108,6 @@
     changeMember @5 (id :Text, address :Text, remove :Bool) -> (result :SubmitReply);
     # Test hook, only served with --test_hooks: drops traffic to and from other members and entries.
     setTestFault @6 (dropMembers :Bool, dropEntries :Bool) -> ();
+    # The member's events after `since` as JSON, for time lines; as GET /v1/events at an entry.
+    events @7 (since :UInt64, limit :UInt32) -> (json :Text);
 }
--- a/src/rpc/control.capnp.c++
+++ b/src/rpc/control.capnp.c++
@@ -492,17 +492,17 @@
   1, 3, i_d89132097d84d753, nullptr, nullptr, { &s_d89132097d84d753, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<65> b_e415b549b9da270a = {
+static const ::capnp::_::AlignedData<80> b_e415b549b9da270a = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      10,  39, 218, 185,  73, 181,  21, 228,
      14,   0,   0,   0,   1,   0,   2,   0,
      99,   4, 172,  91, 199,   8,  35, 137,
-      1,   0,   7,   0,   0,   0,   0,   0,
+      2,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0, 210,   0,   0,   0,
      33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0, 175,   0,   0,   0,
+     29,   0,   0,   0, 231,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      99, 111, 110, 116, 114, 111, 108,  46,
@@ -510,28 +510,35 @@
     110,  99,  82, 101, 113, 117, 101, 115,
     116,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     12,   0,   0,   0,   3,   0,   4,   0,
+     16,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     69,   0,   0,   0,  50,   0,   0,   0,
+     97,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     64,   0,   0,   0,   3,   0,   1,   0,
-     76,   0,   0,   0,   2,   0,   1,   0,
+     92,   0,   0,   0,   3,   0,   1,   0,
+    104,   0,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     73,   0,   0,   0,  82,   0,   0,   0,
+    101,   0,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     72,   0,   0,   0,   3,   0,   1,   0,
-     84,   0,   0,   0,   2,   0,   1,   0,
+    100,   0,   0,   0,   3,   0,   1,   0,
+    112,   0,   0,   0,   2,   0,   1,   0,
       2,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   1,   0,   2,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     81,   0,   0,   0, 130,   0,   0,   0,
+    109,   0,   0,   0, 130,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     80,   0,   0,   0,   3,   0,   1,   0,
-     92,   0,   0,   0,   2,   0,   1,   0,
+    108,   0,   0,   0,   3,   0,   1,   0,
+    120,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    117,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112,   0,   0,   0,   3,   0,   1,   0,
+    124,   0,   0,   0,   2,   0,   1,   0,
     101, 110, 116, 114, 121,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
     246,  53,  22,  56, 233,  12, 227, 153,
@@ -556,6 +563,14 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    116, 105, 109, 101,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    254, 106, 147,  83, 199, 230,  16, 164,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
@@ -563,53 +578,61 @@
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_e415b549b9da270a[] = {
   &s_99e30ce9381635f6,
+  &s_a410e6c753936afe,
 };
-static const uint16_t m_e415b549b9da270a[] = {0, 1, 2};
-static const uint16_t i_e415b549b9da270a[] = {0, 1, 2};
+static const uint16_t m_e415b549b9da270a[] = {0, 1, 2, 3};
+static const uint16_t i_e415b549b9da270a[] = {0, 1, 2, 3};
 const ::capnp::_::RawSchema s_e415b549b9da270a = {
-  0xe415b549b9da270a, b_e415b549b9da270a.words, 65, d_e415b549b9da270a, m_e415b549b9da270a,
-  1, 3, i_e415b549b9da270a, nullptr, nullptr, { &s_e415b549b9da270a, nullptr, nullptr, 0, 0, nullptr }
+  0xe415b549b9da270a, b_e415b549b9da270a.words, 80, d_e415b549b9da270a, m_e415b549b9da270a,
+  2, 4, i_e415b549b9da270a, nullptr, nullptr, { &s_e415b549b9da270a, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<55> b_e679ff1262adc2ba = {
+static const ::capnp::_::AlignedData<70> b_e679ff1262adc2ba = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     186, 194, 173,  98,  18, 255, 121, 230,
      14,   0,   0,   0,   1,   0,   2,   0,
      99,   4, 172,  91, 199,   8,  35, 137,
-      2,   0,   7,   0,   0,   0,   2,   0,
+      3,   0,   7,   0,   0,   0,   2,   0,
       6,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0, 194,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0, 175,   0,   0,   0,
+     25,   0,   0,   0, 231,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      99, 111, 110, 116, 114, 111, 108,  46,
      99,  97, 112, 110, 112,  58,  83, 121,
     110,  99,  82, 101, 112, 108, 121,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     12,   0,   0,   0,   3,   0,   4,   0,
+     16,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     69,   0,   0,   0,  58,   0,   0,   0,
+     97,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     64,   0,   0,   0,   3,   0,   1,   0,
-     76,   0,   0,   0,   2,   0,   1,   0,
+     92,   0,   0,   0,   3,   0,   1,   0,
+    104,   0,   0,   0,   2,   0,   1,   0,
       1,   0, 255, 255,   0,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     255, 248, 207,  29, 108, 203, 166, 164,
-     73,   0,   0,   0,  50,   0,   0,   0,
+    101,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       2,   0, 254, 255,   1,   0,   0,   0,
       0,   0,   1,   0,   4,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     49,   0,   0,   0,  66,   0,   0,   0,
+     77,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+     84,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   5,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     81,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     44,   0,   0,   0,   3,   0,   1,   0,
-     56,   0,   0,   0,   2,   0,   1,   0,
+     76,   0,   0,   0,   3,   0,   1,   0,
+     88,   0,   0,   0,   2,   0,   1,   0,
     108, 101,  97, 100, 101, 114,   0,   0,
      12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -624,6 +647,14 @@
     115, 133, 113, 131, 180,  21, 235, 240,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    116, 105, 109, 101,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    254, 106, 147,  83, 199, 230,  16, 164,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
@@ -631,14 +662,15 @@
 ::capnp::word const* const bp_e679ff1262adc2ba = b_e679ff1262adc2ba.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_e679ff1262adc2ba[] = {
+  &s_a410e6c753936afe,
   &s_a4a6cb6c1dcff8ff,
   &s_f0eb15b483718573,
 };
-static const uint16_t m_e679ff1262adc2ba[] = {1, 2, 0};
-static const uint16_t i_e679ff1262adc2ba[] = {1, 2, 0};
+static const uint16_t m_e679ff1262adc2ba[] = {1, 2, 0, 3};
+static const uint16_t i_e679ff1262adc2ba[] = {1, 2, 0, 3};
 const ::capnp::_::RawSchema s_e679ff1262adc2ba = {
-  0xe679ff1262adc2ba, b_e679ff1262adc2ba.words, 55, d_e679ff1262adc2ba, m_e679ff1262adc2ba,
-  2, 3, i_e679ff1262adc2ba, nullptr, nullptr, { &s_e679ff1262adc2ba, nullptr, nullptr, 0, 0, nullptr }
+  0xe679ff1262adc2ba, b_e679ff1262adc2ba.words, 70, d_e679ff1262adc2ba, m_e679ff1262adc2ba,
+  3, 4, i_e679ff1262adc2ba, nullptr, nullptr, { &s_e679ff1262adc2ba, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<62> b_a4a6cb6c1dcff8ff = {
@@ -646,7 +678,7 @@
     255, 248, 207,  29, 108, 203, 166, 164,
      24,   0,   0,   0,   1,   0,   2,   0,
     186, 194, 173,  98,  18, 255, 121, 230,
-      2,   0,   7,   0,   1,   0,   0,   0,
+      3,   0,   7,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0, 242,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -776,45 +808,52 @@
   0, 2, i_8f4ddf823403ca9e, nullptr, nullptr, { &s_8f4ddf823403ca9e, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<67> b_de38d4f0bd79b4cf = {
+static const ::capnp::_::AlignedData<82> b_de38d4f0bd79b4cf = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     207, 180, 121, 189, 240, 212,  56, 222,
      14,   0,   0,   0,   1,   0,   1,   0,
      99,   4, 172,  91, 199,   8,  35, 137,
-      2,   0,   7,   0,   0,   0,   2,   0,
+      3,   0,   7,   0,   0,   0,   2,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0, 194,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0, 175,   0,   0,   0,
+     25,   0,   0,   0, 231,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      99, 111, 110, 116, 114, 111, 108,  46,
      99,  97, 112, 110, 112,  58,  76, 111,
      97, 100,  82, 101, 112, 108, 121,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     12,   0,   0,   0,   3,   0,   4,   0,
+     16,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     69,   0,   0,   0,  58,   0,   0,   0,
+     97,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     64,   0,   0,   0,   3,   0,   1,   0,
-     76,   0,   0,   0,   2,   0,   1,   0,
+     92,   0,   0,   0,   3,   0,   1,   0,
+    104,   0,   0,   0,   2,   0,   1,   0,
       1,   0, 255, 255,   1,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     73,   0,   0,   0,  74,   0,   0,   0,
+    101,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     72,   0,   0,   0,   3,   0,   1,   0,
-    100,   0,   0,   0,   2,   0,   1,   0,
+    100,   0,   0,   0,   3,   0,   1,   0,
+    128,   0,   0,   0,   2,   0,   1,   0,
       2,   0, 254, 255,   1,   0,   0,   0,
       0,   0,   1,   0,   2,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     97,   0,   0,   0,  66,   0,   0,   0,
+    125,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     92,   0,   0,   0,   3,   0,   1,   0,
-    104,   0,   0,   0,   2,   0,   1,   0,
+    120,   0,   0,   0,   3,   0,   1,   0,
+    132,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    129,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    124,   0,   0,   0,   3,   0,   1,   0,
+    136,   0,   0,   0,   2,   0,   1,   0,
     108, 101,  97, 100, 101, 114,   0,   0,
      12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -841,6 +880,14 @@
     115, 133, 113, 131, 180,  21, 235, 240,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    116, 105, 109, 101,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    254, 106, 147,  83, 199, 230,  16, 164,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
@@ -848,14 +895,15 @@
 ::capnp::word const* const bp_de38d4f0bd79b4cf = b_de38d4f0bd79b4cf.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_de38d4f0bd79b4cf[] = {
+  &s_a410e6c753936afe,
   &s_b7207b7c01b9d6c5,
   &s_f0eb15b483718573,
 };
-static const uint16_t m_de38d4f0bd79b4cf[] = {2, 0, 1};
-static const uint16_t i_de38d4f0bd79b4cf[] = {1, 2, 0};
+static const uint16_t m_de38d4f0bd79b4cf[] = {2, 0, 1, 3};
+static const uint16_t i_de38d4f0bd79b4cf[] = {1, 2, 0, 3};
 const ::capnp::_::RawSchema s_de38d4f0bd79b4cf = {
-  0xde38d4f0bd79b4cf, b_de38d4f0bd79b4cf.words, 67, d_de38d4f0bd79b4cf, m_de38d4f0bd79b4cf,
-  2, 3, i_de38d4f0bd79b4cf, nullptr, nullptr, { &s_de38d4f0bd79b4cf, nullptr, nullptr, 0, 0, nullptr }
+  0xde38d4f0bd79b4cf, b_de38d4f0bd79b4cf.words, 82, d_de38d4f0bd79b4cf, m_de38d4f0bd79b4cf,
+  3, 4, i_de38d4f0bd79b4cf, nullptr, nullptr, { &s_de38d4f0bd79b4cf, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<65> b_c3e42c7e5a4ebfc6 = {
@@ -1222,7 +1270,7 @@
   2, 10, i_f706da599971dd8a, nullptr, nullptr, { &s_f706da599971dd8a, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<92> b_dabd86a6ad4d82cd = {
+static const ::capnp::_::AlignedData<102> b_dabd86a6ad4d82cd = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     205, 130,  77, 173, 166, 134, 189, 218,
      14,   0,   0,   0,   3,   0,   0,   0,
@@ -1232,70 +1280,78 @@
      21,   0,   0,   0, 178,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0, 199,   1,   0,   0,
-     65,   1,   0,   0,   7,   0,   0,   0,
+     25,   0,   0,   0,   7,   2,   0,   0,
+    105,   1,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      99, 111, 110, 116, 114, 111, 108,  46,
      99,  97, 112, 110, 112,  58,  67, 111,
     110, 116, 114, 111, 108,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     28,   0,   0,   0,   3,   0,   5,   0,
+     32,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     181, 193, 251, 222,  82, 119,   2, 213,
      27,  60, 153,  92,  59,  62, 204, 169,
-    209,   0,   0,   0,  58,   0,   0,   0,
+    241,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    197,   0,   0,   0,   7,   0,   0,   0,
+    229,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
      92, 189,  77,   9, 241, 167, 153, 182,
     100, 215,  38, 190,  25, 139, 171, 230,
-    185,   0,   0,   0,  42,   0,   0,   0,
+    217,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    173,   0,   0,   0,   7,   0,   0,   0,
+    205,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
     207, 165,   5, 133, 124, 245, 226, 222,
      91,  30, 131,  50, 131, 191, 131, 207,
-    161,   0,   0,   0,  82,   0,   0,   0,
+    193,   0,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    153,   0,   0,   0,   7,   0,   0,   0,
+    185,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
     170, 113, 242,  73,  82, 150, 143, 228,
      36, 244,  41, 214,   9,  40, 232, 246,
-    141,   0,   0,   0,  58,   0,   0,   0,
+    173,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    129,   0,   0,   0,   7,   0,   0,   0,
+    161,   0,   0,   0,   7,   0,   0,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
     202, 214, 140, 199, 239,  16,   2, 153,
      42,  64, 250, 171, 242,  69,  60, 163,
-    117,   0,   0,   0,  82,   0,   0,   0,
+    149,   0,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    109,   0,   0,   0,   7,   0,   0,   0,
+    141,   0,   0,   0,   7,   0,   0,   0,
       5,   0,   0,   0,   0,   0,   0,   0,
     104,  30,  73,  86, 101, 192,  62, 187,
      39, 247, 152,  81, 113,  25, 254, 255,
-     97,   0,   0,   0, 106,   0,   0,   0,
+    129,   0,   0,   0, 106,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     89,   0,   0,   0,   7,   0,   0,   0,
+    121,   0,   0,   0,   7,   0,   0,   0,
       6,   0,   0,   0,   0,   0,   0,   0,
      30,  21, 224, 128, 240,  42, 180, 228,
      14, 234, 112, 164, 195, 211, 176, 155,
-     77,   0,   0,   0, 106,   0,   0,   0,
+    109,   0,   0,   0, 106,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     69,   0,   0,   0,   7,   0,   0,   0,
+    101,   0,   0,   0,   7,   0,   0,   0,
+      7,   0,   0,   0,   0,   0,   0,   0,
+    121,  74, 231,  61,  86,  56, 109, 235,
+    171,  65, 207,  98, 143, 251,  60, 255,
+     89,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     77,   0,   0,   0,   7,   0,   0,   0,
     115, 117,  98, 109, 105, 116,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
     115, 121, 110,  99,   0,   0,   0,   0,
@@ -1314,6 +1370,8 @@
     115, 101, 116,  84, 101, 115, 116,  70,
      97, 117, 108, 116,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    101, 118, 101, 110, 116, 115,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_dabd86a6ad4d82cd = b_dabd86a6ad4d82cd.words;
@@ -1331,26 +1389,28 @@
   &s_e48f965249f271aa,
   &s_e4b42af080e0151e,
   &s_e6ab8b19be26d764,
+  &s_eb6d38563de74a79,
   &s_f6e82809d629f424,
+  &s_ff3cfb8f62cf41ab,
   &s_fffe19715198f727,
 };
-static const uint16_t m_dabd86a6ad4d82cd[] = {5, 2, 4, 6, 3, 0, 1};
+static const uint16_t m_dabd86a6ad4d82cd[] = {5, 7, 2, 4, 6, 3, 0, 1};
 const ::capnp::_::RawSchema s_dabd86a6ad4d82cd = {
-  0xdabd86a6ad4d82cd, b_dabd86a6ad4d82cd.words, 92, d_dabd86a6ad4d82cd, m_dabd86a6ad4d82cd,
-  14, 7, nullptr, nullptr, nullptr, { &s_dabd86a6ad4d82cd, nullptr, nullptr, 0, 0, nullptr }
+  0xdabd86a6ad4d82cd, b_dabd86a6ad4d82cd.words, 102, d_dabd86a6ad4d82cd, m_dabd86a6ad4d82cd,
+  16, 8, nullptr, nullptr, nullptr, { &s_dabd86a6ad4d82cd, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<48> b_d5027752defbc1b5 = {
+static const ::capnp::_::AlignedData<63> b_d5027752defbc1b5 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     181, 193, 251, 222,  82, 119,   2, 213,
      22,   0,   0,   0,   1,   0,   1,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      1,   0,   7,   0,   0,   0,   0,   0,
+      2,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0,  34,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0, 119,   0,   0,   0,
+     29,   0,   0,   0, 175,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      99, 111, 110, 116, 114, 111, 108,  46,
@@ -1358,21 +1418,28 @@
     110, 116, 114, 111, 108,  46, 115, 117,
      98, 109, 105, 116,  36,  80,  97, 114,
      97, 109, 115,   0,   0,   0,   0,   0,
-      8,   0,   0,   0,   3,   0,   4,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     41,   0,   0,   0,  50,   0,   0,   0,
+     69,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     36,   0,   0,   0,   3,   0,   1,   0,
-     48,   0,   0,   0,   2,   0,   1,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     45,   0,   0,   0,  66,   0,   0,   0,
+     73,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     40,   0,   0,   0,   3,   0,   1,   0,
-     52,   0,   0,   0,   2,   0,   1,   0,
+     68,   0,   0,   0,   3,   0,   1,   0,
+     80,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     77,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+     84,   0,   0,   0,   2,   0,   1,   0,
     103, 114, 111, 117, 112,   0,   0,   0,
      15,   0,   0,   0,   0,   0,   0,   0,
     198,  53, 165, 146, 151,  77, 160, 183,
@@ -1387,19 +1454,28 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    116, 105, 109, 101,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    254, 106, 147,  83, 199, 230,  16, 164,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
 ::capnp::word const* const bp_d5027752defbc1b5 = b_d5027752defbc1b5.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_d5027752defbc1b5[] = {
+  &s_a410e6c753936afe,
   &s_b7a04d9792a535c6,
 };
-static const uint16_t m_d5027752defbc1b5[] = {1, 0};
-static const uint16_t i_d5027752defbc1b5[] = {0, 1};
+static const uint16_t m_d5027752defbc1b5[] = {1, 0, 2};
+static const uint16_t i_d5027752defbc1b5[] = {0, 1, 2};
 const ::capnp::_::RawSchema s_d5027752defbc1b5 = {
-  0xd5027752defbc1b5, b_d5027752defbc1b5.words, 48, d_d5027752defbc1b5, m_d5027752defbc1b5,
-  1, 2, i_d5027752defbc1b5, nullptr, nullptr, { &s_d5027752defbc1b5, nullptr, nullptr, 0, 0, nullptr }
+  0xd5027752defbc1b5, b_d5027752defbc1b5.words, 63, d_d5027752defbc1b5, m_d5027752defbc1b5,
+  2, 3, i_d5027752defbc1b5, nullptr, nullptr, { &s_d5027752defbc1b5, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<33> b_a9cc3e3b5c993c1b = {
@@ -1999,6 +2075,109 @@
   0, 0, nullptr, nullptr, nullptr, { &s_9bb0d3c3a470ea0e, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<48> b_eb6d38563de74a79 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    121,  74, 231,  61,  86,  56, 109, 235,
+     22,   0,   0,   0,   1,   0,   2,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  34,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 110, 116, 114, 111, 108,  46,
+     99,  97, 112, 110, 112,  58,  67, 111,
+    110, 116, 114, 111, 108,  46, 101, 118,
+    101, 110, 116, 115,  36,  80,  97, 114,
+     97, 109, 115,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+    115, 105, 110,  99, 101,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    108, 105, 109, 105, 116,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_eb6d38563de74a79 = b_eb6d38563de74a79.words;
+#if !CAPNP_LITE
+static const uint16_t m_eb6d38563de74a79[] = {1, 0};
+static const uint16_t i_eb6d38563de74a79[] = {0, 1};
+const ::capnp::_::RawSchema s_eb6d38563de74a79 = {
+  0xeb6d38563de74a79, b_eb6d38563de74a79.words, 48, nullptr, m_eb6d38563de74a79,
+  0, 2, i_eb6d38563de74a79, nullptr, nullptr, { &s_eb6d38563de74a79, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<33> b_ff3cfb8f62cf41ab = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    171,  65, 207,  98, 143, 251,  60, 255,
+     22,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  42,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 110, 116, 114, 111, 108,  46,
+     99,  97, 112, 110, 112,  58,  67, 111,
+    110, 116, 114, 111, 108,  46, 101, 118,
+    101, 110, 116, 115,  36,  82, 101, 115,
+    117, 108, 116, 115,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    106, 115, 111, 110,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_ff3cfb8f62cf41ab = b_ff3cfb8f62cf41ab.words;
+#if !CAPNP_LITE
+static const uint16_t m_ff3cfb8f62cf41ab[] = {0};
+static const uint16_t i_ff3cfb8f62cf41ab[] = {0};
+const ::capnp::_::RawSchema s_ff3cfb8f62cf41ab = {
+  0xff3cfb8f62cf41ab, b_ff3cfb8f62cf41ab.words, 33, nullptr, m_ff3cfb8f62cf41ab,
+  0, 1, i_ff3cfb8f62cf41ab, nullptr, nullptr, { &s_ff3cfb8f62cf41ab, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -2282,6 +2461,16 @@
       "control.capnp:Control", "setTestFault",
       0xdabd86a6ad4d82cdull, 6);
 }
+::capnp::Request< ::Chestnuthook::Wire::Control::EventsParams,  ::Chestnuthook::Wire::Control::EventsResults>
+Control::Client::eventsRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::Chestnuthook::Wire::Control::EventsParams,  ::Chestnuthook::Wire::Control::EventsResults>(
+      0xdabd86a6ad4d82cdull, 7, sizeHint);
+}
+::kj::Promise<void> Control::Server::events(EventsContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "control.capnp:Control", "events",
+      0xdabd86a6ad4d82cdull, 7);
+}
 ::capnp::Capability::Server::DispatchCallResult Control::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -2338,6 +2527,12 @@
              ::Chestnuthook::Wire::Control::SetTestFaultParams,  ::Chestnuthook::Wire::Control::SetTestFaultResults>(context)),
         false
       };
+    case 7:
+      return {
+        events(::capnp::Capability::Server::internalGetTypedContext<
+             ::Chestnuthook::Wire::Control::EventsParams,  ::Chestnuthook::Wire::Control::EventsResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -2465,6 +2660,22 @@
 constexpr ::capnp::_::RawSchema const* Control::SetTestFaultResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Control::EventsParams
+constexpr uint16_t Control::EventsParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Control::EventsParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Control::EventsParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Control::EventsParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Control::EventsResults
+constexpr uint16_t Control::EventsResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Control::EventsResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Control::EventsResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Control::EventsResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/src/rpc/control.capnp.h
+++ b/src/rpc/control.capnp.h
@@ -59,6 +59,8 @@
 CAPNP_DECLARE_SCHEMA(fffe19715198f727);
 CAPNP_DECLARE_SCHEMA(e4b42af080e0151e);
 CAPNP_DECLARE_SCHEMA(9bb0d3c3a470ea0e);
+CAPNP_DECLARE_SCHEMA(eb6d38563de74a79);
+CAPNP_DECLARE_SCHEMA(ff3cfb8f62cf41ab);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -208,7 +210,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e415b549b9da270a, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(e415b549b9da270a, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -228,7 +230,7 @@
   struct Delta;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e679ff1262adc2ba, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(e679ff1262adc2ba, 2, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -243,7 +245,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a4a6cb6c1dcff8ff, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(a4a6cb6c1dcff8ff, 2, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -277,7 +279,7 @@
   };
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(de38d4f0bd79b4cf, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(de38d4f0bd79b4cf, 1, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -351,6 +353,8 @@
   struct ChangeMemberResults;
   struct SetTestFaultParams;
   struct SetTestFaultResults;
+  struct EventsParams;
+  struct EventsResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -368,7 +372,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d5027752defbc1b5, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(d5027752defbc1b5, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -570,6 +574,36 @@
   };
 };
 
+struct Control::EventsParams {
+  EventsParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(eb6d38563de74a79, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Control::EventsResults {
+  EventsResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ff3cfb8f62cf41ab, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 #if !CAPNP_LITE
@@ -1270,6 +1304,9 @@
 
   inline  ::uint64_t getInForceRevision() const;
 
+  inline bool hasTime() const;
+  inline  ::Chestnuthook::Wire::HybridTime::Reader getTime() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1311,6 +1348,13 @@
   inline  ::uint64_t getInForceRevision();
   inline void setInForceRevision( ::uint64_t value);
 
+  inline bool hasTime();
+  inline  ::Chestnuthook::Wire::HybridTime::Builder getTime();
+  inline void setTime( ::Chestnuthook::Wire::HybridTime::Reader value);
+  inline  ::Chestnuthook::Wire::HybridTime::Builder initTime();
+  inline void adoptTime(::capnp::Orphan< ::Chestnuthook::Wire::HybridTime>&& value);
+  inline ::capnp::Orphan< ::Chestnuthook::Wire::HybridTime> disownTime();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1330,6 +1374,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::Chestnuthook::Wire::Entry::Pipeline getEntry();
+  inline  ::Chestnuthook::Wire::HybridTime::Pipeline getTime();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1366,6 +1411,9 @@
   inline bool hasFailure() const;
   inline  ::Chestnuthook::Wire::Failure::Reader getFailure() const;
 
+  inline bool hasTime() const;
+  inline  ::Chestnuthook::Wire::HybridTime::Reader getTime() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1414,6 +1462,13 @@
   inline void adoptFailure(::capnp::Orphan< ::Chestnuthook::Wire::Failure>&& value);
   inline ::capnp::Orphan< ::Chestnuthook::Wire::Failure> disownFailure();
 
+  inline bool hasTime();
+  inline  ::Chestnuthook::Wire::HybridTime::Builder getTime();
+  inline void setTime( ::Chestnuthook::Wire::HybridTime::Reader value);
+  inline  ::Chestnuthook::Wire::HybridTime::Builder initTime();
+  inline void adoptTime(::capnp::Orphan< ::Chestnuthook::Wire::HybridTime>&& value);
+  inline ::capnp::Orphan< ::Chestnuthook::Wire::HybridTime> disownTime();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1432,6 +1487,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Chestnuthook::Wire::HybridTime::Pipeline getTime();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1642,6 +1698,9 @@
   inline bool hasFailure() const;
   inline  ::Chestnuthook::Wire::Failure::Reader getFailure() const;
 
+  inline bool hasTime() const;
+  inline  ::Chestnuthook::Wire::HybridTime::Reader getTime() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1694,6 +1753,13 @@
   inline void adoptFailure(::capnp::Orphan< ::Chestnuthook::Wire::Failure>&& value);
   inline ::capnp::Orphan< ::Chestnuthook::Wire::Failure> disownFailure();
 
+  inline bool hasTime();
+  inline  ::Chestnuthook::Wire::HybridTime::Builder getTime();
+  inline void setTime( ::Chestnuthook::Wire::HybridTime::Reader value);
+  inline  ::Chestnuthook::Wire::HybridTime::Builder initTime();
+  inline void adoptTime(::capnp::Orphan< ::Chestnuthook::Wire::HybridTime>&& value);
+  inline ::capnp::Orphan< ::Chestnuthook::Wire::HybridTime> disownTime();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1712,6 +1778,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Chestnuthook::Wire::HybridTime::Pipeline getTime();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2092,6 +2159,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::Chestnuthook::Wire::Control::SetTestFaultParams,  ::Chestnuthook::Wire::Control::SetTestFaultResults> setTestFaultRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Chestnuthook::Wire::Control::EventsParams,  ::Chestnuthook::Wire::Control::EventsResults> eventsRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -2136,6 +2205,10 @@
   typedef  ::Chestnuthook::Wire::Control::SetTestFaultResults SetTestFaultResults;
   typedef ::capnp::CallContext<SetTestFaultParams, SetTestFaultResults> SetTestFaultContext;
   virtual ::kj::Promise<void> setTestFault(SetTestFaultContext context);
+  typedef  ::Chestnuthook::Wire::Control::EventsParams EventsParams;
+  typedef  ::Chestnuthook::Wire::Control::EventsResults EventsResults;
+  typedef ::capnp::CallContext<EventsParams, EventsResults> EventsContext;
+  virtual ::kj::Promise<void> events(EventsContext context);
 
   inline  ::Chestnuthook::Wire::Control::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -2170,6 +2243,9 @@
   inline bool hasCommand() const;
   inline  ::capnp::Data::Reader getCommand() const;
 
+  inline bool hasTime() const;
+  inline  ::Chestnuthook::Wire::HybridTime::Reader getTime() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2208,6 +2284,13 @@
   inline void adoptCommand(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownCommand();
 
+  inline bool hasTime();
+  inline  ::Chestnuthook::Wire::HybridTime::Builder getTime();
+  inline void setTime( ::Chestnuthook::Wire::HybridTime::Reader value);
+  inline  ::Chestnuthook::Wire::HybridTime::Builder initTime();
+  inline void adoptTime(::capnp::Orphan< ::Chestnuthook::Wire::HybridTime>&& value);
+  inline ::capnp::Orphan< ::Chestnuthook::Wire::HybridTime> disownTime();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2226,6 +2309,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Chestnuthook::Wire::HybridTime::Pipeline getTime();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3279,6 +3363,168 @@
 };
 #endif  // !CAPNP_LITE
 
+class Control::EventsParams::Reader {
+public:
+  typedef EventsParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSince() const;
+
+  inline  ::uint32_t getLimit() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Control::EventsParams::Builder {
+public:
+  typedef EventsParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSince();
+  inline void setSince( ::uint64_t value);
+
+  inline  ::uint32_t getLimit();
+  inline void setLimit( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Control::EventsParams::Pipeline {
+public:
+  typedef EventsParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Control::EventsResults::Reader {
+public:
+  typedef EventsResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasJson() const;
+  inline  ::capnp::Text::Reader getJson() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Control::EventsResults::Builder {
+public:
+  typedef EventsResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasJson();
+  inline  ::capnp::Text::Builder getJson();
+  inline void setJson( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initJson(unsigned int size);
+  inline void adoptJson(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownJson();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Control::EventsResults::Pipeline {
+public:
+  typedef EventsResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 #if !CAPNP_LITE
@@ -3873,6 +4119,45 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool SyncRequest::Reader::hasTime() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool SyncRequest::Builder::hasTime() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Chestnuthook::Wire::HybridTime::Reader SyncRequest::Reader::getTime() const {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::Chestnuthook::Wire::HybridTime::Builder SyncRequest::Builder::getTime() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Chestnuthook::Wire::HybridTime::Pipeline SyncRequest::Pipeline::getTime() {
+  return  ::Chestnuthook::Wire::HybridTime::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void SyncRequest::Builder::setTime( ::Chestnuthook::Wire::HybridTime::Reader value) {
+  ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::Chestnuthook::Wire::HybridTime::Builder SyncRequest::Builder::initTime() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void SyncRequest::Builder::adoptTime(
+    ::capnp::Orphan< ::Chestnuthook::Wire::HybridTime>&& value) {
+  ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Chestnuthook::Wire::HybridTime> SyncRequest::Builder::disownTime() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::Chestnuthook::Wire::SyncReply::Which SyncReply::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<6>() * ::capnp::ELEMENTS);
@@ -3994,6 +4279,45 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool SyncReply::Reader::hasTime() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool SyncReply::Builder::hasTime() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Chestnuthook::Wire::HybridTime::Reader SyncReply::Reader::getTime() const {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::Chestnuthook::Wire::HybridTime::Builder SyncReply::Builder::getTime() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Chestnuthook::Wire::HybridTime::Pipeline SyncReply::Pipeline::getTime() {
+  return  ::Chestnuthook::Wire::HybridTime::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void SyncReply::Builder::setTime( ::Chestnuthook::Wire::HybridTime::Reader value) {
+  ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::Chestnuthook::Wire::HybridTime::Builder SyncReply::Builder::initTime() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void SyncReply::Builder::adoptTime(
+    ::capnp::Orphan< ::Chestnuthook::Wire::HybridTime>&& value) {
+  ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Chestnuthook::Wire::HybridTime> SyncReply::Builder::disownTime() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool SyncReply::Delta::Reader::hasDelta() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
@@ -4240,6 +4564,45 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool LoadReply::Reader::hasTime() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadReply::Builder::hasTime() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Chestnuthook::Wire::HybridTime::Reader LoadReply::Reader::getTime() const {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::Chestnuthook::Wire::HybridTime::Builder LoadReply::Builder::getTime() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Chestnuthook::Wire::HybridTime::Pipeline LoadReply::Pipeline::getTime() {
+  return  ::Chestnuthook::Wire::HybridTime::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void LoadReply::Builder::setTime( ::Chestnuthook::Wire::HybridTime::Reader value) {
+  ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::Chestnuthook::Wire::HybridTime::Builder LoadReply::Builder::initTime() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void LoadReply::Builder::adoptTime(
+    ::capnp::Orphan< ::Chestnuthook::Wire::HybridTime>&& value) {
+  ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Chestnuthook::Wire::HybridTime> LoadReply::Builder::disownTime() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool EntryStatus::Reader::hasEntry() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4715,6 +5078,45 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Control::SubmitParams::Reader::hasTime() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Control::SubmitParams::Builder::hasTime() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Chestnuthook::Wire::HybridTime::Reader Control::SubmitParams::Reader::getTime() const {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::Chestnuthook::Wire::HybridTime::Builder Control::SubmitParams::Builder::getTime() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Chestnuthook::Wire::HybridTime::Pipeline Control::SubmitParams::Pipeline::getTime() {
+  return  ::Chestnuthook::Wire::HybridTime::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void Control::SubmitParams::Builder::setTime( ::Chestnuthook::Wire::HybridTime::Reader value) {
+  ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::Chestnuthook::Wire::HybridTime::Builder Control::SubmitParams::Builder::initTime() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Control::SubmitParams::Builder::adoptTime(
+    ::capnp::Orphan< ::Chestnuthook::Wire::HybridTime>&& value) {
+  ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Chestnuthook::Wire::HybridTime> Control::SubmitParams::Builder::disownTime() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool Control::SubmitResults::Reader::hasResult() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5132,6 +5534,68 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Control::EventsParams::Reader::getSince() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Control::EventsParams::Builder::getSince() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Control::EventsParams::Builder::setSince( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Control::EventsParams::Reader::getLimit() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Control::EventsParams::Builder::getLimit() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Control::EventsParams::Builder::setLimit( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Control::EventsResults::Reader::hasJson() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Control::EventsResults::Builder::hasJson() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Control::EventsResults::Reader::getJson() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Control::EventsResults::Builder::getJson() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Control::EventsResults::Builder::setJson( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Control::EventsResults::Builder::initJson(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Control::EventsResults::Builder::adoptJson(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Control::EventsResults::Builder::disownJson() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/rpc/entry.capnp
+++ b/src/rpc/entry.capnp
@@ -41,6 +41,7 @@
     stream @6 :Bool;
     hops @7 :UInt8;         # At most one.
     headers @8 :List(Header);
+    time @9 :Common.HybridTime;
 }
 
 struct Header {
--- a/src/rpc/entry.capnp.h
+++ b/src/rpc/entry.capnp.h
@@ -120,7 +120,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(edd7030222c89d67, 1, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(edd7030222c89d67, 1, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -867,6 +867,9 @@
   inline bool hasHeaders() const;
   inline  ::capnp::List< ::Chestnuthook::Wire::Header,  ::capnp::Kind::STRUCT>::Reader getHeaders() const;
 
+  inline bool hasTime() const;
+  inline  ::Chestnuthook::Wire::HybridTime::Reader getTime() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -950,6 +953,13 @@
   inline void adoptHeaders(::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::Header,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::Header,  ::capnp::Kind::STRUCT>> disownHeaders();
 
+  inline bool hasTime();
+  inline  ::Chestnuthook::Wire::HybridTime::Builder getTime();
+  inline void setTime( ::Chestnuthook::Wire::HybridTime::Reader value);
+  inline  ::Chestnuthook::Wire::HybridTime::Builder initTime();
+  inline void adoptTime(::capnp::Orphan< ::Chestnuthook::Wire::HybridTime>&& value);
+  inline ::capnp::Orphan< ::Chestnuthook::Wire::HybridTime> disownTime();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -968,6 +978,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Chestnuthook::Wire::HybridTime::Pipeline getTime();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3113,6 +3124,45 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline bool ForwardedRequest::Reader::hasTime() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool ForwardedRequest::Builder::hasTime() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Chestnuthook::Wire::HybridTime::Reader ForwardedRequest::Reader::getTime() const {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::Chestnuthook::Wire::HybridTime::Builder ForwardedRequest::Builder::getTime() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Chestnuthook::Wire::HybridTime::Pipeline ForwardedRequest::Pipeline::getTime() {
+  return  ::Chestnuthook::Wire::HybridTime::Pipeline(_typeless.getPointerField(7));
+}
+#endif  // !CAPNP_LITE
+inline void ForwardedRequest::Builder::setTime( ::Chestnuthook::Wire::HybridTime::Reader value) {
+  ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::Chestnuthook::Wire::HybridTime::Builder ForwardedRequest::Builder::initTime() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void ForwardedRequest::Builder::adoptTime(
+    ::capnp::Orphan< ::Chestnuthook::Wire::HybridTime>&& value) {
+  ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Chestnuthook::Wire::HybridTime> ForwardedRequest::Builder::disownTime() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
 inline bool Header::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/rpc/message_func.cpp
+++ b/src/rpc/message_func.cpp
@@ -3,11 +3,20 @@
 
 #include <cstring>
 
+#include "observe/log_func.h"
 #include "table/error_table.h"
 
 namespace Chestnuthook
 {
 
+namespace
+{
+
+/** A peer's clock that is further ahead is not followed, so that one wrong clock doesn't move all time lines. */
+constexpr std::int64_t MaxClockLeadMs = 60'000;
+
+} // namespace
+
 std::string flatBytes(capnp::MessageBuilder &message)
 {
     const kj::Array<capnp::word> words = capnp::messageToFlatArray(message);
@@ -45,4 +54,19 @@
     return error;
 }
 
+void writeHybridTime(Wire::HybridTime::Builder builder)
+{
+    const HybridTime time = hybridNow();
+    builder.setWallMs(time.wallMs);
+    builder.setCounter(time.counter);
+}
+
+void observeHybridTime(Wire::HybridTime::Reader reader)
+{
+    const bool plausible = reader.getWallMs() > 0 && reader.getWallMs() < wallMsNow() + MaxClockLeadMs;
+    if (plausible) {
+        hybridObserve(HybridTime{reader.getWallMs(), reader.getCounter()});
+    }
+}
+
 } // namespace Chestnuthook
--- a/src/rpc/message_func.h
+++ b/src/rpc/message_func.h
@@ -41,6 +41,11 @@
 /** Reads an error from a message; an unknown code becomes Internal. */
 [[nodiscard]] Error readFailure(Wire::Failure::Reader reader);
 
+/** Writes this process's hybrid time into a message that is sent. */
+void writeHybridTime(Wire::HybridTime::Builder builder);
+/** Takes the hybrid time of a message that was received. */
+void observeHybridTime(Wire::HybridTime::Reader reader);
+
 [[nodiscard]] inline std::string textOf(capnp::Text::Reader reader)
 {
     return {reader.begin(), reader.size()};
--- a/tests/process/ctl_test.cpp
+++ b/tests/process/ctl_test.cpp
@@ -137,6 +137,22 @@
     BOOST_TEST(contains(unknown.output, R"("code":"not_found")"), unknown.output);
 }
 
+BOOST_AUTO_TEST_CASE(a_drained_entry_hands_over_its_slots_and_ends)
+{
+    FleetSize size;
+    size.entries = 2;
+    ProcessFleet fleet(size);
+    BOOST_TEST(fleet.ctl({"drain", "entry-9"}).exitCode == 1);
+    const CommandResult drained = fleet.ctl({"drain", "entry-1"});
+    BOOST_TEST(drained.exitCode == 0, drained.output);
+    BOOST_TEST(fleet.processes.at("entry-1")->wait() == 0);
+    BOOST_TEST(waitUntil([&]() {
+        const std::string status = fleet.ctl({"--output=json", "status"}).output;
+        return contains(status, R"("slots":1024)");
+    }));
+    BOOST_TEST(fleet.ask(0, "POST", "/v1/programs", "{}").status == 201);
+}
+
 BOOST_AUTO_TEST_CASE(a_fleet_that_can_not_be_reached_is_told_so)
 {
     const CommandResult status =
