Routes, pools and adapters leave the incremental view when they are removed

Change: routes are a table by name, dropDeclaration erases routes, pools and adapters. Conclusion: a new section must be named in takeDeclaration and in dropDeclaration.

--- a/src/entry/fleet_follower_base.cpp
+++ b/src/entry/fleet_follower_base.cpp
@@ -33,7 +33,7 @@
         }
     } else if (name.section == "routes") {
         if (const auto route = parseRoute(name.name, json)) {
-            view.routes.push_back(*route);
+            view.routes[name.name] = *route;
         }
     } else if (name.section == "pools") {
         if (const auto pool = parsePool(name.name, json)) {
@@ -55,6 +55,9 @@
     view.tenants.erase(name.section == "tenants" ? TenantId{name.name} : TenantId{});
     view.models.erase(name.section == "models" ? ModelId{name.name} : ModelId{});
     view.services.erase(name.section == "services" ? ServiceId{name.name} : ServiceId{});
+    view.routes.erase(name.section == "routes" ? name.name : "");
+    view.pools.erase(name.section == "pools" ? name.name : "");
+    view.adapters.erase(name.section == "adapters" ? name.name : "");
 }
 
 /** A key is usable while it is not withdrawn and its tenant is declared. */
--- a/src/entry/fleet_follower_base.h
+++ b/src/entry/fleet_follower_base.h
@@ -33,9 +33,11 @@
     void drain();
 
     /** Called after each read that changed something. */
-    std::function<void()> onDrainOrdered; ///< Called when an operator has set this entry to draining. May be empty.
     std::function<void()> onChange;
 
+    /** Called at a poll once an operator has set this entry to draining; it calls `drain`. May be empty. */
+    std::function<void()> onDrainOrdered;
+
     /** Whether the view is recent enough to admit requests. */
     [[nodiscard]] bool isFresh() const;
 
--- a/src/entry/fleet_view_type.h
+++ b/src/entry/fleet_view_type.h
@@ -32,7 +32,7 @@
     std::unordered_map<TenantId, TenantDeclaration> tenants; ///< Declared tenants.
     std::unordered_map<ModelId, ModelDeclaration> models; ///< Declared models.
     std::unordered_map<ServiceId, ServiceDeclaration> services; ///< Declared services.
-    std::vector<RouteDeclaration> routes; ///< Open to all; see isOpenToAll.
+    RouteTable routes; ///< Open to all; see isOpenToAll.
     std::unordered_map<std::string, PoolDeclaration> pools; ///< Declared pools.
     std::unordered_map<std::string, AdapterDeclaration> adapters; ///< Declared adapters.
     SiteDeclaration site; ///< Budgets and retention.
--- a/src/fleet/declaration_func.cpp
+++ b/src/fleet/declaration_func.cpp
@@ -339,8 +339,8 @@
     });
 }
 
-bool isOpenToAll(const ServiceDeclaration &service, const std::vector<RouteDeclaration> &routes,
-    const std::string &method, std::string_view path)
+bool isOpenToAll(
+    const ServiceDeclaration &service, const RouteTable &routes, const std::string &method, std::string_view path)
 {
     if (service.open) {
         return true;
@@ -348,7 +348,8 @@
     // Paths with dot segments or escapes could name another resource at the service than the prefix says.
     const bool plain = path.find("/.") == std::string_view::npos && path.find('%') == std::string_view::npos
         && path.find("//") == std::string_view::npos;
-    return plain && std::any_of(routes.begin(), routes.end(), [&](const RouteDeclaration &route) {
+    return plain && std::any_of(routes.begin(), routes.end(), [&](const auto &row) {
+        const RouteDeclaration &route = row.second;
         const bool below = path.starts_with(route.path)
             && (path.size() == route.path.size() || route.path.ends_with('/') || path[route.path.size()] == '/');
         return route.service == service.id && below
--- a/src/fleet/declaration_func.h
+++ b/src/fleet/declaration_func.h
@@ -31,8 +31,8 @@
 
 /** Whether a request to @p path of @p service needs no key: the service is open, or a route with this method leads to
  * the path or one below it. */
-[[nodiscard]] bool isOpenToAll(const ServiceDeclaration &service, const std::vector<RouteDeclaration> &routes,
-    const std::string &method, std::string_view path);
+[[nodiscard]] bool isOpenToAll(
+    const ServiceDeclaration &service, const RouteTable &routes, const std::string &method, std::string_view path);
 
 /** All faults of one item of @p section. */
 [[nodiscard]] std::vector<FieldFault> declarationFaults(
--- a/src/fleet/declaration_type.h
+++ b/src/fleet/declaration_type.h
@@ -66,6 +66,8 @@
     std::vector<std::string> methods; ///< HTTP methods.
 };
 
+using RouteTable = std::map<std::string, RouteDeclaration>; ///< By name.
+
 /** Settings of the whole site. */
 struct SiteDeclaration
 {
--- a/tests/unit/declaration_test.cpp
+++ b/tests/unit/declaration_test.cpp
@@ -9,6 +9,7 @@
 
 #include "ctl/declaration_change_func.h"
 #include "ctl/declaration_file_base.h"
+#include "entry/fleet_follower_base.h"
 #include "fleet/declaration_func.h"
 #include "fleet/declaration_table.h"
 
@@ -271,7 +272,7 @@
 {
     ServiceDeclaration print;
     print.id = ServiceId{"print"};
-    const std::vector<RouteDeclaration> routes = {{"prices", ServiceId{"print"}, "/prices", {"GET"}}};
+    const RouteTable routes = {{"prices", {"prices", ServiceId{"print"}, "/prices", {"GET"}}}};
     BOOST_TEST(isOpenToAll(print, routes, "GET", "/prices"));
     BOOST_TEST(isOpenToAll(print, routes, "GET", "/prices/a4"));
     for (const std::string path :
@@ -286,6 +287,21 @@
     BOOST_TEST(isOpenToAll(other, routes, "POST", "/anything"));
 }
 
+BOOST_AUTO_TEST_CASE(a_route_that_is_changed_or_removed_is_so_in_the_next_view)
+{
+    const DeclarationName name{"routes", "prices"};
+    FleetState state;
+    state.declarations.put(name, {R"({"service":"print","path":"/prices","methods":["GET"]})"}, 1);
+    const auto first = makeView(state);
+    BOOST_TEST(first->routes.at("prices").path == "/prices");
+    state.declarations.put(name, {R"({"service":"print","path":"/lists","methods":["GET"]})"}, 2);
+    const auto second = updateView(*first, state, 1);
+    BOOST_TEST(second->routes.size() == 1U);
+    BOOST_TEST(second->routes.at("prices").path == "/lists");
+    state.declarations.remove(name, 3);
+    BOOST_TEST(updateView(*second, state, 2)->routes.empty());
+}
+
 BOOST_AUTO_TEST_CASE(every_field_has_a_meaning_and_a_remedy)
 {
     for (const SectionRow &section : declarationSections()) {
