--- a/src/entry/fleet_follower_base.h
+++ b/src/entry/fleet_follower_base.h
@@ -35,6 +35,9 @@
     /** Called after each read that changed something. */
     std::function<void()> onChange;
 
+    /** Called at a poll once an operator has set this entry to draining; it calls `drain`. May be empty. */
+    std::function<void()> onDrainOrdered;
+
     /** Whether the view is recent enough to admit requests. */
     [[nodiscard]] bool isFresh() const;
 
