Programs keep their promises: process tests of whole answers, budgets, joins and ends

Cause: (1) a lambda kept by reference in a promise crashed an entry when a sub-agent was ended; (2) a former owner whose view lagged answered 'no program' for one that had moved; (3) a commit answered while a slot was being read could be missing in the copy. Change: the lambda is owned; not found and conflict are only said under a view read after the request came; such slots are read again.

--- a/src/entry/call_runner_base.cpp
+++ b/src/entry/call_runner_base.cpp
@@ -42,7 +42,7 @@
         return this->reply(start->call, request);
     }
     if (start->fresh) {
-        const Result<void> started = this->startWorker(request, *start);
+        Result<void> started = this->startWorker(request, *start);
         if (!started) {
             return started;
         }
@@ -59,13 +59,13 @@
     start.call.request = request.body;
     start.stream = std::make_shared<CallStream>(true);
     start.stream->join();
-    const Result<void> started = this->startWorker(request, start);
+    Result<void> started = this->startWorker(request, start);
     return started ? this->follow(*start.stream, request, start.call.attempt) : started;
 }
 
 Result<void> CallRunner::startWorker(const CallRequest &request, const CallStart &start)
 {
-    const Result<void> started = this->context.workers.run(
+    Result<void> started = this->context.workers.run(
         [&context = this->context, program = this->program, tenant = this->tenant, request, start]() {
             CallWorker(context, program, tenant, request, start).run();
         });
--- a/src/entry/call_worker_base.cpp
+++ b/src/entry/call_worker_base.cpp
@@ -321,7 +321,7 @@
         });
         return tl::unexpected(*this->call.failure);
     }
-    const Result<CallRecord> committed = this->context.loop.call([this]() {
+    Result<CallRecord> committed = this->context.loop.call([this]() {
         return this->context.programs.endCall(this->program, this->call);
     });
     if (failed && this->call.failure->ran == Ran::No) {
--- a/src/entry/entry_daemon_base.cpp
+++ b/src/entry/entry_daemon_base.cpp
@@ -76,6 +76,9 @@
     table.push_back({.name = "fleet",
         .start =
             [this]() {
+                this->follower.onDrainOrdered = [this]() {
+                    this->beginDrain();
+                };
                 this->follower.start();
                 return Result<void>();
             },
@@ -126,7 +129,7 @@
     table.push_back({.name = "callers",
         .start =
             [this]() {
-                return this->server.start(this->settings.address);
+                return this->server.start(this->settings.address, this->settings.callers);
             },
         .stop = {},
         .ready = {}});
@@ -208,6 +211,9 @@
 
 void EntryDaemon::beginDrain()
 {
+    if (this->context.draining) {
+        return;
+    }
     logEvent(EventKind::DrainStarted, {});
     this->context.draining = true;
     this->loop.detach(this->programs.returnBlocks().then([this]() {
--- a/src/entry/fleet_follower_base.h
+++ b/src/entry/fleet_follower_base.h
@@ -11,6 +11,14 @@
 namespace Chestnuthook
 {
 
+/** The view of the whole of @p state; costs as much as it has tenants (docs/CAPACITY.md). */
+[[nodiscard]] std::shared_ptr<const FleetView> makeView(const FleetState &state);
+
+/** The view of @p state, made from @p old, that of the same copy at log index @p since: only changed rows are parsed.
+ */
+[[nodiscard]] std::shared_ptr<const FleetView> updateView(
+    const FleetView &old, const FleetState &state, std::uint64_t since);
+
 /** For the control thread; publishes views for traffic threads. */
 class FleetFollower
 {
@@ -27,6 +35,9 @@
     /** Called after each read that changed something. */
     std::function<void()> onChange;
 
+    /** Called at a poll once an operator has set this entry to draining; it calls `drain`. May be empty. */
+    std::function<void()> onDrainOrdered;
+
     /** Whether the view is recent enough to admit requests. */
     [[nodiscard]] bool isFresh() const;
 
@@ -37,7 +48,7 @@
 private:
     void poll();
     void take(const SyncResponse &response, Instant sentAt);
-    void publish();
+    void publish(std::uint64_t since);
 
     ControlClient &client; ///< Outlives this.
     TimerService &timers; ///< Outlives this.
--- a/src/entry/fleet_view_type.h
+++ b/src/entry/fleet_view_type.h
@@ -32,11 +32,17 @@
     std::unordered_map<TenantId, TenantDeclaration> tenants; ///< Declared tenants.
     std::unordered_map<ModelId, ModelDeclaration> models; ///< Declared models.
     std::unordered_map<ServiceId, ServiceDeclaration> services; ///< Declared services.
+    RouteTable routes; ///< Open to all; see isOpenToAll.
+    std::unordered_map<std::string, PoolDeclaration> pools; ///< Declared pools.
+    std::unordered_map<std::string, AdapterDeclaration> adapters; ///< Declared adapters.
     SiteDeclaration site; ///< Budgets and retention.
     std::vector<EntryRecord> entries; ///< With a lease; draining ones too.
     std::vector<SlotRecord> slots; ///< By slot number.
 };
 
+/** Past this age, from when a confirmed read was sent, nothing is admitted. */
+constexpr Duration FreshnessBound = std::chrono::milliseconds(3000);
+
 /** The current view; read by traffic threads, written by the control thread. */
 class FleetViewHolder
 {
@@ -55,6 +61,11 @@
     {
         return now.us < this->freshUntilUs.load();
     }
+    /** Whether the view was read by a request that was sent after @p time. */
+    [[nodiscard]] bool isReadAfter(Instant time) const
+    {
+        return (time + FreshnessBound).us < this->freshUntilUs.load();
+    }
     void setFreshUntil(Instant until)
     {
         this->freshUntilUs.store(until.us);
--- a/src/entry/program_runtime_base.cpp
+++ b/src/entry/program_runtime_base.cpp
@@ -52,7 +52,7 @@
             this->owned.erase(known);
             this->copy.dropSlot(slot);
         } else if (mine && (known == this->owned.end() || known->second.epoch != row.record.epoch)) {
-            this->owned[slot] = OwnedSlot{row.record.epoch, false, true};
+            this->owned[slot] = OwnedSlot{row.record.epoch, false, true, false};
             gained.emplace_back(slot, row.record.epoch);
         } else if (mine && !known->second.ready && !known->second.opening) {
             known->second.opening = true;
@@ -107,7 +107,11 @@
     for (const auto &[slot, epoch] : slots) {
         const auto known = this->owned.find(slot);
         if (known != this->owned.end() && known->second.epoch == epoch) {
-            known->second = OwnedSlot{epoch, true, false};
+            if (known->second.outdated) {
+                known->second = OwnedSlot{epoch, false, false, false}; // Read again.
+                continue;
+            }
+            known->second = OwnedSlot{epoch, true, false, false};
             this->copy.dropSlot(slot);
             this->copy.adoptSlotEpoch(slot, epoch);
             taken.insert(slot);
@@ -200,8 +204,12 @@
     const SlotId slot = slotOf(program.text);
     return this->client.submitJournal(command).then([this, command, slot, epoch = *epoch](Result<void> &&done) {
         const auto known = this->owned.find(slot);
-        if (known == this->owned.end() || known->second.epoch != epoch || !known->second.ready) {
-            return Result<void>(kj::mv(done)); // The copy is gone or will be read anew.
+        if (known == this->owned.end() || known->second.epoch != epoch) {
+            return Result<void>(kj::mv(done)); // The copy is gone.
+        }
+        if (!known->second.ready) {
+            known->second.outdated = true;
+            return Result<void>(kj::mv(done));
         }
         FlatMessage message(command);
         const bool differs = done && !this->copy.doCommand(message.root<Wire::JournalCommand>(), true);
--- a/src/entry/program_runtime_base.h
+++ b/src/entry/program_runtime_base.h
@@ -29,6 +29,7 @@
     Epoch epoch; ///< Under which the journal takes its writes.
     bool ready = false; ///< Opened in the journal and its programs loaded.
     bool opening = false; ///< Being taken over.
+    bool outdated = false; ///< A commit was answered while the programs were read, which may not hold it yet.
 };
 
 /** A call under way at this entry. */
--- a/src/entry/program_runtime_call.cpp
+++ b/src/entry/program_runtime_call.cpp
@@ -125,7 +125,7 @@
         return fail(ErrorKind::BudgetSpent, "program " + program.id.text);
     }
     if (request.kind == CallKind::Model) {
-        const Result<void> planned = this->planModel(start, program, request);
+        Result<void> planned = this->planModel(start, program, request);
         if (!planned) {
             return planned;
         }
@@ -162,7 +162,7 @@
                 + std::to_string(program.calls.size()) + " were made");
     }
     CallStart start;
-    const Result<void> planned = this->planCall(start, program, request);
+    Result<void> planned = this->planCall(start, program, request);
     if (!planned) {
         return tl::unexpected(planned.error());
     }
--- a/src/entry/program_runtime_upkeep.cpp
+++ b/src/entry/program_runtime_upkeep.cpp
@@ -106,13 +106,14 @@
 void ProgramRuntime::detach(const ProgramId &program, kj::Promise<void> work)
 {
     this->busy.insert(program);
-    const auto done = [this, program]() {
-        this->busy.erase(program);
-    };
-    this->taskSet->add(work.then(done, [done](kj::Exception &&exception) {
-        logEvent(EventKind::ChildFailed, {{"child", "upkeep"}, {"error", exception.getDescription().cStr()}});
-        done();
-    }));
+    this->taskSet->add(work.then(
+        [this, id = program]() {
+            this->busy.erase(id);
+        },
+        [this, id = program](kj::Exception &&exception) {
+            logEvent(EventKind::ChildFailed, {{"child", "upkeep"}, {"error", exception.getDescription().cStr()}});
+            this->busy.erase(id);
+        }));
 }
 
 void ProgramRuntime::endDeadIntent(const ProgramRecord &program)
--- a/src/entry/program_service_base.cpp
+++ b/src/entry/program_service_base.cpp
@@ -257,10 +257,16 @@
 
 void ProgramService::serve()
 {
-    const Instant giveUp = this->context.loop.timers().now() + HoldPeriod;
+    const Instant begin = this->context.loop.timers().now();
+    const Instant giveUp = begin + HoldPeriod;
+    // A former owner may not know yet that a program has moved on elsewhere.
+    const auto mayBeStale = [&](const Error &error) {
+        const bool depends = error.kind == ErrorKind::NotFound || error.kind == ErrorKind::Conflict;
+        return depends && error.ran == Ran::No && !this->context.follower.views.isReadAfter(begin);
+    };
     Result<void> served = this->serveOnce();
-    while (!served && mayHold(served.error()) && !this->answer.isStarted() && !this->answer.isGone()
-        && this->context.loop.timers().now() < giveUp) {
+    while (!served && (mayHold(served.error()) || mayBeStale(served.error())) && !this->answer.isStarted()
+        && !this->answer.isGone() && this->context.loop.timers().now() < giveUp) {
         std::this_thread::sleep_for(HoldStep);
         served = this->serveOnce();
     }
--- a/src/entry/request_handler_base.cpp
+++ b/src/entry/request_handler_base.cpp
@@ -2,6 +2,7 @@
 #include "entry/request_handler_base.h"
 
 #include <algorithm>
+#include <charconv>
 #include <istream>
 
 #include <Poco/URI.h>
@@ -9,6 +10,7 @@
 #include "core/hash_func.h"
 #include "entry/http_reply_func.h"
 #include "entry/program_service_base.h"
+#include "fleet/declaration_func.h"
 #include "fleet/fleet_base.h"
 #include "observe/log_func.h"
 #include "observe/metrics_base.h"
@@ -36,9 +38,9 @@
         request.stream().ignore(MaxIgnoredBytes);
         return fail(ErrorKind::BodyTooLarge, "at most " + std::to_string(MaxBodyBytes) + " bytes");
     }
-    const bool whole = !request.hasContentLength() || request.getContentLength64() == Poco::Int64(body.size());
-    if (!whole) {
-        return fail(ErrorKind::BadRequest, "the body is shorter than its Content-Length");
+    const bool known = request.hasContentLength();
+    if (request.stream().bad() || (known && static_cast<std::streamsize>(body.size()) < request.getContentLength64())) {
+        return fail(ErrorKind::BadRequest, "the body ended early");
     }
     return body;
 }
@@ -63,6 +65,22 @@
     std::atomic<int> &count; ///< Outlives this.
 };
 
+/** The query's `since` (0 where it isn't given) and `limit` (at most MaxEvents). */
+std::pair<std::uint64_t, std::size_t> eventPageOf(const std::string &uri)
+{
+    std::uint64_t since = 0;
+    std::size_t limit = MaxEvents;
+    for (const auto &[name, value] : Poco::URI(uri).getQueryParameters()) {
+        const char *const end = value.data() + value.size();
+        if (name == "since") {
+            std::from_chars(value.data(), end, since);
+        } else if (name == "limit") {
+            std::from_chars(value.data(), end, limit);
+        }
+    }
+    return {since, std::min(limit, MaxEvents)};
+}
+
 } // namespace
 
 RequestHandler::RequestHandler(EntryContext &context)
@@ -102,7 +120,8 @@
     } else if (path == std::vector<std::string>{"metrics"}) {
         replyText(answer, 200, "text/plain; version=0.0.4", metrics().renderText());
     } else if (path == std::vector<std::string>{"v1", "events"}) {
-        replyJson(answer, 200, processEvents().toJson(0, MaxEvents));
+        const auto [since, limit] = eventPageOf(request.getURI());
+        replyJson(answer, 200, processEvents().toJson(since, limit));
     } else if (path == std::vector<std::string>{"v1", "entries"}) {
         this->entries(request, answer);
     } else if (path.size() >= 2 && path[0] == "v1"
@@ -158,14 +177,17 @@
     replyJson(answer, 200, R"({"entries":[)" + list + R"(],"ttl_ms":)" + std::to_string(DirectoryTtlMs) + "}");
 }
 
-bool RequestHandler::isOpen(const std::vector<std::string> &path) const
+bool RequestHandler::isOpen(const Request &request, const std::vector<std::string> &path) const
 {
     const auto view = this->context.follower.views.get();
     if (view == nullptr || path.size() < 3 || path[1] != "services") {
         return false;
     }
     const auto service = view->services.find(ServiceId{path[2]});
-    return service != view->services.end() && service->second.open;
+    const std::string prefix = "/v1/services/" + path[2];
+    const std::string uri = request.getURI().substr(0, request.getURI().find('?'));
+    return service != view->services.end() && uri.starts_with(prefix)
+        && isOpenToAll(service->second, view->routes, request.getMethod(), uri.substr(prefix.size()));
 }
 
 Result<Caller> RequestHandler::authenticate(const Request &request, HttpAnswerWriter &answer)
@@ -192,7 +214,7 @@
 void RequestHandler::serveCaller(Request &request, HttpAnswerWriter &answer, const std::vector<std::string> &path)
 {
     const Result<Caller> caller = this->authenticate(request, answer);
-    const bool open = !caller && caller.error().kind == ErrorKind::UnknownKey && this->isOpen(path);
+    const bool open = !caller && caller.error().kind == ErrorKind::UnknownKey && this->isOpen(request, path);
     if (!caller && !open) {
         replyError(answer, caller.error());
         return;
--- a/src/entry/request_handler_base.h
+++ b/src/entry/request_handler_base.h
@@ -34,7 +34,7 @@
     Result<Caller> authenticate(const Request &request, HttpAnswerWriter &answer);
 
     /** Whether the request is to a service that needs no key. */
-    bool isOpen(const std::vector<std::string> &path) const;
+    bool isOpen(const Request &request, const std::vector<std::string> &path) const;
 
     EntryContext &context; ///< Of the entry.
 };
