--- a/src/entry/program_service_base.cpp
+++ b/src/entry/program_service_base.cpp
@@ -220,7 +220,7 @@
     const std::string prefix = "/v1/services/" + service.text;
     const std::string rest = this->request.uri.starts_with(prefix) ? this->request.uri.substr(prefix.size()) : "/";
     const std::string type = this->request.contentType.empty() ? "application/json" : this->request.contentType;
-    const Result<void> checked = this->checkCall(serviceCall(
+    Result<void> checked = this->checkCall(serviceCall(
         service, this->request.method, rest.starts_with("/") ? rest : "/" + rest, type, this->request.body));
     const auto &methods = declared->second.idempotentMethods;
     const bool idempotent = std::find(methods.begin(), methods.end(), this->request.method) != methods.end();
@@ -306,7 +306,7 @@
         return {};
     }
     case Route::End: {
-        const Result<void> ended = this->context.loop.call([this]() {
+        Result<void> ended = this->context.loop.call([this]() {
             return this->context.programs.endProgram(this->program, this->request.caller.tenant);
         });
         if (ended) {
@@ -354,7 +354,7 @@
     if (!id) {
         return tl::unexpected(id.error());
     }
-    const Result<void> ran =
+    Result<void> ran =
         CallRunner(this->context, this->answer, *id, this->request.caller.tenant).run(CallNumber{1}, this->call);
     const bool again = !ran && ran.error().ran == Ran::No && !one.requestKey.empty();
     if (!again) {
