--- a/src/program/call_request_func.cpp
+++ b/src/program/call_request_func.cpp
@@ -252,7 +252,7 @@
     if (!(*object)->has("max_tokens") && (*object)->has("max_completion_tokens")) {
         (*object)->set("max_tokens", (*object)->get("max_completion_tokens"));
     }
-    const Result<CallRequest> call = parseModelCall(*object, CallRequest{});
+    Result<CallRequest> call = parseModelCall(*object, CallRequest{});
     if (!call) {
         return call;
     }
--- /dev/null
+++ b/tests/process/drain_test.cpp
@@ -0,0 +1,110 @@
+/** @file drain_test.cpp  A planned stop under load cuts no request, and an endpoint that leaves gets nothing new. */
+#define BOOST_TEST_MODULE drain
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <mutex>
+#include <thread>
+
+#include "support/program_call.h"
+
+using namespace Chestnuthook::Testing;
+
+BOOST_AUTO_TEST_CASE(a_planned_stop_under_two_hundred_streams_cuts_none)
+{
+    constexpr int Streams = 200;
+    ProcessFleet fleet({.entries = 3, .engines = 4, .engineFlags = {"--token_ms=150", "--batch=64"}});
+    liftRates(fleet);
+    std::vector<std::string> programs(Streams);
+    for (std::string &program : programs) {
+        BOOST_REQUIRE(waitUntil([&]() {
+            return fleet.ask(0, "GET", "/healthz").status == 200;
+        }));
+        program = "/v1/programs/" + fleet.createProgram(0);
+    }
+    std::vector<HttpAnswer> answers(Streams);
+    std::vector<std::thread> callers;
+    callers.reserve(Streams);
+    for (int i = 0; i < Streams; ++i) {
+        callers.emplace_back([&, i]() {
+            const std::string body = modelCall(fleet.model, "stream " + std::to_string(i), 30, true);
+            answers[i] = fleet.ask(0, "POST", programs[i] + "/calls/1", body);
+        });
+    }
+    const auto underWay = [&]() {
+        std::size_t count = 0;
+        for (const std::string &engine : fleet.engineAddresses) {
+            count += ledgerOf(engine).size();
+        }
+        return count;
+    };
+    BOOST_TEST(waitUntil([&]() {
+        return underWay() >= Streams / 2;
+    }));
+    ChildProcess &entry = *fleet.processes.at("entry-0");
+    entry.signal(SIGTERM);
+    BOOST_TEST(waitUntil([&]() {
+        return http(fleet.entryAddresses[1], "GET", "/v1/entries").body.find(fleet.entryAddresses[0])
+            == std::string::npos;
+    }));
+    const HttpAnswer during = fleet.ask(0, "POST", "/v1/programs", "{}");
+    BOOST_TEST(during.status == 201, during.body);
+    BOOST_TEST(during.headers.at("Connection") == "Close");
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    BOOST_TEST(entry.wait(std::chrono::seconds(60)) == 0);
+    int cut = 0;
+    for (int i = 0; i < Streams; ++i) {
+        cut += streamedText(answers[i].body).done ? 0 : 1;
+    }
+    BOOST_TEST(cut == 0);
+    for (int i = 0; i < Streams; i += 20) {
+        const std::string body = modelCall(fleet.model, "stream " + std::to_string(i), 30, true);
+        const HttpAnswer again = fleet.ask(1, "POST", programs[i] + "/calls/1", body);
+        BOOST_TEST(streamedText(again.body).text == streamedText(answers[i].body).text);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(calls_go_on_while_entries_are_stopped_one_after_the_other)
+{
+    constexpr int Callers = 12;
+    ProcessFleet fleet({.entries = 3});
+    liftRates(fleet);
+    std::atomic<bool> done = false;
+    std::mutex mutex;
+    std::vector<std::string> failures;
+    std::vector<std::thread> callers;
+    callers.reserve(Callers);
+    for (int i = 0; i < Callers; ++i) {
+        callers.emplace_back([&]() {
+            const std::string program = "/v1/programs/" + fleet.createProgram(2, R"({"budget":{"calls":1000}})");
+            for (int number = 1; !done; ++number) {
+                const bool order = number % 2 == 0;
+                const std::string body = order ? orderCall(fleet.service, "order=x&delay_ms=30")
+                                               : modelCall(fleet.model, "line " + std::to_string(number), 4);
+                const HttpAnswer answer = fleet.ask(2, "POST", program + "/calls/" + std::to_string(number), body);
+                if (answer.status != 200) {
+                    const std::lock_guard lock(mutex);
+                    failures.push_back(answer.body);
+                    return;
+                }
+            }
+        });
+    }
+    for (std::size_t entry = 0; entry < 2; ++entry) {
+        ChildProcess &process = *fleet.processes.at("entry-" + std::to_string(entry));
+        process.signal(SIGTERM);
+        BOOST_TEST(process.wait(std::chrono::seconds(60)) == 0);
+        fleet.startEntry(entry);
+    }
+    done = true;
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    for (const std::string &failure : failures) {
+        BOOST_ERROR(failure);
+    }
+}
--- a/tests/process/takeover_test.cpp
+++ b/tests/process/takeover_test.cpp
@@ -202,6 +202,8 @@
     constexpr int Programs = 200;
     constexpr int Workers = 20;
     constexpr int Calls = 4;
+    constexpr int RoundsPerKill = 10;
+    int kills = 0;
     ProcessFleet fleet({.entries = 3, .engines = 3, .services = 2});
     liftRates(fleet);
     std::mutex mutex;
@@ -252,13 +254,14 @@
             return answer.status == 200;
         });
         for (int other = 0; other < Programs; ++other) {
-            const std::string mark = "p" + std::to_string(other) + " line";
-            if (other != index && shown.find("\\\"" + mark) != std::string::npos) {
-                note(tag + " holds the history of " + mark);
+            const std::string mark = "\\\"p" + std::to_string(other) + " line";
+            if (other != index && shown.find(mark) != std::string::npos) {
+                note(tag + " holds the history of program " + std::to_string(other));
             }
         }
     };
     std::vector<std::thread> workers;
+    workers.reserve(Workers);
     for (int worker = 0; worker < Workers; ++worker) {
         workers.emplace_back([&, worker]() {
             std::mt19937 random(Seed + static_cast<unsigned>(worker));
@@ -270,13 +273,14 @@
     std::thread disorder([&]() {
         std::mt19937 random(Seed);
         const std::vector<std::string> kinds = {"truncate", "crossed", "late", "refuse"};
-        while (!done) {
+        for (int round = 1; !done; ++round) {
             orderFault(fleet.engineAddresses[random() % 3],
                 R"({"kind":")" + kinds[random() % 4] + R"(","count":1,"delay_ms":50})");
-            if (random() % 12 == 0) {
+            if (round % RoundsPerKill == 0) {
                 const std::size_t entry = random() % 3;
                 kill(fleet, entry);
                 fleet.startEntry(entry);
+                ++kills;
             }
             std::this_thread::sleep_for(std::chrono::milliseconds(400));
         }
@@ -286,6 +290,7 @@
     }
     done = true;
     disorder.join();
+    BOOST_TEST(kills >= 1);
     for (const std::string &fault : faults) {
         BOOST_ERROR(fault);
     }
