--- a/src/control/control_service_base.cpp
+++ b/src/control/control_service_base.cpp
@@ -174,7 +174,8 @@
             }
             const EntryId id{textOf(request.getEntry().getId())};
             writeHybridTime(result.initTime());
-            this->member.leases.heard(id, request.getInForceRevision(), this->member.loop.timers().now());
+            this->member.leases.heard(
+                id, HeardEntry{this->member.loop.timers().now(), request.getInForceRevision(), request.getHaveIndex()});
             auto delta = result.initDelta();
             this->member.fleet.machine.writeDelta(request.getHaveIndex(), delta.initDelta());
             delta.setEpoch(epoch);
@@ -202,6 +203,7 @@
             entry.getEntry().setState(draining ? Wire::EntryState::DRAINING : Wire::EntryState::LIVE);
             if (const HeardEntry *heard = this->member.leases.find(id)) {
                 entry.setInForceRevision(heard->inForceRevision);
+                entry.setHaveIndex(heard->haveIndex);
                 entry.setHeardMsAgo(
                     static_cast<std::uint64_t>((this->member.loop.timers().now() - heard->heard).count() / 1000));
             }
--- a/src/control/lease_keeper_base.cpp
+++ b/src/control/lease_keeper_base.cpp
@@ -9,14 +9,14 @@
     this->entries.clear();
     for (const auto &[id, row] : state.entries.all()) {
         if (!row.removed) {
-            this->entries[id] = HeardEntry{now, 0};
+            this->entries[id] = HeardEntry{now, 0, 0};
         }
     }
 }
 
-void LeaseKeeper::heard(const EntryId &entry, std::uint64_t inForceRevision, Instant now)
+void LeaseKeeper::heard(const EntryId &entry, HeardEntry said)
 {
-    this->entries[entry] = HeardEntry{now, inForceRevision};
+    this->entries[entry] = said;
 }
 
 std::vector<EntryRecord> LeaseKeeper::expired(const FleetState &state, Instant now)
@@ -27,7 +27,7 @@
             this->entries.erase(id);
             continue;
         }
-        const auto known = this->entries.try_emplace(id, HeardEntry{now, 0}).first;
+        const auto known = this->entries.try_emplace(id, HeardEntry{now, 0, 0}).first;
         if (now - known->second.heard > LeasePeriod + LeaseMargin) {
             found.push_back(row.record);
         }
--- a/src/control/lease_keeper_base.h
+++ b/src/control/lease_keeper_base.h
@@ -24,6 +24,7 @@
 {
     Instant heard; ///< When its last request arrived.
     std::uint64_t inForceRevision = 0; ///< Revision that it said to serve under.
+    std::uint64_t haveIndex = 0; ///< Log index that it said to hold.
 };
 
 class LeaseKeeper
@@ -33,7 +34,7 @@
     void beginTerm(const FleetState &state, Instant now);
 
     /** An entry's request arrived. */
-    void heard(const EntryId &entry, std::uint64_t inForceRevision, Instant now);
+    void heard(const EntryId &entry, HeardEntry said);
 
     /** Leases whose holders have stopped acting on them. */
     [[nodiscard]] std::vector<EntryRecord> expired(const FleetState &state, Instant now);
--- a/src/ctl/ctl_drain_func.cpp
+++ b/src/ctl/ctl_drain_func.cpp
@@ -36,9 +36,9 @@
     change.setEntry(entry->id.text);
     change.setEpoch(entry->epoch.value);
     change.setState(Wire::EntryState::DRAINING);
-    const Result<std::uint64_t> revision = submitCommand(session, message);
-    if (!revision) {
-        return complain(options, revision.error());
+    const Result<Submitted> submitted = submitCommand(session, message);
+    if (!submitted) {
+        return complain(options, submitted.error());
     }
     Poco::JSON::Object object(Poco::JSON_PRESERVE_KEY_ORDER);
     object.set("entry", entry->id.text);
--- a/src/ctl/ctl_keys_func.cpp
+++ b/src/ctl/ctl_keys_func.cpp
@@ -1,6 +1,6 @@
 /** @file ctl_keys_func.cpp  keys issue, withdraw and list. */
 #include "core/hash_func.h"
-#include "ctl/ctl_submit_func.h"
+#include "ctl/ctl_force_func.h"
 #include "ctl/ctl_verb_func.h"
 #include "rpc/message_func.h"
 
@@ -25,31 +25,29 @@
     record.setTenant(words[0]);
     record.setHash(dataOf(sha256Raw(key)));
     record.setNote(options.note);
-    const Result<std::uint64_t> revision = submitCommand(session, message);
-    if (!revision) {
-        return complain(options, revision.error());
+    const Result<Submitted> submitted = submitCommand(session, message);
+    if (!submitted) {
+        return complain(options, submitted.error());
     }
     Poco::JSON::Object object(Poco::JSON_PRESERVE_KEY_ORDER);
     object.set("id", id);
     object.set("tenant", words[0]);
     object.set("key", key);
-    printResult(options, "id " + id + "\nkey " + key + "\n", object);
-    return CtlExit::Done;
+    return finishInForce(session, options, *submitted, "id " + id + "\nkey " + key + "\n", object);
 }
 
 CtlExit ctlWithdrawKey(CtlSession &session, const CtlOptions &options, const Words &words)
 {
     CommandMessage message;
     initCommand(message, options).setWithdrawKey(words[0]);
-    const Result<std::uint64_t> revision = submitCommand(session, message);
-    if (!revision) {
-        return complain(options, revision.error());
+    const Result<Submitted> submitted = submitCommand(session, message);
+    if (!submitted) {
+        return complain(options, submitted.error());
     }
     Poco::JSON::Object object(Poco::JSON_PRESERVE_KEY_ORDER);
     object.set("id", words[0]);
     object.set("state", "withdrawn");
-    printResult(options, "key " + words[0] + " withdrawn\n", object);
-    return CtlExit::Done;
+    return finishInForce(session, options, *submitted, "key " + words[0] + " withdrawn\n", object);
 }
 
 CtlExit ctlListKeys(CtlSession &session, const CtlOptions &options, const Words & /*words*/)
--- a/src/ctl/ctl_status_func.cpp
+++ b/src/ctl/ctl_status_func.cpp
@@ -39,10 +39,11 @@
         entry.dataCentre = textOf(row.getEntry().getDataCentre());
         entry.draining = row.getEntry().getState() == Wire::EntryState::DRAINING;
         entry.inForce = row.getInForceRevision();
+        entry.haveIndex = row.getHaveIndex();
         entry.heardMsAgo = row.getHeardMsAgo();
-        entry.heard = entry.inForce != 0 || entry.heardMsAgo != 0;
+        entry.heard = entry.haveIndex != 0 || entry.heardMsAgo != 0;
         const auto known = entries.find(entry.id);
-        if (known == entries.end() || known->second.inForce < entry.inForce) {
+        if (known == entries.end() || known->second.haveIndex < entry.haveIndex) {
             entries[entry.id] = entry;
         }
     }
@@ -120,6 +121,7 @@
         row.set("draining", entry.draining);
         row.set("slots", owned == slots.end() ? 0 : owned->second);
         row.set("in_force_revision", entry.inForce);
+        row.set("have_index", entry.haveIndex);
         row.set("heard_ms_ago", entry.heard ? Poco::Dynamic::Var(entry.heardMsAgo) : Poco::Dynamic::Var());
         entries.add(row);
     }
--- a/src/ctl/ctl_status_func.h
+++ b/src/ctl/ctl_status_func.h
@@ -34,6 +34,7 @@
     bool draining = false; ///< It gets no new work.
     bool heard = false; ///< Some member has heard of it in its term.
     std::uint64_t inForce = 0; ///< Revision that it serves under.
+    std::uint64_t haveIndex = 0; ///< Log index up to which keys and declarations are in force there.
     std::uint64_t heardMsAgo = 0; ///< Since the last heartbeat.
 };
 
--- a/src/ctl/ctl_submit_func.cpp
+++ b/src/ctl/ctl_submit_func.cpp
@@ -23,7 +23,7 @@
     return command;
 }
 
-Result<std::uint64_t> submitCommand(CtlSession &session, CommandMessage &message)
+Result<Submitted> submitCommand(CtlSession &session, CommandMessage &message)
 {
     const Result<std::string> bytes = session.submit(flatBytes(message));
     if (!bytes) {
@@ -34,7 +34,7 @@
     if (reply.isFailure()) {
         return tl::unexpected(readFailure(reply.getFailure()));
     }
-    return reply.getRevision();
+    return Submitted{reply.getIndex(), reply.getRevision()};
 }
 
 } // namespace Chestnuthook
--- a/src/ctl/ctl_submit_func.h
+++ b/src/ctl/ctl_submit_func.h
@@ -15,9 +15,16 @@
 
 using CommandMessage = capnp::MallocMessageBuilder;
 
+/** What the fleet state answered. */
+struct Submitted
+{
+    std::uint64_t index = 0; ///< Log index of the command.
+    std::uint64_t revision = 0; ///< Of the declarations after it.
+};
+
 /** A command with the options' request id, or a new one. */
 [[nodiscard]] Wire::FleetCommand::Builder initCommand(CommandMessage &message, const CtlOptions &options);
-/** Submits it. @return the revision in the reply. Errors: those of the fleet state; NoQuorum. */
-[[nodiscard]] Result<std::uint64_t> submitCommand(CtlSession &session, CommandMessage &message);
+/** Submits it. Errors: those of the fleet state; NoQuorum. */
+[[nodiscard]] Result<Submitted> submitCommand(CtlSession &session, CommandMessage &message);
 
 } // namespace Chestnuthook
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -16,7 +16,7 @@
 DEFINE_string(output, "text", "Form of the output: text or json.");
 DEFINE_int64(expect, -1, "Revision that apply expects to replace; -1 for the one that it reads.");
 DEFINE_string(request_id, "", "Id of the change; a resend under the same id gets the first answer.");
-DEFINE_int64(wait_ms, 5000, "How long apply waits until the change is in force on all entries.");
+DEFINE_int64(wait_ms, 5000, "How long a change waits until it is in force on all entries.");
 DEFINE_string(note, "", "Note kept with an issued key; never the key itself.");
 DEFINE_int64(limit, 100, "Most programs that are listed.");
 
--- a/src/rpc/control.capnp
+++ b/src/rpc/control.capnp
@@ -71,6 +71,7 @@
     entry @0 :Fleet.Entry;
     inForceRevision @1 :UInt64;
     heardMsAgo @2 :UInt64;
+    haveIndex @3 :UInt64;   # Log index up to which keys and declarations are in force there.
 }
 
 struct MemberStatus {
--- a/src/rpc/control.capnp.h
+++ b/src/rpc/control.capnp.h
@@ -294,7 +294,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c3e42c7e5a4ebfc6, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(c3e42c7e5a4ebfc6, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1811,6 +1811,8 @@
 
   inline  ::uint64_t getHeardMsAgo() const;
 
+  inline  ::uint64_t getHaveIndex() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1852,6 +1854,9 @@
   inline  ::uint64_t getHeardMsAgo();
   inline void setHeardMsAgo( ::uint64_t value);
 
+  inline  ::uint64_t getHaveIndex();
+  inline void setHaveIndex( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4670,6 +4675,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t EntryStatus::Reader::getHaveIndex() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t EntryStatus::Builder::getHaveIndex() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void EntryStatus::Builder::setHaveIndex( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool MemberStatus::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
