--- a/src/control/control_service_base.cpp
+++ b/src/control/control_service_base.cpp
@@ -6,6 +6,7 @@
 
 #include <capnp/message.h>
 
+#include "control/fleet_event_func.h"
 #include "observe/log_func.h"
 #include "rpc/message_func.h"
 
@@ -69,10 +70,14 @@
         const auto params = context.getParams();
         observeHybridTime(params.getTime());
         std::string command = bytesOf(params.getCommand());
+        std::string fleetCommand = params.getGroup() == Wire::Group::FLEET ? command : "";
         auto proposed = params.getGroup() == Wire::Group::FLEET ? this->member.fleet.propose(std::move(command))
                                                                 : this->member.journal.propose(std::move(command));
-        return proposed.then([context](Result<std::string> &&reply) mutable {
+        return proposed.then([context, fleetCommand = std::move(fleetCommand)](Result<std::string> &&reply) mutable {
             auto result = context.getResults().initResult();
+            if (reply && !fleetCommand.empty()) {
+                logFleetCommand(fleetCommand, *reply);
+            }
             if (reply) {
                 result.setReply(dataOf(*reply));
             } else {
--- a/src/control/main.cpp
+++ b/src/control/main.cpp
@@ -1,6 +1,5 @@
 /** @file main.cpp  chestnuthook-control: one member of the replicated control state, on an instance with a disk. */
 #include <cstdlib>
-#include <iostream>
 #include <string>
 #include <vector>
 
@@ -19,6 +18,7 @@
 DEFINE_string(data_centre, "local", "Data centre of this instance.");
 DEFINE_string(secret_file, "", "File with the fleet's secret; else CHESTNUTHOOK_SECRET.");
 DEFINE_string(log_file, "", "File that gets the log lines besides standard error.");
+DEFINE_string(log_level, "info", "Lowest level of events that are logged: debug, info, warning or error.");
 
 namespace
 {
@@ -32,6 +32,7 @@
     {"data_centre", "identity", nonEmptyCheck(), "name the data centre of this instance"},
     {"secret_file", "security", {}, "name a readable file, or set CHESTNUTHOOK_SECRET"},
     {"log_file", "logging", {}, "name a file that this user may write"},
+    {"log_level", "logging", oneOfCheck({"debug", "info", "warning", "error"}), "say debug, info, warning or error"},
 };
 
 int endWith(const Error &error)
@@ -92,18 +93,14 @@
 
 int main(int argc, char **argv)
 {
-    const SettingsOutcome settings = loadSettings(argc, argv, Settings, {"CHESTNUTHOOK_SECRET"});
-    if (const auto code = reportSettings(settings)) {
-        return *code;
-    }
-    const Result<std::string> secret = loadSecret("secret", FLAGS_secret_file);
-    if (!secret) {
-        std::cerr << errorText(secret.error()) << '\n';
-        return errorRow(secret.error().kind).exitCode;
+    const DaemonStart start = startDaemon(argc, argv, Settings);
+    if (start.exitCode) {
+        return *start.exitCode;
     }
     ControlLoop::captureSignals();
     initObserve("control", FLAGS_member, FLAGS_log_file);
-    const int code = runMember(*secret);
+    setLogLevel(*parseName<EventLevel>(FLAGS_log_level));
+    const int code = runMember(start.secret);
     flushObserve();
     return code;
 }
--- a/src/core/settings_func.cpp
+++ b/src/core/settings_func.cpp
@@ -22,6 +22,7 @@
 namespace
 {
 
+constexpr const char *Version = CHESTNUTHOOK_VERSION;
 constexpr std::string_view VariablePrefix = "CHESTNUTHOOK_";
 constexpr std::size_t MaxSecretBytes = 64 * 1024;
 
@@ -62,6 +63,7 @@
     std::map<std::string, Given, std::less<>> flags; ///< Known flags by name; the last one given wins.
     std::vector<char *> words; ///< The program's name and all that is no flag.
     bool help = false; ///< `--help` was given.
+    bool version = false; ///< `--version` was given.
 };
 
 CommandLine readCommandLine(int argc, char **argv, const std::vector<SettingCheck> &checks, std::vector<Error> &faults)
@@ -83,8 +85,9 @@
         const std::string_view body = argument.substr(argument.starts_with("--") ? 2 : 1);
         const std::size_t equals = body.find('=');
         std::string name(body.substr(0, equals));
-        if (name == "help" || name == "h") {
-            line.help = true;
+        if (name == "help" || name == "h" || name == "version") {
+            line.help = line.help || name != "version";
+            line.version = line.version || name == "version";
             continue;
         }
         const bool hasValue = equals != std::string_view::npos;
@@ -184,6 +187,11 @@
         outcome.help = settingsHelp(checks);
         return outcome;
     }
+    if (line.version) {
+        outcome.faults.clear();
+        outcome.help = std::string("chestnuthook ") + Version + "\n";
+        return outcome;
+    }
     const auto environment = readEnvironment(checks, otherVariables, outcome.faults);
     for (const SettingCheck &check : checks) {
         const std::string flag(check.flag);
@@ -222,6 +230,32 @@
     return outcome;
 }
 
+void refuseWords(SettingsOutcome &outcome, int argc, char **argv)
+{
+    for (int i = 1; i < argc; ++i) {
+        addFault(outcome.faults, "unexpected word '" + std::string(argv[i]) + "'", "give settings as --FLAG=VALUE");
+    }
+}
+
+DaemonStart startDaemon(int argc, char **argv, const std::vector<SettingCheck> &checks)
+{
+    DaemonStart start;
+    SettingsOutcome outcome = loadSettings(argc, argv, checks, {"CHESTNUTHOOK_SECRET"});
+    if (outcome.help.empty()) {
+        refuseWords(outcome, argc, argv);
+        std::string file;
+        gflags::GetCommandLineOption("secret_file", &file);
+        const Result<std::string> secret = loadSecret("secret", file);
+        if (secret) {
+            start.secret = *secret;
+        } else {
+            outcome.faults.push_back(secret.error());
+        }
+    }
+    start.exitCode = reportSettings(outcome);
+    return start;
+}
+
 std::optional<int> reportSettings(const SettingsOutcome &outcome)
 {
     constexpr int SettingsExitCode = 2;
@@ -247,7 +281,8 @@
             groups.push_back(check.group);
         }
     }
-    std::string text = "Flags; each also from the environment, where the command line wins.\n";
+    std::string text =
+        "Flags; each also from the environment, where the command line wins. Besides: --help, --version.\n";
     for (const std::string_view group : groups) {
         text += "\n" + std::string(group) + "\n";
         for (const SettingCheck &check : checks) {
--- a/src/core/settings_func.h
+++ b/src/core/settings_func.h
@@ -29,7 +29,7 @@
 struct SettingsOutcome
 {
     std::vector<Error> faults; ///< All faults, each of kind BadSetting with its remedy; empty where all is right.
-    std::string help; ///< The text of `--help` where that was asked for, else empty.
+    std::string help; ///< The text of `--help` or `--version` where that was asked for, else empty.
 };
 
 /** Sets the flags from the command line, else from the environment; leaves the words that are no flags in @p argv.
@@ -37,6 +37,8 @@
  *  @p otherVariables are further CHESTNUTHOOK_* variables that may be set, e.g. those of secrets. */
 [[nodiscard]] SettingsOutcome loadSettings(int &argc, char **&argv, const std::vector<SettingCheck> &checks,
     const std::vector<std::string_view> &otherVariables = {});
+/** Adds a fault for each word in @p argv that is no flag; for binaries that take flags only. */
+void refuseWords(SettingsOutcome &outcome, int argc, char **argv);
 /** Prints help to stdout or faults to stderr; gives the exit code 0 or 2, or nothing where the daemon should go on. */
 [[nodiscard]] std::optional<int> reportSettings(const SettingsOutcome &outcome);
 /** The `--help` text, grouped. */
@@ -48,6 +50,17 @@
  *  Line ends at its end are dropped. Errors: BadSetting where it is missing, empty or unreadable. */
 [[nodiscard]] Result<std::string> loadSecret(std::string_view name, const std::string &fileFlagValue);
 
+/** What a daemon begins with. */
+struct DaemonStart
+{
+    std::optional<int> exitCode; ///< Set where it must end at once: after help, or on faults, which were printed.
+    std::string secret; ///< The fleet's secret.
+};
+
+/** Loads a daemon's settings and the fleet's secret, from the file that the flag `secret_file` names or from
+ *  CHESTNUTHOOK_SECRET; refuses words; prints help, version or all faults at once. */
+[[nodiscard]] DaemonStart startDaemon(int argc, char **argv, const std::vector<SettingCheck> &checks);
+
 /** `ip:port` with an IPv4 address or `[IPv6]`; port 0 only where @p portZero (the system chooses). */
 [[nodiscard]] SettingCheckFunction addressCheck(bool portZero = false);
 /** Comma-separated `ip:port`; an empty list only where @p emptyAllowed. */
--- a/src/entry/fleet_follower_base.cpp
+++ b/src/entry/fleet_follower_base.cpp
@@ -206,6 +206,12 @@
         logEvent(
             EventKind::LeaseGranted, {{"entry", this->self.id.text}, {"epoch", std::to_string(result.getEpoch())}});
     }
+    this->state.keys.forChangesAfter(
+        result.getDelta().getWhole() ? this->state.index() : before, [](const KeyId &id, const auto &row) {
+            if (row.record.withdrawn) {
+                logEvent(EventKind::KeyWithdrawn, {{"key_id", id.text}, {"tenant", row.record.tenant.text}});
+            }
+        });
     const bool changed = this->state.index() != before || newLease;
     if (changed) {
         this->publish(result.getDelta().getWhole() ? 0 : before);
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -1,6 +1,5 @@
 /** @file main.cpp  chestnuthook-entry: takes callers' requests, owns programs and dispatches calls to endpoints. */
 #include <cstdlib>
-#include <iostream>
 #include <string>
 #include <vector>
 
@@ -26,6 +25,7 @@
 DEFINE_int64(max_header_bytes, 32768, "Bytes of a request's header.");
 DEFINE_int64(request_send_ms, 10000, "Time in which a caller must send a whole request, in milliseconds.");
 DEFINE_string(log_file, "", "File that gets the log lines besides standard error.");
+DEFINE_string(log_level, "info", "Lowest level of events that are logged: debug, info, warning or error.");
 
 namespace
 {
@@ -47,6 +47,7 @@
     {"max_header_bytes", "limits", rangeCheck(1024, 1048576), "give a number of bytes from 1024 to 1048576"},
     {"request_send_ms", "limits", rangeCheck(100, 600000), "give milliseconds from 100 to 600000"},
     {"log_file", "logging", {}, "name a file that this user may write"},
+    {"log_level", "logging", oneOfCheck({"debug", "info", "warning", "error"}), "say debug, info, warning or error"},
 };
 
 EntrySettings settingsOf(std::string secret)
@@ -73,18 +74,14 @@
 
 int main(int argc, char **argv)
 {
-    const SettingsOutcome outcome = loadSettings(argc, argv, Settings, {"CHESTNUTHOOK_SECRET"});
-    if (const auto code = reportSettings(outcome)) {
-        return *code;
-    }
-    const Result<std::string> secret = loadSecret("secret", FLAGS_secret_file);
-    if (!secret) {
-        std::cerr << errorText(secret.error()) << '\n';
-        return errorRow(secret.error().kind).exitCode;
+    const DaemonStart start = startDaemon(argc, argv, Settings);
+    if (start.exitCode) {
+        return *start.exitCode;
     }
     ControlLoop::captureSignals();
     initObserve("entry", FLAGS_entry, FLAGS_log_file);
-    const Result<void> ran = EntryDaemon(settingsOf(*secret)).run();
+    setLogLevel(*parseName<EventLevel>(FLAGS_log_level));
+    const Result<void> ran = EntryDaemon(settingsOf(start.secret)).run();
     if (!ran) {
         logEvent(EventKind::ChildFailed, {{"error", errorText(ran.error())}});
     }
--- a/src/observe/event_ring_base.cpp
+++ b/src/observe/event_ring_base.cpp
@@ -124,8 +124,8 @@
         firstEvent = false;
         json += "{\"sequence\":" + std::to_string(event.sequence) + ",\"hlc\":" + jsonQuoted(event.hybridTime.toText())
             + ",\"wall_ms\":" + std::to_string(event.wallMs) + ",\"process\":" + jsonQuoted(event.process)
-            + ",\"kind\":" + jsonQuoted(eventName(event.kind))
-            + ",\"level\":" + jsonQuoted(nameOf(eventLevel(event.kind))) + ",\"fields\":{";
+            + ",\"kind\":" + jsonQuoted(nameOf(event.kind)) + ",\"level\":" + jsonQuoted(nameOf(eventLevel(event.kind)))
+            + ",\"fields\":{";
         bool firstField = true;
         for (const auto &[name, value] : event.fields) {
             json += firstField ? "" : ",";
--- a/src/observe/log_func.cpp
+++ b/src/observe/log_func.cpp
@@ -162,7 +162,7 @@
 {
     std::string line = "time=" + isoTime(event.wallMs) + " hlc=" + event.hybridTime.toText()
         + " level=" + std::string(nameOf(eventLevel(event.kind))) + " process=" + logValue(event.process)
-        + " pid=" + std::to_string(pid) + " event=" + std::string(eventName(event.kind));
+        + " pid=" + std::to_string(pid) + " event=" + std::string(nameOf(event.kind));
     for (const auto &[name, value] : event.fields) {
         line += " " + name + "=" + logValue(value);
     }
--- a/src/table/event_table.cpp
+++ b/src/table/event_table.cpp
@@ -10,55 +10,54 @@
 namespace
 {
 
-/** Name and level of a kind of event. */
+/** Level of a kind of event. */
 struct EventRow
 {
     EventKind kind; ///< The kind; rows stand in the order of the enumerators.
-    std::string_view name; ///< Its name in logs and time lines.
     EventLevel level; ///< How much it matters.
 };
 
 constexpr auto EventRows = std::to_array<EventRow>({
-    {EventKind::ProcessStarted, "process_started", EventLevel::Info},
-    {EventKind::ProcessStopping, "process_stopping", EventLevel::Info},
-    {EventKind::ChildStarted, "child_started", EventLevel::Info},
-    {EventKind::ChildFailed, "child_failed", EventLevel::Warning},
-    {EventKind::LeaderElected, "leader_elected", EventLevel::Info},
-    {EventKind::TermChanged, "term_changed", EventLevel::Info},
-    {EventKind::ConfigurationApplied, "configuration_applied", EventLevel::Info},
-    {EventKind::ConfigurationInForce, "configuration_in_force", EventLevel::Info},
-    {EventKind::KeyIssued, "key_issued", EventLevel::Info},
-    {EventKind::KeyWithdrawn, "key_withdrawn", EventLevel::Info},
-    {EventKind::LeaseGranted, "lease_granted", EventLevel::Debug},
-    {EventKind::LeaseExpired, "lease_expired", EventLevel::Warning},
-    {EventKind::SlotMoved, "slot_moved", EventLevel::Info},
-    {EventKind::ProgramCreated, "program_created", EventLevel::Debug},
-    {EventKind::ProgramEnded, "program_ended", EventLevel::Debug},
-    {EventKind::CallAccepted, "call_accepted", EventLevel::Debug},
-    {EventKind::CallDispatched, "call_dispatched", EventLevel::Debug},
-    {EventKind::CallFirstToken, "call_first_token", EventLevel::Debug},
-    {EventKind::CallEnded, "call_ended", EventLevel::Debug},
-    {EventKind::CallResent, "call_resent", EventLevel::Warning},
-    {EventKind::CallRefused, "call_refused", EventLevel::Debug},
-    {EventKind::AttemptFailed, "attempt_failed", EventLevel::Warning},
-    {EventKind::EndpointUp, "endpoint_up", EventLevel::Info},
-    {EventKind::EndpointDown, "endpoint_down", EventLevel::Warning},
-    {EventKind::EndpointLeaving, "endpoint_leaving", EventLevel::Info},
-    {EventKind::StrikeRecorded, "strike_recorded", EventLevel::Warning},
-    {EventKind::RequestQuarantined, "request_quarantined", EventLevel::Warning},
-    {EventKind::CacheReleased, "cache_released", EventLevel::Debug},
-    {EventKind::OrderIssued, "order_issued", EventLevel::Info},
-    {EventKind::OrderRefused, "order_refused", EventLevel::Warning},
-    {EventKind::DrainStarted, "drain_started", EventLevel::Info},
-    {EventKind::DrainFinished, "drain_finished", EventLevel::Info},
-    {EventKind::FreshnessLost, "freshness_lost", EventLevel::Warning},
-    {EventKind::FreshnessRegained, "freshness_regained", EventLevel::Info},
-    {EventKind::PeerConnected, "peer_connected", EventLevel::Info},
-    {EventKind::PeerLost, "peer_lost", EventLevel::Warning},
-    {EventKind::StorageFault, "storage_fault", EventLevel::Error},
-    {EventKind::RequestRejected, "request_rejected", EventLevel::Debug},
-    {EventKind::MembershipChanged, "membership_changed", EventLevel::Info},
-    {EventKind::SnapshotTaken, "snapshot_taken", EventLevel::Info},
+    {EventKind::ProcessStarted, EventLevel::Info},
+    {EventKind::ProcessStopping, EventLevel::Info},
+    {EventKind::ChildStarted, EventLevel::Info},
+    {EventKind::ChildFailed, EventLevel::Warning},
+    {EventKind::LeaderElected, EventLevel::Info},
+    {EventKind::TermChanged, EventLevel::Info},
+    {EventKind::ConfigurationApplied, EventLevel::Info},
+    {EventKind::ConfigurationInForce, EventLevel::Info},
+    {EventKind::KeyIssued, EventLevel::Info},
+    {EventKind::KeyWithdrawn, EventLevel::Info},
+    {EventKind::LeaseGranted, EventLevel::Debug},
+    {EventKind::LeaseExpired, EventLevel::Warning},
+    {EventKind::SlotMoved, EventLevel::Info},
+    {EventKind::ProgramCreated, EventLevel::Debug},
+    {EventKind::ProgramEnded, EventLevel::Debug},
+    {EventKind::CallAccepted, EventLevel::Debug},
+    {EventKind::CallDispatched, EventLevel::Debug},
+    {EventKind::CallFirstToken, EventLevel::Debug},
+    {EventKind::CallEnded, EventLevel::Debug},
+    {EventKind::CallResent, EventLevel::Warning},
+    {EventKind::CallRefused, EventLevel::Debug},
+    {EventKind::AttemptFailed, EventLevel::Warning},
+    {EventKind::EndpointUp, EventLevel::Info},
+    {EventKind::EndpointDown, EventLevel::Warning},
+    {EventKind::EndpointLeaving, EventLevel::Info},
+    {EventKind::StrikeRecorded, EventLevel::Warning},
+    {EventKind::RequestQuarantined, EventLevel::Warning},
+    {EventKind::CacheReleased, EventLevel::Debug},
+    {EventKind::OrderIssued, EventLevel::Info},
+    {EventKind::OrderRefused, EventLevel::Warning},
+    {EventKind::DrainStarted, EventLevel::Info},
+    {EventKind::DrainFinished, EventLevel::Info},
+    {EventKind::FreshnessLost, EventLevel::Warning},
+    {EventKind::FreshnessRegained, EventLevel::Info},
+    {EventKind::PeerConnected, EventLevel::Info},
+    {EventKind::PeerLost, EventLevel::Warning},
+    {EventKind::StorageFault, EventLevel::Error},
+    {EventKind::RequestRejected, EventLevel::Debug},
+    {EventKind::MembershipChanged, EventLevel::Info},
+    {EventKind::SnapshotTaken, EventLevel::Info},
 });
 
 constexpr bool isWhole()
@@ -84,9 +83,4 @@
     return rowOf(kind).level;
 }
 
-std::string_view eventName(EventKind kind)
-{
-    return rowOf(kind).name;
-}
-
 } // namespace Chestnuthook
--- a/src/table/event_table.h
+++ b/src/table/event_table.h
@@ -64,8 +64,54 @@
 
 /** The level of @p kind. */
 [[nodiscard]] EventLevel eventLevel(EventKind kind);
-/** The name of @p kind in snake_case. */
-[[nodiscard]] std::string_view eventName(EventKind kind);
+
+template<>
+struct NameTable<EventKind>
+{
+    static constexpr auto Rows = std::to_array<NameRow<EventKind>>({
+        {EventKind::ProcessStarted, "process_started"},
+        {EventKind::ProcessStopping, "process_stopping"},
+        {EventKind::ChildStarted, "child_started"},
+        {EventKind::ChildFailed, "child_failed"},
+        {EventKind::LeaderElected, "leader_elected"},
+        {EventKind::TermChanged, "term_changed"},
+        {EventKind::ConfigurationApplied, "configuration_applied"},
+        {EventKind::ConfigurationInForce, "configuration_in_force"},
+        {EventKind::KeyIssued, "key_issued"},
+        {EventKind::KeyWithdrawn, "key_withdrawn"},
+        {EventKind::LeaseGranted, "lease_granted"},
+        {EventKind::LeaseExpired, "lease_expired"},
+        {EventKind::SlotMoved, "slot_moved"},
+        {EventKind::ProgramCreated, "program_created"},
+        {EventKind::ProgramEnded, "program_ended"},
+        {EventKind::CallAccepted, "call_accepted"},
+        {EventKind::CallDispatched, "call_dispatched"},
+        {EventKind::CallFirstToken, "call_first_token"},
+        {EventKind::CallEnded, "call_ended"},
+        {EventKind::CallResent, "call_resent"},
+        {EventKind::CallRefused, "call_refused"},
+        {EventKind::AttemptFailed, "attempt_failed"},
+        {EventKind::EndpointUp, "endpoint_up"},
+        {EventKind::EndpointDown, "endpoint_down"},
+        {EventKind::EndpointLeaving, "endpoint_leaving"},
+        {EventKind::StrikeRecorded, "strike_recorded"},
+        {EventKind::RequestQuarantined, "request_quarantined"},
+        {EventKind::CacheReleased, "cache_released"},
+        {EventKind::OrderIssued, "order_issued"},
+        {EventKind::OrderRefused, "order_refused"},
+        {EventKind::DrainStarted, "drain_started"},
+        {EventKind::DrainFinished, "drain_finished"},
+        {EventKind::FreshnessLost, "freshness_lost"},
+        {EventKind::FreshnessRegained, "freshness_regained"},
+        {EventKind::PeerConnected, "peer_connected"},
+        {EventKind::PeerLost, "peer_lost"},
+        {EventKind::StorageFault, "storage_fault"},
+        {EventKind::RequestRejected, "request_rejected"},
+        {EventKind::MembershipChanged, "membership_changed"},
+        {EventKind::SnapshotTaken, "snapshot_taken"},
+    });
+};
+static_assert(isNameTableWhole(EventKind::SnapshotTaken));
 
 template<>
 struct NameTable<EventLevel>
--- a/src/timeline/main.cpp
+++ b/src/timeline/main.cpp
@@ -86,7 +86,8 @@
 
 int main(int argc, char **argv)
 {
-    const SettingsOutcome outcome = loadSettings(argc, argv, Settings, {"CHESTNUTHOOK_SECRET"});
+    SettingsOutcome outcome = loadSettings(argc, argv, Settings, {"CHESTNUTHOOK_SECRET"});
+    refuseWords(outcome, argc, argv);
     if (const auto code = reportSettings(outcome)) {
         return *code;
     }
--- a/tests/unit/log_test.cpp
+++ b/tests/unit/log_test.cpp
@@ -37,9 +37,9 @@
 BOOST_AUTO_TEST_CASE(everyEventHasANameOfItsOwn)
 {
     for (int i = 0; i <= static_cast<int>(EventKind::SnapshotTaken); ++i) {
-        BOOST_TEST(!eventName(static_cast<EventKind>(i)).empty());
+        BOOST_TEST(!nameOf(static_cast<EventKind>(i)).empty());
         for (int j = 0; j < i; ++j) {
-            BOOST_TEST(eventName(static_cast<EventKind>(i)) != eventName(static_cast<EventKind>(j)));
+            BOOST_TEST(nameOf(static_cast<EventKind>(i)) != nameOf(static_cast<EventKind>(j)));
         }
     }
 }
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -193,3 +193,21 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_CASE(wordsAreRefusedWhereABinaryTakesFlagsOnly)
+{
+    Line line({"--worker_count=3", "start", "now"});
+    BOOST_TEST(line.outcome.faults.empty());
+    refuseWords(line.outcome, 3, line.pointers.data());
+    BOOST_REQUIRE_EQUAL(line.outcome.faults.size(), 2U);
+    BOOST_TEST(line.outcome.faults[1].what.find("unexpected word 'now'") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(versionIsTold)
+{
+    const Line line({"--version", "--colour=red"});
+    BOOST_TEST(line.outcome.faults.empty());
+    BOOST_TEST(line.outcome.help.starts_with("chestnuthook "));
+    const Line both({"--version", "--help"});
+    BOOST_TEST(both.outcome.help.find("--worker_count") != std::string::npos);
+}
