--- a/src/ctl/ctl_command_func.cpp
+++ b/src/ctl/ctl_command_func.cpp
@@ -34,6 +34,16 @@
     return ctlValidate(options, files);
 }
 
+CtlExit runFields(CtlSession & /*session*/, const CtlOptions &options, const Words & /*words*/)
+{
+    return ctlFields(options);
+}
+
+CtlExit runErrors(CtlSession & /*session*/, const CtlOptions &options, const Words & /*words*/)
+{
+    return ctlErrors(options);
+}
+
 constexpr auto Verbs = std::to_array<VerbRow>({
     {"validate", "", "FILE…", 1, AnyNumber, "declarations", "checks the files and tells all faults; needs no fleet",
         runValidate},
@@ -41,6 +51,7 @@
     {"apply", "", "FILE…", 1, AnyNumber, "declarations",
         "makes the files' declarations those of the fleet and waits for force (--expect, --request_id, --wait_ms)",
         ctlApply},
+    {"fields", "", "", 0, 0, "declarations", "lists sections and fields; needs no fleet", runFields},
     {"keys", "issue", "TENANT", 1, 1, "keys", "makes a key, prints it once and waits for force (--note, --wait_ms)",
         ctlIssueKey},
     {"keys", "list", "", 0, 0, "keys", "lists ids, tenants and states", ctlListKeys},
@@ -49,6 +60,7 @@
     {"status", "", "", 0, 0, "fleet", "members, entries with slots, revisions and freshness", ctlStatus},
     {"programs", "", "[TENANT]", 0, 1, "fleet", "lists agent programs (--limit)", ctlPrograms},
     {"drain", "", "ENTRY", 1, 1, "fleet", "has an entry hand over its slots, finish its calls and end", ctlDrain},
+    {"errors", "", "", 0, 0, "help", "lists the codes of errors with their remedies; needs no fleet", runErrors},
 });
 
 std::string usageOf(const VerbRow &row)
@@ -89,7 +101,8 @@
 
 bool isOfflineCommand(const Words &words)
 {
-    return !words.empty() && words[0] == "validate";
+    constexpr std::array<std::string_view, 3> Offline = {"validate", "fields", "errors"};
+    return !words.empty() && std::find(Offline.begin(), Offline.end(), words[0]) != Offline.end();
 }
 
 CtlExit runCtlCommand(CtlSession &session, const CtlOptions &options, const Words &words)
--- a/src/ctl/ctl_verb_func.h
+++ b/src/ctl/ctl_verb_func.h
@@ -9,6 +9,10 @@
 
 /** Checks the files; needs no fleet. */
 [[nodiscard]] CtlExit ctlValidate(const CtlOptions &options, const Words &files);
+/** Sections and fields of declarations; needs no fleet. */
+[[nodiscard]] CtlExit ctlFields(const CtlOptions &options);
+/** Codes of errors with their remedies; needs no fleet. */
+[[nodiscard]] CtlExit ctlErrors(const CtlOptions &options);
 /** Shows what apply would change. */
 [[nodiscard]] CtlExit ctlDiff(CtlSession &session, const CtlOptions &options, const Words &files);
 /** Makes the fleet's declarations those of the files and waits until they are in force on all entries. */
--- a/src/timeline/timeline_page_template.h
+++ b/src/timeline/timeline_page_template.h
@@ -64,9 +64,12 @@
   return found;
 }
 
+// A word with `=` is a whole field; any other may stand anywhere.
+function matches(e, word) { return word.includes("=") ? (" " + e.text + " ").includes(" " + word + " ") : e.text.includes(word); }
+
 function applyFilter() {
   const words = $("filter").value.toLowerCase().split(/\s+/).filter(w => w);
-  shown = EVENTS.filter(e => ($("debug").checked || e.level !== "debug") && words.every(w => e.text.includes(w)));
+  shown = EVENTS.filter(e => ($("debug").checked || e.level !== "debug") && words.every(w => matches(e, w)));
   draw();
 }
 
