--- a/tests/unit/timeline_test.cpp
+++ b/tests/unit/timeline_test.cpp
@@ -6,6 +6,7 @@
 #include <Poco/JSON/Parser.h>
 
 #include "observe/log_func.h"
+#include "rpc/message_func.h"
 #include "timeline/timeline_source_func.h"
 #include "timeline/timeline_type.h"
 
@@ -135,3 +136,19 @@
     BOOST_TEST(std::count(text.begin(), text.end(), '\n') == 9);
     BOOST_TEST(text.ends_with("# 10.0.0.1:8080: can't be read\n"));
 }
+
+BOOST_AUTO_TEST_CASE(a_messages_time_is_followed_unless_its_clock_is_far_ahead)
+{
+    capnp::MallocMessageBuilder message;
+    auto time = message.initRoot<Wire::HybridTime>();
+    const std::int64_t ahead = wallMsNow() + 5'000;
+    time.setWallMs(ahead);
+    time.setCounter(7);
+    observeHybridTime(time.asReader());
+    BOOST_TEST((hybridNow() > HybridTime{ahead, 7}));
+    time.setWallMs(wallMsNow() + 3'600'000);
+    observeHybridTime(time.asReader());
+    BOOST_TEST(hybridNow().wallMs < wallMsNow() + 60'000);
+    writeHybridTime(time);
+    BOOST_TEST((hybridNow() > HybridTime{time.getWallMs(), time.getCounter()}));
+}
