Load tool: programs of both deployments, faults on a schedule, promises checked, report with plots

Change: chestnuthook-load plans programs from a seed, sends them in open loop, foretells the stand-ins' answers, reads their ledgers and writes a report that can be compared with another; scripts/load-report draws it. Engines' ledgers note prompt and cached tokens.

--- a/src/fakes/fake_engine_base.cpp
+++ b/src/fakes/fake_engine_base.cpp
@@ -191,7 +191,9 @@
 
 FakeOutcome FakeEngine::runChat(FakeExchange &exchange, Work &work)
 {
-    if (!this->prefill(exchange, work)) {
+    const bool prefilled = this->prefill(exchange, work);
+    exchange.note = "prompt=" + std::to_string(work.words.size()) + " cached=" + std::to_string(work.cached);
+    if (!prefilled) {
         return FakeOutcome::Cancelled;
     }
     const FakeOutcome outcome =
--- /dev/null
+++ b/src/load/load_mix_func.cpp
@@ -0,0 +1,159 @@
+/** @file load_mix_func.cpp  Plans the programs of a run. */
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <random>
+
+#include "load/load_mix_type.h"
+
+namespace Chestnuthook
+{
+
+namespace
+{
+
+constexpr std::array<LoadMix, 2> Mixes{{
+    {.name = "kortagatt",
+        .leastTurns = 4,
+        .mostTurns = 40,
+        .meanThinkMs = 20'000,
+        .meanToolMs = 3000,
+        .meanWords = 60,
+        .maxTokens = 200,
+        .toolShare = 0.15,
+        .idempotentShare = 0.3,
+        .resendShare = 0.3,
+        .subAgentShare = 0.1,
+        .streamShare = 0.8,
+        .tightBudgetShare = 0.1},
+    {.name = "derwent",
+        .leastTurns = 2,
+        .mostTurns = 12,
+        .meanThinkMs = 5000,
+        .meanToolMs = 1500,
+        .meanWords = 25,
+        .maxTokens = 80,
+        .toolShare = 0.6,
+        .idempotentShare = 0.5,
+        .resendShare = 0.3,
+        .subAgentShare = 0.05,
+        .streamShare = 0.4,
+        .tightBudgetShare = 0.1},
+}};
+
+constexpr std::uint32_t SubAgentTurns = 3;
+constexpr double LargeTenantWeight = 4;
+constexpr std::size_t TenantsPerLargeOne = 3;
+
+/** Draws that are the same with every standard library. */
+class Draw
+{
+public:
+    explicit Draw(std::uint64_t seed)
+        : generator(seed)
+    {
+    }
+    double uniform()
+    {
+        return static_cast<double>(this->generator() >> 11U) / 9007199254740992.0;
+    }
+    bool chance(double share)
+    {
+        return this->uniform() < share;
+    }
+    double exponential(double mean)
+    {
+        return -std::log(1 - this->uniform()) * mean;
+    }
+
+private:
+    std::mt19937_64 generator; ///< Its sequence is fixed by the standard.
+};
+
+void addTurn(LoadProgram &program, const LoadMix &mix, const LoadArrivals &arrivals, Draw &draw)
+{
+    LoadStep model{.kind = LoadStepKind::Model};
+    model.words = 1 + static_cast<std::uint32_t>(draw.exponential(mix.meanWords));
+    model.maxTokens = mix.maxTokens;
+    model.stream = draw.chance(mix.streamShare);
+    program.steps.push_back(model);
+    if (draw.chance(mix.toolShare)) {
+        LoadStep tool{.kind = LoadStepKind::Tool};
+        tool.ms = static_cast<std::int64_t>(draw.exponential(static_cast<double>(mix.meanToolMs)) * arrivals.timeScale);
+        tool.idempotent = draw.chance(mix.idempotentShare);
+        tool.resend = !tool.idempotent && draw.chance(mix.resendShare);
+        program.steps.push_back(tool);
+    }
+    if (draw.chance(mix.subAgentShare)) {
+        LoadStep agent{.kind = LoadStepKind::SubAgent};
+        agent.turns = 1 + static_cast<std::uint32_t>(draw.uniform() * SubAgentTurns);
+        program.steps.push_back(agent);
+    }
+    const double think = draw.exponential(static_cast<double>(mix.meanThinkMs)) * arrivals.timeScale;
+    program.steps.push_back(LoadStep{.kind = LoadStepKind::Think, .ms = static_cast<std::int64_t>(think)});
+}
+
+std::uint32_t callsOf(const LoadProgram &program)
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(program.steps.begin(), program.steps.end(), [](const LoadStep &step) {
+            return step.kind == LoadStepKind::Model || step.kind == LoadStepKind::Tool;
+        }));
+}
+
+std::size_t drawTenant(const LoadArrivals &arrivals, Draw &draw)
+{
+    std::vector<double> weights(arrivals.tenants, 1);
+    for (std::size_t i = 0; i < (arrivals.tenants + TenantsPerLargeOne - 1) / TenantsPerLargeOne; ++i) {
+        weights[i] = LargeTenantWeight;
+    }
+    weights.front() *= arrivals.greedyFactor;
+    double total = 0;
+    for (const double weight : weights) {
+        total += weight;
+    }
+    double at = draw.uniform() * total;
+    std::size_t tenant = 0;
+    while (tenant + 1 < weights.size() && at >= weights[tenant]) {
+        at -= weights[tenant++];
+    }
+    return tenant;
+}
+
+} // namespace
+
+const LoadMix *findLoadMix(std::string_view deployment)
+{
+    const auto *const found = std::find_if(Mixes.begin(), Mixes.end(), [&](const LoadMix &mix) {
+        return mix.name == deployment;
+    });
+    return found == Mixes.end() ? nullptr : found;
+}
+
+std::vector<LoadProgram> planLoad(const LoadMix &mix, const LoadArrivals &arrivals)
+{
+    Draw draw(arrivals.seed);
+    std::vector<LoadProgram> programs;
+    double now = 0;
+    while (programs.size() < arrivals.programs) {
+        now += draw.exponential(1000 / arrivals.programsPerSecond);
+        if (now > static_cast<double>(arrivals.durationMs)) {
+            break;
+        }
+        LoadProgram program;
+        program.number = programs.size();
+        program.arrivalMs = static_cast<std::int64_t>(now);
+        program.tenant = drawTenant(arrivals, draw);
+        const double spread = (mix.mostTurns - mix.leastTurns) / 4.0;
+        const auto turns = mix.leastTurns + static_cast<std::uint32_t>(draw.exponential(spread));
+        for (std::uint32_t turn = 0; turn < std::min(turns, mix.mostTurns); ++turn) {
+            addTurn(program, mix, arrivals, draw);
+        }
+        const std::uint32_t calls = callsOf(program);
+        program.callBudget = draw.chance(mix.tightBudgetShare) ? std::max(1U, calls / 2) : calls;
+        programs.push_back(std::move(program));
+    }
+    return programs;
+}
+
+} // namespace Chestnuthook
--- /dev/null
+++ b/src/load/load_record_base.cpp
@@ -0,0 +1,73 @@
+/** @file load_record_base.cpp  Counting. */
+#include "load/load_record_base.h"
+
+#include <utility>
+
+namespace Chestnuthook
+{
+
+namespace
+{
+
+constexpr std::size_t MaxExamples = 20;
+constexpr std::array<const char *, LoadPromiseCount> PromiseNames{"answers whole and one's own",
+    "a resend gets the first answer", "calls in order, history whole", "non-idempotent calls run at most once",
+    "\"not run\" is true", "the budget holds"};
+
+} // namespace
+
+std::string loadPromiseName(LoadPromise promise)
+{
+    return PromiseNames.at(static_cast<std::size_t>(promise));
+}
+
+void LoadRecord::check(LoadPromise promise, bool held, const std::string &what)
+{
+    const std::scoped_lock lock(this->mutex);
+    this->checks.at(static_cast<std::size_t>(promise)) += 1;
+    if (!held) {
+        this->broken.at(static_cast<std::size_t>(promise)) += 1;
+        if (this->examples.size() < MaxExamples) {
+            this->examples.push_back(loadPromiseName(promise) + ": " + what);
+        }
+    }
+}
+
+void LoadRecord::addProgram(std::size_t tenant, bool finished, double seconds, std::int64_t arrivalMs)
+{
+    const std::scoped_lock lock(this->mutex);
+    this->tenants.at(tenant).programs += 1;
+    if (finished) {
+        this->tenants.at(tenant).finished += 1;
+        this->programSeconds.push_back(seconds);
+        this->timeline.emplace_back(static_cast<double>(arrivalMs) / 1000, seconds);
+    }
+}
+
+void LoadRecord::addCall(std::size_t tenant, double seconds)
+{
+    const std::scoped_lock lock(this->mutex);
+    this->tenants.at(tenant).calls += 1;
+    this->callSeconds.push_back(seconds);
+}
+
+void LoadRecord::addRefusal(std::size_t tenant)
+{
+    const std::scoped_lock lock(this->mutex);
+    this->tenants.at(tenant).refusals += 1;
+}
+
+void LoadRecord::addAbandoned(std::size_t tenant, const std::string &code)
+{
+    const std::scoped_lock lock(this->mutex);
+    this->tenants.at(tenant).abandoned += 1;
+    this->abandonedCodes[code] += 1;
+}
+
+void LoadRecord::addTool(SentTool tool)
+{
+    const std::scoped_lock lock(this->mutex);
+    this->tools.push_back(std::move(tool));
+}
+
+} // namespace Chestnuthook
