--- a/src/load/load_client_base.cpp
+++ b/src/load/load_client_base.cpp
@@ -186,9 +186,9 @@
         Poco::Net::HTTPResponse response;
         std::istream &stream = session.receiveResponse(response);
         answer.body.assign(std::istreambuf_iterator<char>(stream), {});
-        const bool short_ = response.hasContentLength()
+        const bool cut = response.hasContentLength()
             && static_cast<std::streamsize>(answer.body.size()) < response.getContentLength();
-        answer.whole = session.networkException() == nullptr && !short_;
+        answer.whole = session.networkException() == nullptr && !cut;
         answer.status = static_cast<int>(response.getStatus());
         readBody(response.getContentType(), answer);
     } catch (const std::exception &) {
