A paused entry is not waited for; strikes are told at once; a joined call that is cancelled runs again

Cause, seen under load (ctest -j3, load average 23): a forward to a stopped entry waited for ever; a resend through another entry within one poll of a strike killed a third engine; a resend that joined a call just when its last reader left was told cancelled. And 'not run' was said of a forwarded request whose entry was lost. Change: a forward ends when the other entry's lease has ended; strikes are told to the other entries before the answer; cancelled joins are begun again; ran is added up over all tries of a request.

--- a/src/entry/entry_daemon_base.cpp
+++ b/src/entry/entry_daemon_base.cpp
@@ -43,7 +43,7 @@
     , follower(this->client, this->loop.timers(), recordOf(this->settings))
     , peers(this->loop.rpc())
     , programs(this->follower, this->client, this->peers, this->loop.kjTimer())
-    , quarantine(this->follower, this->client)
+    , quarantine(this->follower, this->client, this->peers, this->loop.kjTimer())
     , context(this->loop, this->follower, this->programs, this->peers, this->quarantine)
     , server(this->context)
 {
--- a/src/entry/entry_peer_base.h
+++ b/src/entry/entry_peer_base.h
@@ -20,6 +20,7 @@
     kj::Promise<void> release(ReleaseContext context) override;
     kj::Promise<void> forward(ForwardContext context) override;
     kj::Promise<void> result(ResultContext context) override;
+    kj::Promise<void> struck(StruckContext context) override;
 
 private:
     EntryContext &entry; ///< Outlives the server.
--- a/src/entry/entry_peer_forward.cpp
+++ b/src/entry/entry_peer_forward.cpp
@@ -143,6 +143,13 @@
     }));
 }
 
+kj::Promise<void> EntryPeerServer::struck(StruckContext context)
+{
+    const auto params = context.getParams();
+    this->entry.quarantine.note(textOf(params.getFingerprint()), EndpointId{textOf(params.getEndpoint())});
+    return kj::READY_NOW;
+}
+
 kj::Promise<void> EntryPeerServer::result(ResultContext context)
 {
     const auto params = context.getParams();
--- a/src/entry/forwarded_answer_base.cpp
+++ b/src/entry/forwarded_answer_base.cpp
@@ -1,6 +1,7 @@
 /** @file forwarded_answer_base.cpp  The forwarding entry's side. */
 #include "entry/forwarded_answer_base.h"
 
+#include <algorithm>
 #include <condition_variable>
 #include <deque>
 #include <mutex>
@@ -36,6 +37,7 @@
     std::deque<Piece> pieces; ///< Not yet written.
     bool ended = false; ///< The answer is whole.
     bool failed = false; ///< The other entry is lost.
+    bool sent = false; ///< The request may have reached the other entry; for the control thread.
     std::string what; ///< Why it failed.
     kj::Maybe<kj::Promise<void>> call; ///< The call under way; for the control thread.
 
@@ -104,6 +106,7 @@
     this->context.loop.call([&]() {
         pipe->call = this->context.peers.peer(address)
                          .then([request, pipe](Wire::EntryPeer::Client &&peer) {
+                             pipe->sent = true;
                              auto call = peer.forwardRequest();
                              writeRequest(call.initRequest(), request);
                              call.setSink(kj::heap<Sink>(pipe));
@@ -142,6 +145,9 @@
                 this->answer.write(piece.bytes);
             }
         }
+        if (open && !this->isListed(address)) {
+            pipe->finish(false, "its lease has ended");
+        }
         open = open && !this->answer.isGone();
     }
     if (pipe->failed && this->answer.isStarted()) {
@@ -152,7 +158,19 @@
         this->answer.end();
         return {};
     }
-    return fail(ErrorKind::NotReady, "the program's entry did not answer: " + pipe->what);
+    const bool sent = this->context.loop.call([&]() {
+        return pipe->sent;
+    });
+    return fail(
+        ErrorKind::NotReady, "the program's entry did not answer: " + pipe->what, sent ? Ran::Unknown : Ran::No);
+}
+
+bool ForwardedAnswer::isListed(const std::string &address) const
+{
+    const auto view = this->context.follower.views.get();
+    return std::any_of(view->entries.begin(), view->entries.end(), [&](const EntryRecord &entry) {
+        return entry.rpcAddress == address;
+    });
 }
 
 } // namespace Chestnuthook
--- a/src/entry/program_service_base.cpp
+++ b/src/entry/program_service_base.cpp
@@ -89,12 +89,19 @@
     }
 }
 
-/** Whether a request that failed with @p error has not run and may succeed at the slot's next owner. */
+/** Whether a request that failed with @p error may succeed when it is given to the slot's owner again, which knows a
+ * call that has begun by its number and content. Cancelled: it had joined a call that its last reader was leaving. */
 bool mayHold(const Error &error)
 {
-    const bool moves = error.kind == ErrorKind::NotReady || error.kind == ErrorKind::StaleEpoch
-        || error.kind == ErrorKind::NoQuorum || error.kind == ErrorKind::NotLeader;
-    return moves && error.ran == Ran::No;
+    return error.kind == ErrorKind::NotReady || error.kind == ErrorKind::StaleEpoch || error.kind == ErrorKind::NoQuorum
+        || error.kind == ErrorKind::NotLeader || error.kind == ErrorKind::Cancelled;
+}
+
+/** What is true of a request that was tried twice. */
+Ran both(Ran earlier, Ran later)
+{
+    const bool yes = earlier == Ran::Yes || later == Ran::Yes;
+    return yes ? Ran::Yes : earlier == Ran::Unknown ? earlier : later;
 }
 
 } // namespace
@@ -264,6 +271,7 @@
         const bool depends = error.kind == ErrorKind::NotFound || error.kind == ErrorKind::Conflict;
         return depends && error.ran == Ran::No && !this->context.follower.views.isReadAfter(begin);
     };
+    Ran ran = Ran::No;
     Result<void> served = this->serveOnce();
     while (!served && (mayHold(served.error()) || mayBeStale(served.error())) && !this->answer.isStarted()
         && !this->answer.isGone() && this->context.loop.timers().now() < giveUp) {
@@ -274,6 +282,7 @@
         return;
     }
     Error error = served.error();
+    error.ran = both(ran, error.ran);
     if (mayHold(error) && error.retryAfterMs == 0) {
         error.retryAfterMs = ComeBackMs;
     }
--- a/src/entry/quarantine_base.cpp
+++ b/src/entry/quarantine_base.cpp
@@ -2,6 +2,7 @@
 #include "entry/quarantine_base.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include <capnp/message.h>
@@ -18,6 +19,10 @@
 {
 
 constexpr std::int64_t StrikePeriodMs = 10L * 60 * 1000;
+
+/** After this time the fleet state's copy holds what was told. */
+constexpr std::int64_t RecentMs = 5000;
+constexpr auto TellTimeout = 300 * kj::MILLISECONDS;
 constexpr std::size_t MaxRecent = 10'000;
 
 } // namespace
@@ -43,7 +48,11 @@
     }
     const auto own = this->recent.find(fingerprint);
     if (own != this->recent.end()) {
-        endpoints.insert(own->second.begin(), own->second.end());
+        for (const auto &[endpoint, toldMs] : own->second) {
+            if (wallMsNow() - toldMs < RecentMs) {
+                endpoints.insert(endpoint);
+            }
+        }
     }
     return static_cast<std::uint32_t>(endpoints.size());
 }
@@ -56,10 +65,7 @@
 
 kj::Promise<std::uint32_t> Quarantine::strike(std::string fingerprint, EndpointId endpoint)
 {
-    if (this->recent.size() >= MaxRecent) {
-        this->recent.clear();
-    }
-    this->recent[fingerprint].insert(endpoint);
+    this->note(fingerprint, endpoint);
     metrics().add(MetricKind::StrikesTotal);
     logEvent(EventKind::StrikeRecorded, {{"fingerprint", fingerprint}, {"endpoint", endpoint.text}});
     capnp::MallocMessageBuilder message;
@@ -69,9 +75,44 @@
     strike.setFingerprint(fingerprint);
     strike.initEndpoints(1).set(0, endpoint.text);
     strike.setExpiresAtMs(wallMsNow() + StrikePeriodMs);
-    return this->client.submitFleet(flatBytes(message)).then([this, fingerprint](auto && /*reply*/) {
-        return this->strikesOf(fingerprint);
-    });
+    auto recorded = this->client.submitFleet(flatBytes(message)).ignoreResult();
+    auto told = this->tellOthers(fingerprint, endpoint);
+    return recorded
+        .then([told = kj::mv(told)]() mutable {
+            return kj::mv(told);
+        })
+        .then([this, fingerprint]() {
+            return this->strikesOf(fingerprint);
+        });
+}
+
+void Quarantine::note(const std::string &fingerprint, const EndpointId &endpoint)
+{
+    if (this->recent.size() >= MaxRecent) {
+        this->recent.clear();
+    }
+    this->recent[fingerprint][endpoint] = wallMsNow();
+}
+
+kj::Promise<void> Quarantine::tellOthers(const std::string &fingerprint, const EndpointId &endpoint)
+{
+    kj::Vector<kj::Promise<void>> tells;
+    for (const auto &[id, row] : this->follower.state.entries.all()) {
+        if (row.removed || id == this->follower.self.id) {
+            continue;
+        }
+        auto tell =
+            this->peers.peer(row.record.rpcAddress).then([fingerprint, endpoint](Wire::EntryPeer::Client &&peer) {
+                auto request = peer.struckRequest();
+                request.setFingerprint(fingerprint);
+                request.setEndpoint(endpoint.text);
+                return request.send().ignoreResult();
+            });
+        tells.add(this->timer.timeoutAfter(TellTimeout, kj::mv(tell)).catch_([](kj::Exception && /*exception*/) {
+            // It reads the strike from the fleet state.
+        }));
+    }
+    return kj::joinPromises(tells.releaseAsArray());
 }
 
 kj::Promise<void> Quarantine::clear(std::string fingerprint)
--- a/src/entry/quarantine_base.h
+++ b/src/entry/quarantine_base.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <map>
-#include <set>
 #include <string>
 
 #include <kj/async.h>
@@ -11,6 +10,7 @@
 #include "client/control_client_base.h"
 #include "core/id_type.h"
 #include "entry/fleet_follower_base.h"
+#include "entry/peer_links_base.h"
 #include "program/call_request_type.h"
 
 namespace Chestnuthook
@@ -26,12 +26,17 @@
 class Quarantine
 {
 public:
-    Quarantine(FleetFollower &follower, ControlClient &client)
+    Quarantine(FleetFollower &follower, ControlClient &client, PeerLinks &peers, kj::Timer &timer)
         : follower(follower)
         , client(client)
+        , peers(peers)
+        , timer(timer)
     {
     }
 
+    /** Takes in a strike that the fleet state's copy may not hold yet. */
+    void note(const std::string &fingerprint, const EndpointId &endpoint);
+
     /** Strikes that count now. */
     [[nodiscard]] std::uint32_t strikesOf(const std::string &fingerprint) const;
 
@@ -45,9 +50,14 @@
     [[nodiscard]] kj::Promise<void> clear(std::string fingerprint);
 
 private:
+    /** Tells the other entries, and waits for those that answer within TellTimeout. */
+    [[nodiscard]] kj::Promise<void> tellOthers(const std::string &fingerprint, const EndpointId &endpoint);
+
     FleetFollower &follower; ///< Outlives this.
     ControlClient &client; ///< Outlives this.
-    std::map<std::string, std::set<EndpointId>> recent; ///< Recorded here; the fleet state's copy lags behind.
+    PeerLinks &peers; ///< Outlives this.
+    kj::Timer &timer; ///< Outlives this.
+    std::map<std::string, std::map<EndpointId, std::int64_t>> recent; ///< When each was told, in wall milliseconds.
 };
 
 } // namespace Chestnuthook
--- a/src/rpc/entry.capnp
+++ b/src/rpc/entry.capnp
@@ -61,6 +61,8 @@
     release @2 (endpoint :Text, entry :Text, permits :List(UInt64)) -> ();
     # Runs a request whose program this entry owns; the answer goes to the sink.
     forward @3 (request :ForwardedRequest, sink :AnswerSink) -> ();
+    # A request was in flight where an endpoint died; told at once, as the fleet state reaches entries a poll later.
+    struck @5 (fingerprint :Text, endpoint :Text) -> ();
     # The result of an attempt that began under an earlier owner of the program.
     result @4 (program :Text, call :Program.Call, covered :UInt64) -> (failure :Common.Failure);
 }
--- a/src/rpc/entry.capnp.c++
+++ b/src/rpc/entry.capnp.c++
@@ -864,7 +864,7 @@
   0, 0, nullptr, nullptr, nullptr, { &s_ffc1b8eee072eff2, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<68> b_cbc20751db84b3ce = {
+static const ::capnp::_::AlignedData<78> b_cbc20751db84b3ce = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     206, 179, 132, 219,  81,   7, 194, 203,
      12,   0,   0,   0,   3,   0,   0,   0,
@@ -874,54 +874,62 @@
      21,   0,   0,   0, 178,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0,  71,   1,   0,   0,
-    225,   0,   0,   0,   7,   0,   0,   0,
+     25,   0,   0,   0, 135,   1,   0,   0,
+      9,   1,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     101, 110, 116, 114, 121,  46,  99,  97,
     112, 110, 112,  58,  69, 110, 116, 114,
     121,  80, 101, 101, 114,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     20,   0,   0,   0,   3,   0,   5,   0,
+     24,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       1, 105, 166,  85, 195,  97,  62, 220,
      33,  53, 190, 209,  47, 214,  27, 137,
-    145,   0,   0,   0,  50,   0,   0,   0,
+    177,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    133,   0,   0,   0,   7,   0,   0,   0,
+    165,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     163,  30,  66,  67,  15,  55,  10, 181,
     117,  87,  33, 175, 154, 253, 101, 147,
-    121,   0,   0,   0,  58,   0,   0,   0,
+    153,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    109,   0,   0,   0,   7,   0,   0,   0,
+    141,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
      34, 253, 227,  71, 156, 205, 120, 222,
     173, 133,  25, 237, 137,  86,  52, 199,
-     97,   0,   0,   0,  66,   0,   0,   0,
+    129,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     85,   0,   0,   0,   7,   0,   0,   0,
+    117,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
     145, 144, 189, 105, 213,   9,  13, 160,
     158,  96, 226,   9,  67, 222, 126, 182,
-     73,   0,   0,   0,  66,   0,   0,   0,
+    105,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     61,   0,   0,   0,   7,   0,   0,   0,
-      4,   0,   0,   0,   0,   0,   0,   0,
+     93,   0,   0,   0,   7,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
     190, 217, 239, 126, 201,  29, 206, 141,
      63,  76, 117, 130,   0, 106, 200, 183,
-     49,   0,   0,   0,  58,   0,   0,   0,
+     81,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,   7,   0,   0,   0,
+      4,   0,   0,   0,   0,   0,   0,   0,
+    164, 125, 110,  81, 124, 254, 217, 243,
+    167, 104, 227, 162,  35,  12, 115, 158,
+     57,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     37,   0,   0,   0,   7,   0,   0,   0,
+     45,   0,   0,   0,   7,   0,   0,   0,
      97, 100, 109, 105, 116,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
     112, 101, 114, 109, 105, 116,   0,   0,
@@ -932,6 +940,8 @@
       0,   0,   0,   0,   0,   0,   1,   0,
     114, 101, 115, 117, 108, 116,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    115, 116, 114, 117,  99, 107,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_cbc20751db84b3ce = b_cbc20751db84b3ce.words;
@@ -940,6 +950,7 @@
   &s_891bd62fd1be3521,
   &s_8dce1dc97eefd9be,
   &s_9365fd9aaf215775,
+  &s_9e730c23a2e368a7,
   &s_a00d09d569bd9091,
   &s_b50a370f43421ea3,
   &s_b67ede4309e2609e,
@@ -947,11 +958,12 @@
   &s_c7345689ed1985ad,
   &s_dc3e61c355a66901,
   &s_de78cd9c47e3fd22,
+  &s_f3d9fe7c516e7da4,
 };
-static const uint16_t m_cbc20751db84b3ce[] = {0, 3, 1, 2, 4};
+static const uint16_t m_cbc20751db84b3ce[] = {0, 3, 1, 2, 4, 5};
 const ::capnp::_::RawSchema s_cbc20751db84b3ce = {
-  0xcbc20751db84b3ce, b_cbc20751db84b3ce.words, 68, d_cbc20751db84b3ce, m_cbc20751db84b3ce,
-  10, 5, nullptr, nullptr, nullptr, { &s_cbc20751db84b3ce, nullptr, nullptr, 0, 0, nullptr }
+  0xcbc20751db84b3ce, b_cbc20751db84b3ce.words, 78, d_cbc20751db84b3ce, m_cbc20751db84b3ce,
+  12, 6, nullptr, nullptr, nullptr, { &s_cbc20751db84b3ce, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<38> b_dc3e61c355a66901 = {
@@ -1478,6 +1490,93 @@
   1, 1, i_b7c86a0082754c3f, nullptr, nullptr, { &s_b7c86a0082754c3f, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<50> b_f3d9fe7c516e7da4 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    164, 125, 110,  81, 124, 254, 217, 243,
+     22,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      2,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  34,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    101, 110, 116, 114, 121,  46,  99,  97,
+    112, 110, 112,  58,  69, 110, 116, 114,
+    121,  80, 101, 101, 114,  46, 115, 116,
+    114, 117,  99, 107,  36,  80,  97, 114,
+     97, 109, 115,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  98,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     49,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     48,   0,   0,   0,   3,   0,   1,   0,
+     60,   0,   0,   0,   2,   0,   1,   0,
+    102, 105, 110, 103, 101, 114, 112, 114,
+    105, 110, 116,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    101, 110, 100, 112, 111, 105, 110, 116,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_f3d9fe7c516e7da4 = b_f3d9fe7c516e7da4.words;
+#if !CAPNP_LITE
+static const uint16_t m_f3d9fe7c516e7da4[] = {1, 0};
+static const uint16_t i_f3d9fe7c516e7da4[] = {0, 1};
+const ::capnp::_::RawSchema s_f3d9fe7c516e7da4 = {
+  0xf3d9fe7c516e7da4, b_f3d9fe7c516e7da4.words, 50, nullptr, m_f3d9fe7c516e7da4,
+  0, 2, i_f3d9fe7c516e7da4, nullptr, nullptr, { &s_f3d9fe7c516e7da4, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<17> b_9e730c23a2e368a7 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    167, 104, 227, 162,  35,  12, 115, 158,
+     22,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  42,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    101, 110, 116, 114, 121,  46,  99,  97,
+    112, 110, 112,  58,  69, 110, 116, 114,
+    121,  80, 101, 101, 114,  46, 115, 116,
+    114, 117,  99, 107,  36,  82, 101, 115,
+    117, 108, 116, 115,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_9e730c23a2e368a7 = b_9e730c23a2e368a7.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_9e730c23a2e368a7 = {
+  0x9e730c23a2e368a7, b_9e730c23a2e368a7.words, 17, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_9e730c23a2e368a7, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -1711,6 +1810,16 @@
       "entry.capnp:EntryPeer", "result",
       0xcbc20751db84b3ceull, 4);
 }
+::capnp::Request< ::Chestnuthook::Wire::EntryPeer::StruckParams,  ::Chestnuthook::Wire::EntryPeer::StruckResults>
+EntryPeer::Client::struckRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::Chestnuthook::Wire::EntryPeer::StruckParams,  ::Chestnuthook::Wire::EntryPeer::StruckResults>(
+      0xcbc20751db84b3ceull, 5, sizeHint);
+}
+::kj::Promise<void> EntryPeer::Server::struck(StruckContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "entry.capnp:EntryPeer", "struck",
+      0xcbc20751db84b3ceull, 5);
+}
 ::capnp::Capability::Server::DispatchCallResult EntryPeer::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -1755,6 +1864,12 @@
              ::Chestnuthook::Wire::EntryPeer::ResultParams,  ::Chestnuthook::Wire::EntryPeer::ResultResults>(context)),
         false
       };
+    case 5:
+      return {
+        struck(::capnp::Capability::Server::internalGetTypedContext<
+             ::Chestnuthook::Wire::EntryPeer::StruckParams,  ::Chestnuthook::Wire::EntryPeer::StruckResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -1850,6 +1965,22 @@
 constexpr ::capnp::_::RawSchema const* EntryPeer::ResultResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// EntryPeer::StruckParams
+constexpr uint16_t EntryPeer::StruckParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t EntryPeer::StruckParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind EntryPeer::StruckParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* EntryPeer::StruckParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// EntryPeer::StruckResults
+constexpr uint16_t EntryPeer::StruckResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t EntryPeer::StruckResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind EntryPeer::StruckResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* EntryPeer::StruckResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/src/rpc/entry.capnp.h
+++ b/src/rpc/entry.capnp.h
@@ -45,6 +45,8 @@
 CAPNP_DECLARE_SCHEMA(b67ede4309e2609e);
 CAPNP_DECLARE_SCHEMA(8dce1dc97eefd9be);
 CAPNP_DECLARE_SCHEMA(b7c86a0082754c3f);
+CAPNP_DECLARE_SCHEMA(f3d9fe7c516e7da4);
+CAPNP_DECLARE_SCHEMA(9e730c23a2e368a7);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -273,6 +275,8 @@
   struct ForwardResults;
   struct ResultParams;
   struct ResultResults;
+  struct StruckParams;
+  struct StruckResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -432,6 +436,36 @@
   };
 };
 
+struct EntryPeer::StruckParams {
+  StruckParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f3d9fe7c516e7da4, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EntryPeer::StruckResults {
+  StruckResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9e730c23a2e368a7, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class AdmitRequest::Reader {
@@ -1623,6 +1657,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::Chestnuthook::Wire::EntryPeer::ResultParams,  ::Chestnuthook::Wire::EntryPeer::ResultResults> resultRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Chestnuthook::Wire::EntryPeer::StruckParams,  ::Chestnuthook::Wire::EntryPeer::StruckResults> struckRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1659,6 +1695,10 @@
   typedef  ::Chestnuthook::Wire::EntryPeer::ResultResults ResultResults;
   typedef ::capnp::CallContext<ResultParams, ResultResults> ResultContext;
   virtual ::kj::Promise<void> result(ResultContext context);
+  typedef  ::Chestnuthook::Wire::EntryPeer::StruckParams StruckParams;
+  typedef  ::Chestnuthook::Wire::EntryPeer::StruckResults StruckResults;
+  typedef ::capnp::CallContext<StruckParams, StruckResults> StruckContext;
+  virtual ::kj::Promise<void> struck(StruckContext context);
 
   inline  ::Chestnuthook::Wire::EntryPeer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -2515,6 +2555,168 @@
 };
 #endif  // !CAPNP_LITE
 
+class EntryPeer::StruckParams::Reader {
+public:
+  typedef StruckParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFingerprint() const;
+  inline  ::capnp::Text::Reader getFingerprint() const;
+
+  inline bool hasEndpoint() const;
+  inline  ::capnp::Text::Reader getEndpoint() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryPeer::StruckParams::Builder {
+public:
+  typedef StruckParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFingerprint();
+  inline  ::capnp::Text::Builder getFingerprint();
+  inline void setFingerprint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFingerprint(unsigned int size);
+  inline void adoptFingerprint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFingerprint();
+
+  inline bool hasEndpoint();
+  inline  ::capnp::Text::Builder getEndpoint();
+  inline void setEndpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
+  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryPeer::StruckParams::Pipeline {
+public:
+  typedef StruckParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EntryPeer::StruckResults::Reader {
+public:
+  typedef StruckResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryPeer::StruckResults::Builder {
+public:
+  typedef StruckResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryPeer::StruckResults::Pipeline {
+public:
+  typedef StruckResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline bool AdmitRequest::Reader::hasTenant() const {
@@ -3812,6 +4014,74 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool EntryPeer::StruckParams::Reader::hasFingerprint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryPeer::StruckParams::Builder::hasFingerprint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader EntryPeer::StruckParams::Reader::getFingerprint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder EntryPeer::StruckParams::Builder::getFingerprint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EntryPeer::StruckParams::Builder::setFingerprint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder EntryPeer::StruckParams::Builder::initFingerprint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void EntryPeer::StruckParams::Builder::adoptFingerprint(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> EntryPeer::StruckParams::Builder::disownFingerprint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool EntryPeer::StruckParams::Reader::hasEndpoint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryPeer::StruckParams::Builder::hasEndpoint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader EntryPeer::StruckParams::Reader::getEndpoint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder EntryPeer::StruckParams::Builder::getEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void EntryPeer::StruckParams::Builder::setEndpoint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder EntryPeer::StruckParams::Builder::initEndpoint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void EntryPeer::StruckParams::Builder::adoptEndpoint(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> EntryPeer::StruckParams::Builder::disownEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/tests/process/quarantine_test.cpp
+++ b/tests/process/quarantine_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <atomic>
+#include <mutex>
 #include <thread>
 
 #include "support/program_call.h"
@@ -22,6 +23,8 @@
     std::atomic<bool> done = false;
     std::atomic<int> served = 0;
     std::atomic<int> refused = 0;
+    std::mutex mutex;
+    std::string refusals;
     std::vector<std::thread> neighbours;
     neighbours.reserve(Neighbours);
     for (int i = 0; i < Neighbours; ++i) {
@@ -31,6 +34,10 @@
                 const std::string words = "innocent " + std::to_string(i) + " " + std::to_string(turn);
                 const HttpAnswer answer = fleet.ask(0, "POST", call, modelCall(fleet.model, words, 12));
                 (answer.status == 200 ? served : refused) += 1;
+                if (answer.status != 200) {
+                    const std::lock_guard lock(mutex);
+                    refusals += answer.body;
+                }
             }
         });
     }
@@ -53,6 +60,6 @@
         dead += fleet.processes.at("engine-" + std::to_string(i))->isRunning() ? 0 : 1;
     }
     BOOST_TEST(dead == 2);
-    BOOST_TEST(refused == 0);
+    BOOST_TEST(refused == 0, refusals);
     BOOST_TEST(served > 0);
 }
