--- a/src/consensus/raft_core_base.cpp
+++ b/src/consensus/raft_core_base.cpp
@@ -220,6 +220,9 @@
     this->electionElapsed = 0;
     this->electionTimeout =
         this->settings.electionTicks + static_cast<unsigned>(this->random() % this->settings.electionTicks);
+    if (this->isVoter(this->self) && this->hasQuorum({this->self})) {
+        this->electionTimeout = 1; // Nobody else to wait for.
+    }
 }
 
 void RaftCore::send(RaftMessage message)
--- a/src/consensus/raft_type.h
+++ b/src/consensus/raft_type.h
@@ -101,7 +101,7 @@
     unsigned heartbeatTicks = 3; ///< Between heartbeats.
     std::size_t maxAppendEntries = 512; ///< In one message.
     std::size_t maxAppendBytes = 1U << 20U; ///< In one message, but for a single larger entry.
-    std::uint64_t maxInflightEntries = 8192; ///< Sent to one member and not yet acknowledged.
+    std::uint64_t maxInflightEntries = 2048; ///< Sent to one member and not yet acknowledged.
     std::size_t snapshotChunkBytes = 256U << 10U; ///< In one message.
     bool preVote = true; ///< Off only in the test of the test.
     bool commitTermCheck = true; ///< Off only in the test of the test.
@@ -116,6 +116,7 @@
     std::uint64_t baseIndex = 0; ///< The log starts after this.
     std::uint64_t baseTerm = 0; ///< Term of the entry at baseIndex.
     std::vector<RaftEntry> entries; ///< From baseIndex + 1, without gaps.
+    std::uint64_t wholeBytes = 0; ///< Of the log; up to here it was synced before it was used.
 };
 
 enum class RaftRole : std::uint8_t { Follower, PreCandidate, Candidate, Leader };
--- a/src/consensus/replica_group_base.h
+++ b/src/consensus/replica_group_base.h
@@ -1,17 +1,16 @@
 /** @file replica_group_base.h  One replicated state machine as its users see it: propose a command, confirm a read.
- * Nothing here assumes how many members there are. */
+ * Several machines may stand on one node, that is on one log with one leader. */
 #pragma once
 
 #include <concepts>
 #include <cstdint>
-#include <functional>
 #include <string>
 #include <string_view>
 #include <utility>
 
 #include <kj/async.h>
 
-#include "consensus/log_file_base.h"
+#include "consensus/replica_node_base.h"
 #include "core/error_type.h"
 
 namespace Chestnuthook
@@ -33,48 +32,56 @@
         } -> std::same_as<std::uint64_t>;
 };
 
-/** A group of one member. */
 template<StateMachine Machine>
 class ReplicaGroup
 {
 public:
-    /** Opens the log in @p folder and replays it. */
-    Result<void> open(const std::string &folder)
+    /** Stands on @p node, which outlives it, under @p tag; before the node is opened. */
+    ReplicaGroup(ReplicaNode &node, std::uint8_t tag)
+        : node(node)
+        , tag(tag)
     {
-        return this->log.open(folder, [this](std::uint64_t index, std::string_view command) {
-            this->machine.apply(index, command);
-        });
+        MachineHooks hooks;
+        hooks.apply = [this](std::uint64_t index, std::string_view command) {
+            return this->machine.apply(index, command);
+        };
+        hooks.snapshot = [this]() {
+            return this->machine.snapshot();
+        };
+        hooks.restore = [this](std::string_view bytes) {
+            this->machine.restore(bytes);
+        };
+        node.host(tag, std::move(hooks));
     }
+    ReplicaGroup(const ReplicaGroup &) = delete;
+    ReplicaGroup &operator=(const ReplicaGroup &) = delete;
 
     /** Commits @p command. @return the machine's reply; NotLeader or NoQuorum where it can't be committed here. */
-    [[nodiscard]] kj::Promise<Result<std::string>> propose(std::string command)
+    [[nodiscard]] kj::Promise<Result<std::string>> propose(std::string command, std::string requestId = {})
     {
-        const Result<std::uint64_t> index = this->log.append(command);
-        if (!index) {
-            return Result<std::string>(tl::unexpected(index.error()));
-        }
-        return Result<std::string>(this->machine.apply(*index, command));
+        return this->node.propose(this->tag, std::move(command), std::move(requestId));
     }
 
     /** Resolves once this member has applied all that was committed when it was called, and a quorum said so. */
     [[nodiscard]] kj::Promise<Result<void>> confirmRead()
     {
-        return Result<void>();
+        return this->node.confirmRead();
     }
 
     [[nodiscard]] bool isLeader() const
     {
-        return true;
+        return this->node.isLeader();
     }
     [[nodiscard]] std::uint64_t term() const
     {
-        return 1;
+        return this->node.term();
     }
 
     Machine machine; ///< The state; changed by committed commands only.
 
 private:
-    LogFile log; ///< Commands in order, synced.
+    ReplicaNode &node; ///< The log.
+    std::uint8_t tag; ///< Of this machine on it.
 };
 
 } // namespace Chestnuthook
--- /dev/null
+++ b/src/consensus/replica_node_base.cpp
@@ -0,0 +1,341 @@
+/** @file replica_node_base.cpp  Inputs and actions of the core, carried out. */
+#include "consensus/replica_node_base.h"
+
+#include <utility>
+
+#include <capnp/message.h>
+
+#include "observe/log_func.h"
+#include "rpc/message_func.h"
+
+namespace Chestnuthook
+{
+
+namespace
+{
+
+constexpr Duration TickPeriod = std::chrono::milliseconds(25);
+
+class MemberServer final : public Wire::Member::Server
+{
+public:
+    explicit MemberServer(ReplicaNode &node)
+        : node(node)
+    {
+    }
+
+    kj::Promise<void> send(SendContext context) override
+    {
+        if (this->node.dropTraffic) {
+            return kj::NEVER_DONE;
+        }
+        for (const auto message : context.getParams().getMessages()) {
+            this->node.learnAddress(textOf(message.getFrom()), textOf(message.getFromAddress()));
+            this->node.receive(readMessage(message));
+        }
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> hello(HelloContext context) override
+    {
+        if (this->node.dropTraffic) {
+            return kj::NEVER_DONE;
+        }
+        context.getResults().setIdentity(this->node.identity());
+        context.getResults().setFounded(this->node.hasTakenPart());
+        return kj::READY_NOW;
+    }
+
+private:
+    ReplicaNode &node; ///< Outlives this.
+};
+
+template<typename T>
+LateResult<T> late(Result<T> result)
+{
+    return std::make_unique<Result<T>>(std::move(result));
+}
+
+std::string proposalBytes(std::uint8_t tag, const std::string &command, const std::string &requestId)
+{
+    capnp::MallocMessageBuilder message;
+    auto proposal = message.initRoot<Wire::Proposal>();
+    proposal.setMachine(tag);
+    proposal.setRequestId(dataOf(requestId));
+    proposal.setCommand(dataOf(command));
+    return flatBytes(message);
+}
+
+} // namespace
+
+ReplicaNode::ReplicaNode(ControlLoop &loop, ReplicaSettings settings)
+    : loop(loop)
+    , settings(std::move(settings))
+    , links(loop.rpc(), this->settings.address)
+{
+}
+
+void ReplicaNode::host(std::uint8_t tag, MachineHooks hooks)
+{
+    this->machines[tag] = std::move(hooks);
+}
+
+Result<void> ReplicaNode::open(const std::string &folder)
+{
+    Result<void> done = this->storage.openIdentity(folder, this->settings.name);
+    if (!done) {
+        return done;
+    }
+    Result<RaftRestored> restored = this->storage.open(folder);
+    if (!restored) {
+        return tl::unexpected(restored.error());
+    }
+    if (restored->snapshot.index != 0) {
+        this->restore(restored->snapshot.data);
+    }
+    this->applied = restored->snapshot.index;
+    const std::uint64_t seed = std::hash<std::string>()(this->identity());
+    this->core = std::make_unique<RaftCore>(RaftSettings{}, this->identity(), seed, std::move(*restored));
+    return {};
+}
+
+void ReplicaNode::start()
+{
+    this->syncing = std::make_unique<StorageThread>(this->storage, [this](std::uint64_t batch) {
+        this->core->synced(batch);
+        this->flush();
+    });
+    this->ticking = this->loop.timers().every(TickPeriod, [this]() {
+        this->core->tick();
+        this->flush();
+    });
+    this->tryFound();
+}
+
+kj::Promise<Result<std::string>> ReplicaNode::propose(std::uint8_t tag, std::string command, std::string requestId)
+{
+    const auto index = this->core->propose(proposalBytes(tag, command, requestId));
+    if (!index) {
+        return Result<std::string>(this->notLeader());
+    }
+    return this->awaitCommit(*index);
+}
+
+kj::Promise<Result<std::string>> ReplicaNode::awaitCommit(std::uint64_t index)
+{
+    auto pair = kj::newPromiseAndFulfiller<LateResult<std::string>>();
+    this->pending[index] = Pending{this->term(), kj::mv(pair.fulfiller)};
+    this->flushSoon();
+    return pair.promise.then([](LateResult<std::string> &&result) {
+        return std::move(*result);
+    });
+}
+
+kj::Promise<Result<void>> ReplicaNode::confirmRead()
+{
+    const auto id = this->core->requestRead();
+    if (!id) {
+        return Result<void>(this->notLeader());
+    }
+    auto pair = kj::newPromiseAndFulfiller<LateResult<void>>();
+    this->reads[*id] = kj::mv(pair.fulfiller);
+    this->flushSoon();
+    return pair.promise.then([](LateResult<void> &&result) {
+        return std::move(*result);
+    });
+}
+
+Wire::Member::Client ReplicaNode::makeService()
+{
+    return kj::heap<MemberServer>(*this);
+}
+
+std::string ReplicaNode::leaderAddress() const
+{
+    const std::string &leader = this->core->leader();
+    const auto member = this->core->membership().find(leader);
+    return member == this->core->membership().end() ? this->links.addressOf(leader) : member->second.address;
+}
+
+std::vector<MemberView> ReplicaNode::members() const
+{
+    std::vector<MemberView> views;
+    for (const auto &[id, member] : this->core->membership()) {
+        MemberView view{id, member.address, member.voter ? "follower" : "learner", this->core->matchOf(id)};
+        if (id == this->core->leader()) {
+            view.role = "leader";
+        }
+        views.push_back(std::move(view));
+    }
+    return views;
+}
+
+void ReplicaNode::learnAddress(const std::string &member, const std::string &address)
+{
+    if (!this->core->membership().contains(member)) {
+        this->links.setAddress(member, address);
+    }
+}
+
+void ReplicaNode::receive(const RaftMessage &message)
+{
+    this->core->receive(message);
+    this->flushSoon();
+}
+
+bool ReplicaNode::hasTakenPart() const
+{
+    return this->core->hardState().term != 0 || this->core->lastIndex() != 0;
+}
+
+tl::unexpected<Error> ReplicaNode::notLeader() const
+{
+    return fail(ErrorKind::NotLeader, "member " + this->settings.name);
+}
+
+void ReplicaNode::flushSoon()
+{
+    if (this->flushPlanned) {
+        return;
+    }
+    this->flushPlanned = true;
+    this->loop.detach(kj::evalLater([this]() {
+        this->flushPlanned = false;
+        this->flush();
+    }));
+}
+
+void ReplicaNode::flush()
+{
+    RaftActions actions = this->core->takeActions();
+    this->carryOut(std::move(actions));
+    this->noteRole();
+    this->links.flush();
+    if (this->applied >= this->core->snapshot().index + this->settings.snapshotEntries) {
+        this->takeSnapshot();
+    }
+}
+
+void ReplicaNode::carryOut(RaftActions actions)
+{
+    auto messages = std::exchange(actions.messages, {});
+    const auto committed = std::exchange(actions.committed, {});
+    const auto confirmed = std::exchange(actions.reads, {});
+    const auto installed = actions.install;
+    if (actions.batch != 0) {
+        this->syncing->write(std::move(actions));
+    }
+    for (const auto &[id, member] : this->core->membership()) {
+        this->links.setAddress(id, member.address);
+    }
+    for (RaftMessage &message : messages) {
+        if (!this->dropTraffic) {
+            this->links.add(std::move(message));
+        }
+    }
+    if (installed) {
+        this->restore(installed->data);
+        this->applied = installed->index;
+        logEvent(EventKind::SnapshotTaken, {{"received", "yes"}, {"index", std::to_string(this->applied)}});
+    }
+    for (const RaftEntry &entry : committed) {
+        this->apply(entry);
+    }
+    this->answerReads(confirmed);
+}
+
+void ReplicaNode::apply(const RaftEntry &entry)
+{
+    this->applied = entry.index;
+    std::string reply;
+    if (entry.kind == RaftEntryKind::Command) {
+        reply = this->applyCommand(entry);
+    } else if (entry.kind == RaftEntryKind::Membership) {
+        logEvent(EventKind::MembershipChanged, {{"index", std::to_string(entry.index)}, {"members", entry.data}});
+    }
+    const auto waiting = this->pending.find(entry.index);
+    if (waiting == this->pending.end()) {
+        return;
+    }
+    if (waiting->second.term == entry.term) {
+        waiting->second.fulfiller->fulfill(late(Result<std::string>(std::move(reply))));
+    } else {
+        waiting->second.fulfiller->fulfill(late(Result<std::string>(this->notLeader()))); // Replaced: it never commits.
+    }
+    this->pending.erase(waiting);
+}
+
+std::string ReplicaNode::applyCommand(const RaftEntry &entry)
+{
+    std::string reply;
+    // A command that can't be read is the same nothing on every member; it must not end them one after the other.
+    kj::runCatchingExceptions([&]() {
+        FlatMessage message(entry.data);
+        const auto proposal = message.root<Wire::Proposal>();
+        const std::string requestId = bytesOf(proposal.getRequestId());
+        const auto first = this->replies.find(requestId);
+        if (!requestId.empty() && first != this->replies.end()) {
+            reply = first->second;
+            return;
+        }
+        const auto machine = this->machines.find(proposal.getMachine());
+        if (machine != this->machines.end()) {
+            reply = machine->second.apply(entry.index, bytesOf(proposal.getCommand()));
+        }
+        if (!requestId.empty()) {
+            this->rememberReply(requestId, entry.index, reply);
+        }
+    });
+    return reply;
+}
+
+void ReplicaNode::answerReads(const std::vector<RaftRead> &confirmed)
+{
+    for (const RaftRead &read : confirmed) {
+        const auto waiting = this->reads.find(read.id);
+        if (waiting == this->reads.end()) {
+            continue;
+        }
+        waiting->second->fulfill(late(read.index == 0 ? Result<void>(this->notLeader()) : Result<void>()));
+        this->reads.erase(waiting);
+    }
+}
+
+void ReplicaNode::noteRole()
+{
+    const RaftRole role = this->core->role();
+    if (role != this->seenRole || this->term() != this->seenTerm) {
+        if (role == RaftRole::Leader) {
+            logEvent(EventKind::LeaderElected, {{"term", std::to_string(this->term())}, {"leader", this->identity()}});
+        } else if (this->term() != this->seenTerm) {
+            logEvent(EventKind::TermChanged, {{"term", std::to_string(this->term())}});
+        }
+        if (role != RaftRole::Leader || this->term() != this->seenTerm) {
+            this->failPending();
+        }
+        this->seenRole = role;
+        this->seenTerm = this->term();
+        this->leads = false;
+    }
+    if (!this->leads && this->isLeader()) {
+        this->leads = true;
+        if (this->onLead) {
+            this->onLead();
+        }
+    }
+}
+
+void ReplicaNode::failPending()
+{
+    auto failing = std::exchange(this->pending, {});
+    for (auto &[index, waiting] : failing) {
+        if (waiting.term == this->term() && this->core->role() == RaftRole::Leader) {
+            this->pending[index] = kj::mv(waiting);
+            continue;
+        }
+        waiting.fulfiller->fulfill(
+            late(Result<std::string>(fail(ErrorKind::NoQuorum, "the leader was lost before the commit was known"))));
+    }
+}
+
+} // namespace Chestnuthook
--- /dev/null
+++ b/src/consensus/replica_snapshot.cpp
@@ -0,0 +1,84 @@
+/** @file replica_snapshot.cpp  Snapshots of all machines of a node, and the replies that it remembers. */
+#include <capnp/message.h>
+
+#include "consensus/replica_node_base.h"
+#include "observe/log_func.h"
+#include "rpc/message_func.h"
+
+namespace Chestnuthook
+{
+
+namespace
+{
+
+constexpr std::uint32_t SnapshotVersion = 1; ///< Grows when the form changes.
+constexpr std::size_t MaxReplies = 32768;
+constexpr std::uint64_t KeptEntries = 1000; ///< Before a snapshot, for members that lag a little.
+
+} // namespace
+
+void ReplicaNode::rememberReply(const std::string &requestId, std::uint64_t index, std::string reply)
+{
+    this->replies.emplace(requestId, std::move(reply));
+    this->replyOrder.emplace_back(index, requestId);
+    if (this->replyOrder.size() > MaxReplies) {
+        this->replies.erase(this->replyOrder.front().second);
+        this->replyOrder.pop_front();
+    }
+}
+
+std::string ReplicaNode::snapshotBytes() const
+{
+    capnp::MallocMessageBuilder message;
+    auto snapshot = message.initRoot<Wire::NodeSnapshot>();
+    snapshot.setVersion(SnapshotVersion);
+    auto states = snapshot.initMachines(static_cast<unsigned>(this->machines.size()));
+    unsigned next = 0;
+    for (const auto &[tag, machine] : this->machines) {
+        states[next].setMachine(tag);
+        states[next++].setState(dataOf(machine.snapshot()));
+    }
+    auto kept = snapshot.initReplies(static_cast<unsigned>(this->replyOrder.size()));
+    next = 0;
+    for (const auto &[index, requestId] : this->replyOrder) {
+        kept[next].setIndex(index);
+        kept[next].setRequestId(dataOf(requestId));
+        kept[next++].setReply(dataOf(this->replies.at(requestId)));
+    }
+    return flatBytes(message);
+}
+
+void ReplicaNode::restore(std::string_view bytes)
+{
+    FlatMessage message(bytes);
+    const auto snapshot = message.root<Wire::NodeSnapshot>();
+    KJ_REQUIRE(snapshot.getVersion() == SnapshotVersion, "unknown version of the snapshot");
+    for (const auto state : snapshot.getMachines()) {
+        const auto machine = this->machines.find(state.getMachine());
+        KJ_REQUIRE(machine != this->machines.end(), "the snapshot holds an unknown machine");
+        machine->second.restore(bytesOf(state.getState()));
+    }
+    this->replies.clear();
+    this->replyOrder.clear();
+    for (const auto reply : snapshot.getReplies()) {
+        this->rememberReply(bytesOf(reply.getRequestId()), reply.getIndex(), bytesOf(reply.getReply()));
+    }
+}
+
+void ReplicaNode::takeSnapshot()
+{
+    const std::uint64_t keepFrom = this->applied > KeptEntries ? this->applied - KeptEntries : 1;
+    this->core->compact(this->applied, this->snapshotBytes(), keepFrom);
+    RaftCompaction compaction;
+    compaction.snapshot = this->core->snapshot();
+    compaction.hardState = this->core->hardState();
+    compaction.baseIndex = this->core->firstIndex() - 1;
+    compaction.baseTerm = this->core->termAt(compaction.baseIndex);
+    for (std::uint64_t i = this->core->firstIndex(); i <= this->core->lastIndex(); ++i) {
+        compaction.entries.push_back(this->core->entryAt(i));
+    }
+    this->syncing->compact(std::move(compaction));
+    logEvent(EventKind::SnapshotTaken, {{"received", "no"}, {"index", std::to_string(this->applied)}});
+}
+
+} // namespace Chestnuthook
--- a/src/control/control_service_base.cpp
+++ b/src/control/control_service_base.cpp
@@ -14,6 +14,10 @@
 namespace
 {
 
+/** Machines on the log. */
+constexpr std::uint8_t FleetTag = 0;
+constexpr std::uint8_t JournalTag = 1;
+
 constexpr Duration ExpiryPeriod = std::chrono::milliseconds(250);
 
 /** The flat command that grants @p entry a lease. */
@@ -37,6 +41,16 @@
     return flatBytes(message);
 }
 
+/** The flat command that drops strikes that have expired by now. */
+std::string pruneCommand()
+{
+    capnp::MallocMessageBuilder message;
+    auto command = message.initRoot<Wire::FleetCommand>();
+    command.setNowMs(wallMsNow());
+    command.setPrune();
+    return flatBytes(message);
+}
+
 std::string setStateCommand(Wire::Entry::Reader entry, std::uint64_t epoch)
 {
     capnp::MallocMessageBuilder message;
@@ -64,22 +78,32 @@
 
     kj::Promise<void> submit(SubmitContext context) override
     {
+        if (this->member.dropEntries) {
+            return kj::NEVER_DONE;
+        }
         const auto params = context.getParams();
+        std::string requestId = bytesOf(params.getRequestId());
         std::string command = bytesOf(params.getCommand());
-        auto proposed = params.getGroup() == Wire::Group::FLEET ? this->member.fleet.propose(std::move(command))
-                                                                : this->member.journal.propose(std::move(command));
-        return proposed.then([context](Result<std::string> &&reply) mutable {
+        auto proposed = params.getGroup() == Wire::Group::FLEET ? this->member.fleet.propose(std::move(command), std::move(requestId))
+                                                                : this->member.journal.propose(std::move(command), std::move(requestId));
+        return proposed.then([this, context](Result<std::string> &&reply) mutable {
             auto result = context.getResults().initResult();
             if (reply) {
                 result.setReply(dataOf(*reply));
             } else {
-                writeFailure(result.initFailure(), reply.error());
+                this->refuse(result, reply.error());
             }
         });
     }
 
     kj::Promise<void> sync(SyncContext context) override
     {
+        if (this->member.dropEntries) {
+            return kj::NEVER_DONE;
+        }
+        if (!this->member.node.isLeader()) { // What we know of the entry may be old.
+            return this->answerSync(context, 0);
+        }
         const auto entry = context.getParams().getRequest().getEntry();
         const EntryRecord *known = this->member.fleet.machine.entries.find(EntryId{textOf(entry.getId())});
         const bool held = known != nullptr && known->epoch.value == entry.getEpoch();
@@ -90,7 +114,7 @@
         return this->member.fleet.propose(std::move(command))
             .then([this, context](Result<std::string> &&reply) mutable {
                 if (!reply) {
-                    writeFailure(context.getResults().initResult().initFailure(), reply.error());
+                    this->refuse(context.getResults().initResult(), reply.error());
                     return kj::Promise<void>(kj::READY_NOW);
                 }
                 const EntryId id{textOf(context.getParams().getRequest().getEntry().getId())};
@@ -101,10 +125,13 @@
 
     kj::Promise<void> loadSlots(LoadSlotsContext context) override
     {
+        if (this->member.dropEntries) {
+            return kj::NEVER_DONE;
+        }
         return this->member.journal.confirmRead().then([this, context](Result<void> &&confirmed) mutable {
             auto result = context.getResults().initResult();
             if (!confirmed) {
-                writeFailure(result.initFailure(), confirmed.error());
+                this->refuse(result, confirmed.error());
                 return;
             }
             std::vector<const ProgramRecord *> programs;
@@ -129,7 +156,9 @@
         status.setJournalIndex(this->member.journal.machine.index());
         status.setRevision(fleet.revision().value);
         status.setPrograms(this->member.journal.machine.all().size());
+        status.setLeader(this->member.node.leaderAddress());
         this->writeEntries(status);
+        this->writeMembers(status);
         return this->member.fleet.confirmRead().then([context](Result<void> &&confirmed) mutable {
             context.getResults().getStatus().setConfirmed(confirmed.has_value());
         });
@@ -137,24 +166,70 @@
 
     kj::Promise<void> readFleet(ReadFleetContext context) override
     {
+        if (this->member.dropEntries) {
+            return kj::NEVER_DONE;
+        }
         return this->member.fleet.confirmRead().then([this, context](Result<void> &&confirmed) mutable {
             auto result = context.getResults().initResult();
             if (!confirmed) {
-                writeFailure(result.initFailure(), confirmed.error());
+                this->refuse(result, confirmed.error());
                 return;
             }
             this->member.fleet.machine.writeDelta(0, result.initDelta().initDelta());
         });
     }
 
+    kj::Promise<void> changeMember(ChangeMemberContext context) override
+    {
+        const auto params = context.getParams();
+        auto changed = params.getRemove()
+            ? this->member.node.removeMember(textOf(params.getId()))
+            : this->member.node.addMember(textOf(params.getId()), textOf(params.getAddress()));
+        return changed.then([this, context](Result<void> &&done) mutable {
+            auto result = context.getResults().initResult();
+            if (done) {
+                result.setReply(nullptr);
+            } else {
+                this->refuse(result, done.error());
+            }
+        });
+    }
+
+    kj::Promise<void> setTestFault(SetTestFaultContext context) override
+    {
+        KJ_REQUIRE(this->member.testHooks, "the member was not started with --test_hooks");
+        this->member.node.dropTraffic = context.getParams().getDropMembers();
+        this->member.dropEntries = context.getParams().getDropEntries();
+        return kj::READY_NOW;
+    }
+
 private:
+    template<typename Result>
+    void refuse(Result result, const Error &error)
+    {
+        result.setLeader(this->member.node.leaderAddress());
+        writeFailure(result.initFailure(), error);
+    }
+
+    void writeMembers(Wire::Status::Builder status)
+    {
+        const std::vector<MemberView> views = this->member.node.members();
+        auto members = status.initMembers(static_cast<unsigned>(views.size()));
+        for (unsigned i = 0; i < members.size(); ++i) {
+            members[i].setId(views[i].identity);
+            members[i].setAddress(views[i].address);
+            members[i].setRole(views[i].role);
+            members[i].setMatchIndex(views[i].matchIndex);
+        }
+    }
+
     kj::Promise<void> answerSync(SyncContext context, std::uint64_t epoch)
     {
         return this->member.fleet.confirmRead().then([this, context, epoch](Result<void> &&confirmed) mutable {
             const auto request = context.getParams().getRequest();
             auto result = context.getResults().initResult();
             if (!confirmed) {
-                writeFailure(result.initFailure(), confirmed.error());
+                this->refuse(result, confirmed.error());
                 return;
             }
             const EntryId id{textOf(request.getEntry().getId())};
@@ -197,38 +272,60 @@
 
 } // namespace
 
-ControlMember::ControlMember(ControlLoop &loop, std::string memberId)
-    : memberId(std::move(memberId))
+ControlMember::ControlMember(ControlLoop &loop, ReplicaSettings settings, bool testHooks)
+    : node(loop, settings)
+    , fleet(this->node, FleetTag)
+    , journal(this->node, JournalTag)
+    , memberId(settings.name)
+    , testHooks(testHooks)
     , loop(loop)
 {
+    this->node.onLead = [this]() {
+        this->leases.beginTerm(this->fleet.machine, this->loop.timers().now());
+    };
 }
 
 Result<void> ControlMember::open(const std::string &dataFolder)
 {
-    Result<void> opened = this->fleet.open(dataFolder + "/fleet");
-    if (!opened) {
-        return opened;
-    }
-    return this->journal.open(dataFolder + "/journal");
+    return this->node.open(dataFolder);
 }
 
 void ControlMember::start()
 {
-    this->leases.beginTerm(this->fleet.machine, this->loop.timers().now());
+    this->node.start();
     this->expiry = this->loop.timers().every(ExpiryPeriod, [this]() {
-        this->expireLeases();
+        this->expire();
     });
 }
 
-void ControlMember::expireLeases()
+void ControlMember::expire()
 {
-    if (!this->fleet.isLeader()) {
+    const auto now = this->loop.timers().now();
+    const bool work = this->node.isLeader()
+        && (!this->leases.expired(this->fleet.machine, now).empty()
+            || this->fleet.machine.hasExpiredStrikes(wallMsNow()));
+    if (!work || this->confirming) {
         return;
     }
+    this->confirming = true;
+    // A leader that was stopped for a while hears of its successor, and of its entries, before it ends any lease.
+    this->loop.detach(this->node.confirmRead().then([this](Result<void> &&confirmed) {
+        this->confirming = false;
+        if (confirmed) {
+            this->expireConfirmed();
+        }
+    }));
+}
+
+void ControlMember::expireConfirmed()
+{
     for (const EntryRecord &entry : this->leases.expired(this->fleet.machine, this->loop.timers().now())) {
         logEvent(EventKind::LeaseExpired, {{"entry", entry.id.text}, {"epoch", std::to_string(entry.epoch.value)}});
         this->loop.detach(this->fleet.propose(endLeaseCommand(entry)).ignoreResult());
     }
+    if (this->fleet.machine.hasExpiredStrikes(wallMsNow())) {
+        this->loop.detach(this->fleet.propose(pruneCommand()).ignoreResult());
+    }
 }
 
 Wire::Control::Client makeControlService(ControlMember &member)
--- a/src/control/control_service_base.h
+++ b/src/control/control_service_base.h
@@ -18,25 +18,32 @@
 class ControlMember
 {
 public:
-    ControlMember(ControlLoop &loop, std::string memberId);
+    ControlMember(ControlLoop &loop, ReplicaSettings settings, bool testHooks);
 
-    /** Opens both groups in @p dataFolder. */
+    /** Opens the log in @p dataFolder and restores both machines. */
     Result<void> open(const std::string &dataFolder);
 
-    /** Starts the periodic work of a leader. */
+    /** Starts to take part, and the periodic work of a leader. */
     void start();
 
-    /** Ends the leases whose holders were not heard. */
-    void expireLeases();
+    /** Ends the leases whose holders were not heard, and drops strikes that have expired; does nothing but at a leader
+     * that a quorum confirms. */
+    void expire();
 
+    ReplicaNode node; ///< The log that both machines stand on.
     ReplicaGroup<FleetState> fleet; ///< Declarations, keys, leases, slots.
     ReplicaGroup<JournalState> journal; ///< Programs.
     LeaseKeeper leases; ///< Meaningful while this member leads.
     const std::string memberId; ///< Shown to operators.
+    const bool testHooks; ///< Whether setTestFault is served.
+    bool dropEntries = false; ///< Test hook: entries and tools get no answer.
     ControlLoop &loop; ///< Outlives this.
 
 private:
-    TimerSubscription expiry; ///< Runs expireLeases.
+    void expireConfirmed();
+
+    TimerSubscription expiry; ///< Runs expire.
+    bool confirming = false; ///< A confirmation for expire is under way.
 };
 
 /** Makes the Control capability over @p member, which outlives it. */
--- a/src/control/main.cpp
+++ b/src/control/main.cpp
@@ -1,6 +1,8 @@
 /** @file main.cpp  chestnuthook-control: one member of the replicated control state, on an instance with a disk. */
 #include <cstdlib>
 #include <iostream>
+#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,6 +19,10 @@
 DEFINE_string(data, "", "Data folder; everything durable lives below it.");
 DEFINE_string(member, "control-1", "Name of this member.");
 DEFINE_string(data_centre, "local", "Data centre of this instance.");
+DEFINE_string(members, "", "Members of a new group, NAME=ip:port, comma-separated; empty: this one alone.");
+DEFINE_bool(join, false, "Never found a group: wait to be added by chestnuthook-ctl members add.");
+DEFINE_uint64(snapshot_entries, 10000, "Log entries between snapshots.");
+DEFINE_bool(test_hooks, false, "Serve the hooks that tests use to drop this member's traffic.");
 DEFINE_string(secret_file, "", "File with the fleet's secret; else CHESTNUTHOOK_SECRET.");
 DEFINE_string(log_file, "", "File that gets the log lines besides standard error.");
 
@@ -25,10 +31,38 @@
 
 using namespace Chestnuthook;
 
+/** Names and addresses of `NAME=ip:port,…`; empty where the list is malformed or empty. */
+std::map<std::string, std::string> parseMembers(const std::string &list)
+{
+    std::map<std::string, std::string> members;
+    for (const std::string &word : splitList(list)) {
+        const std::size_t at = word.find('=');
+        if (at == std::string::npos || at == 0 || addressCheck()(word.substr(at + 1))) {
+            return {};
+        }
+        members[word.substr(0, at)] = word.substr(at + 1);
+    }
+    return members;
+}
+
+SettingCheckFunction memberListCheck()
+{
+    return [](const std::string &list) -> std::optional<std::string> {
+        if (!list.empty() && parseMembers(list).empty()) {
+            return "it is not a list of NAME=ip:port";
+        }
+        return std::nullopt;
+    };
+}
+
 const std::vector<SettingCheck> Settings = {
     {"listen", "network", addressCheck(), "give an IPv4 address and a free port, such as 127.0.0.1:7600"},
     {"data", "storage", nonEmptyCheck(), "name a folder that this user may write, such as /var/lib/chestnuthook"},
     {"member", "identity", nonEmptyCheck(), "give a name that no other control member has"},
+    {"members", "identity", memberListCheck(), "list the first members as NAME=ip:port, the same list at each of them"},
+    {"join", "identity", {}, "set it at a member that is added to a running group"},
+    {"snapshot_entries", "storage", rangeCheck(10, 10000000), "give a number such as 10000"},
+    {"test_hooks", "testing", {}, "leave it out but in tests"},
     {"data_centre", "identity", nonEmptyCheck(), "name the data centre of this instance"},
     {"secret_file", "security", {}, "name a readable file, or set CHESTNUTHOOK_SECRET"},
     {"log_file", "logging", {}, "name a file that this user may write"},
@@ -43,7 +77,13 @@
 int runMember(const std::string &secret)
 {
     ControlLoop loop(secret, FLAGS_member);
-    ControlMember member(loop, FLAGS_member);
+    ReplicaSettings replica;
+    replica.name = FLAGS_member;
+    replica.address = FLAGS_listen;
+    replica.initialMembers = parseMembers(FLAGS_members);
+    replica.join = FLAGS_join;
+    replica.snapshotEntries = FLAGS_snapshot_entries;
+    ControlMember member(loop, replica, FLAGS_test_hooks);
     int exitCode = EXIT_SUCCESS;
     std::vector<ChildSpecification> children;
     children.push_back({.name = "state",
@@ -53,7 +93,7 @@
             },
         .stop = {},
         .ready = {}});
-    children.push_back({.name = "leases",
+    children.push_back({.name = "replication",
         .start =
             [&]() {
                 member.start();
@@ -64,7 +104,7 @@
     children.push_back({.name = "port",
         .start =
             [&]() {
-                OfferedServices services{makeControlService(member), nullptr};
+                OfferedServices services{makeControlService(member), member.node.makeService()};
                 loop.detach(serveRpc(loop.rpc(), FLAGS_listen, kj::mv(services)).catch_([&](kj::Exception &&exception) {
                     exitCode = endWith(Error{ErrorKind::AddressInUse, exception.getDescription().cStr(), Ran::No, 0});
                     loop.stop();
--- a/src/fleet/fleet_base.cpp
+++ b/src/fleet/fleet_base.cpp
@@ -207,6 +207,7 @@
     capnp::MallocMessageBuilder builder;
     auto snapshot = builder.initRoot<Wire::FleetSnapshot>();
     snapshot.setVersion(SnapshotVersion);
+    snapshot.setOldestDelta(this->oldestDelta);
     this->writeDelta(0, snapshot.initState());
     auto replies = snapshot.initReplies(static_cast<unsigned>(this->replyOrder.size()));
     unsigned next = 0;
@@ -226,6 +227,7 @@
     KJ_REQUIRE(snapshot.getVersion() == SnapshotVersion, "unknown version of the fleet snapshot");
     *this = FleetState{};
     this->applyDelta(snapshot.getState());
+    this->oldestDelta = snapshot.getOldestDelta();
     for (const auto reply : snapshot.getReplies()) {
         this->replies.emplace(textOf(reply.getRequestId()), bytesOf(reply.getReply()));
         this->replyOrder.emplace(reply.getIndex(), textOf(reply.getRequestId()));
--- a/src/fleet/fleet_base.h
+++ b/src/fleet/fleet_base.h
@@ -42,6 +42,9 @@
     /** Replaces the state by a snapshot's. @throws kj::Exception on a malformed one. */
     void restore(std::string_view bytes);
 
+    /** Whether a strike has expired at @p nowMs, so that a prune command has something to do. */
+    [[nodiscard]] bool hasExpiredStrikes(std::int64_t nowMs) const;
+
     [[nodiscard]] std::uint64_t index() const
     {
         return this->lastIndex;
@@ -67,6 +70,8 @@
     Result<Epoch> doSetEntryState(Wire::FleetCommand::Reader command, std::uint64_t index, CommandMode mode);
     Result<Epoch> doStrike(Wire::FleetCommand::Reader command, std::uint64_t index, CommandMode mode);
     Result<Epoch> doOrder(Wire::FleetCommand::Reader command, std::uint64_t index, CommandMode mode);
+    Result<Epoch> doPrune(Wire::FleetCommand::Reader command, std::uint64_t index, CommandMode mode);
+    void pruneTombstones();
 
     /** Gives every slot a live owner, moving as few as an even spread allows. */
     void assignSlots(std::uint64_t index);
--- a/src/fleet/fleet_cmd.cpp
+++ b/src/fleet/fleet_cmd.cpp
@@ -19,6 +19,7 @@
 
 constexpr std::size_t MaxRememberedReplies = 4096;
 constexpr std::size_t KeyHashBytes = 32;
+constexpr std::uint64_t TombstoneEntries = 5000; ///< Log entries for which a tombstone is kept at least.
 
 void writeReply(Wire::FleetReply::Builder reply, const Result<Epoch> &result)
 {
@@ -63,6 +64,7 @@
         result = this->doCommand(reader, index, CommandMode::Execute);
     }
     this->lastIndex = index;
+    this->pruneTombstones();
     capnp::MallocMessageBuilder builder;
     auto reply = builder.initRoot<Wire::FleetReply>();
     reply.setIndex(index);
@@ -94,6 +96,8 @@
         return this->doStrike(command, index, mode);
     case Wire::FleetCommand::ORDER:
         return this->doOrder(command, index, mode);
+    case Wire::FleetCommand::PRUNE:
+        return this->doPrune(command, index, mode);
     }
     return fail(ErrorKind::BadRequest, "unknown fleet command");
 }
@@ -248,6 +252,44 @@
     return Epoch{};
 }
 
+Result<Epoch> FleetState::doPrune(Wire::FleetCommand::Reader command, std::uint64_t index, CommandMode mode)
+{
+    if (mode == CommandMode::Test) {
+        return Epoch{};
+    }
+    std::vector<std::string> expired;
+    for (const auto &[fingerprint, row] : this->strikes.all()) {
+        if (!row.removed && row.record.expiresAtMs <= command.getNowMs()) {
+            expired.push_back(fingerprint);
+        }
+    }
+    for (const std::string &fingerprint : expired) {
+        this->strikes.remove(fingerprint, index);
+    }
+    return Epoch{};
+}
+
+bool FleetState::hasExpiredStrikes(std::int64_t nowMs) const
+{
+    return std::any_of(this->strikes.all().begin(), this->strikes.all().end(), [nowMs](const auto &row) {
+        return !row.second.removed && row.second.record.expiresAtMs <= nowMs;
+    });
+}
+
+/** Entries and strikes come and go for ever; without this their tombstones would fill the memory. Keys stay: they are
+ * marked as withdrawn and never removed. */
+void FleetState::pruneTombstones()
+{
+    if (this->lastIndex < this->oldestDelta + 2 * TombstoneEntries) {
+        return;
+    }
+    this->oldestDelta = this->lastIndex - TombstoneEntries;
+    this->declarations.prune(this->oldestDelta);
+    this->entries.prune(this->oldestDelta);
+    this->strikes.prune(this->oldestDelta);
+    this->orders.prune(this->oldestDelta);
+}
+
 void FleetState::assignSlots(std::uint64_t index)
 {
     std::map<EntryId, std::vector<SlotId>> owned;
--- a/src/rpc/consensus.capnp
+++ b/src/rpc/consensus.capnp
@@ -48,11 +48,40 @@
         snapshotReply :group {
             lastIndex @23 :UInt64;
             offset @24 :UInt64;
+            readContext @26 :UInt64;
         }
     }
+    fromAddress @25 :Text;  # Control port of the sender; a member that joins learns it from here.
+    snapshotReadContext @27 :UInt64; # Read round, for snapshot messages.
 }
 
 # What a control member offers the other members.
 interface Member {
     send @0 (messages :List(ConsensusMessage)) -> ();
+    # Who this is, and whether it has ever taken part in a group.
+    hello @1 () -> (identity :Text, founded :Bool);
+}
+
+# A replicated command: to which machine it goes, and the id under which a resend gets the first reply.
+struct Proposal {
+    machine @0 :UInt8;
+    requestId @1 :Data;     # Empty: not remembered.
+    command @2 :Data;
+}
+
+struct ProposalReply {
+    index @0 :UInt64;
+    requestId @1 :Data;
+    reply @2 :Data;
+}
+
+struct MachineState {
+    machine @0 :UInt8;
+    state @1 :Data;
+}
+
+struct NodeSnapshot {
+    version @0 :UInt32;
+    machines @1 :List(MachineState);
+    replies @2 :List(ProposalReply);
 }
--- a/src/rpc/consensus.capnp.h
+++ b/src/rpc/consensus.capnp.h
@@ -30,6 +30,12 @@
 CAPNP_DECLARE_SCHEMA(dd1dc16d0c92710f);
 CAPNP_DECLARE_SCHEMA(e48c078837245118);
 CAPNP_DECLARE_SCHEMA(984b8f2a4dbf5071);
+CAPNP_DECLARE_SCHEMA(d6680bfe0e79f879);
+CAPNP_DECLARE_SCHEMA(a73d89aa5124dd00);
+CAPNP_DECLARE_SCHEMA(905579d4545b46aa);
+CAPNP_DECLARE_SCHEMA(c93ffbdf4ae31f38);
+CAPNP_DECLARE_SCHEMA(b520100425e818d5);
+CAPNP_DECLARE_SCHEMA(dd039f6a37a092e5);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -74,7 +80,7 @@
   struct SnapshotReply;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9218b36d4d9d2f32, 6, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(9218b36d4d9d2f32, 7, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -89,7 +95,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(be17ed7b3862d2bf, 6, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(be17ed7b3862d2bf, 7, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -104,7 +110,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(da76b9e3774041d3, 6, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(da76b9e3774041d3, 7, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -119,7 +125,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(83e8d0197e72cb63, 6, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(83e8d0197e72cb63, 7, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -134,7 +140,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f1e2858f3c67d10a, 6, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(f1e2858f3c67d10a, 7, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -149,7 +155,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(83b1ce6e2b6bd46a, 6, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(83b1ce6e2b6bd46a, 7, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -164,7 +170,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f042522ca9109a01, 6, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(f042522ca9109a01, 7, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -181,6 +187,8 @@
 
   struct SendParams;
   struct SendResults;
+  struct HelloParams;
+  struct HelloResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -220,6 +228,96 @@
   };
 };
 
+struct Member::HelloParams {
+  HelloParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d6680bfe0e79f879, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Member::HelloResults {
+  HelloResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a73d89aa5124dd00, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Proposal {
+  Proposal() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(905579d4545b46aa, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ProposalReply {
+  ProposalReply() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c93ffbdf4ae31f38, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct MachineState {
+  MachineState() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b520100425e818d5, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct NodeSnapshot {
+  NodeSnapshot() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(dd039f6a37a092e5, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class LogEntry::Reader {
@@ -364,6 +462,11 @@
   inline bool isSnapshotReply() const;
   inline typename SnapshotReply::Reader getSnapshotReply() const;
 
+  inline bool hasFromAddress() const;
+  inline  ::capnp::Text::Reader getFromAddress() const;
+
+  inline  ::uint64_t getSnapshotReadContext() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -437,6 +540,16 @@
   inline typename SnapshotReply::Builder getSnapshotReply();
   inline typename SnapshotReply::Builder initSnapshotReply();
 
+  inline bool hasFromAddress();
+  inline  ::capnp::Text::Builder getFromAddress();
+  inline void setFromAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFromAddress(unsigned int size);
+  inline void adoptFromAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFromAddress();
+
+  inline  ::uint64_t getSnapshotReadContext();
+  inline void setSnapshotReadContext( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -949,6 +1062,8 @@
 
   inline  ::uint64_t getOffset() const;
 
+  inline  ::uint64_t getReadContext() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -983,6 +1098,9 @@
   inline  ::uint64_t getOffset();
   inline void setOffset( ::uint64_t value);
 
+  inline  ::uint64_t getReadContext();
+  inline void setReadContext( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1030,6 +1148,8 @@
 
   ::capnp::Request< ::Chestnuthook::Wire::Member::SendParams,  ::Chestnuthook::Wire::Member::SendResults> sendRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Chestnuthook::Wire::Member::HelloParams,  ::Chestnuthook::Wire::Member::HelloResults> helloRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1050,6 +1170,10 @@
   typedef  ::Chestnuthook::Wire::Member::SendResults SendResults;
   typedef ::capnp::CallContext<SendParams, SendResults> SendContext;
   virtual ::kj::Promise<void> send(SendContext context);
+  typedef  ::Chestnuthook::Wire::Member::HelloParams HelloParams;
+  typedef  ::Chestnuthook::Wire::Member::HelloResults HelloResults;
+  typedef ::capnp::CallContext<HelloParams, HelloResults> HelloContext;
+  virtual ::kj::Promise<void> hello(HelloContext context);
 
   inline  ::Chestnuthook::Wire::Member::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -1214,145 +1338,676 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
-
-inline  ::uint64_t LogEntry::Reader::getTerm() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+class Member::HelloParams::Reader {
+public:
+  typedef HelloParams Reads;
 
-inline  ::uint64_t LogEntry::Builder::getTerm() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void LogEntry::Builder::setTerm( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline  ::uint64_t LogEntry::Reader::getIndex() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline  ::uint64_t LogEntry::Builder::getIndex() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void LogEntry::Builder::setIndex( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-inline  ::uint8_t LogEntry::Reader::getKind() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
-}
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-inline  ::uint8_t LogEntry::Builder::getKind() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
-}
-inline void LogEntry::Builder::setKind( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
-}
+class Member::HelloParams::Builder {
+public:
+  typedef HelloParams Builds;
 
-inline bool LogEntry::Reader::hasData() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool LogEntry::Builder::hasData() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Data::Reader LogEntry::Reader::getData() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Data::Builder LogEntry::Builder::getData() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void LogEntry::Builder::setData( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Data::Builder LogEntry::Builder::initData(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void LogEntry::Builder::adoptData(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Data> LogEntry::Builder::disownData() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
 
-inline  ::Chestnuthook::Wire::ConsensusMessage::Which ConsensusMessage::Reader::which() const {
-  return _reader.getDataField<Which>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline  ::Chestnuthook::Wire::ConsensusMessage::Which ConsensusMessage::Builder::which() {
-  return _builder.getDataField<Which>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-inline  ::uint16_t ConsensusMessage::Reader::getGroup() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
 
-inline  ::uint16_t ConsensusMessage::Builder::getGroup() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void ConsensusMessage::Builder::setGroup( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+#if !CAPNP_LITE
+class Member::HelloParams::Pipeline {
+public:
+  typedef HelloParams Pipelines;
 
-inline bool ConsensusMessage::Reader::hasFrom() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool ConsensusMessage::Builder::hasFrom() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader ConsensusMessage::Reader::getFrom() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder ConsensusMessage::Builder::getFrom() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void ConsensusMessage::Builder::setFrom( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder ConsensusMessage::Builder::initFrom(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void ConsensusMessage::Builder::adoptFrom(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> ConsensusMessage::Builder::disownFrom() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
-inline bool ConsensusMessage::Reader::hasTo() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Member::HelloResults::Reader {
+public:
+  typedef HelloResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasIdentity() const;
+  inline  ::capnp::Text::Reader getIdentity() const;
+
+  inline bool getFounded() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Member::HelloResults::Builder {
+public:
+  typedef HelloResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasIdentity();
+  inline  ::capnp::Text::Builder getIdentity();
+  inline void setIdentity( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initIdentity(unsigned int size);
+  inline void adoptIdentity(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownIdentity();
+
+  inline bool getFounded();
+  inline void setFounded(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Member::HelloResults::Pipeline {
+public:
+  typedef HelloResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Proposal::Reader {
+public:
+  typedef Proposal Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint8_t getMachine() const;
+
+  inline bool hasRequestId() const;
+  inline  ::capnp::Data::Reader getRequestId() const;
+
+  inline bool hasCommand() const;
+  inline  ::capnp::Data::Reader getCommand() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Proposal::Builder {
+public:
+  typedef Proposal Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint8_t getMachine();
+  inline void setMachine( ::uint8_t value);
+
+  inline bool hasRequestId();
+  inline  ::capnp::Data::Builder getRequestId();
+  inline void setRequestId( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initRequestId(unsigned int size);
+  inline void adoptRequestId(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownRequestId();
+
+  inline bool hasCommand();
+  inline  ::capnp::Data::Builder getCommand();
+  inline void setCommand( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initCommand(unsigned int size);
+  inline void adoptCommand(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownCommand();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Proposal::Pipeline {
+public:
+  typedef Proposal Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ProposalReply::Reader {
+public:
+  typedef ProposalReply Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getIndex() const;
+
+  inline bool hasRequestId() const;
+  inline  ::capnp::Data::Reader getRequestId() const;
+
+  inline bool hasReply() const;
+  inline  ::capnp::Data::Reader getReply() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ProposalReply::Builder {
+public:
+  typedef ProposalReply Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getIndex();
+  inline void setIndex( ::uint64_t value);
+
+  inline bool hasRequestId();
+  inline  ::capnp::Data::Builder getRequestId();
+  inline void setRequestId( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initRequestId(unsigned int size);
+  inline void adoptRequestId(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownRequestId();
+
+  inline bool hasReply();
+  inline  ::capnp::Data::Builder getReply();
+  inline void setReply( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initReply(unsigned int size);
+  inline void adoptReply(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownReply();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ProposalReply::Pipeline {
+public:
+  typedef ProposalReply Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class MachineState::Reader {
+public:
+  typedef MachineState Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint8_t getMachine() const;
+
+  inline bool hasState() const;
+  inline  ::capnp::Data::Reader getState() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class MachineState::Builder {
+public:
+  typedef MachineState Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint8_t getMachine();
+  inline void setMachine( ::uint8_t value);
+
+  inline bool hasState();
+  inline  ::capnp::Data::Builder getState();
+  inline void setState( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initState(unsigned int size);
+  inline void adoptState(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownState();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class MachineState::Pipeline {
+public:
+  typedef MachineState Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class NodeSnapshot::Reader {
+public:
+  typedef NodeSnapshot Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getVersion() const;
+
+  inline bool hasMachines() const;
+  inline  ::capnp::List< ::Chestnuthook::Wire::MachineState,  ::capnp::Kind::STRUCT>::Reader getMachines() const;
+
+  inline bool hasReplies() const;
+  inline  ::capnp::List< ::Chestnuthook::Wire::ProposalReply,  ::capnp::Kind::STRUCT>::Reader getReplies() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class NodeSnapshot::Builder {
+public:
+  typedef NodeSnapshot Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getVersion();
+  inline void setVersion( ::uint32_t value);
+
+  inline bool hasMachines();
+  inline  ::capnp::List< ::Chestnuthook::Wire::MachineState,  ::capnp::Kind::STRUCT>::Builder getMachines();
+  inline void setMachines( ::capnp::List< ::Chestnuthook::Wire::MachineState,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Chestnuthook::Wire::MachineState,  ::capnp::Kind::STRUCT>::Builder initMachines(unsigned int size);
+  inline void adoptMachines(::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::MachineState,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::MachineState,  ::capnp::Kind::STRUCT>> disownMachines();
+
+  inline bool hasReplies();
+  inline  ::capnp::List< ::Chestnuthook::Wire::ProposalReply,  ::capnp::Kind::STRUCT>::Builder getReplies();
+  inline void setReplies( ::capnp::List< ::Chestnuthook::Wire::ProposalReply,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Chestnuthook::Wire::ProposalReply,  ::capnp::Kind::STRUCT>::Builder initReplies(unsigned int size);
+  inline void adoptReplies(::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::ProposalReply,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::ProposalReply,  ::capnp::Kind::STRUCT>> disownReplies();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class NodeSnapshot::Pipeline {
+public:
+  typedef NodeSnapshot Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline  ::uint64_t LogEntry::Reader::getTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LogEntry::Builder::getTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LogEntry::Builder::setTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t LogEntry::Reader::getIndex() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LogEntry::Builder::getIndex() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LogEntry::Builder::setIndex( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t LogEntry::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t LogEntry::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void LogEntry::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LogEntry::Reader::hasData() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LogEntry::Builder::hasData() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader LogEntry::Reader::getData() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder LogEntry::Builder::getData() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LogEntry::Builder::setData( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder LogEntry::Builder::initData(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void LogEntry::Builder::adoptData(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> LogEntry::Builder::disownData() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::Chestnuthook::Wire::ConsensusMessage::Which ConsensusMessage::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline  ::Chestnuthook::Wire::ConsensusMessage::Which ConsensusMessage::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t ConsensusMessage::Reader::getGroup() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t ConsensusMessage::Builder::getGroup() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ConsensusMessage::Builder::setGroup( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ConsensusMessage::Reader::hasFrom() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ConsensusMessage::Builder::hasFrom() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ConsensusMessage::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ConsensusMessage::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ConsensusMessage::Builder::setFrom( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ConsensusMessage::Builder::initFrom(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ConsensusMessage::Builder::adoptFrom(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ConsensusMessage::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ConsensusMessage::Reader::hasTo() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
 inline bool ConsensusMessage::Builder::hasTo() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
@@ -1542,8 +2197,57 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, ConsensusMessage::SNAPSHOT_REPLY);
   _builder.setDataField< ::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField< ::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, 0);
   return typename ConsensusMessage::SnapshotReply::Builder(_builder);
 }
+inline bool ConsensusMessage::Reader::hasFromAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool ConsensusMessage::Builder::hasFromAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ConsensusMessage::Reader::getFromAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ConsensusMessage::Builder::getFromAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void ConsensusMessage::Builder::setFromAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ConsensusMessage::Builder::initFromAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void ConsensusMessage::Builder::adoptFromAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ConsensusMessage::Builder::disownFromAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t ConsensusMessage::Reader::getSnapshotReadContext() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ConsensusMessage::Builder::getSnapshotReadContext() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void ConsensusMessage::Builder::setSnapshotReadContext( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ConsensusMessage::Vote::Reader::getPre() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<16>() * ::capnp::ELEMENTS);
@@ -1553,409 +2257,765 @@
   return _builder.getDataField<bool>(
       ::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
-inline void ConsensusMessage::Vote::Builder::setPre(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+inline void ConsensusMessage::Vote::Builder::setPre(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ConsensusMessage::Vote::Reader::getLastIndex() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ConsensusMessage::Vote::Builder::getLastIndex() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ConsensusMessage::Vote::Builder::setLastIndex( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ConsensusMessage::Vote::Reader::getLastTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ConsensusMessage::Vote::Builder::getLastTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void ConsensusMessage::Vote::Builder::setLastTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ConsensusMessage::VoteReply::Reader::getPre() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline bool ConsensusMessage::VoteReply::Builder::getPre() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void ConsensusMessage::VoteReply::Builder::setPre(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ConsensusMessage::VoteReply::Reader::getGranted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool ConsensusMessage::VoteReply::Builder::getGranted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void ConsensusMessage::VoteReply::Builder::setGranted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ConsensusMessage::Append::Reader::getPrevIndex() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ConsensusMessage::Append::Builder::getPrevIndex() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ConsensusMessage::Append::Builder::setPrevIndex( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ConsensusMessage::Append::Reader::getPrevTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ConsensusMessage::Append::Builder::getPrevTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void ConsensusMessage::Append::Builder::setPrevTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ConsensusMessage::Append::Reader::getCommit() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ConsensusMessage::Append::Builder::getCommit() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void ConsensusMessage::Append::Builder::setCommit( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ConsensusMessage::Append::Reader::getReadContext() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ConsensusMessage::Append::Builder::getReadContext() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void ConsensusMessage::Append::Builder::setReadContext( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ConsensusMessage::Append::Reader::hasEntries() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool ConsensusMessage::Append::Builder::hasEntries() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Chestnuthook::Wire::LogEntry,  ::capnp::Kind::STRUCT>::Reader ConsensusMessage::Append::Reader::getEntries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::LogEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Chestnuthook::Wire::LogEntry,  ::capnp::Kind::STRUCT>::Builder ConsensusMessage::Append::Builder::getEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::LogEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void ConsensusMessage::Append::Builder::setEntries( ::capnp::List< ::Chestnuthook::Wire::LogEntry,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::LogEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Chestnuthook::Wire::LogEntry,  ::capnp::Kind::STRUCT>::Builder ConsensusMessage::Append::Builder::initEntries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::LogEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void ConsensusMessage::Append::Builder::adoptEntries(
+    ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::LogEntry,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::LogEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::LogEntry,  ::capnp::Kind::STRUCT>> ConsensusMessage::Append::Builder::disownEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::LogEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool ConsensusMessage::AppendReply::Reader::getOk() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline bool ConsensusMessage::AppendReply::Builder::getOk() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void ConsensusMessage::AppendReply::Builder::setOk(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ConsensusMessage::AppendReply::Reader::getMatchIndex() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ConsensusMessage::AppendReply::Builder::getMatchIndex() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ConsensusMessage::AppendReply::Builder::setMatchIndex( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ConsensusMessage::AppendReply::Reader::getReadContext() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ConsensusMessage::AppendReply::Builder::getReadContext() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void ConsensusMessage::AppendReply::Builder::setReadContext( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t ConsensusMessage::Vote::Reader::getLastIndex() const {
+inline  ::uint64_t ConsensusMessage::Snapshot::Reader::getLastIndex() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ConsensusMessage::Vote::Builder::getLastIndex() {
+inline  ::uint64_t ConsensusMessage::Snapshot::Builder::getLastIndex() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void ConsensusMessage::Vote::Builder::setLastIndex( ::uint64_t value) {
+inline void ConsensusMessage::Snapshot::Builder::setLastIndex( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t ConsensusMessage::Vote::Reader::getLastTerm() const {
+inline  ::uint64_t ConsensusMessage::Snapshot::Reader::getLastTerm() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ConsensusMessage::Vote::Builder::getLastTerm() {
+inline  ::uint64_t ConsensusMessage::Snapshot::Builder::getLastTerm() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void ConsensusMessage::Vote::Builder::setLastTerm( ::uint64_t value) {
+inline void ConsensusMessage::Snapshot::Builder::setLastTerm( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ConsensusMessage::VoteReply::Reader::getPre() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+inline bool ConsensusMessage::Snapshot::Reader::hasMembership() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool ConsensusMessage::Snapshot::Builder::hasMembership() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader ConsensusMessage::Snapshot::Reader::getMembership() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder ConsensusMessage::Snapshot::Builder::getMembership() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void ConsensusMessage::Snapshot::Builder::setMembership( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder ConsensusMessage::Snapshot::Builder::initMembership(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void ConsensusMessage::Snapshot::Builder::adoptMembership(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> ConsensusMessage::Snapshot::Builder::disownMembership() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool ConsensusMessage::VoteReply::Builder::getPre() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+inline  ::uint64_t ConsensusMessage::Snapshot::Reader::getOffset() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void ConsensusMessage::VoteReply::Builder::setPre(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+
+inline  ::uint64_t ConsensusMessage::Snapshot::Builder::getOffset() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void ConsensusMessage::Snapshot::Builder::setOffset( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ConsensusMessage::VoteReply::Reader::getGranted() const {
+inline bool ConsensusMessage::Snapshot::Reader::hasData() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool ConsensusMessage::Snapshot::Builder::hasData() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader ConsensusMessage::Snapshot::Reader::getData() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder ConsensusMessage::Snapshot::Builder::getData() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void ConsensusMessage::Snapshot::Builder::setData( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder ConsensusMessage::Snapshot::Builder::initData(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void ConsensusMessage::Snapshot::Builder::adoptData(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> ConsensusMessage::Snapshot::Builder::disownData() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool ConsensusMessage::Snapshot::Reader::getDone() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
 
-inline bool ConsensusMessage::VoteReply::Builder::getGranted() {
+inline bool ConsensusMessage::Snapshot::Builder::getDone() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
-inline void ConsensusMessage::VoteReply::Builder::setGranted(bool value) {
+inline void ConsensusMessage::Snapshot::Builder::setDone(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t ConsensusMessage::Append::Reader::getPrevIndex() const {
+inline  ::uint64_t ConsensusMessage::SnapshotReply::Reader::getLastIndex() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ConsensusMessage::Append::Builder::getPrevIndex() {
+inline  ::uint64_t ConsensusMessage::SnapshotReply::Builder::getLastIndex() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void ConsensusMessage::Append::Builder::setPrevIndex( ::uint64_t value) {
+inline void ConsensusMessage::SnapshotReply::Builder::setLastIndex( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t ConsensusMessage::Append::Reader::getPrevTerm() const {
+inline  ::uint64_t ConsensusMessage::SnapshotReply::Reader::getOffset() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ConsensusMessage::Append::Builder::getPrevTerm() {
+inline  ::uint64_t ConsensusMessage::SnapshotReply::Builder::getOffset() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void ConsensusMessage::Append::Builder::setPrevTerm( ::uint64_t value) {
+inline void ConsensusMessage::SnapshotReply::Builder::setOffset( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t ConsensusMessage::Append::Reader::getCommit() const {
+inline  ::uint64_t ConsensusMessage::SnapshotReply::Reader::getReadContext() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ConsensusMessage::Append::Builder::getCommit() {
+inline  ::uint64_t ConsensusMessage::SnapshotReply::Builder::getReadContext() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void ConsensusMessage::Append::Builder::setCommit( ::uint64_t value) {
+inline void ConsensusMessage::SnapshotReply::Builder::setReadContext( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t ConsensusMessage::Append::Reader::getReadContext() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t ConsensusMessage::Append::Builder::getReadContext() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+#if !CAPNP_LITE
+inline Member::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline Member::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
+    : ::capnp::Capability::Client(::kj::mv(hook)) {}
+template <typename _t, typename>
+inline Member::Client::Client(::kj::Own<_t>&& server)
+    : ::capnp::Capability::Client(::kj::mv(server)) {}
+template <typename _t, typename>
+inline Member::Client::Client(::kj::Promise<_t>&& promise)
+    : ::capnp::Capability::Client(::kj::mv(promise)) {}
+inline Member::Client::Client(::kj::Exception&& exception)
+    : ::capnp::Capability::Client(::kj::mv(exception)) {}
+inline  ::Chestnuthook::Wire::Member::Client& Member::Client::operator=(Client& other) {
+  ::capnp::Capability::Client::operator=(other);
+  return *this;
 }
-inline void ConsensusMessage::Append::Builder::setReadContext( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline  ::Chestnuthook::Wire::Member::Client& Member::Client::operator=(Client&& other) {
+  ::capnp::Capability::Client::operator=(kj::mv(other));
+  return *this;
 }
 
-inline bool ConsensusMessage::Append::Reader::hasEntries() const {
+#endif  // !CAPNP_LITE
+inline bool Member::SendParams::Reader::hasMessages() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ConsensusMessage::Append::Builder::hasEntries() {
+inline bool Member::SendParams::Builder::hasMessages() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::Chestnuthook::Wire::LogEntry,  ::capnp::Kind::STRUCT>::Reader ConsensusMessage::Append::Reader::getEntries() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::LogEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::Chestnuthook::Wire::ConsensusMessage,  ::capnp::Kind::STRUCT>::Reader Member::SendParams::Reader::getMessages() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::ConsensusMessage,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::Chestnuthook::Wire::LogEntry,  ::capnp::Kind::STRUCT>::Builder ConsensusMessage::Append::Builder::getEntries() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::LogEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::Chestnuthook::Wire::ConsensusMessage,  ::capnp::Kind::STRUCT>::Builder Member::SendParams::Builder::getMessages() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::ConsensusMessage,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ConsensusMessage::Append::Builder::setEntries( ::capnp::List< ::Chestnuthook::Wire::LogEntry,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::LogEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void Member::SendParams::Builder::setMessages( ::capnp::List< ::Chestnuthook::Wire::ConsensusMessage,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::ConsensusMessage,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::Chestnuthook::Wire::LogEntry,  ::capnp::Kind::STRUCT>::Builder ConsensusMessage::Append::Builder::initEntries(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::LogEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::Chestnuthook::Wire::ConsensusMessage,  ::capnp::Kind::STRUCT>::Builder Member::SendParams::Builder::initMessages(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::ConsensusMessage,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ConsensusMessage::Append::Builder::adoptEntries(
-    ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::LogEntry,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::LogEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void Member::SendParams::Builder::adoptMessages(
+    ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::ConsensusMessage,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::ConsensusMessage,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::LogEntry,  ::capnp::Kind::STRUCT>> ConsensusMessage::Append::Builder::disownEntries() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::LogEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::ConsensusMessage,  ::capnp::Kind::STRUCT>> Member::SendParams::Builder::disownMessages() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::ConsensusMessage,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool ConsensusMessage::AppendReply::Reader::getOk() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+inline bool Member::HelloResults::Reader::hasIdentity() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool ConsensusMessage::AppendReply::Builder::getOk() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+inline bool Member::HelloResults::Builder::hasIdentity() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void ConsensusMessage::AppendReply::Builder::setOk(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Reader Member::HelloResults::Reader::getIdentity() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Member::HelloResults::Builder::getIdentity() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Member::HelloResults::Builder::setIdentity( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Member::HelloResults::Builder::initIdentity(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Member::HelloResults::Builder::adoptIdentity(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Member::HelloResults::Builder::disownIdentity() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t ConsensusMessage::AppendReply::Reader::getMatchIndex() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool Member::HelloResults::Reader::getFounded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ConsensusMessage::AppendReply::Builder::getMatchIndex() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool Member::HelloResults::Builder::getFounded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ConsensusMessage::AppendReply::Builder::setMatchIndex( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Member::HelloResults::Builder::setFounded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t ConsensusMessage::AppendReply::Reader::getReadContext() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint8_t Proposal::Reader::getMachine() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ConsensusMessage::AppendReply::Builder::getReadContext() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint8_t Proposal::Builder::getMachine() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ConsensusMessage::AppendReply::Builder::setReadContext( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void Proposal::Builder::setMachine( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t ConsensusMessage::Snapshot::Reader::getLastIndex() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool Proposal::Reader::hasRequestId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t ConsensusMessage::Snapshot::Builder::getLastIndex() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool Proposal::Builder::hasRequestId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void ConsensusMessage::Snapshot::Builder::setLastIndex( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Data::Reader Proposal::Reader::getRequestId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t ConsensusMessage::Snapshot::Reader::getLastTerm() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::capnp::Data::Builder Proposal::Builder::getRequestId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t ConsensusMessage::Snapshot::Builder::getLastTerm() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline void Proposal::Builder::setRequestId( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void ConsensusMessage::Snapshot::Builder::setLastTerm( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Data::Builder Proposal::Builder::initRequestId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Proposal::Builder::adoptRequestId(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Proposal::Builder::disownRequestId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool ConsensusMessage::Snapshot::Reader::hasMembership() const {
+inline bool Proposal::Reader::hasCommand() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool ConsensusMessage::Snapshot::Builder::hasMembership() {
+inline bool Proposal::Builder::hasCommand() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader ConsensusMessage::Snapshot::Reader::getMembership() const {
+inline  ::capnp::Data::Reader Proposal::Reader::getCommand() const {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder ConsensusMessage::Snapshot::Builder::getMembership() {
+inline  ::capnp::Data::Builder Proposal::Builder::getCommand() {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ConsensusMessage::Snapshot::Builder::setMembership( ::capnp::Data::Reader value) {
+inline void Proposal::Builder::setCommand( ::capnp::Data::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder ConsensusMessage::Snapshot::Builder::initMembership(unsigned int size) {
+inline  ::capnp::Data::Builder Proposal::Builder::initCommand(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void ConsensusMessage::Snapshot::Builder::adoptMembership(
+inline void Proposal::Builder::adoptCommand(
     ::capnp::Orphan< ::capnp::Data>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> ConsensusMessage::Snapshot::Builder::disownMembership() {
+inline ::capnp::Orphan< ::capnp::Data> Proposal::Builder::disownCommand() {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t ConsensusMessage::Snapshot::Reader::getOffset() const {
+inline  ::uint64_t ProposalReply::Reader::getIndex() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ConsensusMessage::Snapshot::Builder::getOffset() {
+inline  ::uint64_t ProposalReply::Builder::getIndex() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ConsensusMessage::Snapshot::Builder::setOffset( ::uint64_t value) {
+inline void ProposalReply::Builder::setIndex( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ConsensusMessage::Snapshot::Reader::hasData() const {
+inline bool ProposalReply::Reader::hasRequestId() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ConsensusMessage::Snapshot::Builder::hasData() {
+inline bool ProposalReply::Builder::hasRequestId() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader ConsensusMessage::Snapshot::Reader::getData() const {
+inline  ::capnp::Data::Reader ProposalReply::Reader::getRequestId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder ConsensusMessage::Snapshot::Builder::getData() {
+inline  ::capnp::Data::Builder ProposalReply::Builder::getRequestId() {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ConsensusMessage::Snapshot::Builder::setData( ::capnp::Data::Reader value) {
+inline void ProposalReply::Builder::setRequestId( ::capnp::Data::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder ConsensusMessage::Snapshot::Builder::initData(unsigned int size) {
+inline  ::capnp::Data::Builder ProposalReply::Builder::initRequestId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ConsensusMessage::Snapshot::Builder::adoptData(
+inline void ProposalReply::Builder::adoptRequestId(
     ::capnp::Orphan< ::capnp::Data>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> ConsensusMessage::Snapshot::Builder::disownData() {
+inline ::capnp::Orphan< ::capnp::Data> ProposalReply::Builder::disownRequestId() {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool ConsensusMessage::Snapshot::Reader::getDone() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+inline bool ProposalReply::Reader::hasReply() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool ConsensusMessage::Snapshot::Builder::getDone() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+inline bool ProposalReply::Builder::hasReply() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void ConsensusMessage::Snapshot::Builder::setDone(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Data::Reader ProposalReply::Reader::getReply() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder ProposalReply::Builder::getReply() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ProposalReply::Builder::setReply( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder ProposalReply::Builder::initReply(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ProposalReply::Builder::adoptReply(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> ProposalReply::Builder::disownReply() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t ConsensusMessage::SnapshotReply::Reader::getLastIndex() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint8_t MachineState::Reader::getMachine() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ConsensusMessage::SnapshotReply::Builder::getLastIndex() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint8_t MachineState::Builder::getMachine() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ConsensusMessage::SnapshotReply::Builder::setLastIndex( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void MachineState::Builder::setMachine( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t ConsensusMessage::SnapshotReply::Reader::getOffset() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool MachineState::Reader::hasState() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t ConsensusMessage::SnapshotReply::Builder::getOffset() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool MachineState::Builder::hasState() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void ConsensusMessage::SnapshotReply::Builder::setOffset( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Data::Reader MachineState::Reader::getState() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder MachineState::Builder::getState() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void MachineState::Builder::setState( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder MachineState::Builder::initState(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void MachineState::Builder::adoptState(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> MachineState::Builder::disownState() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-#if !CAPNP_LITE
-inline Member::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline Member::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
-    : ::capnp::Capability::Client(::kj::mv(hook)) {}
-template <typename _t, typename>
-inline Member::Client::Client(::kj::Own<_t>&& server)
-    : ::capnp::Capability::Client(::kj::mv(server)) {}
-template <typename _t, typename>
-inline Member::Client::Client(::kj::Promise<_t>&& promise)
-    : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline Member::Client::Client(::kj::Exception&& exception)
-    : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::Chestnuthook::Wire::Member::Client& Member::Client::operator=(Client& other) {
-  ::capnp::Capability::Client::operator=(other);
-  return *this;
+inline  ::uint32_t NodeSnapshot::Reader::getVersion() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::Chestnuthook::Wire::Member::Client& Member::Client::operator=(Client&& other) {
-  ::capnp::Capability::Client::operator=(kj::mv(other));
-  return *this;
+
+inline  ::uint32_t NodeSnapshot::Builder::getVersion() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void NodeSnapshot::Builder::setVersion( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-#endif  // !CAPNP_LITE
-inline bool Member::SendParams::Reader::hasMessages() const {
+inline bool NodeSnapshot::Reader::hasMachines() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Member::SendParams::Builder::hasMessages() {
+inline bool NodeSnapshot::Builder::hasMachines() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::Chestnuthook::Wire::ConsensusMessage,  ::capnp::Kind::STRUCT>::Reader Member::SendParams::Reader::getMessages() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::ConsensusMessage,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::Chestnuthook::Wire::MachineState,  ::capnp::Kind::STRUCT>::Reader NodeSnapshot::Reader::getMachines() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::MachineState,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::Chestnuthook::Wire::ConsensusMessage,  ::capnp::Kind::STRUCT>::Builder Member::SendParams::Builder::getMessages() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::ConsensusMessage,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::Chestnuthook::Wire::MachineState,  ::capnp::Kind::STRUCT>::Builder NodeSnapshot::Builder::getMachines() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::MachineState,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Member::SendParams::Builder::setMessages( ::capnp::List< ::Chestnuthook::Wire::ConsensusMessage,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::ConsensusMessage,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void NodeSnapshot::Builder::setMachines( ::capnp::List< ::Chestnuthook::Wire::MachineState,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::MachineState,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::Chestnuthook::Wire::ConsensusMessage,  ::capnp::Kind::STRUCT>::Builder Member::SendParams::Builder::initMessages(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::ConsensusMessage,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::Chestnuthook::Wire::MachineState,  ::capnp::Kind::STRUCT>::Builder NodeSnapshot::Builder::initMachines(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::MachineState,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Member::SendParams::Builder::adoptMessages(
-    ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::ConsensusMessage,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::ConsensusMessage,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void NodeSnapshot::Builder::adoptMachines(
+    ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::MachineState,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::MachineState,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::ConsensusMessage,  ::capnp::Kind::STRUCT>> Member::SendParams::Builder::disownMessages() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::ConsensusMessage,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::MachineState,  ::capnp::Kind::STRUCT>> NodeSnapshot::Builder::disownMachines() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::MachineState,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool NodeSnapshot::Reader::hasReplies() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeSnapshot::Builder::hasReplies() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Chestnuthook::Wire::ProposalReply,  ::capnp::Kind::STRUCT>::Reader NodeSnapshot::Reader::getReplies() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::ProposalReply,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Chestnuthook::Wire::ProposalReply,  ::capnp::Kind::STRUCT>::Builder NodeSnapshot::Builder::getReplies() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::ProposalReply,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void NodeSnapshot::Builder::setReplies( ::capnp::List< ::Chestnuthook::Wire::ProposalReply,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::ProposalReply,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Chestnuthook::Wire::ProposalReply,  ::capnp::Kind::STRUCT>::Builder NodeSnapshot::Builder::initReplies(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::ProposalReply,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void NodeSnapshot::Builder::adoptReplies(
+    ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::ProposalReply,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::ProposalReply,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::ProposalReply,  ::capnp::Kind::STRUCT>> NodeSnapshot::Builder::disownReplies() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::ProposalReply,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/rpc/control.capnp
+++ b/src/rpc/control.capnp
@@ -91,8 +91,9 @@
 }
 
 interface Control {
-    # A command of a group; answered by the leader once it is committed.
-    submit @0 (group :Group, command :Data) -> (result :SubmitReply);
+    # A command of a group; answered by the leader once it is committed. A resend under the same request id, also to
+    # another leader, gets the first reply.
+    submit @0 (group :Group, command :Data, requestId :Data) -> (result :SubmitReply);
     # Heartbeat, lease renewal and fleet delta in one; confirmed by a quorum.
     sync @1 (request :SyncRequest) -> (result :SyncReply);
     # Opened slots' programs, read at a confirmed index.
--- a/src/rpc/control.capnp.h
+++ b/src/rpc/control.capnp.h
@@ -368,7 +368,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d5027752defbc1b5, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(d5027752defbc1b5, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2170,6 +2170,9 @@
   inline bool hasCommand() const;
   inline  ::capnp::Data::Reader getCommand() const;
 
+  inline bool hasRequestId() const;
+  inline  ::capnp::Data::Reader getRequestId() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2208,6 +2211,13 @@
   inline void adoptCommand(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownCommand();
 
+  inline bool hasRequestId();
+  inline  ::capnp::Data::Builder getRequestId();
+  inline void setRequestId( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initRequestId(unsigned int size);
+  inline void adoptRequestId(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownRequestId();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4715,6 +4725,40 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Control::SubmitParams::Reader::hasRequestId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Control::SubmitParams::Builder::hasRequestId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Control::SubmitParams::Reader::getRequestId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Control::SubmitParams::Builder::getRequestId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Control::SubmitParams::Builder::setRequestId( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Control::SubmitParams::Builder::initRequestId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Control::SubmitParams::Builder::adoptRequestId(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Control::SubmitParams::Builder::disownRequestId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool Control::SubmitResults::Reader::hasResult() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/rpc/fleet.capnp
+++ b/src/rpc/fleet.capnp
@@ -96,6 +96,7 @@
         }
         strike @12 :Strike;
         order @14 :Order;
+        prune @15 :Void;                # Drops strikes that have expired at nowMs, and tombstones past their use.
     }
 }
 
@@ -119,4 +120,5 @@
     version @0 :UInt32;
     state @1 :FleetDelta;   # The whole state.
     replies @2 :List(RememberedReply);
+    oldestDelta @3 :UInt64; # Copies older than this get a whole copy.
 }
--- a/src/rpc/fleet.capnp.h
+++ b/src/rpc/fleet.capnp.h
@@ -193,6 +193,7 @@
     SET_ENTRY_STATE,
     STRIKE,
     ORDER,
+    PRUNE,
   };
   struct Apply;
   struct EndLease;
@@ -294,7 +295,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e46093974b03c056, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(e46093974b03c056, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1243,6 +1244,9 @@
   inline bool hasOrder() const;
   inline  ::Chestnuthook::Wire::Order::Reader getOrder() const;
 
+  inline bool isPrune() const;
+  inline  ::capnp::Void getPrune() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1334,6 +1338,10 @@
   inline void adoptOrder(::capnp::Orphan< ::Chestnuthook::Wire::Order>&& value);
   inline ::capnp::Orphan< ::Chestnuthook::Wire::Order> disownOrder();
 
+  inline bool isPrune();
+  inline  ::capnp::Void getPrune();
+  inline void setPrune( ::capnp::Void value = ::capnp::VOID);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1863,6 +1871,8 @@
   inline bool hasReplies() const;
   inline  ::capnp::List< ::Chestnuthook::Wire::RememberedReply,  ::capnp::Kind::STRUCT>::Reader getReplies() const;
 
+  inline  ::uint64_t getOldestDelta() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1908,6 +1918,9 @@
   inline void adoptReplies(::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::RememberedReply,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::RememberedReply,  ::capnp::Kind::STRUCT>> disownReplies();
 
+  inline  ::uint64_t getOldestDelta();
+  inline void setOldestDelta( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3460,6 +3473,32 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool FleetCommand::Reader::isPrune() const {
+  return which() == FleetCommand::PRUNE;
+}
+inline bool FleetCommand::Builder::isPrune() {
+  return which() == FleetCommand::PRUNE;
+}
+inline  ::capnp::Void FleetCommand::Reader::getPrune() const {
+  KJ_IREQUIRE((which() == FleetCommand::PRUNE),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::capnp::Void FleetCommand::Builder::getPrune() {
+  KJ_IREQUIRE((which() == FleetCommand::PRUNE),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FleetCommand::Builder::setPrune( ::capnp::Void value) {
+  _builder.setDataField<FleetCommand::Which>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, FleetCommand::PRUNE);
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t FleetCommand::Apply::Reader::getExpectedRevision() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
@@ -3964,6 +4003,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t FleetSnapshot::Reader::getOldestDelta() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FleetSnapshot::Builder::getOldestDelta() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void FleetSnapshot::Builder::setOldestDelta( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/tests/support/process_fleet.cpp
+++ b/tests/support/process_fleet.cpp
@@ -312,7 +312,12 @@
 void ProcessFleet::startControl(std::size_t index)
 {
     const std::string name = "control-" + std::to_string(index);
+    std::string members;
+    for (std::size_t i = 0; i < static_cast<std::size_t>(this->size.controls); ++i) {
+        members += (i == 0 ? "" : ",") + ("control-" + std::to_string(i)) + "=" + this->controlAddresses[i];
+    }
     std::vector<std::string> arguments = {"--listen=" + this->controlAddresses[index], "--member=" + name,
+        "--members=" + members, "--test_hooks",
         "--data=" + this->folder + "/" + name, "--secret_file=" + this->folder + "/secret"};
     arguments.insert(arguments.end(), this->size.controlFlags.begin(), this->size.controlFlags.end());
     this->start(name, "chestnuthook-control", std::move(arguments));
