--- a/bench/capacity_bench.cpp
+++ b/bench/capacity_bench.cpp
@@ -17,7 +17,7 @@
 
 #include "admission/token_bucket_type.h"
 #include "capacity_slope.h"
-#include "consensus/log_file_base.h"
+#include "consensus/raft_storage_base.h"
 #include "core/hash_func.h"
 #include "endpoint/instance_list_base.h"
 #include "entry/fleet_follower_base.h"
@@ -247,14 +247,17 @@
     printSlope("journal_write_bytes_per_byte",
         static_cast<double>(endCommand(program, 1, LargeText, LargeText).size()) / (2.0 * LargeText));
     const Testing::TemporaryFolder folder;
-    LogFile log;
-    if (!log.open(folder.path, [](std::uint64_t, std::string_view) {})) {
+    RaftStorage log;
+    if (!log.open(folder.path)) {
         return;
     }
     const std::string record = endCommand(program, 1, 400, 1600);
     const auto started = std::chrono::steady_clock::now();
+    std::uint64_t written = 0;
     printSlope("log_append_us", processorUsOf(extent.repeats, [&](int) {
-        static_cast<void>(log.append(record));
+        RaftActions actions;
+        actions.append.push_back(RaftEntry{1, ++written, RaftEntryKind::Command, record});
+        static_cast<void>(log.write({std::move(actions)}));
     }));
     const std::chrono::duration<double, std::micro> wall = std::chrono::steady_clock::now() - started;
     printSlope("log_sync_wall_us", wall.count() / extent.repeats);
--- a/src/client/control_client_base.cpp
+++ b/src/client/control_client_base.cpp
@@ -5,6 +5,7 @@
 
 #include <capnp/message.h>
 
+#include "core/hash_func.h"
 #include "rpc/message_func.h"
 
 namespace Chestnuthook
@@ -13,9 +14,14 @@
 namespace
 {
 
-constexpr unsigned SubmitTries = 6;
-constexpr auto RetryDelay = 150 * kj::MILLISECONDS;
+constexpr auto SubmitTime = 5000 * kj::MILLISECONDS; ///< Covers a leader that is lost and the election after it.
+constexpr auto RetryDelay = 50 * kj::MILLISECONDS;
 constexpr auto CallTimeout = 1500 * kj::MILLISECONDS;
+constexpr auto SyncTimeout = 800 * kj::MILLISECONDS; ///< Leaves time for two more members within the freshness bound.
+constexpr unsigned MaxRedirects = 2;
+constexpr auto ChangeTimeout = 90 * kj::SECONDS;
+constexpr unsigned ChangeTries = 20;
+constexpr std::size_t RequestIdBytes = 8;
 
 bool mayRetry(const Error &error)
 {
@@ -34,36 +40,52 @@
 
 void ControlClient::turnToNext()
 {
-    this->links[this->current]->reset();
-    this->current = (this->current + 1) % this->links.size();
+    this->leave(this->current);
 }
 
-void ControlClient::follow(const std::string &leader)
+/** Turns away from @p member, unless another call has done so before. */
+void ControlClient::leave(std::size_t member)
+{
+    this->links[member]->reset();
+    if (member == this->current) {
+        this->current = (this->current + 1) % this->links.size();
+    }
+}
+
+/** Turns to the leader that @p member named, else to the next member. @return whether a leader was named. */
+bool ControlClient::follow(std::size_t member, const std::string &leader)
 {
     for (std::size_t i = 0; i < this->links.size(); ++i) {
-        if (this->links[i]->peerAddress() == leader && i != this->current) {
+        if (this->links[i]->peerAddress() == leader && i != member) {
             this->current = i;
-            return;
+            return true;
         }
     }
-    this->current = (this->current + 1) % this->links.size();
+    const bool added = !leader.empty() && this->links[member]->peerAddress() != leader;
+    if (added) { // A member that joined after we were started.
+        this->links.push_back(std::make_unique<RpcLink>(this->context, leader));
+        this->current = this->links.size() - 1;
+    } else if (member == this->current) {
+        this->current = (this->current + 1) % this->links.size();
+    }
+    return added;
 }
 
-kj::Promise<Wire::Control::Client> ControlClient::control()
+kj::Promise<Wire::Control::Client> ControlClient::control(std::size_t member)
 {
-    return this->links[this->current]->services().then([](OfferedServices &&services) {
+    return this->links[member]->services().then([](OfferedServices &&services) {
         return services.control;
     });
 }
 
 kj::Promise<Result<std::string>> ControlClient::submitFleet(std::string command)
 {
-    return this->submit(Wire::Group::FLEET, std::move(command), SubmitTries);
+    return this->submit(Wire::Group::FLEET, std::move(command));
 }
 
 kj::Promise<Result<void>> ControlClient::submitJournal(std::string command)
 {
-    return this->submit(Wire::Group::JOURNAL, std::move(command), SubmitTries).then([](Result<std::string> &&bytes) {
+    return this->submit(Wire::Group::JOURNAL, std::move(command)).then([](Result<std::string> &&bytes) {
         if (!bytes) {
             return Result<void>(tl::unexpected(bytes.error()));
         }
@@ -76,91 +98,158 @@
     });
 }
 
-kj::Promise<Result<std::string>> ControlClient::submit(Wire::Group group, std::string command, unsigned triesLeft)
+kj::Promise<Result<std::string>> ControlClient::submit(Wire::Group group, std::string command)
 {
-    auto sent = this->control().then([group, command](Wire::Control::Client &&control) {
+    return this->trySubmit(std::make_shared<Submission>(
+        Submission{group, std::move(command), randomHex(RequestIdBytes), this->context.timer.now() + SubmitTime}));
+}
+
+kj::Promise<Result<std::string>> ControlClient::trySubmit(std::shared_ptr<Submission> submission)
+{
+    const std::size_t member = this->current;
+    auto sent = this->control(member).then([submission](Wire::Control::Client &&control) {
         auto request = control.submitRequest();
-        request.setGroup(group);
-        request.setCommand(dataOf(command));
+        request.setGroup(submission->group);
+        request.setCommand(dataOf(submission->command));
+        request.setRequestId(dataOf(submission->requestId));
         return request.send();
     });
     return this->context.timer.timeoutAfter(CallTimeout, kj::mv(sent))
         .then(
-            [this](auto &&response) {
+            [this, member](auto &&response) {
                 const auto result = response.getResult();
                 if (result.isReply()) {
                     return Result<std::string>(bytesOf(result.getReply()));
                 }
                 const Error error = readFailure(result.getFailure());
-                if (error.kind == ErrorKind::NotLeader) {
-                    this->follow(textOf(result.getLeader()));
+                if (mayRetry(error)) {
+                    this->follow(member, textOf(result.getLeader()));
                 }
                 return Result<std::string>(tl::unexpected(error));
             },
-            [this](kj::Exception &&exception) {
-                this->turnToNext();
+            [this, member](kj::Exception &&exception) {
+                this->leave(member);
                 return Result<std::string>(fail(ErrorKind::NoQuorum, exception.getDescription().cStr(), Ran::No));
             })
-        .then([this, group, command, triesLeft](Result<std::string> &&reply) -> kj::Promise<Result<std::string>> {
-            if (reply || !mayRetry(reply.error()) || triesLeft <= 1) {
+        .then([this, submission](Result<std::string> &&reply) -> kj::Promise<Result<std::string>> {
+            if (reply || !mayRetry(reply.error()) || this->context.timer.now() >= submission->deadline) {
                 return kj::mv(reply);
             }
-            return this->context.timer.afterDelay(RetryDelay).then([this, group, command, triesLeft]() {
-                return this->submit(group, command, triesLeft - 1);
+            return this->context.timer.afterDelay(RetryDelay).then([this, submission]() {
+                return this->trySubmit(submission);
             });
         });
 }
 
 kj::Promise<SyncResponse> ControlClient::sync(const EntryRecord &entry, std::uint64_t haveIndex, std::uint64_t inForce)
 {
-    auto sent = this->control().then([entry, haveIndex, inForce](Wire::Control::Client &&control) {
+    return this->trySync(std::make_shared<EntryRecord>(entry), haveIndex, inForce, MaxRedirects);
+}
+
+kj::Promise<SyncResponse> ControlClient::trySync(
+    std::shared_ptr<EntryRecord> entry, std::uint64_t haveIndex, std::uint64_t inForce, unsigned redirectsLeft)
+{
+    const std::size_t member = this->current;
+    auto sent = this->control(member).then([entry, haveIndex, inForce](Wire::Control::Client &&control) {
         auto request = control.syncRequest();
         auto params = request.initRequest();
         params.setHaveIndex(haveIndex);
         params.setInForceRevision(inForce);
         auto wire = params.initEntry();
-        wire.setId(entry.id.text);
-        wire.setEpoch(entry.epoch.value);
-        wire.setAddress(entry.address);
-        wire.setRpcAddress(entry.rpcAddress);
-        wire.setDataCentre(entry.dataCentre.text);
-        wire.setState(entry.state == EntryState::Draining ? Wire::EntryState::DRAINING : Wire::EntryState::LIVE);
+        wire.setId(entry->id.text);
+        wire.setEpoch(entry->epoch.value);
+        wire.setAddress(entry->address);
+        wire.setRpcAddress(entry->rpcAddress);
+        wire.setDataCentre(entry->dataCentre.text);
+        wire.setState(entry->state == EntryState::Draining ? Wire::EntryState::DRAINING : Wire::EntryState::LIVE);
         return request.send();
     });
-    return this->context.timer.timeoutAfter(CallTimeout, kj::mv(sent)).then([this](SyncResponse &&response) {
-        const auto result = response.getResult();
-        if (result.isFailure()) {
-            this->follow(textOf(result.getLeader()));
-            KJ_FAIL_REQUIRE("the control member can't confirm", textOf(result.getFailure().getWhat()).c_str());
-        }
-        return kj::mv(response);
+    return this->context.timer.timeoutAfter(SyncTimeout, kj::mv(sent))
+        .then(
+            [=, this](SyncResponse &&response) -> kj::Promise<SyncResponse> {
+                const auto result = response.getResult();
+                if (!result.isFailure()) {
+                    return kj::mv(response);
+                }
+                const bool named = this->follow(member, textOf(result.getLeader()));
+                KJ_REQUIRE(named && redirectsLeft > 0, "the control member can't confirm",
+                    textOf(result.getFailure().getWhat()).c_str());
+                return this->trySync(entry, haveIndex, inForce, redirectsLeft - 1);
+            },
+            [this, member](kj::Exception &&exception) -> kj::Promise<SyncResponse> {
+                this->leave(member);
+                return kj::mv(exception);
+            });
+}
+
+kj::Promise<Result<void>> ControlClient::changeMember(std::string id, std::string address, bool remove)
+{
+    return this->tryChange(std::move(id), std::move(address), remove, ChangeTries);
+}
+
+kj::Promise<Result<void>> ControlClient::tryChange(std::string id, std::string address, bool remove, unsigned triesLeft)
+{
+    const std::size_t member = this->current;
+    auto sent = this->control(member).then([id, address, remove](Wire::Control::Client &&control) {
+        auto request = control.changeMemberRequest();
+        request.setId(id);
+        request.setAddress(address);
+        request.setRemove(remove);
+        return request.send();
     });
+    return this->context.timer.timeoutAfter(ChangeTimeout, kj::mv(sent))
+        .then(
+            [this, member](auto &&response) {
+                const auto result = response.getResult();
+                if (!result.isFailure()) {
+                    return Result<void>();
+                }
+                const Error error = readFailure(result.getFailure());
+                if (mayRetry(error)) {
+                    this->follow(member, textOf(result.getLeader()));
+                }
+                return Result<void>(tl::unexpected(error));
+            },
+            [this, member](kj::Exception &&exception) {
+                this->leave(member);
+                return Result<void>(fail(ErrorKind::NoQuorum, exception.getDescription().cStr()));
+            })
+        .then([=, this](Result<void> &&done) -> kj::Promise<Result<void>> {
+            if (done || !mayRetry(done.error()) || triesLeft <= 1) {
+                return kj::mv(done);
+            }
+            return this->context.timer.afterDelay(RetryDelay * 4).then([=, this]() {
+                return this->tryChange(id, address, remove, triesLeft - 1);
+            });
+        });
 }
 
 kj::Promise<std::optional<kj::Own<ReadFleetResponse>>> ControlClient::readFleet()
 {
     using Answer = std::optional<kj::Own<ReadFleetResponse>>;
-    auto sent = this->control().then([](Wire::Control::Client &&control) {
+    const std::size_t member = this->current;
+    auto sent = this->control(member).then([](Wire::Control::Client &&control) {
         return control.readFleetRequest().send();
     });
     return this->context.timer.timeoutAfter(CallTimeout, kj::mv(sent))
         .then(
-            [this](ReadFleetResponse &&response) {
+            [this, member](ReadFleetResponse &&response) {
                 if (response.getResult().isFailure()) {
-                    this->follow(textOf(response.getResult().getLeader()));
+                    this->follow(member, textOf(response.getResult().getLeader()));
                     return Answer();
                 }
                 return Answer(kj::heap<ReadFleetResponse>(kj::mv(response)));
             },
-            [this](kj::Exception && /*exception*/) {
-                this->turnToNext();
+            [this, member](kj::Exception && /*exception*/) {
+                this->leave(member);
                 return Answer();
             });
 }
 
 kj::Promise<Result<std::vector<ProgramRecord>>> ControlClient::loadSlots(std::vector<std::pair<SlotId, Epoch>> slots)
 {
-    auto sent = this->control().then([slots = std::move(slots)](Wire::Control::Client &&control) {
+    const std::size_t member = this->current;
+    auto sent = this->control(member).then([slots = std::move(slots)](Wire::Control::Client &&control) {
         auto request = control.loadSlotsRequest();
         auto list = request.initSlots(static_cast<unsigned>(slots.size()));
         for (unsigned i = 0; i < list.size(); ++i) {
@@ -171,10 +260,10 @@
     });
     return this->context.timer.timeoutAfter(CallTimeout, kj::mv(sent))
         .then(
-            [this](auto &&response) {
+            [this, member](auto &&response) {
                 const auto result = response.getResult();
                 if (result.isFailure()) {
-                    this->follow(textOf(result.getLeader()));
+                    this->follow(member, textOf(result.getLeader()));
                     return Result<std::vector<ProgramRecord>>(tl::unexpected(readFailure(result.getFailure())));
                 }
                 std::vector<ProgramRecord> programs;
@@ -183,8 +272,8 @@
                 }
                 return Result<std::vector<ProgramRecord>>(std::move(programs));
             },
-            [this](kj::Exception &&exception) {
-                this->turnToNext();
+            [this, member](kj::Exception &&exception) {
+                this->leave(member);
                 return Result<std::vector<ProgramRecord>>(fail(ErrorKind::NoQuorum, exception.getDescription().cStr()));
             });
 }
--- a/src/client/control_client_base.h
+++ b/src/client/control_client_base.h
@@ -47,16 +47,33 @@
     /** The whole fleet state, confirmed by a quorum; null where this member can't, after which the next is in use. */
     [[nodiscard]] kj::Promise<std::optional<kj::Own<ReadFleetResponse>>> readFleet();
 
+    /** Adds or removes a control member; may take as long as a new member needs to catch up. */
+    [[nodiscard]] kj::Promise<Result<void>> changeMember(std::string id, std::string address, bool remove);
+
     /** Leaves the current member for the next one. */
     void turnToNext();
 
 private:
-    kj::Promise<Result<std::string>> submit(Wire::Group group, std::string command, unsigned triesLeft);
-    kj::Promise<Wire::Control::Client> control();
-    void follow(const std::string &leader);
+    /** A command under way; the same through all tries, so that it takes effect once. */
+    struct Submission
+    {
+        Wire::Group group; ///< Which machine.
+        std::string command; ///< Flat.
+        std::string requestId; ///< A resend under it gets the first reply.
+        kj::TimePoint deadline; ///< After this there are no more tries.
+    };
+
+    kj::Promise<Result<std::string>> submit(Wire::Group group, std::string command);
+    kj::Promise<Result<std::string>> trySubmit(std::shared_ptr<Submission> submission);
+    kj::Promise<SyncResponse> trySync(
+        std::shared_ptr<EntryRecord> entry, std::uint64_t haveIndex, std::uint64_t inForce, unsigned redirectsLeft);
+    kj::Promise<Result<void>> tryChange(std::string id, std::string address, bool remove, unsigned triesLeft);
+    kj::Promise<Wire::Control::Client> control(std::size_t member);
+    void leave(std::size_t member);
+    bool follow(std::size_t member, const std::string &leader);
 
     RpcContext &context; ///< Outlives this.
-    std::vector<std::unique_ptr<RpcLink>> links; ///< One per control member.
+    std::vector<std::unique_ptr<RpcLink>> links; ///< One per control member known; grows by leaders that are named.
     std::size_t current = 0; ///< Index of the member in use.
 };
 
--- a/src/consensus/member_links_base.cpp
+++ b/src/consensus/member_links_base.cpp
@@ -198,8 +198,8 @@
     ++peer.underWay;
     auto messages = std::exchange(peer.waiting, {});
     RpcLink *link = peer.link.get();
-    auto sent = link->services().then(
-        [messages = std::move(messages), address = this->ownAddress](OfferedServices &&services) {
+    auto sent =
+        link->services().then([messages = std::move(messages), address = this->ownAddress](OfferedServices &&services) {
             auto request = services.peer.castAs<Wire::Member>().sendRequest();
             auto list = request.initMessages(static_cast<unsigned>(messages.size()));
             for (unsigned i = 0; i < list.size(); ++i) {
--- a/src/consensus/raft_storage_base.cpp
+++ b/src/consensus/raft_storage_base.cpp
@@ -141,13 +141,14 @@
     if (!bytes) {
         return tl::unexpected(bytes.error());
     }
-    if (bytes->size() < FileHead.size()) { // New, or ended while its first bytes were written.
-        const Result<void> made = this->replaceFile("log", std::string(FileHead));
-        this->end = FileHead.size();
-        return made ? this->openLog() : made;
+    if (!std::filesystem::exists(path)) {
+        return this->replaceLog(RaftCompaction{});
     }
-    if (bytes->compare(0, FileHead.size(), FileHead) != 0) {
-        return fail(ErrorKind::StorageCorrupt, path + " is of an unknown version");
+    // Each log takes its place whole, with its base as first record.
+    const auto base = findRecord(*bytes, FileHead.size());
+    const bool known = bytes->compare(0, FileHead.size(), FileHead) == 0;
+    if (!known || !base || base->payload[0] != static_cast<char>(RecordKind::Base)) {
+        return fail(ErrorKind::StorageCorrupt, path + " has no head of a known version");
     }
     std::size_t at = FileHead.size();
     for (auto record = findRecord(*bytes, at); record; record = findRecord(*bytes, at)) {
@@ -217,18 +218,23 @@
 {
     std::string bytes(FileHead);
     appendRecord(bytes, 0, snapshotRecord(compaction.snapshot));
-    Result<void> done = this->replaceFile("snapshot", bytes);
+    const Result<void> done = this->replaceFile("snapshot", bytes);
     if (!done) {
         return done;
     }
+    return this->replaceLog(compaction);
+}
+
+Result<void> RaftStorage::replaceLog(const RaftCompaction &compaction)
+{
     std::string kept;
     appendRecord(kept, 0, hardStateRecord(compaction.hardState));
     addRecords(kept, 0, compaction.entries);
-    bytes = FileHead;
+    std::string bytes(FileHead);
     const std::uint64_t whole = FileHead.size() + BaseRecordBytes + kept.size();
     appendRecord(bytes, 0, baseRecord(compaction.baseIndex, compaction.baseTerm, whole));
     bytes += kept;
-    done = this->replaceFile("log", bytes);
+    const Result<void> done = this->replaceFile("log", bytes);
     if (!done) {
         return done;
     }
--- a/src/consensus/raft_storage_base.h
+++ b/src/consensus/raft_storage_base.h
@@ -55,6 +55,7 @@
     Result<void> readSnapshot(RaftRestored &restored);
     Result<void> readLog(RaftRestored &restored);
     Result<void> openLog();
+    Result<void> replaceLog(const RaftCompaction &compaction);
     Result<void> replaceFile(const std::string &name, const std::string &bytes);
     Result<void> syncFolder();
     Result<void> writeBytes(const std::string &bytes);
--- a/src/control/control_service_base.cpp
+++ b/src/control/control_service_base.cpp
@@ -84,8 +84,9 @@
         const auto params = context.getParams();
         std::string requestId = bytesOf(params.getRequestId());
         std::string command = bytesOf(params.getCommand());
-        auto proposed = params.getGroup() == Wire::Group::FLEET ? this->member.fleet.propose(std::move(command), std::move(requestId))
-                                                                : this->member.journal.propose(std::move(command), std::move(requestId));
+        auto proposed = params.getGroup() == Wire::Group::FLEET
+            ? this->member.fleet.propose(std::move(command), std::move(requestId))
+            : this->member.journal.propose(std::move(command), std::move(requestId));
         return proposed.then([this, context](Result<std::string> &&reply) mutable {
             auto result = context.getResults().initResult();
             if (reply) {
--- a/src/ctl/ctl_command_func.cpp
+++ b/src/ctl/ctl_command_func.cpp
@@ -9,6 +9,7 @@
 
 #include "core/hash_func.h"
 #include "core/settings_func.h"
+#include "ctl/ctl_members_func.h"
 #include "ctl/declaration_file_base.h"
 #include "observe/log_func.h"
 #include "rpc/message_func.h"
@@ -253,6 +254,9 @@
     if (verb == "status" && rest.empty()) {
         return status(session, splitList(FLAGS_controls));
     }
+    if (verb == "members") {
+        return runMembersCommand(session, rest, splitList(FLAGS_controls));
+    }
     std::cerr << "usage: chestnuthook-ctl validate|diff|apply FILE… | keys issue TENANT | keys withdraw ID | keys list "
                  "| status\n";
     return CtlExit::Usage;
--- a/src/ctl/ctl_session_base.cpp
+++ b/src/ctl/ctl_session_base.cpp
@@ -12,7 +12,8 @@
 namespace
 {
 
-constexpr unsigned ReadTries = 4;
+constexpr unsigned ReadTries = 40; ///< With the delay, the time of an election and more.
+constexpr auto ReadDelay = 100 * kj::MILLISECONDS;
 constexpr auto StatusTimeout = 1500 * kj::MILLISECONDS;
 
 } // namespace
@@ -27,6 +28,9 @@
 Result<FleetState> CtlSession::readFleet()
 {
     for (unsigned tries = 0; tries < ReadTries; ++tries) {
+        if (tries > 0) {
+            this->loop.wait(this->loop.kjTimer().afterDelay(ReadDelay));
+        }
         auto response = this->loop.wait(this->client.readFleet());
         if (response) {
             FleetState state;
@@ -43,6 +47,11 @@
     return this->loop.wait(this->client.submitFleet(std::move(command)));
 }
 
+Result<void> CtlSession::changeMember(const std::string &name, const std::string &address, bool remove)
+{
+    return this->loop.wait(this->client.changeMember(name, address, remove));
+}
+
 Result<capnp::Response<Wire::Control::StatusResults>> CtlSession::status(const std::string &address)
 {
     RpcLink link(this->loop.rpc(), address);
--- a/src/ctl/ctl_session_base.h
+++ b/src/ctl/ctl_session_base.h
@@ -24,6 +24,9 @@
     /** Submits a flat fleet command. @return the flat reply. */
     Result<std::string> submit(std::string command);
 
+    /** Adds or removes a control member. Errors: those of the members. */
+    Result<void> changeMember(const std::string &name, const std::string &address, bool remove);
+
     /** Status of one member, by its address. Errors: NoQuorum where it doesn't answer. */
     Result<capnp::Response<Wire::Control::StatusResults>> status(const std::string &address);
 
--- a/src/entry/fleet_follower_base.cpp
+++ b/src/entry/fleet_follower_base.cpp
@@ -71,6 +71,17 @@
     }
 }
 
+/** Strikes expire, so they are few and are taken whole. */
+void takeStrikes(FleetView &view, const FleetState &state)
+{
+    view.strikes.clear();
+    for (const auto &[fingerprint, row] : state.strikes.all()) {
+        if (!row.removed) {
+            view.strikes[fingerprint] = StrikeView{row.record.strikes, row.record.expiresAtMs};
+        }
+    }
+}
+
 } // namespace
 
 std::shared_ptr<const FleetView> makeView(const FleetState &state)
@@ -87,6 +98,7 @@
         takeKey(*view, id, row);
     }
     takeLeases(*view, state);
+    takeStrikes(*view, state);
     return view;
 }
 
@@ -110,6 +122,7 @@
         takeKey(*view, id, row);
     });
     takeLeases(*view, state);
+    takeStrikes(*view, state);
     return view;
 }
 
@@ -165,8 +178,7 @@
                                 this->take(response, sentAt);
                             },
                             [this](kj::Exception && /*exception*/) {
-                                this->busy = false;
-                                this->client.turnToNext();
+                                this->busy = false; // The client has turned to another member.
                             })
                         .eagerlyEvaluate(nullptr);
 }
--- a/src/entry/fleet_view_type.h
+++ b/src/entry/fleet_view_type.h
@@ -24,6 +24,13 @@
     KeyId key; ///< Which key came.
 };
 
+/** How often a request was in flight where an endpoint died. */
+struct StrikeView
+{
+    std::uint32_t strikes = 0; ///< Deaths that it is suspected of.
+    std::int64_t expiresAtMs = 0; ///< Milliseconds since 1970; after this it counts as clean.
+};
+
 /** Immutable; replaced as a whole. */
 struct FleetView
 {
@@ -35,6 +42,7 @@
     SiteDeclaration site; ///< Budgets and retention.
     std::vector<EntryRecord> entries; ///< With a lease; draining ones too.
     std::vector<SlotRecord> slots; ///< By slot number.
+    std::unordered_map<std::string, StrikeView> strikes; ///< By fingerprint of the request.
 };
 
 /** The current view; read by traffic threads, written by the control thread. */
--- /dev/null
+++ b/tests/process/control_test.cpp
@@ -0,0 +1,189 @@
+/** @file control_test.cpp  Three control members as one: losses of the leader, races, resends and restarts. */
+#define BOOST_TEST_MODULE control
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <filesystem>
+#include <map>
+#include <thread>
+
+#include "rpc/message_func.h"
+#include "support/control_probe.h"
+
+using namespace Chestnuthook;
+using namespace Chestnuthook::Testing;
+
+namespace
+{
+
+const std::string ModelCall =
+    R"({"kind":"model","model":"verse","messages":[{"role":"user","content":"A verse"}],"max_tokens":4})";
+
+FleetSize threeControls(int entries = 1)
+{
+    FleetSize size;
+    size.controls = 3;
+    size.entries = entries;
+    return size;
+}
+
+std::string controlName(std::size_t index)
+{
+    return "control-" + std::to_string(index);
+}
+
+void kill(ProcessFleet &fleet, const std::string &name)
+{
+    fleet.processes.at(name)->signal(SIGKILL);
+    fleet.processes.at(name)->wait();
+}
+
+bool accepted(const std::string &reply)
+{
+    FlatMessage message(reply);
+    return !message.root<Wire::FleetReply>().isFailure();
+}
+
+std::string failureCode(const std::string &reply)
+{
+    FlatMessage message(reply);
+    const auto read = message.root<Wire::FleetReply>();
+    return read.isFailure() ? textOf(read.getFailure().getCode()) : "";
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_leader_killed_under_load_loses_nothing_that_was_acknowledged)
+{
+    ProcessFleet fleet(threeControls(2));
+    ControlProbe probe(fleet);
+    std::atomic<bool> stop = false;
+    std::map<std::string, std::pair<int, std::string>> answered; // Entry and body by call.
+    std::thread load([&]() {
+        for (int i = 0; !stop; ++i) {
+            const HttpAnswer created = fleet.ask(i % 2, "POST", "/v1/programs", "{}");
+            const std::size_t at = created.body.find("\"id\":\"");
+            if (created.status != 201 || at == std::string::npos) {
+                continue;
+            }
+            const std::string id = created.body.substr(at + 6, created.body.find('"', at + 6) - at - 6);
+            const std::string call = "/v1/programs/" + id + "/calls/1";
+            const HttpAnswer answer = fleet.ask(i % 2, "POST", call, ModelCall);
+            if (answer.status == 200 && answer.complete) {
+                answered[call] = {i % 2, answer.body};
+            }
+        }
+    });
+    const std::size_t old = probe.leader();
+    std::this_thread::sleep_for(std::chrono::seconds(1)); // Load of the first leader.
+    kill(fleet, controlName(old));
+    const std::size_t next = probe.leader(old);
+    std::this_thread::sleep_for(std::chrono::seconds(2)); // Load of the second.
+    stop = true;
+    load.join();
+    BOOST_TEST(next != old);
+    BOOST_TEST(answered.size() > 10U);
+    for (const auto &[call, first] : answered) {
+        HttpAnswer again;
+        waitUntil([&, path = call, at = first.first]() {
+            again = fleet.ask(at, "POST", path, ModelCall);
+            return again.status != 429; // A resend counts within the tenant's rate.
+        });
+        BOOST_TEST(again.body == first.second, call << " gave " << again.body);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(operators_who_race_under_equal_numbers_have_one_winner)
+{
+    ProcessFleet fleet(threeControls());
+    ControlProbe probe(fleet);
+    const std::size_t leader = probe.leader();
+    const std::uint64_t revision = probe.status(leader)->revision;
+    std::vector<std::string> commands;
+    for (int i = 0; i < 8; ++i) {
+        commands.push_back(applyCommand(revision, "race-" + std::to_string(i), "{}"));
+    }
+    int won = 0;
+    for (const std::string &reply : probe.submitTogether(leader, commands)) {
+        BOOST_REQUIRE(!reply.empty());
+        won += accepted(reply) ? 1 : 0;
+        BOOST_TEST((accepted(reply) || failureCode(reply) == "stale_revision"));
+    }
+    BOOST_TEST(won == 1);
+    BOOST_TEST(probe.status(leader)->revision == revision + 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_resend_after_a_lost_answer_gets_the_first_answer_also_from_a_new_leader)
+{
+    ProcessFleet fleet(threeControls());
+    ControlProbe probe(fleet);
+    const std::size_t first = probe.leader();
+    const std::uint64_t revision = probe.status(first)->revision;
+    const std::string command = applyCommand(revision, "once", "{}");
+    const auto reply = probe.submit(first, command);
+    BOOST_REQUIRE(reply.has_value());
+    BOOST_TEST(accepted(*reply));
+    BOOST_TEST((probe.submit(first, command) == reply));
+    kill(fleet, controlName(first));
+    const std::size_t second = probe.leader(first);
+    BOOST_TEST((probe.submit(second, command) == reply));
+    BOOST_TEST(probe.status(second)->revision == revision + 1);
+    // The same for a command without an id of its own, sent again by the client of an entry.
+    const std::string plain = applyCommand(revision + 1, "", "{}");
+    const auto plainReply = probe.submit(second, plain, "client-1");
+    BOOST_TEST((plainReply && accepted(*plainReply)));
+    BOOST_TEST((probe.submit(second, plain, "client-1") == plainReply));
+    BOOST_TEST(probe.status(second)->revision == revision + 2);
+}
+
+BOOST_AUTO_TEST_CASE(a_whole_fleet_killed_at_once_comes_back_with_all_it_acknowledged)
+{
+    ProcessFleet fleet(threeControls());
+    ControlProbe probe(fleet);
+    const std::string call = "/v1/programs/" + fleet.createProgram(0) + "/calls/1";
+    const HttpAnswer first = fleet.ask(0, "POST", call, ModelCall);
+    BOOST_REQUIRE(first.status == 200);
+    const std::uint64_t revision = probe.status(probe.leader())->revision;
+    for (const char *name : {"control-0", "control-1", "control-2", "entry-0"}) {
+        fleet.processes.at(name)->signal(SIGKILL);
+    }
+    for (std::size_t i = 0; i < 3; ++i) {
+        fleet.startControl(i);
+    }
+    fleet.startEntry(0);
+    BOOST_TEST(probe.status(probe.leader())->revision == revision);
+    BOOST_TEST(waitUntil([&]() {
+        return fleet.ask(0, "POST", call, ModelCall).body == first.body;
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(a_leader_that_was_stopped_for_long_neither_confirms_nor_ends_leases_when_it_comes_back)
+{
+    ProcessFleet fleet(threeControls());
+    ControlProbe probe(fleet);
+    const std::size_t old = probe.leader();
+    const std::uint64_t revision = probe.status(old)->revision;
+    fleet.processes.at(controlName(old))->signal(SIGSTOP);
+    const std::size_t next = probe.leader(old);
+    BOOST_REQUIRE(probe.submit(next, applyCommand(revision, "while-stopped", "{}")).has_value());
+    std::this_thread::sleep_for(std::chrono::seconds(5)); // Past the leases, as the stopped leader saw them last.
+    fleet.processes.at(controlName(old))->signal(SIGCONT);
+    BOOST_TEST(waitUntil([&]() {
+        const auto status = probe.status(old);
+        // It must never say that a quorum confirms what it held when it was stopped.
+        BOOST_TEST((!status || !status->confirmed || status->revision == revision + 1));
+        return status && status->revision == revision + 1;
+    }));
+    BOOST_TEST(readFile(fleet.folder + "/" + controlName(old) + ".log").find("lease_expired") == std::string::npos);
+    BOOST_TEST(fleet.ask(0, "POST", "/v1/programs", "{}").status == 201);
+}
+
+BOOST_AUTO_TEST_CASE(a_stranger_on_the_port_gets_nothing)
+{
+    ProcessFleet fleet;
+    const CommandResult stranger = runCommand(
+        "chestnuthook-ctl", {"--controls=" + fleet.controlAddresses[0], "status"}, {"CHESTNUTHOOK_SECRET=x"});
+    BOOST_TEST(stranger.exitCode != 0);
+    BOOST_TEST(stranger.output.find("unauthenticated") != std::string::npos, stranger.output);
+}
--- /dev/null
+++ b/tests/process/freshness_test.cpp
@@ -0,0 +1,113 @@
+/** @file freshness_test.cpp  No entry serves under a state that may be out of date. */
+#define BOOST_TEST_MODULE freshness
+#include <boost/test/unit_test.hpp>
+
+#include <csignal>
+
+#include "support/control_probe.h"
+
+using namespace Chestnuthook::Testing;
+
+namespace
+{
+
+FleetSize threeControls()
+{
+    FleetSize size;
+    size.controls = 3;
+    size.entries = 2;
+    return size;
+}
+
+int createStatus(const ProcessFleet &fleet, const std::string &key, std::size_t entry)
+{
+    return httpAs(key, fleet.entryAddresses[entry], "POST", "/v1/programs", "{}").status;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_silently_isolated_leader_can_not_serve_a_withdrawn_key)
+{
+    ProcessFleet fleet(threeControls());
+    ControlProbe probe(fleet);
+    const std::size_t isolated = probe.leader(); // Both entries and the operator's tool follow it.
+    const std::string issued = fleet.ctl({"keys", "issue", fleet.tenant}).output;
+    const std::string id = issued.substr(3, issued.find('\n') - 3);
+    const std::size_t at = issued.find("key chk-") + 4;
+    const std::string key = issued.substr(at, issued.find('\n', at) - at);
+    for (std::size_t entry : {0, 1}) {
+        BOOST_REQUIRE(waitUntil([&]() {
+            return createStatus(fleet, key, entry) == 201;
+        }));
+    }
+    probe.setFault(isolated, true, false);
+    BOOST_TEST(fleet.ctl({"keys", "withdraw", id}).exitCode == 0); // Finds the new leader by itself.
+    for (std::size_t entry : {0, 1}) {
+        BOOST_TEST(waitUntil([&]() {
+            return createStatus(fleet, key, entry) == 401;
+        }));
+    }
+    const std::size_t next = probe.leader(isolated);
+    BOOST_TEST(next != isolated);
+    const auto status = probe.status(isolated);
+    BOOST_TEST((status && !status->confirmed));
+    BOOST_TEST(!probe.submit(isolated, applyCommand(status->revision, "at-isolated", "{}")).has_value());
+    // Others go on being served, and the member follows again after the fault.
+    BOOST_TEST(fleet.ask(0, "POST", "/v1/programs", "{}").status == 201);
+    const std::uint64_t revision = probe.status(next)->revision;
+    BOOST_TEST(probe.submit(next, applyCommand(revision, "while-isolated", "{}")).has_value());
+    probe.setFault(isolated, false, false);
+    BOOST_TEST(waitUntil([&]() {
+        const auto now = probe.status(isolated);
+        return now && now->revision == revision + 1;
+    }));
+    BOOST_TEST(createStatus(fleet, key, 0) == 401);
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_without_a_confirmed_read_admits_nothing_and_says_so)
+{
+    ProcessFleet fleet(threeControls());
+    ControlProbe probe(fleet);
+    for (std::size_t i = 0; i < 3; ++i) {
+        probe.setFault(i, false, true);
+    }
+    HttpAnswer refused;
+    BOOST_TEST(waitUntil([&]() {
+        refused = fleet.ask(0, "POST", "/v1/programs", "{}");
+        return refused.status == 503;
+    }));
+    BOOST_TEST(refused.body.find("\"ran\":\"no\"") != std::string::npos, refused.body);
+    BOOST_TEST(http(fleet.entryAddresses[0], "GET", "/readyz").status == 503);
+    // A restarted process holds nothing, and must not take the empty state for the current one.
+    fleet.startEntry(1);
+    BOOST_TEST(waitUntil([&]() {
+        return http(fleet.entryAddresses[1], "GET", "/healthz").status == 200;
+    }));
+    BOOST_TEST(createStatus(fleet, fleet.key, 1) == 503);
+    for (std::size_t i = 0; i < 3; ++i) {
+        probe.setFault(i, false, false);
+    }
+    for (std::size_t entry : {0, 1}) {
+        BOOST_TEST(waitUntil([&]() {
+            return createStatus(fleet, fleet.key, entry) == 201;
+        }));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(entries_leave_a_member_that_does_not_answer_them)
+{
+    ProcessFleet fleet(threeControls());
+    ControlProbe probe(fleet);
+    const std::size_t silent = probe.leader();
+    fleet.processes.at("control-" + std::to_string(silent))->signal(SIGSTOP);
+    const std::size_t next = probe.leader(silent);
+    const std::uint64_t revision = probe.status(next)->revision;
+    BOOST_TEST(probe.submit(next, applyCommand(revision, "after-stop", "{}")).has_value());
+    for (std::size_t entry : {0, 1}) {
+        const std::string log = fleet.folder + "/entry-" + std::to_string(entry) + ".log";
+        BOOST_TEST(waitUntil([&]() {
+            return readFile(log).find("configuration_in_force revision=" + std::to_string(revision + 1))
+                != std::string::npos;
+        }));
+    }
+}
--- a/tests/support/process_fleet.cpp
+++ b/tests/support/process_fleet.cpp
@@ -317,7 +317,7 @@
         members += (i == 0 ? "" : ",") + ("control-" + std::to_string(i)) + "=" + this->controlAddresses[i];
     }
     std::vector<std::string> arguments = {"--listen=" + this->controlAddresses[index], "--member=" + name,
-        "--members=" + members, "--test_hooks",
+        index < static_cast<std::size_t>(this->size.controls) ? "--members=" + members : "--join", "--test_hooks",
         "--data=" + this->folder + "/" + name, "--secret_file=" + this->folder + "/secret"};
     arguments.insert(arguments.end(), this->size.controlFlags.begin(), this->size.controlFlags.end());
     this->start(name, "chestnuthook-control", std::move(arguments));
--- a/tests/support/process_fleet.h
+++ b/tests/support/process_fleet.h
@@ -86,6 +86,7 @@
     ProcessFleet(const ProcessFleet &) = delete;
     ProcessFleet &operator=(const ProcessFleet &) = delete;
 
+    /** Members past the first `size.controls` wait to be added; push their address to controlAddresses before. */
     void startControl(std::size_t index);
     void startEntry(std::size_t index);
     void startEngine(std::size_t index);
--- /dev/null
+++ b/tests/unit/log_storage_test.cpp
@@ -0,0 +1,212 @@
+/** @file log_storage_test.cpp  What a member finds on its disk after each kind of damage. */
+#define BOOST_TEST_MODULE log_storage
+#include <boost/test/unit_test.hpp>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+
+#include <sys/resource.h>
+
+#include "consensus/raft_storage_base.h"
+#include "support/process_fleet.h"
+
+using namespace Chestnuthook;
+using Testing::readFile;
+using Testing::TemporaryFolder;
+
+namespace
+{
+
+RaftActions batchOf(std::uint64_t first, std::uint64_t last, std::uint64_t term)
+{
+    RaftActions actions;
+    actions.hardState = RaftHardState{term, "voted"};
+    for (std::uint64_t i = first; i <= last; ++i) {
+        actions.append.push_back(RaftEntry{term, i, RaftEntryKind::Command, "entry " + std::to_string(i)});
+    }
+    return actions;
+}
+
+void write(const std::string &folder, const std::vector<std::vector<RaftActions>> &writes)
+{
+    RaftStorage storage;
+    BOOST_REQUIRE(storage.open(folder).has_value());
+    for (const auto &batches : writes) {
+        BOOST_REQUIRE(storage.write(batches).has_value());
+    }
+}
+
+Result<RaftRestored> reopened(const std::string &folder)
+{
+    RaftStorage storage;
+    return storage.open(folder);
+}
+
+void replace(const std::string &path, const std::string &bytes)
+{
+    std::ofstream(path, std::ios::binary | std::ios::trunc) << bytes;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_tail_torn_at_any_offset_is_cut_and_what_was_synced_before_stays)
+{
+    const TemporaryFolder folder;
+    const std::string log = folder.path + "/log";
+    write(folder.path, {{batchOf(1, 3, 1)}});
+    const std::size_t synced = readFile(log).size();
+    write(folder.path, {{batchOf(4, 5, 2)}}); // The write that the crash hits.
+    const std::string whole = readFile(log);
+    for (std::size_t size = synced; size < whole.size(); ++size) {
+        replace(log, whole.substr(0, size));
+        const auto restored = reopened(folder.path);
+        BOOST_REQUIRE(restored.has_value());
+        BOOST_TEST(restored->entries.size() >= 3U);
+        BOOST_TEST(restored->entries.size() < 5U);
+        BOOST_TEST(readFile(log).size() <= size);
+        // The member goes on writing where it was cut.
+        write(folder.path, {{batchOf(restored->entries.size() + 1, 6, 3)}});
+        BOOST_TEST(reopened(folder.path)->entries.size() == 6U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(zeros_after_the_last_record_are_a_torn_tail)
+{
+    const TemporaryFolder folder;
+    write(folder.path, {{batchOf(1, 3, 1)}});
+    replace(folder.path + "/log", readFile(folder.path + "/log") + std::string(4096, '\0'));
+    BOOST_TEST(reopened(folder.path)->entries.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(a_flipped_bit_before_the_last_batch_stops_with_a_remedy_and_changes_nothing)
+{
+    const TemporaryFolder folder;
+    const std::string log = folder.path + "/log";
+    write(folder.path, {{batchOf(1, 3, 1)}});
+    const std::size_t first = readFile(log).size();
+    write(folder.path, {{batchOf(4, 5, 2)}});
+    const std::string whole = readFile(log);
+    for (std::size_t at = 0; at < whole.size(); ++at) {
+        std::string damaged = whole;
+        damaged[at] = static_cast<char>(damaged[at] ^ 0x10);
+        replace(log, damaged);
+        const auto restored = reopened(folder.path);
+        if (at < first) { // A later batch was begun, so this was synced: no reading of it may go on.
+            BOOST_REQUIRE(!restored.has_value());
+            BOOST_TEST((restored.error().kind == ErrorKind::StorageCorrupt));
+            BOOST_TEST(readFile(log) == damaged);
+        } else { // The last batch looks as if it was never synced.
+            BOOST_REQUIRE(restored.has_value());
+            BOOST_TEST(restored->entries.size() >= 3U);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_flipped_bit_in_a_compacted_log_or_a_snapshot_stops_too)
+{
+    const TemporaryFolder folder;
+    {
+        RaftStorage storage;
+        BOOST_REQUIRE(storage.open(folder.path).has_value());
+        const RaftSnapshot snapshot{2, 1, {{"a.1", {"address", true}}}, "state"};
+        const std::vector<RaftEntry> kept = batchOf(2, 4, 1).append;
+        BOOST_REQUIRE(storage.compact(RaftCompaction{snapshot, RaftHardState{1, "x"}, 1, 1, kept}).has_value());
+    }
+    const auto restored = reopened(folder.path);
+    BOOST_REQUIRE(restored.has_value());
+    BOOST_TEST(restored->baseIndex == 1U);
+    BOOST_TEST(restored->entries.size() == 3U);
+    BOOST_TEST(restored->snapshot.data == "state");
+    BOOST_TEST(restored->hardState.vote == "x");
+    for (const char *name : {"/log", "/snapshot"}) {
+        const std::string whole = readFile(folder.path + name);
+        for (std::size_t at = 0; at < whole.size(); ++at) {
+            std::string damaged = whole;
+            damaged[at] = static_cast<char>(damaged[at] ^ 1);
+            replace(folder.path + name, damaged);
+            const auto found = reopened(folder.path);
+            BOOST_REQUIRE_MESSAGE(!found.has_value(), name << " byte " << at);
+            BOOST_TEST((found.error().kind == ErrorKind::StorageCorrupt));
+        }
+        replace(folder.path + name, whole);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_replaces_all_from_its_index_on)
+{
+    const TemporaryFolder folder;
+    write(folder.path, {{batchOf(1, 5, 1), batchOf(3, 3, 2)}});
+    const auto restored = reopened(folder.path);
+    BOOST_REQUIRE(restored.has_value());
+    BOOST_TEST(restored->entries.size() == 3U);
+    BOOST_TEST(restored->entries.back().term == 2U);
+    BOOST_TEST(restored->hardState.term == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_received_snapshot_counts_though_the_log_was_not_shortened_any_more)
+{
+    const TemporaryFolder folder;
+    write(folder.path, {{batchOf(1, 3, 1)}});
+    const std::string old = readFile(folder.path + "/log");
+    RaftActions install;
+    install.install = RaftSnapshot{9, 2, {{"a.1", {"address", true}}}, "state"};
+    install.hardState = RaftHardState{2, ""};
+    write(folder.path, {{install}});
+    replace(folder.path + "/log", old); // Killed between the two files.
+    const auto restored = reopened(folder.path);
+    BOOST_REQUIRE(restored.has_value());
+    BOOST_TEST(restored->baseIndex == 9U);
+    BOOST_TEST(restored->entries.empty());
+    BOOST_TEST(restored->snapshot.data == "state");
+}
+
+BOOST_AUTO_TEST_CASE(a_full_disk_fails_the_write_and_all_after_it_and_loses_nothing_synced)
+{
+    const TemporaryFolder folder;
+    RaftStorage storage;
+    BOOST_REQUIRE(storage.open(folder.path).has_value());
+    BOOST_REQUIRE(storage.write({batchOf(1, 3, 1)}).has_value());
+    std::signal(SIGXFSZ, SIG_IGN);
+    rlimit before{};
+    getrlimit(RLIMIT_FSIZE, &before);
+    rlimit full = before;
+    full.rlim_cur = readFile(folder.path + "/log").size() + 30; // Part of the next record fits.
+    setrlimit(RLIMIT_FSIZE, &full);
+    const Result<void> failed = storage.write({batchOf(4, 6, 1)});
+    setrlimit(RLIMIT_FSIZE, &before);
+    BOOST_REQUIRE(!failed.has_value());
+    BOOST_TEST((failed.error().kind == ErrorKind::StorageFailed));
+    BOOST_TEST(!storage.write({batchOf(4, 4, 1)}).has_value()); // The end of the file is unknown now.
+    const auto restored = reopened(folder.path);
+    BOOST_REQUIRE(restored.has_value());
+    BOOST_TEST(restored->entries.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(a_wiped_folder_gets_another_identity_and_a_kept_one_its_own)
+{
+    const TemporaryFolder folder;
+    const auto identity = [&]() {
+        RaftStorage storage;
+        BOOST_REQUIRE(storage.openIdentity(folder.path + "/data", "member").has_value());
+        return storage.identity();
+    };
+    const std::string first = identity();
+    BOOST_TEST(identity() == first);
+    std::filesystem::remove_all(folder.path + "/data");
+    BOOST_TEST(identity() != first);
+}
+
+BOOST_AUTO_TEST_CASE(a_thousand_changes_are_all_there_after_a_restart)
+{
+    const TemporaryFolder folder;
+    std::vector<std::vector<RaftActions>> writes;
+    for (std::uint64_t i = 1; i <= 1000; ++i) {
+        writes.push_back({batchOf(i, i, 1)});
+    }
+    write(folder.path, writes);
+    const auto restored = reopened(folder.path);
+    BOOST_REQUIRE(restored.has_value());
+    BOOST_TEST(restored->entries.size() == 1000U);
+    BOOST_TEST(restored->entries[499].data == "entry 500");
+}
