--- a/src/client/control_client_base.cpp
+++ b/src/client/control_client_base.cpp
@@ -112,6 +112,7 @@
         request.setGroup(submission->group);
         request.setCommand(dataOf(submission->command));
         request.setRequestId(dataOf(submission->requestId));
+        writeHybridTime(request.initTime());
         return request.send();
     });
     return this->context.timer.timeoutAfter(CallTimeout, kj::mv(sent))
@@ -155,6 +156,7 @@
         auto params = request.initRequest();
         params.setHaveIndex(haveIndex);
         params.setInForceRevision(inForce);
+        writeHybridTime(params.initTime());
         auto wire = params.initEntry();
         wire.setId(entry->id.text);
         wire.setEpoch(entry->epoch.value);
@@ -168,6 +170,7 @@
         .then(
             [=, this](SyncResponse &&response) -> kj::Promise<SyncResponse> {
                 const auto result = response.getResult();
+                observeHybridTime(result.getTime());
                 if (!result.isFailure()) {
                     return kj::mv(response);
                 }
@@ -262,6 +265,7 @@
         .then(
             [this, member](auto &&response) {
                 const auto result = response.getResult();
+                observeHybridTime(result.getTime());
                 if (result.isFailure()) {
                     this->follow(member, textOf(result.getLeader()));
                     return Result<std::vector<ProgramRecord>>(tl::unexpected(readFailure(result.getFailure())));
--- a/src/control/control_service_base.cpp
+++ b/src/control/control_service_base.cpp
@@ -1,6 +1,7 @@
 /** @file control_service_base.cpp  The Control interface over the replicated groups. */
 #include "control/control_service_base.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <capnp/message.h>
@@ -18,6 +19,7 @@
 constexpr std::uint8_t FleetTag = 0;
 constexpr std::uint8_t JournalTag = 1;
 
+constexpr std::size_t MaxEventsPerRead = 1000;
 constexpr Duration ExpiryPeriod = std::chrono::milliseconds(250);
 
 /** The flat command that grants @p entry a lease. */
@@ -83,6 +85,7 @@
         }
         const auto params = context.getParams();
         std::string requestId = bytesOf(params.getRequestId());
+        observeHybridTime(params.getTime());
         std::string command = bytesOf(params.getCommand());
         auto proposed = params.getGroup() == Wire::Group::FLEET
             ? this->member.fleet.propose(std::move(command), std::move(requestId))
@@ -106,9 +109,12 @@
             return this->answerSync(context, 0);
         }
         const auto entry = context.getParams().getRequest().getEntry();
+        observeHybridTime(context.getParams().getRequest().getTime());
         const EntryRecord *known = this->member.fleet.machine.entries.find(EntryId{textOf(entry.getId())});
         const bool held = known != nullptr && known->epoch.value == entry.getEpoch();
-        if (held && known->state == stateOf(entry)) {
+        // An entry that an operator drains learns that from the delta; its own word doesn't bring it back.
+        const bool told = held && (known->state == stateOf(entry) || known->state == EntryState::Draining);
+        if (told) {
             return this->answerSync(context, known->epoch.value);
         }
         auto command = held ? setStateCommand(entry, known->epoch.value) : grantCommand(entry);
@@ -135,6 +141,7 @@
                 this->refuse(result, confirmed.error());
                 return;
             }
+            writeHybridTime(result.initTime());
             std::vector<const ProgramRecord *> programs;
             for (const auto slot : context.getParams().getSlots()) {
                 const auto found = this->member.journal.machine.programsOf(SlotId{slot.getSlot()});
@@ -204,6 +211,14 @@
         return kj::READY_NOW;
     }
 
+    kj::Promise<void> events(EventsContext context) override
+    {
+        const auto params = context.getParams();
+        const std::size_t limit = std::min<std::size_t>(params.getLimit(), MaxEventsPerRead);
+        context.getResults().setJson(processEvents().toJson(params.getSince(), limit));
+        return kj::READY_NOW;
+    }
+
 private:
     template<typename Result>
     void refuse(Result result, const Error &error)
@@ -234,6 +249,7 @@
                 return;
             }
             const EntryId id{textOf(request.getEntry().getId())};
+            writeHybridTime(result.initTime());
             this->member.leases.heard(id, request.getInForceRevision(), this->member.loop.timers().now());
             auto delta = result.initDelta();
             this->member.fleet.machine.writeDelta(request.getHaveIndex(), delta.initDelta());
--- a/src/ctl/ctl_members_func.cpp
+++ b/src/ctl/ctl_members_func.cpp
@@ -1,10 +1,6 @@
 /** @file ctl_members_func.cpp  members list, add and remove. */
-#include "ctl/ctl_members_func.h"
-
-#include <iostream>
-
+#include "ctl/ctl_verb_func.h"
 #include "rpc/message_func.h"
-#include "table/error_table.h"
 
 namespace Chestnuthook
 {
@@ -12,59 +8,57 @@
 namespace
 {
 
-CtlExit complain(const Error &error)
+CtlExit change(CtlSession &session, const CtlOptions &options, const Words &words, bool remove)
 {
-    std::cerr << errorText(error) << '\n';
-    return CtlExit::Failed;
+    const Result<void> done = session.changeMember(words[0], remove ? "" : words[1], remove);
+    if (!done) {
+        return complain(options, done.error());
+    }
+    Poco::JSON::Object object(Poco::JSON_PRESERVE_KEY_ORDER);
+    object.set("member", words[0]);
+    object.set("state", remove ? "removed" : "added");
+    printResult(
+        options, "member " + words[0] + (remove ? " removed\n" : " added; it holds all that is committed\n"), object);
+    return CtlExit::Done;
 }
 
-/** Prints the members as a leader that a quorum confirms sees them. */
-CtlExit listMembers(CtlSession &session, const std::vector<std::string> &controls)
+} // namespace
+
+CtlExit ctlListMembers(CtlSession &session, const CtlOptions &options, const Words & /*words*/)
 {
-    for (const std::string &address : controls) {
+    for (const std::string &address : options.controls) {
         auto response = session.status(address);
-        if (!response) {
-            continue;
-        }
-        const auto status = response->getStatus();
-        if (!status.getConfirmed()) {
+        if (!response || !response->getStatus().getConfirmed()) {
             continue;
         }
-        for (const auto member : status.getMembers()) {
-            std::cout << "member " << textOf(member.getId()) << ' ' << textOf(member.getAddress()) << ' '
-                      << textOf(member.getRole()) << " holds " << member.getMatchIndex() << '\n';
+        std::vector<Words> rows;
+        Poco::JSON::Array list;
+        for (const auto member : response->getStatus().getMembers()) {
+            rows.push_back({textOf(member.getId()), textOf(member.getAddress()), textOf(member.getRole()), "holds",
+                std::to_string(member.getMatchIndex())});
+            Poco::JSON::Object object(Poco::JSON_PRESERVE_KEY_ORDER);
+            object.set("id", textOf(member.getId()));
+            object.set("address", textOf(member.getAddress()));
+            object.set("role", textOf(member.getRole()));
+            object.set("holds", member.getMatchIndex());
+            list.add(object);
         }
+        Poco::JSON::Object object;
+        object.set("members", list);
+        printResult(options, columns(rows), object);
         return CtlExit::Done;
     }
-    return complain(Error{ErrorKind::NoQuorum, "no control member that leads answered", Ran::No, 0});
+    return complain(options, Error{ErrorKind::NoQuorum, "no control member that leads answered", Ran::No, 0});
 }
 
-CtlExit change(CtlSession &session, const std::string &name, const std::string &address, bool remove)
+CtlExit ctlAddMember(CtlSession &session, const CtlOptions &options, const Words &words)
 {
-    const Result<void> done = session.changeMember(name, address, remove);
-    if (!done) {
-        return complain(done.error());
-    }
-    std::cout << "member " << name << (remove ? " removed\n" : " added; it holds all that is committed\n");
-    return CtlExit::Done;
+    return change(session, options, words, false);
 }
 
-} // namespace
-
-CtlExit runMembersCommand(
-    CtlSession &session, const std::vector<std::string> &words, const std::vector<std::string> &controls)
+CtlExit ctlRemoveMember(CtlSession &session, const CtlOptions &options, const Words &words)
 {
-    if (words == std::vector<std::string>{"list"}) {
-        return listMembers(session, controls);
-    }
-    if (words.size() == 3 && words[0] == "add") {
-        return change(session, words[1], words[2], false);
-    }
-    if (words.size() == 2 && words[0] == "remove") {
-        return change(session, words[1], "", true);
-    }
-    std::cerr << "usage: chestnuthook-ctl members list | members add NAME ip:port | members remove NAME\n";
-    return CtlExit::Usage;
+    return change(session, options, words, true);
 }
 
 } // namespace Chestnuthook
--- a/src/entry/fleet_follower_base.cpp
+++ b/src/entry/fleet_follower_base.cpp
@@ -31,6 +31,18 @@
         if (const auto service = parseService(name.name, json)) {
             view.services[service->id] = *service;
         }
+    } else if (name.section == "routes") {
+        if (const auto route = parseRoute(name.name, json)) {
+            view.routes[name.name] = *route;
+        }
+    } else if (name.section == "pools") {
+        if (const auto pool = parsePool(name.name, json)) {
+            view.pools[name.name] = *pool;
+        }
+    } else if (name.section == "adapters") {
+        if (const auto adapter = parseAdapter(name.name, json)) {
+            view.adapters[name.name] = *adapter;
+        }
     } else if (name.section == "site") {
         if (const auto site = parseSite(json)) {
             view.site = *site;
@@ -43,6 +55,9 @@
     view.tenants.erase(name.section == "tenants" ? TenantId{name.name} : TenantId{});
     view.models.erase(name.section == "models" ? ModelId{name.name} : ModelId{});
     view.services.erase(name.section == "services" ? ServiceId{name.name} : ServiceId{});
+    view.routes.erase(name.section == "routes" ? name.name : "");
+    view.pools.erase(name.section == "pools" ? name.name : "");
+    view.adapters.erase(name.section == "adapters" ? name.name : "");
 }
 
 /** A key is usable while it is not withdrawn and its tenant is declared. */
@@ -169,6 +184,12 @@
     if (this->busy) {
         return;
     }
+    const EntryRecord *own = this->state.entries.find(this->self.id);
+    const bool ordered = own != nullptr && own->state == EntryState::Draining && this->self.state == EntryState::Live;
+    if (ordered && this->onDrainOrdered) {
+        this->onDrainOrdered(); // Ends in another poll, which reads.
+        return;
+    }
     this->busy = true;
     const Instant sentAt = this->timers.now();
     this->reading = this->client.sync(this->self, this->state.index(), this->state.revision().value)
--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -88,7 +88,7 @@
 FleetState stateWithTenant()
 {
     FleetState state;
-    const std::string reply = state.apply(1, commandOf(applyOf(0, "tenants", "one", R"({"rate":5})")));
+    const std::string reply = state.apply(1, commandOf(applyOf(0, "tenants", "one", R"({"rate":5,"burst":5})")));
     BOOST_REQUIRE_MESSAGE(codeOf(reply).empty(), codeOf(reply));
     return state;
 }
@@ -159,7 +159,7 @@
     BOOST_TEST(codeOf(state.apply(3, commandOf(withdrawOf("k")))).empty());
     BOOST_TEST(codeOf(state.apply(4, commandOf(issueOf("k", "one")))) == "conflict"); // Not by issuing it again,
     state.apply(5, commandOf(applyOf(1, "tenants", "one", ""))); // nor by removing its tenant
-    state.apply(6, commandOf(applyOf(2, "tenants", "one", R"({"rate":5})"))); // and bringing it back.
+    state.apply(6, commandOf(applyOf(2, "tenants", "one", R"({"rate":5,"burst":5})"))); // and bringing it back.
     BOOST_TEST(state.keys.find(KeyId{"k"})->withdrawn);
     FleetState restored;
     restored.restore(state.snapshot());
