--- a/src/client/control_client_base.cpp
+++ b/src/client/control_client_base.cpp
@@ -218,7 +218,9 @@
                 return Result<void>(fail(ErrorKind::NoQuorum, exception.getDescription().cStr()));
             })
         .then([=, this](Result<void> &&done) -> kj::Promise<Result<void>> {
-            if (done || !mayRetry(done.error()) || triesLeft <= 1) {
+            // A member that is added may have been started just now, and not listen yet.
+            const bool again = !done && (mayRetry(done.error()) || done.error().kind == ErrorKind::NotReady);
+            if (!again || triesLeft <= 1) {
                 return kj::mv(done);
             }
             return this->context.timer.afterDelay(RetryDelay * 4).then([=, this]() {
--- a/src/consensus/raft_storage_base.cpp
+++ b/src/consensus/raft_storage_base.cpp
@@ -161,7 +161,7 @@
         return fail(ErrorKind::StorageCorrupt, path + " at byte " + std::to_string(at));
     }
     this->end = at;
-    const Result<void> opened = this->openLog();
+    Result<void> opened = this->openLog();
     if (opened && at < bytes->size() && ::ftruncate(this->descriptor, static_cast<off_t>(at)) != 0) {
         return failErrno("cutting the torn end of " + path);
     }
@@ -218,7 +218,7 @@
 {
     std::string bytes(FileHead);
     appendRecord(bytes, 0, snapshotRecord(compaction.snapshot));
-    const Result<void> done = this->replaceFile("snapshot", bytes);
+    Result<void> done = this->replaceFile("snapshot", bytes);
     if (!done) {
         return done;
     }
@@ -234,7 +234,7 @@
     const std::uint64_t whole = FileHead.size() + BaseRecordBytes + kept.size();
     appendRecord(bytes, 0, baseRecord(compaction.baseIndex, compaction.baseTerm, whole));
     bytes += kept;
-    const Result<void> done = this->replaceFile("log", bytes);
+    Result<void> done = this->replaceFile("log", bytes);
     if (!done) {
         return done;
     }
--- a/tests/process/control_test.cpp
+++ b/tests/process/control_test.cpp
@@ -100,8 +100,10 @@
     ControlProbe probe(fleet);
     const std::size_t leader = probe.leader();
     const std::uint64_t revision = probe.status(leader)->revision;
+    constexpr int Racers = 8;
     std::vector<std::string> commands;
-    for (int i = 0; i < 8; ++i) {
+    commands.reserve(Racers);
+    for (int i = 0; i < Racers; ++i) {
         commands.push_back(applyCommand(revision, "race-" + std::to_string(i), "{}"));
     }
     int won = 0;
