--- a/src/rpc/control.capnp.h
+++ b/src/rpc/control.capnp.h
@@ -372,7 +372,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d5027752defbc1b5, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(d5027752defbc1b5, 1, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2248,6 +2248,9 @@
   inline bool hasCommand() const;
   inline  ::capnp::Data::Reader getCommand() const;
 
+  inline bool hasRequestId() const;
+  inline  ::capnp::Data::Reader getRequestId() const;
+
   inline bool hasTime() const;
   inline  ::Chestnuthook::Wire::HybridTime::Reader getTime() const;
 
@@ -2289,6 +2292,13 @@
   inline void adoptCommand(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownCommand();
 
+  inline bool hasRequestId();
+  inline  ::capnp::Data::Builder getRequestId();
+  inline void setRequestId( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initRequestId(unsigned int size);
+  inline void adoptRequestId(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownRequestId();
+
   inline bool hasTime();
   inline  ::Chestnuthook::Wire::HybridTime::Builder getTime();
   inline void setTime( ::Chestnuthook::Wire::HybridTime::Reader value);
@@ -5097,43 +5107,77 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Control::SubmitParams::Reader::hasTime() const {
+inline bool Control::SubmitParams::Reader::hasRequestId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Control::SubmitParams::Builder::hasTime() {
+inline bool Control::SubmitParams::Builder::hasRequestId() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
+inline  ::capnp::Data::Reader Control::SubmitParams::Reader::getRequestId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Control::SubmitParams::Builder::getRequestId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Control::SubmitParams::Builder::setRequestId( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Control::SubmitParams::Builder::initRequestId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Control::SubmitParams::Builder::adoptRequestId(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Control::SubmitParams::Builder::disownRequestId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Control::SubmitParams::Reader::hasTime() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Control::SubmitParams::Builder::hasTime() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
 inline  ::Chestnuthook::Wire::HybridTime::Reader Control::SubmitParams::Reader::getTime() const {
   return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline  ::Chestnuthook::Wire::HybridTime::Builder Control::SubmitParams::Builder::getTime() {
   return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
 inline  ::Chestnuthook::Wire::HybridTime::Pipeline Control::SubmitParams::Pipeline::getTime() {
-  return  ::Chestnuthook::Wire::HybridTime::Pipeline(_typeless.getPointerField(1));
+  return  ::Chestnuthook::Wire::HybridTime::Pipeline(_typeless.getPointerField(2));
 }
 #endif  // !CAPNP_LITE
 inline void Control::SubmitParams::Builder::setTime( ::Chestnuthook::Wire::HybridTime::Reader value) {
   ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
 inline  ::Chestnuthook::Wire::HybridTime::Builder Control::SubmitParams::Builder::initTime() {
   return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline void Control::SubmitParams::Builder::adoptTime(
     ::capnp::Orphan< ::Chestnuthook::Wire::HybridTime>&& value) {
   ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::Chestnuthook::Wire::HybridTime> Control::SubmitParams::Builder::disownTime() {
   return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool Control::SubmitResults::Reader::hasResult() const {
