ctl: members asked at once; a resent keys issue never prints a key that the fleet doesn't hold

Cause: a resend of keys issue under one request id printed a new key, which no entry knew; one member that is down held status up for 1.5 s each; CHESTNUTHOOK_BUILD, which our scripts read, made daemons refuse to start.

--- a/src/core/settings_func.cpp
+++ b/src/core/settings_func.cpp
@@ -119,7 +119,7 @@
 std::map<std::string, Given, std::less<>> readEnvironment(const std::vector<SettingCheck> &checks,
     const std::vector<std::string_view> &otherVariables, std::vector<Error> &faults)
 {
-    std::set<std::string, std::less<>> allowed{"CHESTNUTHOOK_BIN", "CHESTNUTHOOK_SOURCE"};
+    std::set<std::string, std::less<>> allowed{"CHESTNUTHOOK_BIN", "CHESTNUTHOOK_BUILD", "CHESTNUTHOOK_SOURCE"};
     allowed.insert(otherVariables.begin(), otherVariables.end());
     std::map<std::string, std::string, std::less<>> flagOf;
     for (const SettingCheck &check : checks) {
--- a/src/ctl/ctl_force_func.cpp
+++ b/src/ctl/ctl_force_func.cpp
@@ -15,6 +15,7 @@
 struct ForceOutcome
 {
     bool confirmed = false; ///< A quorum confirmed the list of entries.
+    std::size_t entries = 0; ///< Entries with a lease.
     std::vector<EntryGlance> lagging; ///< Entries that hold an older copy.
 };
 
@@ -23,6 +24,7 @@
     const FleetGlance glance = readGlance(session, options.controls);
     ForceOutcome outcome;
     outcome.confirmed = glance.confirmed;
+    outcome.entries = glance.entries.size();
     for (const EntryGlance &entry : glance.entries) {
         if (entry.haveIndex < index) {
             outcome.lagging.push_back(entry);
@@ -57,7 +59,7 @@
         text += entry.id + " lags: it holds index " + std::to_string(entry.haveIndex) + " of "
             + std::to_string(change.index) + ", heard " + std::to_string(entry.heardMsAgo) + " ms ago\n";
     }
-    text += inForce ? "in force on all entries\n"
+    text += inForce ? outcome.entries == 0 ? "accepted; no entry holds a lease yet\n" : "in force on all entries\n"
                     : "accepted, not yet known to be in force everywhere; remedy: look at `status` and wait; an entry "
                       "that isn't heard admits nothing after 3 s\n";
     object.set("in_force", inForce);
--- a/src/ctl/ctl_keys_func.cpp
+++ b/src/ctl/ctl_keys_func.cpp
@@ -13,22 +13,50 @@
 constexpr std::size_t KeyBytes = 24;
 constexpr std::size_t KeyIdBytes = 12;
 
+/** The id of a new key; a resend under the same request id gives the same. */
+std::string newKeyId(const CtlOptions &options)
+{
+    const std::string random = randomHex(KeyIdBytes);
+    return "k-" + (options.requestId.empty() ? random : sha256Hex(options.requestId).substr(0, random.size()));
+}
+
+/** Whether the fleet holds @p hash under @p id: the first answer to a request id may have been for another key. */
+Result<void> checkIssued(CtlSession &session, const std::string &id, const std::string &hash)
+{
+    const Result<FleetState> state = session.readFleet();
+    if (!state) {
+        return tl::unexpected(state.error());
+    }
+    const KeyRecord *record = state->keys.find(KeyId{id});
+    if (record == nullptr || record->hash != hash) {
+        return fail(ErrorKind::Conflict,
+            "this request was answered before, when its key was printed; if that was lost, withdraw " + id
+                + " and issue another under a new request id");
+    }
+    return {};
+}
+
 } // namespace
 
 CtlExit ctlIssueKey(CtlSession &session, const CtlOptions &options, const Words &words)
 {
     const std::string key = "chk-" + randomHex(KeyBytes);
-    const std::string id = "k-" + randomHex(KeyIdBytes);
+    const std::string id = newKeyId(options);
+    const std::string hash = sha256Raw(key);
     CommandMessage message;
     auto record = initCommand(message, options).initIssueKey();
     record.setId(id);
     record.setTenant(words[0]);
-    record.setHash(dataOf(sha256Raw(key)));
+    record.setHash(dataOf(hash));
     record.setNote(options.note);
     const Result<Submitted> submitted = submitCommand(session, message);
     if (!submitted) {
         return complain(options, submitted.error());
     }
+    const Result<void> issued = checkIssued(session, id, hash);
+    if (!issued) {
+        return complain(options, issued.error());
+    }
     Poco::JSON::Object object(Poco::JSON_PRESERVE_KEY_ORDER);
     object.set("id", id);
     object.set("tenant", words[0]);
--- a/src/ctl/ctl_session_base.cpp
+++ b/src/ctl/ctl_session_base.cpp
@@ -1,6 +1,7 @@
 /** @file ctl_session_base.cpp  Blocking calls to the control members. */
 #include "ctl/ctl_session_base.h"
 
+#include <memory>
 #include <optional>
 #include <utility>
 
@@ -43,24 +44,36 @@
     return this->loop.wait(this->client.submitFleet(std::move(command)));
 }
 
-Result<capnp::Response<Wire::Control::StatusResults>> CtlSession::status(const std::string &address)
+kj::Promise<Result<StatusResponse>> CtlSession::askStatus(RpcLink &link)
 {
-    RpcLink link(this->loop.rpc(), address);
-    using Response = capnp::Response<Wire::Control::StatusResults>;
     auto asked = link.services().then([](OfferedServices &&services) {
         return services.control.statusRequest().send();
     });
-    auto caught = this->loop.kjTimer()
-                      .timeoutAfter(StatusTimeout, kj::mv(asked))
-                      .then(
-                          [](Response &&response) {
-                              return Result<Response>(kj::mv(response));
-                          },
-                          [address](kj::Exception &&exception) {
-                              return Result<Response>(
-                                  fail(ErrorKind::NoQuorum, address + ": " + exception.getDescription().cStr()));
-                          });
-    return this->loop.wait(kj::mv(caught));
+    return this->loop.kjTimer()
+        .timeoutAfter(StatusTimeout, kj::mv(asked))
+        .then(
+            [](StatusResponse &&response) {
+                return Result<StatusResponse>(kj::mv(response));
+            },
+            [address = link.peerAddress()](kj::Exception &&exception) {
+                return Result<StatusResponse>(
+                    fail(ErrorKind::NoQuorum, address + ": " + exception.getDescription().cStr()));
+            });
+}
+
+std::vector<Result<StatusResponse>> CtlSession::status(const std::vector<std::string> &addresses)
+{
+    std::vector<std::unique_ptr<RpcLink>> links;
+    kj::Vector<kj::Promise<Result<StatusResponse>>> asked;
+    for (const std::string &address : addresses) {
+        links.push_back(std::make_unique<RpcLink>(this->loop.rpc(), address));
+        asked.add(this->askStatus(*links.back()));
+    }
+    std::vector<Result<StatusResponse>> answers;
+    for (Result<StatusResponse> &answer : this->loop.wait(kj::joinPromises(asked.releaseAsArray()))) {
+        answers.push_back(kj::mv(answer));
+    }
+    return answers;
 }
 
 Result<std::vector<ProgramRecord>> CtlSession::loadSlots(std::uint16_t first, std::uint16_t count)
--- a/src/ctl/ctl_session_base.h
+++ b/src/ctl/ctl_session_base.h
@@ -14,6 +14,8 @@
 namespace Chestnuthook
 {
 
+using StatusResponse = capnp::Response<Wire::Control::StatusResults>;
+
 /** Blocking calls for a command-line tool; made and used on one thread. */
 class CtlSession
 {
@@ -26,8 +28,8 @@
     /** Submits a flat fleet command. @return the flat reply. */
     Result<std::string> submit(std::string command);
 
-    /** Status of one member, by its address. Errors: NoQuorum where it doesn't answer. */
-    Result<capnp::Response<Wire::Control::StatusResults>> status(const std::string &address);
+    /** Statuses of all members at @p addresses, asked at once. Errors: NoQuorum where one doesn't answer. */
+    std::vector<Result<StatusResponse>> status(const std::vector<std::string> &addresses);
 
     /** Programs of @p count slots from @p first on, confirmed by a quorum. Errors: NoQuorum. */
     Result<std::vector<ProgramRecord>> loadSlots(std::uint16_t first, std::uint16_t count);
@@ -36,6 +38,8 @@
     void pause(std::chrono::milliseconds period);
 
 private:
+    kj::Promise<Result<StatusResponse>> askStatus(RpcLink &link);
+
     ControlLoop loop; ///< Runs while a call waits.
     ControlClient client; ///< To the members.
     std::vector<std::string> controls; ///< Their addresses.
--- a/src/ctl/ctl_status_func.cpp
+++ b/src/ctl/ctl_status_func.cpp
@@ -139,8 +139,10 @@
 {
     FleetGlance glance;
     std::map<std::string, EntryGlance> entries;
-    for (const std::string &address : addresses) {
-        auto response = session.status(address);
+    const auto responses = session.status(addresses);
+    for (std::size_t i = 0; i < addresses.size(); ++i) {
+        const std::string &address = addresses[i];
+        const auto &response = responses[i];
         if (!response) {
             MemberGlance down;
             down.address = address;
--- a/tests/process/ctl_test.cpp
+++ b/tests/process/ctl_test.cpp
@@ -137,6 +137,19 @@
     BOOST_TEST(contains(unknown.output, R"("code":"not_found")"), unknown.output);
 }
 
+BOOST_AUTO_TEST_CASE(a_resent_keys_issue_never_prints_a_key_that_the_fleet_does_not_hold)
+{
+    ProcessFleet fleet;
+    const std::vector<std::string> issue = {"--request_id=autumn", "keys", "issue", fleet.tenant};
+    const CommandResult first = fleet.ctl(issue);
+    BOOST_TEST(contains(first.output, "key chk-"), first.output);
+    const CommandResult resent = fleet.ctl(issue);
+    BOOST_TEST(resent.exitCode == 1, resent.output);
+    BOOST_TEST(!contains(resent.output, "chk-"));
+    BOOST_TEST(contains(resent.output, "withdraw k-"), resent.output);
+    BOOST_TEST(fleet.ctl({"keys", "issue", "nobody"}).exitCode == 1);
+}
+
 BOOST_AUTO_TEST_CASE(a_drained_entry_hands_over_its_slots_and_ends)
 {
     FleetSize size;
