--- a/src/supervisor/child_type.h
+++ b/src/supervisor/child_type.h
@@ -51,6 +51,29 @@
     std::function<Result<void>()> ready; ///< An error says why it isn't ready. May be empty: ready while it runs.
 };
 
+/** A row whose functions are members of @p owner, which outlives the supervisor; `stop` and `ready` may be null. */
+template<typename Owner>
+[[nodiscard]] ChildSpecification childRow(std::string_view name, Owner &owner, Result<void> (Owner::*start)(),
+    void (Owner::*stop)() = nullptr, Result<void> (Owner::*ready)() const = nullptr)
+{
+    ChildSpecification row;
+    row.name = name;
+    row.start = [&owner, start]() {
+        return (owner.*start)();
+    };
+    if (stop != nullptr) {
+        row.stop = [&owner, stop]() {
+            (owner.*stop)();
+        };
+    }
+    if (ready != nullptr) {
+        row.ready = [&owner, ready]() {
+            return (owner.*ready)();
+        };
+    }
+    return row;
+}
+
 /** What /readyz shows of a child. */
 struct ChildState
 {
--- a/tests/unit/supervisor_test.cpp
+++ b/tests/unit/supervisor_test.cpp
@@ -217,3 +217,33 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_CASE(aRowOfMembersCallsThem)
+{
+    struct Part
+    {
+        Result<void> begin()
+        {
+            this->running = true;
+            return {};
+        }
+        void end()
+        {
+            this->running = false;
+        }
+        [[nodiscard]] Result<void> isReady() const
+        {
+            return fail(ErrorKind::NotReady, "warming up");
+        }
+        bool running = false; ///< Between begin and end.
+    };
+    Part part;
+    VirtualTimer timers;
+    Supervisor root("root", RestartStrategy::OneForOne, {}, timers,
+        {childRow("whole", part, &Part::begin, &Part::end, &Part::isReady), childRow("bare", part, &Part::begin)});
+    BOOST_REQUIRE(root.start().has_value());
+    BOOST_TEST(part.running);
+    BOOST_TEST(root.ready().error().what.find("warming up") != std::string::npos);
+    root.stop();
+    BOOST_TEST(!part.running);
+}
