--- a/src/ctl/ctl_members_func.cpp
+++ b/src/ctl/ctl_members_func.cpp
@@ -26,8 +26,7 @@
 
 CtlExit ctlListMembers(CtlSession &session, const CtlOptions &options, const Words & /*words*/)
 {
-    for (const std::string &address : options.controls) {
-        auto response = session.status(address);
+    for (const auto &response : session.status(options.controls)) {
         if (!response || !response->getStatus().getConfirmed()) {
             continue;
         }
