ran is added up over all tries of a request; design of programs

Cause: a caller whose call was cancelled by the end of its program was told program_ended with ran no, though the engine had run it; process-program_test showed it twice. The sum over tries was declared but not taken.

--- a/src/entry/program_service_base.cpp
+++ b/src/entry/program_service_base.cpp
@@ -275,6 +275,7 @@
     Result<void> served = this->serveOnce();
     while (!served && (mayHold(served.error()) || mayBeStale(served.error())) && !this->answer.isStarted()
         && !this->answer.isGone() && this->context.loop.timers().now() < giveUp) {
+        ran = both(ran, served.error().ran);
         std::this_thread::sleep_for(HoldStep);
         served = this->serveOnce();
     }
