--- a/src/control/control_service_base.cpp
+++ b/src/control/control_service_base.cpp
@@ -6,6 +6,7 @@
 
 #include <capnp/message.h>
 
+#include "control/fleet_event_func.h"
 #include "observe/log_func.h"
 #include "rpc/message_func.h"
 
@@ -87,17 +88,22 @@
         std::string requestId = bytesOf(params.getRequestId());
         observeHybridTime(params.getTime());
         std::string command = bytesOf(params.getCommand());
+        std::string fleetCommand = params.getGroup() == Wire::Group::FLEET ? command : "";
         auto proposed = params.getGroup() == Wire::Group::FLEET
             ? this->member.fleet.propose(std::move(command), std::move(requestId))
             : this->member.journal.propose(std::move(command), std::move(requestId));
-        return proposed.then([this, context](Result<std::string> &&reply) mutable {
-            auto result = context.getResults().initResult();
-            if (reply) {
-                result.setReply(dataOf(*reply));
-            } else {
-                this->refuse(result, reply.error());
-            }
-        });
+        return proposed.then(
+            [this, context, fleetCommand = std::move(fleetCommand)](Result<std::string> &&reply) mutable {
+                auto result = context.getResults().initResult();
+                if (reply && !fleetCommand.empty()) {
+                    logFleetCommand(fleetCommand, *reply);
+                }
+                if (reply) {
+                    result.setReply(dataOf(*reply));
+                } else {
+                    this->refuse(result, reply.error());
+                }
+            });
     }
 
     kj::Promise<void> sync(SyncContext context) override
@@ -250,7 +256,8 @@
             }
             const EntryId id{textOf(request.getEntry().getId())};
             writeHybridTime(result.initTime());
-            this->member.leases.heard(id, request.getInForceRevision(), this->member.loop.timers().now());
+            this->member.leases.heard(
+                id, HeardEntry{this->member.loop.timers().now(), request.getInForceRevision(), request.getHaveIndex()});
             auto delta = result.initDelta();
             this->member.fleet.machine.writeDelta(request.getHaveIndex(), delta.initDelta());
             delta.setEpoch(epoch);
@@ -278,6 +285,7 @@
             entry.getEntry().setState(draining ? Wire::EntryState::DRAINING : Wire::EntryState::LIVE);
             if (const HeardEntry *heard = this->member.leases.find(id)) {
                 entry.setInForceRevision(heard->inForceRevision);
+                entry.setHaveIndex(heard->haveIndex);
                 entry.setHeardMsAgo(
                     static_cast<std::uint64_t>((this->member.loop.timers().now() - heard->heard).count() / 1000));
             }
--- a/src/control/main.cpp
+++ b/src/control/main.cpp
@@ -25,6 +25,7 @@
 DEFINE_bool(test_hooks, false, "Serve the hooks that tests use to drop this member's traffic.");
 DEFINE_string(secret_file, "", "File with the fleet's secret; else CHESTNUTHOOK_SECRET.");
 DEFINE_string(log_file, "", "File that gets the log lines besides standard error.");
+DEFINE_string(log_level, "info", "Lowest level of events that are logged: debug, info, warning or error.");
 
 namespace
 {
@@ -66,6 +67,7 @@
     {"data_centre", "identity", nonEmptyCheck(), "name the data centre of this instance"},
     {"secret_file", "security", {}, "name a readable file, or set CHESTNUTHOOK_SECRET"},
     {"log_file", "logging", {}, "name a file that this user may write"},
+    {"log_level", "logging", oneOfCheck({"debug", "info", "warning", "error"}), "say debug, info, warning or error"},
 };
 
 int endWith(const Error &error)
@@ -132,18 +134,14 @@
 
 int main(int argc, char **argv)
 {
-    const SettingsOutcome settings = loadSettings(argc, argv, Settings, {"CHESTNUTHOOK_SECRET"});
-    if (const auto code = reportSettings(settings)) {
-        return *code;
-    }
-    const Result<std::string> secret = loadSecret("secret", FLAGS_secret_file);
-    if (!secret) {
-        std::cerr << errorText(secret.error()) << '\n';
-        return errorRow(secret.error().kind).exitCode;
+    const DaemonStart start = startDaemon(argc, argv, Settings);
+    if (start.exitCode) {
+        return *start.exitCode;
     }
     ControlLoop::captureSignals();
     initObserve("control", FLAGS_member, FLAGS_log_file);
-    const int code = runMember(*secret);
+    setLogLevel(*parseName<EventLevel>(FLAGS_log_level));
+    const int code = runMember(start.secret);
     flushObserve();
     return code;
 }
