--- a/tests/process/control_test.cpp
+++ b/tests/process/control_test.cpp
@@ -8,6 +8,8 @@
 #include <map>
 #include <thread>
 
+#include <sys/resource.h>
+
 #include "rpc/message_func.h"
 #include "support/control_probe.h"
 
@@ -181,6 +183,34 @@
     BOOST_TEST(fleet.ask(0, "POST", "/v1/programs", "{}").status == 201);
 }
 
+BOOST_AUTO_TEST_CASE(a_member_whose_disk_is_full_ends_itself_and_loses_nothing_that_it_acknowledged)
+{
+    FleetSize size;
+    size.entries = size.engines = size.services = 0;
+    ProcessFleet fleet(size);
+    ControlProbe probe(fleet);
+    kill(fleet, "control-0");
+    std::signal(SIGXFSZ, SIG_IGN); // The member inherits both, so that a write past the limit fails.
+    rlimit before{};
+    getrlimit(RLIMIT_FSIZE, &before);
+    rlimit full = before;
+    full.rlim_cur = 64 * 1024;
+    setrlimit(RLIMIT_FSIZE, &full);
+    fleet.startControl(0);
+    setrlimit(RLIMIT_FSIZE, &before);
+    std::uint64_t revision = probe.status(probe.leader())->revision;
+    const auto reply = [&]() {
+        return probe.submit(0, applyCommand(revision, "", "{}"));
+    };
+    for (auto given = reply(); given && accepted(*given); given = reply()) {
+        ++revision;
+    }
+    BOOST_TEST(fleet.processes.at("control-0")->wait() == 4);
+    BOOST_TEST(readFile(fleet.folder + "/control-0.log").find("storage_fault") != std::string::npos);
+    fleet.startControl(0);
+    BOOST_TEST(probe.status(probe.leader())->revision == revision);
+}
+
 BOOST_AUTO_TEST_CASE(a_stranger_on_the_port_gets_nothing)
 {
     ProcessFleet fleet;
--- a/tests/support/control_probe.cpp
+++ b/tests/support/control_probe.cpp
@@ -18,8 +18,8 @@
 } // namespace
 
 ControlProbe::ControlProbe(const ProcessFleet &fleet)
-    : fleet(fleet)
-    , loop("a secret of this test fleet", "probe")
+    : loop("a secret of this test fleet", "probe")
+    , fleet(fleet)
 {
 }
 
--- a/tests/support/control_probe.h
+++ b/tests/support/control_probe.h
@@ -42,13 +42,14 @@
     /** Sends all commands at once to one member. @return the replies, empty where there was none. */
     std::vector<std::string> submitTogether(std::size_t index, const std::vector<std::string> &commands);
 
+    ControlLoop loop; ///< Runs while a call waits; the one of this thread.
+
 private:
     /** Lets the loop see how late it is; it stood still since the last call, and timeouts count from its time. */
     void wake();
     kj::Promise<std::string> send(RpcLink &link, const std::string &command, const std::string &requestId);
 
     const ProcessFleet &fleet; ///< Whose members these are.
-    ControlLoop loop; ///< Runs while a call waits.
 };
 
 /** A flat apply command that sets @p json as the service `probe`, for @p expectedRevision. */
