--- a/src/control/main.cpp
+++ b/src/control/main.cpp
@@ -1,9 +1,5 @@
 /** @file main.cpp  chestnuthook-control: one member of the replicated control state, on an instance with a disk. */
 #include <cstdlib>
-<<<<<<< HEAD
-#include <iostream>
-    =======
->>>>>>> main
 #include <map>
 #include <optional>
 #include <string>
@@ -18,7 +14,7 @@
 #include "supervisor/supervisor_base.h"
 #include "table/error_table.h"
 
-    DEFINE_string(listen, "127.0.0.1:7600", "Address of the control port, ip:port.");
+DEFINE_string(listen, "127.0.0.1:7600", "Address of the control port, ip:port.");
 DEFINE_string(data, "", "Data folder; everything durable lives below it.");
 DEFINE_string(member, "control-1", "Name of this member.");
 DEFINE_string(data_centre, "local", "Data centre of this instance.");
