--- a/src/ctl/ctl_command_func.cpp
+++ b/src/ctl/ctl_command_func.cpp
@@ -60,12 +60,12 @@
     {"status", "", "", 0, 0, "fleet", "members, entries with slots, revisions and freshness", ctlStatus},
     {"programs", "", "[TENANT]", 0, 1, "fleet", "lists agent programs (--limit)", ctlPrograms},
     {"drain", "", "ENTRY", 1, 1, "fleet", "has an entry hand over its slots, finish its calls and end", ctlDrain},
+    {"errors", "", "", 0, 0, "help", "lists the codes of errors with their remedies; needs no fleet", runErrors},
     {"members", "list", "", 0, 0, "members", "lists the control members and what they hold", ctlListMembers},
     {"members", "add", "NAME ip:port", 2, 2, "members",
         "adds a control member started with --join, and waits until it holds all that is committed", ctlAddMember},
     {"members", "remove", "NAME", 1, 1, "members", "removes a control member, such as one whose disk is lost",
         ctlRemoveMember},
-    {"errors", "", "", 0, 0, "help", "lists the codes of errors with their remedies; needs no fleet", runErrors},
 });
 
 std::string usageOf(const VerbRow &row)
