--- a/src/fleet/fleet_base.cpp
+++ b/src/fleet/fleet_base.cpp
@@ -226,6 +226,7 @@
     *this = FleetState{};
     this->applyDelta(snapshot.getState());
     this->oldestDelta = snapshot.getOldestDelta();
+    this->findEarliestExpiry();
     for (const auto reply : snapshot.getReplies()) {
         this->replies.emplace(textOf(reply.getRequestId()), bytesOf(reply.getReply()));
         this->replyOrder.emplace(reply.getIndex(), textOf(reply.getRequestId()));
--- a/src/fleet/fleet_base.h
+++ b/src/fleet/fleet_base.h
@@ -72,6 +72,7 @@
     Result<Epoch> doOrder(Wire::FleetCommand::Reader command, std::uint64_t index, CommandMode mode);
     Result<Epoch> doPrune(Wire::FleetCommand::Reader command, std::uint64_t index, CommandMode mode);
     void pruneTombstones();
+    void findEarliestExpiry();
 
     /** Gives every slot a live owner, moving as few as an even spread allows. */
     void assignSlots(std::uint64_t index);
@@ -81,6 +82,7 @@
     Revision declarationRevision; ///< Grows by one with each accepted apply.
     std::map<std::string, std::string> replies; ///< First replies by request id, so that a resend gets the same.
     std::map<std::uint64_t, std::string> replyOrder; ///< Request ids by index, oldest first, to bound `replies`.
+    std::int64_t earliestExpiry = INT64_MAX; ///< No strike expires before this; not kept by copies at entries.
     std::uint64_t oldestDelta = 0; ///< Copies older than this get a whole copy: tombstones before it are pruned.
 };
 
--- a/src/fleet/fleet_cmd.cpp
+++ b/src/fleet/fleet_cmd.cpp
@@ -234,6 +234,7 @@
         }
     }
     record.expiresAtMs = std::max(record.expiresAtMs, strike.getExpiresAtMs());
+    this->earliestExpiry = std::min(this->earliestExpiry, record.expiresAtMs);
     this->strikes.put(fingerprint, std::move(record), index);
     return Epoch{};
 }
@@ -266,11 +267,25 @@
     for (const std::string &fingerprint : expired) {
         this->strikes.remove(fingerprint, index);
     }
+    this->findEarliestExpiry();
     return Epoch{};
 }
 
+void FleetState::findEarliestExpiry()
+{
+    this->earliestExpiry = INT64_MAX;
+    for (const auto &[fingerprint, row] : this->strikes.all()) {
+        if (!row.removed) {
+            this->earliestExpiry = std::min(this->earliestExpiry, row.record.expiresAtMs);
+        }
+    }
+}
+
 bool FleetState::hasExpiredStrikes(std::int64_t nowMs) const
 {
+    if (nowMs < this->earliestExpiry) {
+        return false;
+    }
     return std::any_of(this->strikes.all().begin(), this->strikes.all().end(), [nowMs](const auto &row) {
         return !row.second.removed && row.second.record.expiresAtMs <= nowMs;
     });
--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -176,6 +176,10 @@
     BOOST_TEST(state.strikes.find("f")->strikes == 2U);
     BOOST_TEST(!state.hasExpiredStrikes(149));
     BOOST_TEST(state.hasExpiredStrikes(150));
+    FleetState restored; // A new leader that came by a snapshot prunes too.
+    restored.restore(state.snapshot());
+    BOOST_TEST(!restored.hasExpiredStrikes(149));
+    BOOST_TEST(restored.hasExpiredStrikes(150));
     const auto prune = [](Wire::FleetCommand::Builder command) {
         command.setPrune();
     };
