--- /dev/null
+++ b/bench/model/program_mix.h
@@ -0,0 +1,160 @@
+/** @file program_mix.h  Programs of both deployments, made from a seed: long sessions with helper sub-agents, order
+ * desks with tool calls, one tenant at five times its rate. */
+#pragma once
+
+#include <cmath>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "policy/random_func.h"
+
+namespace Chestnuthook::Model
+{
+
+/** One model call and the pause after it. */
+struct Turn
+{
+    double newTokens = 0; ///< Added to the prompt.
+    double outputTokens = 0; ///< Of the answer.
+    double pauseSeconds = 0; ///< Of the tool call after it; 0 for the last turn.
+    int service = 0; ///< Whose pause it is; 0 for a person.
+    int helper = -1; ///< Program that has to end before the next turn; -1 for none.
+};
+
+struct ModelProgram
+{
+    double arrival = 0; ///< In seconds; below zero for a helper, which its parent starts.
+    int tenant = 0; ///< Index into the mix's tenants.
+    int parent = -1; ///< For a helper.
+    std::vector<Turn> turns; ///< One after the other.
+};
+
+struct ModelTenant
+{
+    std::string name; ///< As in deploy/.
+    double weight = 1; ///< Declared share.
+    double arrivalShare = 1; ///< Of all programs.
+};
+
+struct Mix
+{
+    std::string name; ///< kortagatt, derwent or fault.
+    std::vector<ModelTenant> tenants; ///< With their shares.
+    std::vector<ModelProgram> programs; ///< Helpers come after their parents.
+    double burstBegin = 0; ///< In seconds; the arrival rate doubles then.
+    double burstEnd = 0; ///< In seconds; the arrivals end at Horizon.
+};
+
+constexpr double Horizon = 300; ///< Seconds in which programs arrive.
+
+inline double exponential(std::uint64_t &random, double mean)
+{
+    return -mean * std::log(1 - nextUnit(random));
+}
+
+inline double between(std::uint64_t &random, double low, double high)
+{
+    return low + (high - low) * nextUnit(random);
+}
+
+/** Shape of one deployment's programs. */
+struct MixShape
+{
+    double programsPerSecond = 1; ///< Outside the burst.
+    double burstFactor = 2; ///< Of the arrivals between burstBegin and burstEnd.
+    double firstPrompt = 1500; ///< Tokens of the first prompt, on average.
+    double minTurns = 4; ///< Of a program.
+    double maxTurns = 20; ///< Of a program.
+    double newTokens = 250; ///< For each later turn, on average.
+    double outputTokens = 160; ///< Of each answer, on average.
+    double servicePause = 1; ///< Mean seconds of a tool call.
+    double personPause = 12; ///< Mean seconds of a person's pause.
+    double personShare = 0.4; ///< Pauses that wait for a person.
+    double helperShare = 0.25; ///< Turns after which a helper runs.
+};
+
+inline ModelProgram makeProgram(std::uint64_t &random, const MixShape &shape, bool helper)
+{
+    ModelProgram program;
+    const double turns = helper ? 2 : std::floor(between(random, shape.minTurns, shape.maxTurns + 1));
+    for (int i = 0; i < static_cast<int>(turns); ++i) {
+        Turn turn;
+        turn.newTokens = (i == 0 ? shape.firstPrompt : shape.newTokens) * between(random, 0.5, 1.5);
+        turn.outputTokens = std::max(16.0, exponential(random, shape.outputTokens));
+        const bool person = nextUnit(random) < shape.personShare && !helper;
+        turn.service = person ? 0 : 1;
+        turn.pauseSeconds = exponential(random, person ? shape.personPause : shape.servicePause);
+        program.turns.push_back(turn);
+    }
+    program.turns.back().pauseSeconds = 0;
+    return program;
+}
+
+inline Mix makeMix(
+    const std::string &name, const std::vector<ModelTenant> &tenants, const MixShape &shape, std::uint64_t random)
+{
+    Mix mix{name, tenants, {}, 90, 180};
+    double shares = 0;
+    for (const ModelTenant &tenant : tenants) {
+        shares += tenant.arrivalShare;
+    }
+    double now = 0;
+    while (true) {
+        const bool burst = now >= mix.burstBegin && now < mix.burstEnd;
+        now += exponential(random, 1 / (shape.programsPerSecond * (burst ? shape.burstFactor : 1)));
+        if (now >= Horizon) {
+            return mix;
+        }
+        ModelProgram program = makeProgram(random, shape, false);
+        program.arrival = now;
+        double pick = nextUnit(random) * shares;
+        while (pick >= tenants[static_cast<std::size_t>(program.tenant)].arrivalShare) {
+            pick -= tenants[static_cast<std::size_t>(program.tenant++)].arrivalShare;
+        }
+        const int parent = static_cast<int>(mix.programs.size());
+        std::vector<ModelProgram> helpers;
+        for (Turn &turn : program.turns) {
+            if (turn.pauseSeconds > 0 && nextUnit(random) < shape.helperShare) {
+                turn.helper = parent + 1 + static_cast<int>(helpers.size());
+                helpers.push_back(makeProgram(random, shape, true));
+                helpers.back().arrival = -1;
+                helpers.back().parent = parent;
+                helpers.back().tenant = program.tenant;
+            }
+        }
+        mix.programs.push_back(std::move(program));
+        mix.programs.insert(mix.programs.end(), helpers.begin(), helpers.end());
+    }
+}
+
+/** Long sessions of editors, with helpers that check grammar and metre. */
+inline Mix kortagattMix(std::uint64_t seed)
+{
+    return makeMix("kortagatt",
+        {{"bjarkaprent", 4, 4}, {"korthusid", 3, 3}, {"ljodakort", 2, 2}, {"vetrarkort", 1, 1}, {"heklukort", 1, 1},
+            {"fjallaprent", 1, 1}, {"sumarkort", 1, 1}, {"nordurkort", 1, 1}},
+        MixShape{}, seed);
+}
+
+/** Order desks with tool calls; packer-hobart sends five times its share. */
+inline Mix derwentMix(std::uint64_t seed)
+{
+    MixShape shape;
+    shape.programsPerSecond = 5.5;
+    shape.firstPrompt = 800;
+    shape.minTurns = 3;
+    shape.maxTurns = 8;
+    shape.newTokens = 120;
+    shape.outputTokens = 80;
+    shape.servicePause = 0.8;
+    shape.personPause = 6;
+    shape.personShare = 0.3;
+    shape.helperShare = 0.1;
+    return makeMix("derwent",
+        {{"tamarbond", 2, 2}, {"huonglue", 2, 2}, {"derwentmelt", 2, 2}, {"packer-hobart", 1, 5},
+            {"packer-launceston", 1, 1}, {"packer-devonport", 1, 1}, {"packer-burnie", 1, 1}, {"packer-sorell", 1, 1}},
+        shape, seed);
+}
+
+} // namespace Chestnuthook::Model
--- a/src/admission/token_bucket_type.h
+++ b/src/admission/token_bucket_type.h
@@ -1,14 +1,20 @@
-/** @file token_bucket_type.h  A tenant's rate and burst as one bucket. */
+/** @file token_bucket_type.h  A tenant's rate and burst as one bucket, in which requests may be reserved ahead. */
 #pragma once
 
 #include <algorithm>
+#include <optional>
 
 #include "core/timer_type.h"
 
 namespace Chestnuthook
 {
 
-/** Invariant: over every window w, at most burst + rate * w requests are admitted. */
+/** How long after it fell due a grant may be used. Requests bunch by at most this much, so the bucket holds as much
+ * less than the declared burst as is earned in this time. */
+constexpr Duration GrantLife = std::chrono::milliseconds(250);
+
+/** Invariant: over every window w, at most burst + rate * w grants are used, where each is used within GrantLife after
+ * it falls due: grants due in a window v are at most capacity + rate * v, and v <= w + GrantLife. */
 class TokenBucket
 {
 public:
@@ -18,33 +24,41 @@
     {
     }
 
-    /** Sets the declared rate (per second) and burst; what is in the bucket stays, up to the burst. */
+    /** Sets the declared rate (per second) and burst; what is in the bucket stays, up to the capacity. */
     void declare(double newRate, double newBurst, Instant now)
     {
         this->refill(now);
         this->rate = newRate;
-        this->burst = newBurst;
-        this->level = std::min(this->level, newBurst);
+        this->capacity = capacityOf(newRate, newBurst);
+        this->level = std::min(this->level, this->capacity);
     }
 
-    /** Fills it to the burst; only where no other bucket of this tenant was ever in use. */
+    /** Fills it; only where no other bucket of this tenant was ever in use. */
     void fill()
     {
-        this->level = this->burst;
+        this->level = this->capacity;
     }
 
-    /** Takes one request out. @return false where there is none. */
-    bool take(Instant now)
+    /** Takes over what another owner's bucket held when it stopped; below zero where requests are reserved ahead. */
+    void adopt(double otherLevel, Instant now)
     {
-        this->refill(now);
-        if (this->level < 1) {
-            return false;
+        this->updated = now;
+        this->level = std::min(this->capacity, otherLevel);
+    }
+
+    /** Takes one request out, ahead of time where need be.
+     * @return how long from @p now the request is to be held; nothing is taken where that is over @p maxDelay. */
+    std::optional<Duration> reserve(Instant now, Duration maxDelay)
+    {
+        const Duration delay = this->waitFor(now);
+        if (delay > maxDelay || this->rate <= 0) {
+            return std::nullopt;
         }
         this->level -= 1;
-        return true;
+        return delay;
     }
 
-    /** How long until one request can be taken, where none other is. */
+    /** How long until one more request falls due. */
     [[nodiscard]] Duration waitFor(Instant now)
     {
         this->refill(now);
@@ -54,19 +68,33 @@
         return Duration(static_cast<Duration::rep>((1 - this->level) / this->rate * 1e6) + 1);
     }
 
+    /** What it holds at @p now. */
+    [[nodiscard]] double levelAt(Instant now)
+    {
+        this->refill(now);
+        return this->level;
+    }
+
+    /** The most that a bucket of @p rate and @p burst holds; at least one request. */
+    [[nodiscard]] static double capacityOf(double rate, double burst)
+    {
+        const double life = static_cast<double>(GrantLife.count()) / 1e6;
+        return std::max(std::min(burst, 1.0), burst - rate * life);
+    }
+
 private:
     void refill(Instant now)
     {
         if (now > this->updated) {
             const double seconds = static_cast<double>((now - this->updated).count()) / 1e6;
-            this->level = std::min(this->burst, this->level + seconds * this->rate);
+            this->level = std::min(this->capacity, this->level + seconds * this->rate);
             this->updated = now;
         }
     }
 
     double rate = 0; ///< Requests per second.
-    double burst = 0; ///< Upper bound of `level`.
-    double level = 0; ///< Requests that may come now.
+    double capacity = 0; ///< Upper bound of `level`.
+    double level = 0; ///< Requests that may come now; below zero where some are reserved ahead.
     Instant updated; ///< When `level` was right.
 };
 
--- a/src/control/control_service_base.cpp
+++ b/src/control/control_service_base.cpp
@@ -158,6 +158,10 @@
                 return;
             }
             const EntryId id{textOf(request.getEntry().getId())};
+            if (this->member.leases.isEnding(id, Epoch{epoch})) {
+                writeFailure(result.initFailure(), Error{ErrorKind::NotReady, "the lease is ending", Ran::No, 0});
+                return;
+            }
             this->member.leases.heard(id, request.getInForceRevision(), this->member.loop.timers().now());
             auto delta = result.initDelta();
             this->member.fleet.machine.writeDelta(request.getHaveIndex(), delta.initDelta());
--- a/src/control/lease_keeper_base.cpp
+++ b/src/control/lease_keeper_base.cpp
@@ -9,14 +9,14 @@
     this->entries.clear();
     for (const auto &[id, row] : state.entries.all()) {
         if (!row.removed) {
-            this->entries[id] = HeardEntry{now, 0};
+            this->entries[id] = HeardEntry{now, 0, Epoch{}};
         }
     }
 }
 
 void LeaseKeeper::heard(const EntryId &entry, std::uint64_t inForceRevision, Instant now)
 {
-    this->entries[entry] = HeardEntry{now, inForceRevision};
+    this->entries[entry] = HeardEntry{now, inForceRevision, Epoch{}};
 }
 
 std::vector<EntryRecord> LeaseKeeper::expired(const FleetState &state, Instant now)
@@ -27,14 +27,25 @@
             this->entries.erase(id);
             continue;
         }
-        const auto known = this->entries.try_emplace(id, HeardEntry{now, 0}).first;
+        const auto known = this->entries.try_emplace(id, HeardEntry{now, 0, Epoch{}}).first;
+        const Epoch ending = known->second.ending;
+        if (ending.value != 0 && ending != row.record.epoch) {
+            known->second = HeardEntry{now, 0, Epoch{}}; // A new lease since.
+        }
         if (now - known->second.heard > LeasePeriod + LeaseMargin) {
+            known->second.ending = row.record.epoch;
             found.push_back(row.record);
         }
     }
     return found;
 }
 
+bool LeaseKeeper::isEnding(const EntryId &entry, Epoch epoch) const
+{
+    const HeardEntry *heard = this->find(entry);
+    return heard != nullptr && heard->ending == epoch;
+}
+
 const HeardEntry *LeaseKeeper::find(const EntryId &entry) const
 {
     const auto found = this->entries.find(entry);
--- a/src/control/lease_keeper_base.h
+++ b/src/control/lease_keeper_base.h
@@ -24,6 +24,7 @@
 {
     Instant heard; ///< When its last request arrived.
     std::uint64_t inForceRevision = 0; ///< Revision that it said to serve under.
+    Epoch ending; ///< Lease whose end was proposed; 0 for none.
 };
 
 class LeaseKeeper
@@ -35,7 +36,11 @@
     /** An entry's request arrived. */
     void heard(const EntryId &entry, std::uint64_t inForceRevision, Instant now);
 
-    /** Leases whose holders have stopped acting on them. */
+    /** Whether @p entry's lease of @p epoch may not be renewed any more: once `expired` has named it, its end is under
+     * way, and a successor relies on nothing being granted under it. */
+    [[nodiscard]] bool isEnding(const EntryId &entry, Epoch epoch) const;
+
+    /** Leases whose holders have stopped acting on them; they are ending from now on. */
     [[nodiscard]] std::vector<EntryRecord> expired(const FleetState &state, Instant now);
 
     [[nodiscard]] const HeardEntry *find(const EntryId &entry) const;
--- /dev/null
+++ b/src/entry/admission_client_base.cpp
@@ -0,0 +1,253 @@
+/** @file admission_client_base.cpp  Asking and answering for tenants' buckets between entries. */
+#include "entry/admission_client_base.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "observe/log_func.h"
+#include "rpc/message_func.h"
+
+namespace Chestnuthook
+{
+
+namespace
+{
+
+constexpr auto AskTimeout = 500 * kj::MILLISECONDS;
+
+/** How often a former owner is asked for its buckets. */
+constexpr Duration HandoverPeriod = std::chrono::milliseconds(100);
+
+AdmitVerdict unreachable()
+{
+    AdmitVerdict verdict;
+    verdict.state = AdmitState::NotOwner;
+    return verdict;
+}
+
+} // namespace
+
+AdmissionClient::AdmissionClient(ControlLoop &loop, FleetFollower &follower, PeerLinks &peers)
+    : loop(loop)
+    , follower(follower)
+    , peers(peers)
+{
+}
+
+SlotFacts AdmissionClient::facts(const FleetView &view) const
+{
+    SlotFacts facts{this->follower.self.id, &view.slots, {}};
+    for (const EntryRecord &entry : view.entries) {
+        facts.leased.insert(entry.id);
+    }
+    return facts;
+}
+
+std::string AdmissionClient::addressOf(const EntryId &entry) const
+{
+    const auto view = this->follower.views.get();
+    for (const EntryRecord &record : view == nullptr ? std::vector<EntryRecord>() : view->entries) {
+        if (record.id == entry) {
+            return record.rpcAddress;
+        }
+    }
+    return {};
+}
+
+void AdmissionClient::onViewChange()
+{
+    const auto view = this->follower.views.get();
+    if (view == nullptr) {
+        return;
+    }
+    this->owner.update(this->facts(*view), this->loop.timers().now());
+    this->requestHandovers();
+}
+
+AdmitVerdict AdmissionClient::decide(const TenantId &tenant, std::uint32_t count)
+{
+    const auto view = this->follower.views.get();
+    if (view == nullptr) {
+        return unreachable();
+    }
+    const auto declared = view->tenants.find(tenant);
+    if (declared == view->tenants.end()) {
+        return unreachable();
+    }
+    const Instant now = this->loop.timers().now();
+    return this->owner.admit(declared->second, count, now, this->follower.views.relyUntil());
+}
+
+kj::Promise<AdmitVerdict> AdmissionClient::ask(const TenantId &tenant)
+{
+    const auto view = this->follower.views.get();
+    const EntryId slotOwner = view == nullptr ? EntryId{} : view->slots[slotOf(tenant.text).value].owner;
+    if (slotOwner == this->follower.self.id) {
+        return this->decide(tenant, 1);
+    }
+    const std::string address = this->addressOf(slotOwner);
+    if (address.empty()) {
+        return unreachable();
+    }
+    auto paf = kj::newPromiseAndFulfiller<AdmitVerdict>();
+    Batch &batch = this->batches[address];
+    batch.waiting.push_back({tenant, kj::mv(paf.fulfiller)});
+    if (!batch.busy) {
+        batch.busy = true;
+        // Later in this turn, so that requests which came in together go together.
+        this->loop.detach(kj::evalLast([this, address]() {
+            this->send(address);
+        }));
+    }
+    return kj::mv(paf.promise);
+}
+
+void AdmissionClient::send(const std::string &address)
+{
+    Batch &batch = this->batches[address];
+    if (batch.waiting.empty()) {
+        batch.busy = false;
+        return;
+    }
+    auto waiters = std::make_shared<std::vector<Waiter>>(std::move(batch.waiting));
+    batch.waiting.clear();
+    auto rows = std::make_shared<std::vector<unsigned>>();
+    auto asked = this->peers.peer(address).then([waiters, rows](Wire::EntryPeer::Client &&peer) {
+        std::map<TenantId, unsigned> rowOf;
+        std::vector<std::pair<TenantId, std::uint32_t>> wanted;
+        for (const Waiter &waiter : *waiters) {
+            const auto [row, added] = rowOf.try_emplace(waiter.tenant, static_cast<unsigned>(wanted.size()));
+            if (added) {
+                wanted.emplace_back(waiter.tenant, 0);
+            }
+            ++wanted[row->second].second;
+            rows->push_back(row->second);
+        }
+        auto request = peer.admitRequest();
+        auto list = request.initRequests(static_cast<unsigned>(wanted.size()));
+        for (unsigned i = 0; i < list.size(); ++i) {
+            list[i].setTenant(wanted[i].first.text);
+            list[i].setRequests(wanted[i].second);
+        }
+        return request.send();
+    });
+    this->loop.detach(this->loop.kjTimer()
+                          .timeoutAfter(AskTimeout, kj::mv(asked))
+                          .then(
+                              [this, waiters, rows](auto &&response) {
+                                  this->takeReplies(response.getReplies(), *waiters, *rows);
+                              },
+                              [this, address, waiters](kj::Exception && /*exception*/) {
+                                  this->peers.reset(address);
+                                  for (Waiter &waiter : *waiters) {
+                                      waiter.fulfiller->fulfill(unreachable());
+                                  }
+                              })
+                          .then([this, address]() {
+                              this->send(address);
+                          }));
+}
+
+void AdmissionClient::takeReplies(
+    capnp::List<Wire::AdmitReply>::Reader replies, std::vector<Waiter> &waiters, const std::vector<unsigned> &rows)
+{
+    std::vector<unsigned> used(replies.size(), 0);
+    for (std::size_t i = 0; i < waiters.size(); ++i) {
+        AdmitVerdict verdict = unreachable();
+        if (rows[i] < replies.size()) {
+            const auto reply = replies[rows[i]];
+            const unsigned place = used[rows[i]]++;
+            const bool undecided = reply.hasFailure();
+            verdict.state = undecided ? AdmitState::NotYet : AdmitState::Decided;
+            verdict.retryAfter = std::chrono::milliseconds(reply.getHoldMs());
+            verdict.recovering = reply.getRecovering();
+            if (!undecided && place < reply.getDelaysUs().size()) {
+                verdict.delays.emplace_back(reply.getDelaysUs()[place]);
+            }
+        }
+        waiters[i].fulfiller->fulfill(std::move(verdict));
+    }
+}
+
+void AdmissionClient::requestHandovers()
+{
+    const auto view = this->follower.views.get();
+    std::map<std::string, std::vector<WantedHandover>> byAddress;
+    for (const WantedHandover &handover : this->owner.tenures.wanted(this->facts(*view), this->loop.timers().now())) {
+        byAddress[this->addressOf(handover.former)].push_back(handover);
+    }
+    if (byAddress.empty()) {
+        this->handovers.cancel();
+        return;
+    }
+    for (auto &[address, wanted] : byAddress) {
+        this->loop.detach(this->requestHandover(address, std::move(wanted)));
+    }
+    this->handovers = this->loop.timers().after(HandoverPeriod, [this]() {
+        this->requestHandovers();
+    });
+}
+
+kj::Promise<void> AdmissionClient::requestHandover(const std::string &address, std::vector<WantedHandover> wanted)
+{
+    auto sent = this->peers.peer(address).then([wanted](Wire::EntryPeer::Client &&peer) {
+        auto request = peer.giveUpRequest();
+        auto list = request.initSlots(static_cast<unsigned>(wanted.size()));
+        for (unsigned i = 0; i < list.size(); ++i) {
+            list[i].setSlot(wanted[i].slot.value);
+            list[i].setEpoch(wanted[i].formerEpoch.value);
+        }
+        return request.send();
+    });
+    return this->loop.kjTimer()
+        .timeoutAfter(AskTimeout, kj::mv(sent))
+        .then(
+            [this, wanted](auto &&response) {
+                const auto slots = response.getSlots();
+                for (unsigned i = 0; i < slots.size() && i < wanted.size(); ++i) {
+                    if (!slots[i].getStopped()) {
+                        continue;
+                    }
+                    std::vector<BucketLevel> levels;
+                    for (const auto level : slots[i].getLevels()) {
+                        levels.push_back({TenantId{textOf(level.getTenant())}, level.getLevel()});
+                    }
+                    this->owner.adopt(wanted[i], levels, this->loop.timers().now());
+                }
+            },
+            [this, address](kj::Exception && /*exception*/) {
+                this->peers.reset(address);
+            });
+}
+
+void AdmissionClient::giveUp(
+    capnp::List<Wire::GivenUpSlot>::Reader slots, capnp::List<Wire::GivenUpSlot>::Builder replies)
+{
+    const auto view = this->follower.views.get();
+    std::map<SlotId, std::vector<TenantDeclaration>> tenants;
+    if (view != nullptr) {
+        for (const auto &[id, tenant] : view->tenants) {
+            tenants[slotOf(id.text)].push_back(tenant);
+        }
+    }
+    for (unsigned i = 0; i < slots.size(); ++i) {
+        const SlotId slot{slots[i].getSlot()};
+        const Epoch epoch{slots[i].getEpoch()};
+        replies[i].setSlot(slot.value);
+        replies[i].setEpoch(epoch.value);
+        if (slot.value >= SlotCount || view == nullptr) {
+            continue;
+        }
+        const auto levels = this->owner.giveUp(slot, epoch, tenants[slot], this->loop.timers().now());
+        replies[i].setStopped(levels.has_value());
+        if (levels) {
+            auto list = replies[i].initLevels(static_cast<unsigned>(levels->size()));
+            for (unsigned j = 0; j < list.size(); ++j) {
+                list[j].setTenant((*levels)[j].tenant.text);
+                list[j].setLevel((*levels)[j].level);
+            }
+        }
+    }
+}
+
+} // namespace Chestnuthook
--- a/src/entry/admission_gate_base.h
+++ b/src/entry/admission_gate_base.h
@@ -1,33 +1,31 @@
 /** @file admission_gate_base.h  Counts each request against its tenant's rate and burst. */
 #pragma once
 
-#include <map>
-#include <mutex>
-
-#include "admission/token_bucket_type.h"
 #include "core/error_type.h"
-#include "entry/fleet_view_type.h"
+#include "entry/admission_client_base.h"
 
 namespace Chestnuthook
 {
 
-class TimerService;
-
-/** The way of traffic threads to the tenants' buckets. */
+/** The way of traffic threads to the tenants' buckets, which are fleet-wide. */
 class AdmissionGate
 {
 public:
-    AdmissionGate(const FleetViewHolder &views, const TimerService &timers);
+    AdmissionGate(ControlLoop &loop, FleetFollower &follower, PeerLinks &peers);
 
-    /** Takes one request out of the tenant's bucket. For traffic threads. Errors: RateExceeded, with when to come back.
-     */
+    /** Takes one request out of the tenant's bucket, and holds it for a bounded time until it is inside the rate. For
+     * traffic threads. Errors, all at once when it is given up: RateExceeded and NotReady, with when to come back;
+     * UnknownKey where the key was withdrawn meanwhile. */
     Result<void> admit(const Caller &caller);
 
+    AdmissionClient client; ///< For the control thread only.
+
 private:
-    const FleetViewHolder &views; ///< Outlives this.
-    const TimerService &timers; ///< Outlives this; only its clock is read.
-    std::mutex mutex; ///< Guards `buckets`; held for arithmetic only.
-    std::map<TenantId, TokenBucket> buckets; ///< By tenant.
+    Result<void> hold(const Caller &caller, Duration delay, Instant usableUntil, bool &late);
+    [[nodiscard]] bool isCurrent(const Caller &caller) const;
+
+    ControlLoop &loop; ///< Outlives this.
+    FleetFollower &follower; ///< Outlives this; only its views are read.
 };
 
 } // namespace Chestnuthook
--- a/src/entry/entry_context_type.h
+++ b/src/entry/entry_context_type.h
@@ -23,8 +23,8 @@
         : loop(loop)
         , follower(follower)
         , programs(programs)
-        , admission(follower.views, loop.timers())
         , peers(loop.rpc())
+        , admission(loop, follower, this->peers)
     {
     }
 
@@ -32,9 +32,9 @@
     FleetFollower &follower; ///< Its views may be read by traffic threads; all else by the control thread only.
     ProgramRuntime &programs; ///< For the control thread only.
     Supervisor *root = nullptr; ///< For /readyz; control thread only.
+    PeerLinks peers; ///< Other entries; control thread only.
     AdmissionGate admission; ///< Tenants' rates.
     Dispatch dispatch; ///< Endpoints.
-    PeerLinks peers; ///< Other entries; control thread only.
     std::atomic<bool> draining = false; ///< A planned stop has begun.
 };
 
--- a/src/entry/entry_daemon_base.cpp
+++ b/src/entry/entry_daemon_base.cpp
@@ -75,6 +75,7 @@
             [this]() {
                 this->follower.onChange = [this]() {
                     this->programs.updateSlots();
+                    this->context.admission.client.onViewChange();
                 };
                 return Result<void>();
             },
--- a/src/entry/entry_peer_base.h
+++ b/src/entry/entry_peer_base.h
@@ -16,6 +16,7 @@
     explicit EntryPeerServer(EntryContext &context);
 
     kj::Promise<void> admit(AdmitContext context) override;
+    kj::Promise<void> giveUp(GiveUpContext context) override;
     kj::Promise<void> permit(PermitContext context) override;
     kj::Promise<void> release(ReleaseContext context) override;
     kj::Promise<void> forward(ForwardContext context) override;
--- a/src/entry/fleet_view_type.h
+++ b/src/entry/fleet_view_type.h
@@ -55,6 +55,11 @@
     {
         return now.us < this->freshUntilUs.load();
     }
+    /** Until when the view may be relied on. */
+    [[nodiscard]] Instant relyUntil() const
+    {
+        return Instant(this->freshUntilUs.load());
+    }
     void setFreshUntil(Instant until)
     {
         this->freshUntilUs.store(until.us);
--- a/src/fleet/fleet_base.cpp
+++ b/src/fleet/fleet_base.cpp
@@ -60,6 +60,8 @@
     slot.setNumber(id.value);
     slot.setOwner(record.owner.text);
     slot.setEpoch(record.epoch.value);
+    slot.setFormer(record.former.text);
+    slot.setFormerEpoch(record.formerEpoch.value);
 }
 
 void writeRecord(Wire::FleetItem::Builder item, const std::string &fingerprint, const StrikeRecord &record)
@@ -137,7 +139,9 @@
     case Wire::FleetItem::SLOT: {
         const auto slot = item.getSlot();
         takeRow(state.slots, SlotId{slot.getNumber()},
-            SlotRecord{EntryId{textOf(slot.getOwner())}, Epoch{slot.getEpoch()}}, item);
+            SlotRecord{EntryId{textOf(slot.getOwner())}, Epoch{slot.getEpoch()}, EntryId{textOf(slot.getFormer())},
+                Epoch{slot.getFormerEpoch()}},
+            item);
         break;
     }
     case Wire::FleetItem::STRIKE: {
--- a/src/fleet/fleet_cmd.cpp
+++ b/src/fleet/fleet_cmd.cpp
@@ -281,7 +281,8 @@
         if (least != owned.end()) {
             least->second.push_back(slot);
         }
-        this->slots.put(slot, SlotRecord{owner, Epoch{index}}, index);
+        const SlotRecord before = record == nullptr ? SlotRecord{} : *record;
+        this->slots.put(slot, SlotRecord{owner, Epoch{index}, before.owner, before.epoch}, index);
     }
 }
 
--- a/src/fleet/fleet_type.h
+++ b/src/fleet/fleet_type.h
@@ -55,6 +55,8 @@
 {
     EntryId owner; ///< Empty where no entry is live.
     Epoch epoch; ///< Grows with each change of owner.
+    EntryId former; ///< Owner before this one.
+    Epoch formerEpoch; ///< Its epoch; 0 where the slot never had another record.
 };
 
 /** A request that was in flight where endpoints died. */
--- /dev/null
+++ b/src/policy/queue_order_func.h
@@ -0,0 +1,65 @@
+/** @file queue_order_func.h  Orders in which waiting calls are served: rules behind one concept. */
+#pragma once
+
+#include <concepts>
+#include <cstdint>
+
+#include "core/id_type.h"
+#include "core/timer_type.h"
+
+namespace Chestnuthook
+{
+
+/** A call that waits for its turn at an endpoint. */
+struct WaitingCall
+{
+    std::uint64_t id = 0; ///< Of the asker; unique in its queue.
+    TenantId tenant; ///< For fairness.
+    double attainedTokens = 0; ///< Service that its program has had.
+    double expectedTokens = 0; ///< Prefill that is not cached, and decode.
+    Instant arrived; ///< When it came to the queue.
+    bool isolated = false; ///< Runs with nothing else in flight at the endpoint.
+};
+
+/** Gives each call a key that doesn't change while it waits; the least is served first. */
+template<typename T>
+concept QueueOrder = requires(const T &order, const WaitingCall &call)
+{
+    {
+        order.key(call)
+        } -> std::convertible_to<double>;
+};
+
+/** First come, first served. */
+struct ArrivalOrder
+{
+    [[nodiscard]] double key(const WaitingCall &call) const
+    {
+        return static_cast<double>(call.arrived.us);
+    }
+};
+
+/** The call with the least work first, whatever its program has had. */
+struct ShortestFirst
+{
+    [[nodiscard]] double key(const WaitingCall &call) const
+    {
+        return call.expectedTokens;
+    }
+};
+
+/** The program with the least service first. A call ages: each second of waiting counts as AgeingTokensPerSecond less
+ * service, so a long program is overtaken for a bounded time only. As all keys fall alike, they need no updates. */
+struct LeastAttained
+{
+    double ageingTokensPerSecond = 200; ///< Zero for no ageing.
+
+    [[nodiscard]] double key(const WaitingCall &call) const
+    {
+        return call.attainedTokens + static_cast<double>(call.arrived.us) / 1e6 * this->ageingTokensPerSecond;
+    }
+};
+
+static_assert(QueueOrder<ArrivalOrder> && QueueOrder<ShortestFirst> && QueueOrder<LeastAttained>);
+
+} // namespace Chestnuthook
--- a/src/rpc/entry.capnp
+++ b/src/rpc/entry.capnp
@@ -12,7 +12,21 @@
 struct AdmitReply {
     granted @0 :UInt32;
     holdMs @1 :UInt32;      # After which the rest would be inside the rate.
-    failure @2 :Common.Failure; # Where this entry doesn't own the tenant's slot.
+    failure @2 :Common.Failure; # Where this entry doesn't own the tenant's slot, or may not grant yet.
+    delaysUs @3 :List(UInt32);  # How long to hold each granted request, from when it was asked for.
+    recovering @4 :Bool;    # The rest may be asked for again: the owner changed a short while ago.
+}
+
+struct GivenUpSlot {
+    slot @0 :UInt16;
+    epoch @1 :UInt64;       # Under which the asked entry owned it.
+    stopped @2 :Bool;       # It grants nothing under that epoch any more; else the successor has to wait.
+    levels @3 :List(BucketLevel);
+}
+
+struct BucketLevel {
+    tenant @0 :Text;
+    level @1 :Float64;      # Below zero where requests are reserved ahead.
 }
 
 struct PermitRequest {
@@ -59,4 +73,6 @@
     release @2 (endpoint :Text, entry :Text, permits :List(UInt64)) -> ();
     # Runs a request whose program this entry owns; the answer goes to the sink.
     forward @3 (request :ForwardedRequest, sink :AnswerSink) -> ();
+    # The asker has become the owner of slots: stop granting for them and tell what the buckets hold.
+    giveUp @4 (slots :List(GivenUpSlot)) -> (slots :List(GivenUpSlot));
 }
--- a/src/rpc/entry.capnp.c++
+++ b/src/rpc/entry.capnp.c++
@@ -65,45 +65,59 @@
   0, 2, i_f7d0007518c96acb, nullptr, nullptr, { &s_f7d0007518c96acb, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<62> b_aaada0aedb3ac224 = {
+static const ::capnp::_::AlignedData<98> b_aaada0aedb3ac224 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      36, 194,  58, 219, 174, 160, 173, 170,
-     12,   0,   0,   0,   1,   0,   1,   0,
+     12,   0,   0,   0,   1,   0,   2,   0,
     250, 219, 164, 202, 115, 161,  61, 241,
-      1,   0,   7,   0,   0,   0,   0,   0,
+      2,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0, 186,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0, 175,   0,   0,   0,
+     25,   0,   0,   0,  31,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     101, 110, 116, 114, 121,  46,  99,  97,
     112, 110, 112,  58,  65, 100, 109, 105,
     116,  82, 101, 112, 108, 121,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     12,   0,   0,   0,   3,   0,   4,   0,
+     20,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     69,   0,   0,   0,  66,   0,   0,   0,
+    125,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     64,   0,   0,   0,   3,   0,   1,   0,
-     76,   0,   0,   0,   2,   0,   1,   0,
+    120,   0,   0,   0,   3,   0,   1,   0,
+    132,   0,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     73,   0,   0,   0,  58,   0,   0,   0,
+    129,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     68,   0,   0,   0,   3,   0,   1,   0,
-     80,   0,   0,   0,   2,   0,   1,   0,
+    124,   0,   0,   0,   3,   0,   1,   0,
+    136,   0,   0,   0,   2,   0,   1,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   2,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     77,   0,   0,   0,  66,   0,   0,   0,
+    133,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     72,   0,   0,   0,   3,   0,   1,   0,
-     84,   0,   0,   0,   2,   0,   1,   0,
+    128,   0,   0,   0,   3,   0,   1,   0,
+    140,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    137,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    136,   0,   0,   0,   3,   0,   1,   0,
+    164,   0,   0,   0,   2,   0,   1,   0,
+      4,   0,   0,   0,  64,   0,   0,   0,
+      0,   0,   1,   0,   4,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    161,   0,   0,   0,  90,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    160,   0,   0,   0,   3,   0,   1,   0,
+    172,   0,   0,   0,   2,   0,   1,   0,
     103, 114,  97, 110, 116, 101, 100,   0,
       8,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -126,6 +140,28 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100, 101, 108,  97, 121, 115,  85, 115,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101,  99, 111, 118, 101, 114, 105,
+    110, 103,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
@@ -134,11 +170,164 @@
 static const ::capnp::_::RawSchema* const d_aaada0aedb3ac224[] = {
   &s_f0eb15b483718573,
 };
-static const uint16_t m_aaada0aedb3ac224[] = {2, 0, 1};
-static const uint16_t i_aaada0aedb3ac224[] = {0, 1, 2};
+static const uint16_t m_aaada0aedb3ac224[] = {3, 2, 0, 1, 4};
+static const uint16_t i_aaada0aedb3ac224[] = {0, 1, 2, 3, 4};
 const ::capnp::_::RawSchema s_aaada0aedb3ac224 = {
-  0xaaada0aedb3ac224, b_aaada0aedb3ac224.words, 62, d_aaada0aedb3ac224, m_aaada0aedb3ac224,
-  1, 3, i_aaada0aedb3ac224, nullptr, nullptr, { &s_aaada0aedb3ac224, nullptr, nullptr, 0, 0, nullptr }
+  0xaaada0aedb3ac224, b_aaada0aedb3ac224.words, 98, d_aaada0aedb3ac224, m_aaada0aedb3ac224,
+  1, 5, i_aaada0aedb3ac224, nullptr, nullptr, { &s_aaada0aedb3ac224, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<81> b_9f7b0f61bc8b7dd3 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    211, 125, 139, 188,  97,  15, 123, 159,
+     12,   0,   0,   0,   1,   0,   2,   0,
+    250, 219, 164, 202, 115, 161,  61, 241,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 194,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 231,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    101, 110, 116, 114, 121,  46,  99,  97,
+    112, 110, 112,  58,  71, 105, 118, 101,
+    110,  85, 112,  83, 108, 111, 116,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     16,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     92,   0,   0,   0,   3,   0,   1,   0,
+    104,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    101,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     96,   0,   0,   0,   3,   0,   1,   0,
+    108,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,  16,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    105,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100,   0,   0,   0,   3,   0,   1,   0,
+    112,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    109,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    104,   0,   0,   0,   3,   0,   1,   0,
+    132,   0,   0,   0,   2,   0,   1,   0,
+    115, 108, 111, 116,   0,   0,   0,   0,
+      7,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      7,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    101, 112, 111,  99, 104,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 116, 111, 112, 112, 101, 100,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    108, 101, 118, 101, 108, 115,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+     34, 126,  57,   4, 218, 129, 180, 152,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_9f7b0f61bc8b7dd3 = b_9f7b0f61bc8b7dd3.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_9f7b0f61bc8b7dd3[] = {
+  &s_98b481da04397e22,
+};
+static const uint16_t m_9f7b0f61bc8b7dd3[] = {1, 3, 0, 2};
+static const uint16_t i_9f7b0f61bc8b7dd3[] = {0, 1, 2, 3};
+const ::capnp::_::RawSchema s_9f7b0f61bc8b7dd3 = {
+  0x9f7b0f61bc8b7dd3, b_9f7b0f61bc8b7dd3.words, 81, d_9f7b0f61bc8b7dd3, m_9f7b0f61bc8b7dd3,
+  1, 4, i_9f7b0f61bc8b7dd3, nullptr, nullptr, { &s_9f7b0f61bc8b7dd3, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<47> b_98b481da04397e22 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     34, 126,  57,   4, 218, 129, 180, 152,
+     12,   0,   0,   0,   1,   0,   1,   0,
+    250, 219, 164, 202, 115, 161,  61, 241,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 194,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    101, 110, 116, 114, 121,  46,  99,  97,
+    112, 110, 112,  58,  66, 117,  99, 107,
+    101, 116,  76, 101, 118, 101, 108,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+    116, 101, 110,  97, 110, 116,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    108, 101, 118, 101, 108,   0,   0,   0,
+     11,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     11,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_98b481da04397e22 = b_98b481da04397e22.words;
+#if !CAPNP_LITE
+static const uint16_t m_98b481da04397e22[] = {1, 0};
+static const uint16_t i_98b481da04397e22[] = {0, 1};
+const ::capnp::_::RawSchema s_98b481da04397e22 = {
+  0x98b481da04397e22, b_98b481da04397e22.words, 47, nullptr, m_98b481da04397e22,
+  0, 2, i_98b481da04397e22, nullptr, nullptr, { &s_98b481da04397e22, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<125> b_8d6997aa3175ba2c = {
@@ -848,7 +1037,7 @@
   0, 0, nullptr, nullptr, nullptr, { &s_ffc1b8eee072eff2, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<58> b_cbc20751db84b3ce = {
+static const ::capnp::_::AlignedData<68> b_cbc20751db84b3ce = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     206, 179, 132, 219,  81,   7, 194, 203,
      12,   0,   0,   0,   3,   0,   0,   0,
@@ -858,46 +1047,54 @@
      21,   0,   0,   0, 178,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0,   7,   1,   0,   0,
-    185,   0,   0,   0,   7,   0,   0,   0,
+     25,   0,   0,   0,  71,   1,   0,   0,
+    225,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     101, 110, 116, 114, 121,  46,  99,  97,
     112, 110, 112,  58,  69, 110, 116, 114,
     121,  80, 101, 101, 114,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     16,   0,   0,   0,   3,   0,   5,   0,
+     20,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       1, 105, 166,  85, 195,  97,  62, 220,
      33,  53, 190, 209,  47, 214,  27, 137,
-    113,   0,   0,   0,  50,   0,   0,   0,
+    145,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    101,   0,   0,   0,   7,   0,   0,   0,
+    133,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     163,  30,  66,  67,  15,  55,  10, 181,
     117,  87,  33, 175, 154, 253, 101, 147,
-     89,   0,   0,   0,  58,   0,   0,   0,
+    121,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     77,   0,   0,   0,   7,   0,   0,   0,
+    109,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
      34, 253, 227,  71, 156, 205, 120, 222,
     173, 133,  25, 237, 137,  86,  52, 199,
-     65,   0,   0,   0,  66,   0,   0,   0,
+     97,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     53,   0,   0,   0,   7,   0,   0,   0,
+     85,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
     145, 144, 189, 105, 213,   9,  13, 160,
     158,  96, 226,   9,  67, 222, 126, 182,
-     41,   0,   0,   0,  66,   0,   0,   0,
+     73,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0,   7,   0,   0,   0,
+     61,   0,   0,   0,   7,   0,   0,   0,
+      4,   0,   0,   0,   0,   0,   0,   0,
+    190, 217, 239, 126, 201,  29, 206, 141,
+     63,  76, 117, 130,   0, 106, 200, 183,
+     49,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     37,   0,   0,   0,   7,   0,   0,   0,
      97, 100, 109, 105, 116,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
     112, 101, 114, 109, 105, 116,   0,   0,
@@ -906,24 +1103,28 @@
       0,   0,   0,   0,   0,   0,   1,   0,
     102, 111, 114, 119,  97, 114, 100,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    103, 105, 118, 101,  85, 112,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_cbc20751db84b3ce = b_cbc20751db84b3ce.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_cbc20751db84b3ce[] = {
   &s_891bd62fd1be3521,
+  &s_8dce1dc97eefd9be,
   &s_9365fd9aaf215775,
   &s_a00d09d569bd9091,
   &s_b50a370f43421ea3,
   &s_b67ede4309e2609e,
+  &s_b7c86a0082754c3f,
   &s_c7345689ed1985ad,
   &s_dc3e61c355a66901,
   &s_de78cd9c47e3fd22,
 };
-static const uint16_t m_cbc20751db84b3ce[] = {0, 3, 1, 2};
+static const uint16_t m_cbc20751db84b3ce[] = {0, 3, 4, 1, 2};
 const ::capnp::_::RawSchema s_cbc20751db84b3ce = {
-  0xcbc20751db84b3ce, b_cbc20751db84b3ce.words, 58, d_cbc20751db84b3ce, m_cbc20751db84b3ce,
-  8, 4, nullptr, nullptr, nullptr, { &s_cbc20751db84b3ce, nullptr, nullptr, 0, 0, nullptr }
+  0xcbc20751db84b3ce, b_cbc20751db84b3ce.words, 68, d_cbc20751db84b3ce, m_cbc20751db84b3ce,
+  10, 5, nullptr, nullptr, nullptr, { &s_cbc20751db84b3ce, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<38> b_dc3e61c355a66901 = {
@@ -1326,6 +1527,108 @@
   0, 0, nullptr, nullptr, nullptr, { &s_b67ede4309e2609e, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<37> b_8dce1dc97eefd9be = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    190, 217, 239, 126, 201,  29, 206, 141,
+     22,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  34,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    101, 110, 116, 114, 121,  46,  99,  97,
+    112, 110, 112,  58,  69, 110, 116, 114,
+    121,  80, 101, 101, 114,  46, 103, 105,
+    118, 101,  85, 112,  36,  80,  97, 114,
+     97, 109, 115,   0,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     36,   0,   0,   0,   2,   0,   1,   0,
+    115, 108, 111, 116, 115,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    211, 125, 139, 188,  97,  15, 123, 159,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_8dce1dc97eefd9be = b_8dce1dc97eefd9be.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_8dce1dc97eefd9be[] = {
+  &s_9f7b0f61bc8b7dd3,
+};
+static const uint16_t m_8dce1dc97eefd9be[] = {0};
+static const uint16_t i_8dce1dc97eefd9be[] = {0};
+const ::capnp::_::RawSchema s_8dce1dc97eefd9be = {
+  0x8dce1dc97eefd9be, b_8dce1dc97eefd9be.words, 37, d_8dce1dc97eefd9be, m_8dce1dc97eefd9be,
+  1, 1, i_8dce1dc97eefd9be, nullptr, nullptr, { &s_8dce1dc97eefd9be, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<37> b_b7c86a0082754c3f = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     63,  76, 117, 130,   0, 106, 200, 183,
+     22,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  42,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    101, 110, 116, 114, 121,  46,  99,  97,
+    112, 110, 112,  58,  69, 110, 116, 114,
+    121,  80, 101, 101, 114,  46, 103, 105,
+    118, 101,  85, 112,  36,  82, 101, 115,
+    117, 108, 116, 115,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     36,   0,   0,   0,   2,   0,   1,   0,
+    115, 108, 111, 116, 115,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    211, 125, 139, 188,  97,  15, 123, 159,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_b7c86a0082754c3f = b_b7c86a0082754c3f.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_b7c86a0082754c3f[] = {
+  &s_9f7b0f61bc8b7dd3,
+};
+static const uint16_t m_b7c86a0082754c3f[] = {0};
+static const uint16_t i_b7c86a0082754c3f[] = {0};
+const ::capnp::_::RawSchema s_b7c86a0082754c3f = {
+  0xb7c86a0082754c3f, b_b7c86a0082754c3f.words, 37, d_b7c86a0082754c3f, m_b7c86a0082754c3f,
+  1, 1, i_b7c86a0082754c3f, nullptr, nullptr, { &s_b7c86a0082754c3f, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -1350,6 +1653,22 @@
 constexpr ::capnp::_::RawSchema const* AdmitReply::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// GivenUpSlot
+constexpr uint16_t GivenUpSlot::_capnpPrivate::dataWordSize;
+constexpr uint16_t GivenUpSlot::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind GivenUpSlot::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* GivenUpSlot::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// BucketLevel
+constexpr uint16_t BucketLevel::_capnpPrivate::dataWordSize;
+constexpr uint16_t BucketLevel::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind BucketLevel::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* BucketLevel::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // PermitRequest
 constexpr uint16_t PermitRequest::_capnpPrivate::dataWordSize;
 constexpr uint16_t PermitRequest::_capnpPrivate::pointerCount;
@@ -1549,6 +1868,16 @@
       "entry.capnp:EntryPeer", "forward",
       0xcbc20751db84b3ceull, 3);
 }
+::capnp::Request< ::Chestnuthook::Wire::EntryPeer::GiveUpParams,  ::Chestnuthook::Wire::EntryPeer::GiveUpResults>
+EntryPeer::Client::giveUpRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::Chestnuthook::Wire::EntryPeer::GiveUpParams,  ::Chestnuthook::Wire::EntryPeer::GiveUpResults>(
+      0xcbc20751db84b3ceull, 4, sizeHint);
+}
+::kj::Promise<void> EntryPeer::Server::giveUp(GiveUpContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "entry.capnp:EntryPeer", "giveUp",
+      0xcbc20751db84b3ceull, 4);
+}
 ::capnp::Capability::Server::DispatchCallResult EntryPeer::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -1587,6 +1916,12 @@
              ::Chestnuthook::Wire::EntryPeer::ForwardParams,  ::Chestnuthook::Wire::EntryPeer::ForwardResults>(context)),
         false
       };
+    case 4:
+      return {
+        giveUp(::capnp::Capability::Server::internalGetTypedContext<
+             ::Chestnuthook::Wire::EntryPeer::GiveUpParams,  ::Chestnuthook::Wire::EntryPeer::GiveUpResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -1666,6 +2001,22 @@
 constexpr ::capnp::_::RawSchema const* EntryPeer::ForwardResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// EntryPeer::GiveUpParams
+constexpr uint16_t EntryPeer::GiveUpParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t EntryPeer::GiveUpParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind EntryPeer::GiveUpParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* EntryPeer::GiveUpParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// EntryPeer::GiveUpResults
+constexpr uint16_t EntryPeer::GiveUpResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t EntryPeer::GiveUpResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind EntryPeer::GiveUpResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* EntryPeer::GiveUpResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/src/rpc/entry.capnp.h
+++ b/src/rpc/entry.capnp.h
@@ -22,6 +22,8 @@
 
 CAPNP_DECLARE_SCHEMA(f7d0007518c96acb);
 CAPNP_DECLARE_SCHEMA(aaada0aedb3ac224);
+CAPNP_DECLARE_SCHEMA(9f7b0f61bc8b7dd3);
+CAPNP_DECLARE_SCHEMA(98b481da04397e22);
 CAPNP_DECLARE_SCHEMA(8d6997aa3175ba2c);
 CAPNP_DECLARE_SCHEMA(ed79b42a2e0c8b11);
 CAPNP_DECLARE_SCHEMA(edd7030222c89d67);
@@ -42,6 +44,8 @@
 CAPNP_DECLARE_SCHEMA(c7345689ed1985ad);
 CAPNP_DECLARE_SCHEMA(a00d09d569bd9091);
 CAPNP_DECLARE_SCHEMA(b67ede4309e2609e);
+CAPNP_DECLARE_SCHEMA(8dce1dc97eefd9be);
+CAPNP_DECLARE_SCHEMA(b7c86a0082754c3f);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -72,7 +76,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(aaada0aedb3ac224, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(aaada0aedb3ac224, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct GivenUpSlot {
+  GivenUpSlot() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9f7b0f61bc8b7dd3, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct BucketLevel {
+  BucketLevel() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(98b481da04397e22, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -268,6 +302,8 @@
   struct ReleaseResults;
   struct ForwardParams;
   struct ForwardResults;
+  struct GiveUpParams;
+  struct GiveUpResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -397,6 +433,36 @@
   };
 };
 
+struct EntryPeer::GiveUpParams {
+  GiveUpParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8dce1dc97eefd9be, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EntryPeer::GiveUpResults {
+  GiveUpResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b7c86a0082754c3f, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class AdmitRequest::Reader {
@@ -509,6 +575,11 @@
   inline bool hasFailure() const;
   inline  ::Chestnuthook::Wire::Failure::Reader getFailure() const;
 
+  inline bool hasDelaysUs() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getDelaysUs() const;
+
+  inline bool getRecovering() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -550,6 +621,17 @@
   inline void adoptFailure(::capnp::Orphan< ::Chestnuthook::Wire::Failure>&& value);
   inline ::capnp::Orphan< ::Chestnuthook::Wire::Failure> disownFailure();
 
+  inline bool hasDelaysUs();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getDelaysUs();
+  inline void setDelaysUs( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setDelaysUs(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initDelaysUs(unsigned int size);
+  inline void adoptDelaysUs(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownDelaysUs();
+
+  inline bool getRecovering();
+  inline void setRecovering(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -577,6 +659,188 @@
 };
 #endif  // !CAPNP_LITE
 
+class GivenUpSlot::Reader {
+public:
+  typedef GivenUpSlot Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint16_t getSlot() const;
+
+  inline  ::uint64_t getEpoch() const;
+
+  inline bool getStopped() const;
+
+  inline bool hasLevels() const;
+  inline  ::capnp::List< ::Chestnuthook::Wire::BucketLevel,  ::capnp::Kind::STRUCT>::Reader getLevels() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class GivenUpSlot::Builder {
+public:
+  typedef GivenUpSlot Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint16_t getSlot();
+  inline void setSlot( ::uint16_t value);
+
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
+  inline bool getStopped();
+  inline void setStopped(bool value);
+
+  inline bool hasLevels();
+  inline  ::capnp::List< ::Chestnuthook::Wire::BucketLevel,  ::capnp::Kind::STRUCT>::Builder getLevels();
+  inline void setLevels( ::capnp::List< ::Chestnuthook::Wire::BucketLevel,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Chestnuthook::Wire::BucketLevel,  ::capnp::Kind::STRUCT>::Builder initLevels(unsigned int size);
+  inline void adoptLevels(::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::BucketLevel,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::BucketLevel,  ::capnp::Kind::STRUCT>> disownLevels();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class GivenUpSlot::Pipeline {
+public:
+  typedef GivenUpSlot Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class BucketLevel::Reader {
+public:
+  typedef BucketLevel Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTenant() const;
+  inline  ::capnp::Text::Reader getTenant() const;
+
+  inline double getLevel() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class BucketLevel::Builder {
+public:
+  typedef BucketLevel Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTenant();
+  inline  ::capnp::Text::Builder getTenant();
+  inline void setTenant( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTenant(unsigned int size);
+  inline void adoptTenant(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTenant();
+
+  inline double getLevel();
+  inline void setLevel(double value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class BucketLevel::Pipeline {
+public:
+  typedef BucketLevel Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class PermitRequest::Reader {
 public:
   typedef PermitRequest Reads;
@@ -1575,6 +1839,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::Chestnuthook::Wire::EntryPeer::ForwardParams,  ::Chestnuthook::Wire::EntryPeer::ForwardResults> forwardRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Chestnuthook::Wire::EntryPeer::GiveUpParams,  ::Chestnuthook::Wire::EntryPeer::GiveUpResults> giveUpRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1607,6 +1873,10 @@
   typedef  ::Chestnuthook::Wire::EntryPeer::ForwardResults ForwardResults;
   typedef ::capnp::CallContext<ForwardParams, ForwardResults> ForwardContext;
   virtual ::kj::Promise<void> forward(ForwardContext context);
+  typedef  ::Chestnuthook::Wire::EntryPeer::GiveUpParams GiveUpParams;
+  typedef  ::Chestnuthook::Wire::EntryPeer::GiveUpResults GiveUpResults;
+  typedef ::capnp::CallContext<GiveUpParams, GiveUpResults> GiveUpContext;
+  virtual ::kj::Promise<void> giveUp(GiveUpContext context);
 
   inline  ::Chestnuthook::Wire::EntryPeer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -2284,6 +2554,168 @@
 };
 #endif  // !CAPNP_LITE
 
+class EntryPeer::GiveUpParams::Reader {
+public:
+  typedef GiveUpParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSlots() const;
+  inline  ::capnp::List< ::Chestnuthook::Wire::GivenUpSlot,  ::capnp::Kind::STRUCT>::Reader getSlots() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryPeer::GiveUpParams::Builder {
+public:
+  typedef GiveUpParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSlots();
+  inline  ::capnp::List< ::Chestnuthook::Wire::GivenUpSlot,  ::capnp::Kind::STRUCT>::Builder getSlots();
+  inline void setSlots( ::capnp::List< ::Chestnuthook::Wire::GivenUpSlot,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Chestnuthook::Wire::GivenUpSlot,  ::capnp::Kind::STRUCT>::Builder initSlots(unsigned int size);
+  inline void adoptSlots(::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::GivenUpSlot,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::GivenUpSlot,  ::capnp::Kind::STRUCT>> disownSlots();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryPeer::GiveUpParams::Pipeline {
+public:
+  typedef GiveUpParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EntryPeer::GiveUpResults::Reader {
+public:
+  typedef GiveUpResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSlots() const;
+  inline  ::capnp::List< ::Chestnuthook::Wire::GivenUpSlot,  ::capnp::Kind::STRUCT>::Reader getSlots() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryPeer::GiveUpResults::Builder {
+public:
+  typedef GiveUpResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSlots();
+  inline  ::capnp::List< ::Chestnuthook::Wire::GivenUpSlot,  ::capnp::Kind::STRUCT>::Builder getSlots();
+  inline void setSlots( ::capnp::List< ::Chestnuthook::Wire::GivenUpSlot,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Chestnuthook::Wire::GivenUpSlot,  ::capnp::Kind::STRUCT>::Builder initSlots(unsigned int size);
+  inline void adoptSlots(::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::GivenUpSlot,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::GivenUpSlot,  ::capnp::Kind::STRUCT>> disownSlots();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryPeer::GiveUpResults::Pipeline {
+public:
+  typedef GiveUpResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline bool AdmitRequest::Reader::hasTenant() const {
@@ -2401,6 +2833,182 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool AdmitReply::Reader::hasDelaysUs() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool AdmitReply::Builder::hasDelaysUs() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader AdmitReply::Reader::getDelaysUs() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder AdmitReply::Builder::getDelaysUs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void AdmitReply::Builder::setDelaysUs( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void AdmitReply::Builder::setDelaysUs(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder AdmitReply::Builder::initDelaysUs(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void AdmitReply::Builder::adoptDelaysUs(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> AdmitReply::Builder::disownDelaysUs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool AdmitReply::Reader::getRecovering() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool AdmitReply::Builder::getRecovering() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void AdmitReply::Builder::setRecovering(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t GivenUpSlot::Reader::getSlot() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t GivenUpSlot::Builder::getSlot() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void GivenUpSlot::Builder::setSlot( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t GivenUpSlot::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GivenUpSlot::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void GivenUpSlot::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GivenUpSlot::Reader::getStopped() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline bool GivenUpSlot::Builder::getStopped() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void GivenUpSlot::Builder::setStopped(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GivenUpSlot::Reader::hasLevels() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool GivenUpSlot::Builder::hasLevels() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Chestnuthook::Wire::BucketLevel,  ::capnp::Kind::STRUCT>::Reader GivenUpSlot::Reader::getLevels() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::BucketLevel,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Chestnuthook::Wire::BucketLevel,  ::capnp::Kind::STRUCT>::Builder GivenUpSlot::Builder::getLevels() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::BucketLevel,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GivenUpSlot::Builder::setLevels( ::capnp::List< ::Chestnuthook::Wire::BucketLevel,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::BucketLevel,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Chestnuthook::Wire::BucketLevel,  ::capnp::Kind::STRUCT>::Builder GivenUpSlot::Builder::initLevels(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::BucketLevel,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void GivenUpSlot::Builder::adoptLevels(
+    ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::BucketLevel,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::BucketLevel,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::BucketLevel,  ::capnp::Kind::STRUCT>> GivenUpSlot::Builder::disownLevels() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::BucketLevel,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool BucketLevel::Reader::hasTenant() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool BucketLevel::Builder::hasTenant() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader BucketLevel::Reader::getTenant() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder BucketLevel::Builder::getTenant() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void BucketLevel::Builder::setTenant( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder BucketLevel::Builder::initTenant(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void BucketLevel::Builder::adoptTenant(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> BucketLevel::Builder::disownTenant() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline double BucketLevel::Reader::getLevel() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline double BucketLevel::Builder::getLevel() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void BucketLevel::Builder::setLevel(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool PermitRequest::Reader::hasEndpoint() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3416,6 +4024,74 @@
 }
 #endif  // !CAPNP_LITE
 
+inline bool EntryPeer::GiveUpParams::Reader::hasSlots() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryPeer::GiveUpParams::Builder::hasSlots() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Chestnuthook::Wire::GivenUpSlot,  ::capnp::Kind::STRUCT>::Reader EntryPeer::GiveUpParams::Reader::getSlots() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::GivenUpSlot,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Chestnuthook::Wire::GivenUpSlot,  ::capnp::Kind::STRUCT>::Builder EntryPeer::GiveUpParams::Builder::getSlots() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::GivenUpSlot,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EntryPeer::GiveUpParams::Builder::setSlots( ::capnp::List< ::Chestnuthook::Wire::GivenUpSlot,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::GivenUpSlot,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Chestnuthook::Wire::GivenUpSlot,  ::capnp::Kind::STRUCT>::Builder EntryPeer::GiveUpParams::Builder::initSlots(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::GivenUpSlot,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void EntryPeer::GiveUpParams::Builder::adoptSlots(
+    ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::GivenUpSlot,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::GivenUpSlot,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::GivenUpSlot,  ::capnp::Kind::STRUCT>> EntryPeer::GiveUpParams::Builder::disownSlots() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::GivenUpSlot,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool EntryPeer::GiveUpResults::Reader::hasSlots() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryPeer::GiveUpResults::Builder::hasSlots() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Chestnuthook::Wire::GivenUpSlot,  ::capnp::Kind::STRUCT>::Reader EntryPeer::GiveUpResults::Reader::getSlots() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::GivenUpSlot,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Chestnuthook::Wire::GivenUpSlot,  ::capnp::Kind::STRUCT>::Builder EntryPeer::GiveUpResults::Builder::getSlots() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::GivenUpSlot,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EntryPeer::GiveUpResults::Builder::setSlots( ::capnp::List< ::Chestnuthook::Wire::GivenUpSlot,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::GivenUpSlot,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Chestnuthook::Wire::GivenUpSlot,  ::capnp::Kind::STRUCT>::Builder EntryPeer::GiveUpResults::Builder::initSlots(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::GivenUpSlot,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void EntryPeer::GiveUpResults::Builder::adoptSlots(
+    ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::GivenUpSlot,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::GivenUpSlot,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::GivenUpSlot,  ::capnp::Kind::STRUCT>> EntryPeer::GiveUpResults::Builder::disownSlots() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::GivenUpSlot,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/rpc/fleet.capnp
+++ b/src/rpc/fleet.capnp
@@ -36,6 +36,8 @@
     number @0 :UInt16;
     owner @1 :Text;         # Entry id; empty where no entry is live.
     epoch @2 :UInt64;
+    former @3 :Text;        # Owner before this one.
+    formerEpoch @4 :UInt64; # 0 where the slot never had another record.
 }
 
 struct Strike {
--- a/src/rpc/fleet.capnp.h
+++ b/src/rpc/fleet.capnp.h
@@ -103,7 +103,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a5bf501cbaf8db41, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(a5bf501cbaf8db41, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -665,6 +665,11 @@
 
   inline  ::uint64_t getEpoch() const;
 
+  inline bool hasFormer() const;
+  inline  ::capnp::Text::Reader getFormer() const;
+
+  inline  ::uint64_t getFormerEpoch() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -706,6 +711,16 @@
   inline  ::uint64_t getEpoch();
   inline void setEpoch( ::uint64_t value);
 
+  inline bool hasFormer();
+  inline  ::capnp::Text::Builder getFormer();
+  inline void setFormer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFormer(unsigned int size);
+  inline void adoptFormer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFormer();
+
+  inline  ::uint64_t getFormerEpoch();
+  inline void setFormerEpoch( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2415,6 +2430,54 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Slot::Reader::hasFormer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Slot::Builder::hasFormer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Slot::Reader::getFormer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Slot::Builder::getFormer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Slot::Builder::setFormer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Slot::Builder::initFormer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Slot::Builder::adoptFormer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Slot::Builder::disownFormer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Slot::Reader::getFormerEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Slot::Builder::getFormerEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Slot::Builder::setFormerEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Strike::Reader::hasFingerprint() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
