--- a/src/rpc/entry.capnp
+++ b/src/rpc/entry.capnp
@@ -2,6 +2,7 @@
 # What an entry offers the other entries.
 using Cxx = import "/capnp/c++.capnp";
 using Common = import "common.capnp";
+using Program = import "program.capnp";
 $Cxx.namespace("Chestnuthook::Wire");
 
 struct AdmitRequest {
@@ -37,11 +38,16 @@
     priority @4 :Int32;
     permit @5 :UInt64;      # The asker's id, so that a resend is not counted twice.
     entry @6 :Text;
+    attained @7 :Float64;   # Service that the program has had, in tokens.
+    isolated @8 :Bool;      # Runs with nothing else in flight at the endpoint.
+    running @9 :Bool;       # Granted before, by an earlier dispatcher or in its absence: only to be counted.
 }
 
 struct PermitReply {
-    granted @0 :Bool;
+    granted @0 :Bool;       # Else it waits; a grant comes by `granted`, and is told again on a resend.
     failure @1 :Common.Failure;
+    inFlight @2 :UInt32;    # Calls that run or wait at the endpoint.
+    backlog @3 :Float64;    # Their expected tokens.
 }
 
 struct ForwardedRequest {
@@ -54,6 +60,7 @@
     stream @6 :Bool;
     hops @7 :UInt8;         # At most one.
     headers @8 :List(Header);
+    time @9 :Common.HybridTime;
 }
 
 struct Header {
@@ -73,6 +80,10 @@
     release @2 (endpoint :Text, entry :Text, permits :List(UInt64)) -> ();
     # Runs a request whose program this entry owns; the answer goes to the sink.
     forward @3 (request :ForwardedRequest, sink :AnswerSink) -> ();
+    # The result of an attempt that began under an earlier owner of the program.
+    result @4 (program :Text, call :Program.Call) -> (failure :Common.Failure);
     # The asker has become the owner of slots: stop granting for them and tell what the buckets hold.
-    giveUp @4 (slots :List(GivenUpSlot)) -> (slots :List(GivenUpSlot));
+    giveUp @5 (slots :List(GivenUpSlot)) -> (slots :List(GivenUpSlot));
+    # From a dispatcher: permits of the called entry that waited may be used now.
+    granted @6 (permits :List(UInt64)) -> ();
 }
--- a/src/rpc/entry.capnp.h
+++ b/src/rpc/entry.capnp.h
@@ -14,6 +14,7 @@
 #endif
 
 #include "common.capnp.h"
+#include "program.capnp.h"
 
 CAPNP_BEGIN_HEADER
 
@@ -46,6 +47,10 @@
 CAPNP_DECLARE_SCHEMA(b67ede4309e2609e);
 CAPNP_DECLARE_SCHEMA(8dce1dc97eefd9be);
 CAPNP_DECLARE_SCHEMA(b7c86a0082754c3f);
+CAPNP_DECLARE_SCHEMA(f3d9fe7c516e7da4);
+CAPNP_DECLARE_SCHEMA(9e730c23a2e368a7);
+CAPNP_DECLARE_SCHEMA(aac3915db7fe0a4c);
+CAPNP_DECLARE_SCHEMA(de51727729047688);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -121,7 +126,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8d6997aa3175ba2c, 2, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(8d6997aa3175ba2c, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -136,7 +141,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ed79b42a2e0c8b11, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(ed79b42a2e0c8b11, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -151,7 +156,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(edd7030222c89d67, 1, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(edd7030222c89d67, 1, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -302,8 +307,12 @@
   struct ReleaseResults;
   struct ForwardParams;
   struct ForwardResults;
+  struct ResultParams;
+  struct ResultResults;
   struct GiveUpParams;
   struct GiveUpResults;
+  struct GrantedParams;
+  struct GrantedResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -433,6 +442,36 @@
   };
 };
 
+struct EntryPeer::ResultParams {
+  ResultParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8dce1dc97eefd9be, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EntryPeer::ResultResults {
+  ResultResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b7c86a0082754c3f, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct EntryPeer::GiveUpParams {
   GiveUpParams() = delete;
 
@@ -441,7 +480,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8dce1dc97eefd9be, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(f3d9fe7c516e7da4, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -456,7 +495,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b7c86a0082754c3f, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(9e730c23a2e368a7, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EntryPeer::GrantedParams {
+  GrantedParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(aac3915db7fe0a4c, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EntryPeer::GrantedResults {
+  GrantedResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(de51727729047688, 0, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -876,6 +945,12 @@
   inline bool hasEntry() const;
   inline  ::capnp::Text::Reader getEntry() const;
 
+  inline double getAttained() const;
+
+  inline bool getIsolated() const;
+
+  inline bool getRunning() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -941,6 +1016,15 @@
   inline void adoptEntry(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownEntry();
 
+  inline double getAttained();
+  inline void setAttained(double value);
+
+  inline bool getIsolated();
+  inline void setIsolated(bool value);
+
+  inline bool getRunning();
+  inline void setRunning(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -989,6 +1073,10 @@
   inline bool hasFailure() const;
   inline  ::Chestnuthook::Wire::Failure::Reader getFailure() const;
 
+  inline  ::uint32_t getInFlight() const;
+
+  inline double getBacklog() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1027,6 +1115,12 @@
   inline void adoptFailure(::capnp::Orphan< ::Chestnuthook::Wire::Failure>&& value);
   inline ::capnp::Orphan< ::Chestnuthook::Wire::Failure> disownFailure();
 
+  inline  ::uint32_t getInFlight();
+  inline void setInFlight( ::uint32_t value);
+
+  inline double getBacklog();
+  inline void setBacklog(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1096,6 +1190,9 @@
   inline bool hasHeaders() const;
   inline  ::capnp::List< ::Chestnuthook::Wire::Header,  ::capnp::Kind::STRUCT>::Reader getHeaders() const;
 
+  inline bool hasTime() const;
+  inline  ::Chestnuthook::Wire::HybridTime::Reader getTime() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1179,6 +1276,13 @@
   inline void adoptHeaders(::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::Header,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::Header,  ::capnp::Kind::STRUCT>> disownHeaders();
 
+  inline bool hasTime();
+  inline  ::Chestnuthook::Wire::HybridTime::Builder getTime();
+  inline void setTime( ::Chestnuthook::Wire::HybridTime::Reader value);
+  inline  ::Chestnuthook::Wire::HybridTime::Builder initTime();
+  inline void adoptTime(::capnp::Orphan< ::Chestnuthook::Wire::HybridTime>&& value);
+  inline ::capnp::Orphan< ::Chestnuthook::Wire::HybridTime> disownTime();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1197,6 +1301,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Chestnuthook::Wire::HybridTime::Pipeline getTime();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1839,8 +1944,12 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::Chestnuthook::Wire::EntryPeer::ForwardParams,  ::Chestnuthook::Wire::EntryPeer::ForwardResults> forwardRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Chestnuthook::Wire::EntryPeer::ResultParams,  ::Chestnuthook::Wire::EntryPeer::ResultResults> resultRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::Chestnuthook::Wire::EntryPeer::GiveUpParams,  ::Chestnuthook::Wire::EntryPeer::GiveUpResults> giveUpRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Chestnuthook::Wire::EntryPeer::GrantedParams,  ::Chestnuthook::Wire::EntryPeer::GrantedResults> grantedRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1873,10 +1982,18 @@
   typedef  ::Chestnuthook::Wire::EntryPeer::ForwardResults ForwardResults;
   typedef ::capnp::CallContext<ForwardParams, ForwardResults> ForwardContext;
   virtual ::kj::Promise<void> forward(ForwardContext context);
+  typedef  ::Chestnuthook::Wire::EntryPeer::ResultParams ResultParams;
+  typedef  ::Chestnuthook::Wire::EntryPeer::ResultResults ResultResults;
+  typedef ::capnp::CallContext<ResultParams, ResultResults> ResultContext;
+  virtual ::kj::Promise<void> result(ResultContext context);
   typedef  ::Chestnuthook::Wire::EntryPeer::GiveUpParams GiveUpParams;
   typedef  ::Chestnuthook::Wire::EntryPeer::GiveUpResults GiveUpResults;
   typedef ::capnp::CallContext<GiveUpParams, GiveUpResults> GiveUpContext;
   virtual ::kj::Promise<void> giveUp(GiveUpContext context);
+  typedef  ::Chestnuthook::Wire::EntryPeer::GrantedParams GrantedParams;
+  typedef  ::Chestnuthook::Wire::EntryPeer::GrantedResults GrantedResults;
+  typedef ::capnp::CallContext<GrantedParams, GrantedResults> GrantedContext;
+  virtual ::kj::Promise<void> granted(GrantedContext context);
 
   inline  ::Chestnuthook::Wire::EntryPeer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -2554,6 +2671,180 @@
 };
 #endif  // !CAPNP_LITE
 
+class EntryPeer::ResultParams::Reader {
+public:
+  typedef ResultParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasProgram() const;
+  inline  ::capnp::Text::Reader getProgram() const;
+
+  inline bool hasCall() const;
+  inline  ::Chestnuthook::Wire::Call::Reader getCall() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryPeer::ResultParams::Builder {
+public:
+  typedef ResultParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasProgram();
+  inline  ::capnp::Text::Builder getProgram();
+  inline void setProgram( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initProgram(unsigned int size);
+  inline void adoptProgram(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownProgram();
+
+  inline bool hasCall();
+  inline  ::Chestnuthook::Wire::Call::Builder getCall();
+  inline void setCall( ::Chestnuthook::Wire::Call::Reader value);
+  inline  ::Chestnuthook::Wire::Call::Builder initCall();
+  inline void adoptCall(::capnp::Orphan< ::Chestnuthook::Wire::Call>&& value);
+  inline ::capnp::Orphan< ::Chestnuthook::Wire::Call> disownCall();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryPeer::ResultParams::Pipeline {
+public:
+  typedef ResultParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::Chestnuthook::Wire::Call::Pipeline getCall();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EntryPeer::ResultResults::Reader {
+public:
+  typedef ResultResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFailure() const;
+  inline  ::Chestnuthook::Wire::Failure::Reader getFailure() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryPeer::ResultResults::Builder {
+public:
+  typedef ResultResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFailure();
+  inline  ::Chestnuthook::Wire::Failure::Builder getFailure();
+  inline void setFailure( ::Chestnuthook::Wire::Failure::Reader value);
+  inline  ::Chestnuthook::Wire::Failure::Builder initFailure();
+  inline void adoptFailure(::capnp::Orphan< ::Chestnuthook::Wire::Failure>&& value);
+  inline ::capnp::Orphan< ::Chestnuthook::Wire::Failure> disownFailure();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryPeer::ResultResults::Pipeline {
+public:
+  typedef ResultResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::Chestnuthook::Wire::Failure::Pipeline getFailure();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class EntryPeer::GiveUpParams::Reader {
 public:
   typedef GiveUpParams Reads;
@@ -2716,44 +3007,197 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class EntryPeer::GrantedParams::Reader {
+public:
+  typedef GrantedParams Reads;
 
-inline bool AdmitRequest::Reader::hasTenant() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool AdmitRequest::Builder::hasTenant() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader AdmitRequest::Reader::getTenant() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder AdmitRequest::Builder::getTenant() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void AdmitRequest::Builder::setTenant( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder AdmitRequest::Builder::initTenant(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void AdmitRequest::Builder::adoptTenant(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> AdmitRequest::Builder::disownTenant() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline  ::uint32_t AdmitRequest::Reader::getRequests() const {
-  return _reader.getDataField< ::uint32_t>(
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPermits() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getPermits() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryPeer::GrantedParams::Builder {
+public:
+  typedef GrantedParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPermits();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getPermits();
+  inline void setPermits( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setPermits(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initPermits(unsigned int size);
+  inline void adoptPermits(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownPermits();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryPeer::GrantedParams::Pipeline {
+public:
+  typedef GrantedParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EntryPeer::GrantedResults::Reader {
+public:
+  typedef GrantedResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryPeer::GrantedResults::Builder {
+public:
+  typedef GrantedResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryPeer::GrantedResults::Pipeline {
+public:
+  typedef GrantedResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool AdmitRequest::Reader::hasTenant() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool AdmitRequest::Builder::hasTenant() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader AdmitRequest::Reader::getTenant() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder AdmitRequest::Builder::getTenant() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AdmitRequest::Builder::setTenant( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder AdmitRequest::Builder::initTenant(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void AdmitRequest::Builder::adoptTenant(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> AdmitRequest::Builder::disownTenant() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t AdmitRequest::Reader::getRequests() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
@@ -3187,6 +3631,48 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline double PermitRequest::Reader::getAttained() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double PermitRequest::Builder::getAttained() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PermitRequest::Builder::setAttained(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PermitRequest::Reader::getIsolated() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool PermitRequest::Builder::getIsolated() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void PermitRequest::Builder::setIsolated(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PermitRequest::Reader::getRunning() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<193>() * ::capnp::ELEMENTS);
+}
+
+inline bool PermitRequest::Builder::getRunning() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<193>() * ::capnp::ELEMENTS);
+}
+inline void PermitRequest::Builder::setRunning(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<193>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool PermitReply::Reader::getGranted() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3240,6 +3726,34 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t PermitReply::Reader::getInFlight() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PermitReply::Builder::getInFlight() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void PermitReply::Builder::setInFlight( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline double PermitReply::Reader::getBacklog() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double PermitReply::Builder::getBacklog() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void PermitReply::Builder::setBacklog(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ForwardedRequest::Reader::hasMethod() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3506,6 +4020,45 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline bool ForwardedRequest::Reader::hasTime() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool ForwardedRequest::Builder::hasTime() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Chestnuthook::Wire::HybridTime::Reader ForwardedRequest::Reader::getTime() const {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::Chestnuthook::Wire::HybridTime::Builder ForwardedRequest::Builder::getTime() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Chestnuthook::Wire::HybridTime::Pipeline ForwardedRequest::Pipeline::getTime() {
+  return  ::Chestnuthook::Wire::HybridTime::Pipeline(_typeless.getPointerField(7));
+}
+#endif  // !CAPNP_LITE
+inline void ForwardedRequest::Builder::setTime( ::Chestnuthook::Wire::HybridTime::Reader value) {
+  ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::Chestnuthook::Wire::HybridTime::Builder ForwardedRequest::Builder::initTime() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void ForwardedRequest::Builder::adoptTime(
+    ::capnp::Orphan< ::Chestnuthook::Wire::HybridTime>&& value) {
+  ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Chestnuthook::Wire::HybridTime> ForwardedRequest::Builder::disownTime() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HybridTime>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
 inline bool Header::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4024,6 +4577,118 @@
 }
 #endif  // !CAPNP_LITE
 
+inline bool EntryPeer::ResultParams::Reader::hasProgram() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryPeer::ResultParams::Builder::hasProgram() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader EntryPeer::ResultParams::Reader::getProgram() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder EntryPeer::ResultParams::Builder::getProgram() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EntryPeer::ResultParams::Builder::setProgram( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder EntryPeer::ResultParams::Builder::initProgram(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void EntryPeer::ResultParams::Builder::adoptProgram(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> EntryPeer::ResultParams::Builder::disownProgram() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool EntryPeer::ResultParams::Reader::hasCall() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryPeer::ResultParams::Builder::hasCall() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Chestnuthook::Wire::Call::Reader EntryPeer::ResultParams::Reader::getCall() const {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::Call>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::Chestnuthook::Wire::Call::Builder EntryPeer::ResultParams::Builder::getCall() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::Call>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Chestnuthook::Wire::Call::Pipeline EntryPeer::ResultParams::Pipeline::getCall() {
+  return  ::Chestnuthook::Wire::Call::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void EntryPeer::ResultParams::Builder::setCall( ::Chestnuthook::Wire::Call::Reader value) {
+  ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::Call>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::Chestnuthook::Wire::Call::Builder EntryPeer::ResultParams::Builder::initCall() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::Call>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void EntryPeer::ResultParams::Builder::adoptCall(
+    ::capnp::Orphan< ::Chestnuthook::Wire::Call>&& value) {
+  ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::Call>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Chestnuthook::Wire::Call> EntryPeer::ResultParams::Builder::disownCall() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::Call>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool EntryPeer::ResultResults::Reader::hasFailure() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryPeer::ResultResults::Builder::hasFailure() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Chestnuthook::Wire::Failure::Reader EntryPeer::ResultResults::Reader::getFailure() const {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::Failure>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Chestnuthook::Wire::Failure::Builder EntryPeer::ResultResults::Builder::getFailure() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::Failure>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Chestnuthook::Wire::Failure::Pipeline EntryPeer::ResultResults::Pipeline::getFailure() {
+  return  ::Chestnuthook::Wire::Failure::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void EntryPeer::ResultResults::Builder::setFailure( ::Chestnuthook::Wire::Failure::Reader value) {
+  ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::Failure>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Chestnuthook::Wire::Failure::Builder EntryPeer::ResultResults::Builder::initFailure() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::Failure>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EntryPeer::ResultResults::Builder::adoptFailure(
+    ::capnp::Orphan< ::Chestnuthook::Wire::Failure>&& value) {
+  ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::Failure>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Chestnuthook::Wire::Failure> EntryPeer::ResultResults::Builder::disownFailure() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::Failure>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool EntryPeer::GiveUpParams::Reader::hasSlots() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4092,6 +4757,44 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool EntryPeer::GrantedParams::Reader::hasPermits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryPeer::GrantedParams::Builder::hasPermits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader EntryPeer::GrantedParams::Reader::getPermits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder EntryPeer::GrantedParams::Builder::getPermits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EntryPeer::GrantedParams::Builder::setPermits( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void EntryPeer::GrantedParams::Builder::setPermits(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder EntryPeer::GrantedParams::Builder::initPermits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void EntryPeer::GrantedParams::Builder::adoptPermits(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> EntryPeer::GrantedParams::Builder::disownPermits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
