--- a/bench/model/program_mix.h
+++ b/bench/model/program_mix.h
@@ -42,7 +42,7 @@
     std::string name; ///< kortagatt, derwent or fault.
     std::vector<ModelTenant> tenants; ///< With their shares.
     std::vector<ModelProgram> programs; ///< Helpers come after their parents.
-    double burstBegin = 0; ///< In seconds; the arrival rate doubles then.
+    double burstBegin = 0; ///< In seconds; then the arrivals are twice the capacity.
     double burstEnd = 0; ///< In seconds; the arrivals end at Horizon.
 };
 
@@ -62,7 +62,7 @@
 struct MixShape
 {
     double programsPerSecond = 1; ///< Outside the burst.
-    double burstFactor = 2; ///< Of the arrivals between burstBegin and burstEnd.
+    double burstFactor = 4; ///< In the burst; its arrivals are then twice what ten engines can decode and prefill.
     double firstPrompt = 1500; ///< Tokens of the first prompt, on average.
     double minTurns = 4; ///< Of a program.
     double maxTurns = 20; ///< Of a program.
--- a/src/admission/token_bucket_type.h
+++ b/src/admission/token_bucket_type.h
@@ -58,6 +58,12 @@
         return delay;
     }
 
+    /** Takes one request out. @return false where there is none now. */
+    bool take(Instant now)
+    {
+        return this->reserve(now, Duration(0)).has_value();
+    }
+
     /** How long until one more request falls due. */
     [[nodiscard]] Duration waitFor(Instant now)
     {
--- a/src/entry/dispatch_base.cpp
+++ b/src/entry/dispatch_base.cpp
@@ -1,10 +1,10 @@
 /** @file dispatch_base.cpp  Choice of endpoints. */
 #include "entry/dispatch_base.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "core/hash_func.h"
+#include "observe/metrics_base.h"
 
 namespace Chestnuthook
 {
@@ -19,15 +19,20 @@
 
 } // namespace
 
-Dispatch::Dispatch()
-    : jitterSeed(hash64(randomHex(sizeof(std::uint64_t))))
+Dispatch::Dispatch(ControlLoop &loop, FleetFollower &follower, PeerLinks &peers)
+    : broker(loop, follower, peers)
+    , loop(loop)
+    , jitterSeed(hash64(randomHex(sizeof(std::uint64_t))))
 {
     this->list.store(std::make_shared<const EndpointList>());
 }
 
 void Dispatch::setEndpoints(std::shared_ptr<const EndpointList> next)
 {
-    this->list.store(std::move(next));
+    this->list.store(next);
+    this->loop.call([&]() {
+        this->broker.setEndpoints(std::move(next));
+    });
 }
 
 std::shared_ptr<const EndpointList> Dispatch::endpoints() const
@@ -37,27 +42,27 @@
 
 Result<DispatchPermit> Dispatch::acquire(const DispatchDemand &demand)
 {
-    const std::shared_ptr<const EndpointList> current = this->list.load();
-    std::vector<EndpointId> fitting;
-    for (const ListedEndpoint &endpoint : *current) {
-        const bool avoided = std::find(demand.avoid.begin(), demand.avoid.end(), endpoint.id) != demand.avoid.end();
-        if (endpoint.kind == demand.kind && endpoint.name == demand.name && !endpoint.leaving && !avoided) {
-            fitting.push_back(endpoint.id);
-        }
+    const Instant begin = this->loop.timers().now();
+    const kj::Own<PermitVerdict> verdict = this->loop.call([&]() {
+        return this->broker.acquire(demand);
+    });
+    if (verdict->error) {
+        return tl::unexpected(*verdict->error);
     }
-    if (fitting.empty()) {
-        return fail(ErrorKind::NoEndpoint, demand.name);
-    }
-    {
-        const std::lock_guard lock(this->retryMutex);
-        this->retryBudgets[targetOf(demand)].onAttempt();
-    }
-    return DispatchPermit{++this->lastPermit, fitting[this->turn++ % fitting.size()], 0};
+    const std::string &endpoint = verdict->permit.endpoint.text;
+    metrics().add(MetricKind::PermitsGranted, 1, endpoint);
+    metrics().record(
+        MetricKind::PermitWaitMs, static_cast<double>((this->loop.timers().now() - begin).count()) / 1e3, endpoint);
+    const std::lock_guard lock(this->retryMutex);
+    this->retryBudgets[targetOf(demand)].onAttempt();
+    return verdict->permit;
 }
 
-void Dispatch::release(
-    const DispatchPermit & /*permit*/, const DispatchDemand & /*demand*/, const AttemptOutcome & /*outcome*/)
+void Dispatch::release(const DispatchPermit &permit, const DispatchDemand &demand, const AttemptOutcome &outcome)
 {
+    this->loop.call([&]() {
+        this->broker.release(permit, demand, outcome);
+    });
 }
 
 bool Dispatch::mayRetry(const DispatchDemand &demand)
--- a/src/entry/entry_context_type.h
+++ b/src/entry/entry_context_type.h
@@ -25,6 +25,7 @@
         , programs(programs)
         , peers(loop.rpc())
         , admission(loop, follower, this->peers)
+        , dispatch(loop, follower, this->peers)
     {
     }
 
--- a/src/entry/entry_daemon_base.cpp
+++ b/src/entry/entry_daemon_base.cpp
@@ -79,6 +79,7 @@
                 this->follower.onChange = [this]() {
                     this->programs.updateSlots();
                     this->context.admission.client.onViewChange();
+                    this->context.dispatch.broker.onViewChange();
                 };
                 return Result<void>();
             },
--- a/src/entry/entry_peer_base.h
+++ b/src/entry/entry_peer_base.h
@@ -19,6 +19,7 @@
     kj::Promise<void> giveUp(GiveUpContext context) override;
     kj::Promise<void> permit(PermitContext context) override;
     kj::Promise<void> release(ReleaseContext context) override;
+    kj::Promise<void> granted(GrantedContext context) override;
     kj::Promise<void> forward(ForwardContext context) override;
 
 private:
--- a/src/entry/entry_peer_permit.cpp
+++ b/src/entry/entry_peer_permit.cpp
@@ -8,16 +8,20 @@
 kj::Promise<void> EntryPeerServer::permit(PermitContext context)
 {
     const auto requests = context.getParams().getRequests();
-    auto replies = context.getResults().initReplies(requests.size());
-    for (unsigned i = 0; i < requests.size(); ++i) {
-        writeFailure(
-            replies[i].initFailure(), Error{ErrorKind::NotReady, "each entry dispatches for itself", Ran::No, 0});
-    }
+    this->entry.dispatch.broker.answer(requests, context.getResults().initReplies(requests.size()));
     return kj::READY_NOW;
 }
 
-kj::Promise<void> EntryPeerServer::release(ReleaseContext /*context*/)
+kj::Promise<void> EntryPeerServer::release(ReleaseContext context)
 {
+    const auto params = context.getParams();
+    this->entry.dispatch.broker.takeRelease(EntryId{textOf(params.getEntry())}, params.getPermits());
+    return kj::READY_NOW;
+}
+
+kj::Promise<void> EntryPeerServer::granted(GrantedContext context)
+{
+    this->entry.dispatch.broker.takeGranted(context.getParams().getPermits());
     return kj::READY_NOW;
 }
 
--- /dev/null
+++ b/src/entry/permit_exchange_base.cpp
@@ -0,0 +1,257 @@
+/** @file permit_exchange_base.cpp  Messages about permits between askers and dispatchers. */
+#include <algorithm>
+#include <utility>
+
+#include "entry/permit_broker_base.h"
+#include "rpc/message_func.h"
+
+namespace Chestnuthook
+{
+
+namespace
+{
+
+constexpr auto AskTimeout = 500 * kj::MILLISECONDS;
+
+} // namespace
+
+std::string PermitBroker::addressOf(const EntryId &entry) const
+{
+    const auto view = this->follower.views.get();
+    for (const EntryRecord &record : view == nullptr ? std::vector<EntryRecord>() : view->entries) {
+        if (record.id == entry) {
+            return record.rpcAddress;
+        }
+    }
+    return {};
+}
+
+void PermitBroker::schedule(const EntryId &entry)
+{
+    Outbox &outbox = this->outboxes[entry];
+    if (outbox.busy) {
+        return;
+    }
+    outbox.busy = true;
+    // Later in this turn, so that permits which are wanted together go together.
+    this->loop.detach(kj::evalLast([this, entry]() {
+        this->send(entry);
+    }));
+}
+
+void PermitBroker::send(const EntryId &entry)
+{
+    Outbox &outbox = this->outboxes[entry];
+    const std::string address = this->addressOf(entry);
+    std::vector<std::uint64_t> ids = std::exchange(outbox.asks, {});
+    if (address.empty()) {
+        outbox.busy = false;
+        this->useFallback(ids);
+        return;
+    }
+    auto asked = ids.empty() ? kj::Promise<void>(kj::READY_NOW) : this->sendAsks(address, entry, ids);
+    this->loop.detach(asked
+                          .then([this, address, entry]() {
+                              return this->sendReleases(address, entry);
+                          })
+                          .then(
+                              [this, entry]() {
+                                  Outbox &same = this->outboxes[entry];
+                                  same.busy = false;
+                                  if (!same.asks.empty() || !same.releases.empty()) {
+                                      this->schedule(entry);
+                                  }
+                              },
+                              [this, address, entry, ids](kj::Exception && /*exception*/) {
+                                  this->peers.reset(address);
+                                  this->outboxes[entry].busy = false; // The next tick sends again.
+                                  this->useFallback(ids);
+                              }));
+}
+
+kj::Promise<void> PermitBroker::sendAsks(
+    const std::string &address, const EntryId & /*entry*/, std::vector<std::uint64_t> ids)
+{
+    std::erase_if(ids, [this](std::uint64_t id) {
+        return !this->tickets.contains(id);
+    });
+    auto sent = this->peers.peer(address).then([this, ids](Wire::EntryPeer::Client &&peer) {
+        auto request = peer.permitRequest();
+        auto asks = request.initRequests(static_cast<unsigned>(ids.size()));
+        for (unsigned i = 0; i < asks.size(); ++i) {
+            const auto found = this->tickets.find(ids[i]);
+            if (found == this->tickets.end()) {
+                continue; // Gone since; without an endpoint it is not counted.
+            }
+            const Ticket &ticket = found->second;
+            const WaitingCall call = this->callOf(ticket);
+            asks[i].setEndpoint(ticket.endpoint.text);
+            asks[i].setProgram(ticket.demand.program.text);
+            asks[i].setTenant(ticket.demand.tenant.text);
+            asks[i].setTokens(static_cast<std::uint32_t>(call.expectedTokens));
+            asks[i].setAttained(call.attainedTokens);
+            asks[i].setPermit(ids[i]);
+            asks[i].setEntry(this->follower.self.id.text);
+            asks[i].setIsolated(call.isolated);
+            asks[i].setRunning(ticket.running);
+        }
+        return request.send();
+    });
+    return this->loop.kjTimer().timeoutAfter(AskTimeout, kj::mv(sent)).then([this, ids](auto &&response) {
+        this->takeReplies(ids, response.getReplies());
+    });
+}
+
+void PermitBroker::takeReplies(const std::vector<std::uint64_t> &ids, capnp::List<Wire::PermitReply>::Reader replies)
+{
+    for (unsigned i = 0; i < replies.size() && i < ids.size(); ++i) {
+        const auto found = this->tickets.find(ids[i]);
+        if (found == this->tickets.end()) {
+            continue;
+        }
+        if (replies[i].hasFailure()) {
+            const Error error = readFailure(replies[i].getFailure());
+            if (error.kind == ErrorKind::Overloaded) {
+                this->refuse(ids[i], error.kind, error.what);
+            }
+            continue; // Not the dispatcher, by its own view: one of the two views is late; the next tick asks again.
+        }
+        Ticket &ticket = found->second;
+        ticket.told = true;
+        if (ticket.fallback) {
+            ticket.fallback = false;
+            --this->fallbacks[ticket.endpoint];
+        }
+        this->remoteLoads[ticket.endpoint] = {static_cast<double>(replies[i].getInFlight()), replies[i].getBacklog()};
+        if (replies[i].getGranted()) {
+            this->grant(ids[i], false);
+        }
+    }
+}
+
+kj::Promise<void> PermitBroker::sendReleases(const std::string &address, const EntryId &entry)
+{
+    Outbox &outbox = this->outboxes[entry];
+    if (outbox.releases.empty()) {
+        return kj::READY_NOW;
+    }
+    auto releases = outbox.releases;
+    auto sent = this->peers.peer(address).then([this, releases](Wire::EntryPeer::Client &&peer) {
+        auto all = kj::heapArrayBuilder<kj::Promise<void>>(releases.size());
+        for (const auto &[endpoint, permits] : releases) {
+            auto request = peer.releaseRequest();
+            request.setEndpoint(endpoint.text);
+            request.setEntry(this->follower.self.id.text);
+            auto list = request.initPermits(static_cast<unsigned>(permits.size()));
+            for (unsigned i = 0; i < list.size(); ++i) {
+                list.set(i, permits[i]);
+            }
+            all.add(request.send().ignoreResult());
+        }
+        return kj::joinPromises(all.finish());
+    });
+    return this->loop.kjTimer().timeoutAfter(AskTimeout, kj::mv(sent)).then([this, entry, releases]() {
+        // Confirmed; what came meanwhile stays.
+        auto &left = this->outboxes[entry].releases;
+        for (const auto &[endpoint, permits] : releases) {
+            std::erase_if(left[endpoint], [&permits = permits](std::uint64_t id) {
+                return std::find(permits.begin(), permits.end(), id) != permits.end();
+            });
+        }
+        std::erase_if(left, [](const auto &row) {
+            return row.second.empty();
+        });
+    });
+}
+
+void PermitBroker::answer(
+    capnp::List<Wire::PermitRequest>::Reader requests, capnp::List<Wire::PermitReply>::Builder replies)
+{
+    this->list = this->latest.load();
+    for (unsigned i = 0; i < requests.size(); ++i) {
+        const auto request = requests[i];
+        const EndpointId endpoint{textOf(request.getEndpoint())};
+        if (endpoint.empty() || this->dispatcher(endpoint) != this->follower.self.id) {
+            writeFailure(replies[i].initFailure(), Error{ErrorKind::NotReady, "not the dispatcher", Ran::No, 0});
+            continue;
+        }
+        const PermitKey key{EntryId{textOf(request.getEntry())}, request.getPermit()};
+        if (const ListedEndpoint *one = this->listed(endpoint)) {
+            this->ledger.setBound(endpoint, inFlightBound(one->kind));
+        }
+        WaitingCall call;
+        call.tenant = TenantId{textOf(request.getTenant())};
+        call.attainedTokens = request.getAttained();
+        call.expectedTokens = request.getTokens();
+        call.arrived = this->loop.timers().now();
+        call.isolated = request.getIsolated();
+        if (request.getRunning()) {
+            this->ledger.adopt(endpoint, key, call);
+            replies[i].setGranted(true);
+        } else {
+            const PermitState state = this->ledger.ask(endpoint, key, call);
+            if (state == PermitState::Shed) {
+                writeFailure(replies[i].initFailure(),
+                    Error{ErrorKind::Overloaded, "the queue of the endpoint is full", Ran::No, 0});
+                continue;
+            }
+            replies[i].setGranted(state == PermitState::Running);
+        }
+        replies[i].setInFlight(static_cast<std::uint32_t>(this->ledger.load(endpoint)));
+        replies[i].setBacklog(this->ledger.backlog(endpoint));
+    }
+    this->publishGrants();
+}
+
+void PermitBroker::takeRelease(const EntryId &entry, capnp::List<std::uint64_t>::Reader permits)
+{
+    for (const std::uint64_t permit : permits) {
+        this->ledger.release(PermitKey{entry, permit});
+    }
+    this->publishGrants();
+}
+
+void PermitBroker::publishGrants()
+{
+    std::map<EntryId, std::vector<std::uint64_t>> byEntry;
+    for (const PermitKey &key : this->ledger.takeGranted()) {
+        byEntry[key.entry].push_back(key.permit);
+    }
+    for (const PermitKey &key : this->ledger.takeShed()) {
+        if (key.entry == this->follower.self.id) {
+            this->refuse(key.permit, ErrorKind::Overloaded, "the queue of the endpoint is full");
+        } // Others learn it when they ask again.
+    }
+    for (auto &[entry, permits] : byEntry) {
+        if (entry == this->follower.self.id) {
+            for (const std::uint64_t permit : permits) {
+                this->grant(permit, false);
+            }
+        } else if (const std::string address = this->addressOf(entry); !address.empty()) {
+            this->loop.detach(this->tellGranted(address, std::move(permits)));
+        }
+    }
+}
+
+kj::Promise<void> PermitBroker::tellGranted(const std::string &address, std::vector<std::uint64_t> permits)
+{
+    auto sent = this->peers.peer(address).then([permits = std::move(permits)](Wire::EntryPeer::Client &&peer) {
+        auto request = peer.grantedRequest();
+        auto list = request.initPermits(static_cast<unsigned>(permits.size()));
+        for (unsigned i = 0; i < list.size(); ++i) {
+            list.set(i, permits[i]);
+        }
+        return request.send().ignoreResult();
+    });
+    // Where it is lost, the asker asks again, and is told.
+    return this->loop.kjTimer().timeoutAfter(AskTimeout, kj::mv(sent)).catch_([](kj::Exception && /*exception*/) {});
+}
+
+void PermitBroker::takeGranted(capnp::List<std::uint64_t>::Reader permits)
+{
+    for (const std::uint64_t permit : permits) {
+        this->grant(permit, false);
+    }
+}
+
+} // namespace Chestnuthook
--- a/src/policy/endpoint_choice_func.h
+++ b/src/policy/endpoint_choice_func.h
@@ -92,7 +92,7 @@
 /** Least predicted completion: backlog, then prefill of what is not cached, then decode. */
 struct PredictedCompletion
 {
-    double cacheWeight = 1; ///< Tokens of backlog that a token of prefill outweighs; more keeps programs in place.
+    double cacheWeight = 16; ///< Tokens of backlog that a token of prefill outweighs; more keeps programs in place.
 
     [[nodiscard]] std::size_t choose(
         std::span<const EndpointEstimate> endpoints, const CallEstimate &call, std::uint64_t &state) const
--- a/src/policy/endpoint_queue_base.h
+++ b/src/policy/endpoint_queue_base.h
@@ -72,6 +72,21 @@
         return call;
     }
 
+    /** Counts a call that runs already, whatever the bounds say. A call that waited starts. */
+    void adopt(const WaitingCall &call, FairCounters &fairness)
+    {
+        if (this->running.contains(call.id)) {
+            return;
+        }
+        this->remove(call.id, fairness);
+        fairness.enter(call.tenant);
+        fairness.charge(call.tenant, call.expectedTokens);
+        this->tenantOf[call.id] = call.tenant;
+        this->running.emplace(call.id, call);
+        this->runningTokensSum += call.expectedTokens;
+        this->isolatedRuns = this->isolatedRuns || call.isolated;
+    }
+
     /** A call ended, or was given up while it waited. @return false where it is unknown, such as on a resend. */
     bool remove(std::uint64_t id, FairCounters &fairness)
     {
--- /dev/null
+++ b/tests/process/dispatch_test.cpp
@@ -0,0 +1,113 @@
+/** @file dispatch_test.cpp  Permits over real entries: the bound on an endpoint's work, entries that die with permits,
+ * endpoints that can't be reached, and dispatchers that stand still. */
+#define BOOST_TEST_MODULE dispatch
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <thread>
+
+#include "support/process_fleet.h"
+
+using namespace Chestnuthook::Testing;
+
+namespace
+{
+
+const std::string ModelCall =
+    R"({"kind":"model","model":"verse","messages":[{"role":"user","content":"A verse for a card"}],"max_tokens":100})";
+
+FleetSize sizeOf(int entries, int engines)
+{
+    FleetSize size;
+    size.entries = entries;
+    size.engines = engines;
+    size.engineFlags = {"--token_ms=10"};
+    return size;
+}
+
+/** The fake's present load as it reports it. */
+int runningAt(const std::string &engine)
+{
+    const std::string body = http(engine, "GET", "/v1/load").body;
+    const std::size_t at = body.find("\"running\":");
+    return at == std::string::npos ? -1 : std::stoi(body.substr(at + 10));
+}
+
+/** Runs @p count calls at the same time, spread over @p entries. @return how many were answered 200. */
+int runCalls(const ProcessFleet &fleet, int count, const std::vector<std::size_t> &entries)
+{
+    std::atomic<int> answered = 0;
+    std::vector<std::thread> threads;
+    for (int i = 0; i < count; ++i) {
+        threads.emplace_back([&, i]() {
+            const std::size_t entry = entries[static_cast<std::size_t>(i) % entries.size()];
+            const HttpAnswer created = fleet.ask(entry, "POST", "/v1/programs", "{}");
+            if (created.status != 201) {
+                return;
+            }
+            const std::string id = created.body.substr(7, created.body.find('"', 7) - 7);
+            answered += fleet.ask(entry, "POST", "/v1/programs/" + id + "/calls/1", ModelCall).status == 200;
+        });
+    }
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+    return answered;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(the_bound_of_an_engine_holds_over_all_entries_and_all_calls_end)
+{
+    ProcessFleet fleet(sizeOf(3, 1));
+    std::atomic<bool> done = false;
+    int most = 0;
+    std::thread watch([&]() {
+        while (!done) {
+            most = std::max(most, runningAt(fleet.engineAddresses[0]));
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        }
+    });
+    const int answered = runCalls(fleet, 72, {0, 1, 2});
+    done = true;
+    watch.join();
+    BOOST_TEST(answered == 72);
+    BOOST_TEST(most <= 32);
+    BOOST_TEST(most > 20);
+}
+
+BOOST_AUTO_TEST_CASE(permits_of_a_killed_entry_return_and_another_dispatcher_takes_over)
+{
+    ProcessFleet fleet(sizeOf(3, 2));
+    std::thread doomed([&]() {
+        runCalls(fleet, 24, {1});
+    });
+    BOOST_TEST(waitUntil([&]() {
+        return runningAt(fleet.engineAddresses[0]) + runningAt(fleet.engineAddresses[1]) > 4;
+    }));
+    fleet.processes.at("entry-1")->signal(SIGKILL);
+    fleet.processes.at("entry-1")->wait();
+    doomed.join();
+    BOOST_TEST(runCalls(fleet, 60, {0, 2}) == 60);
+}
+
+BOOST_AUTO_TEST_CASE(while_a_dispatcher_stands_still_calls_go_on_by_shares)
+{
+    ProcessFleet fleet(sizeOf(3, 4));
+    BOOST_TEST(runCalls(fleet, 6, {0, 1, 2}) == 6);
+    fleet.processes.at("entry-1")->signal(SIGSTOP);
+    BOOST_TEST(runCalls(fleet, 24, {0, 2}) == 24);
+    fleet.processes.at("entry-1")->signal(SIGCONT);
+}
+
+BOOST_AUTO_TEST_CASE(an_endpoint_that_died_but_is_still_listed_gets_nothing_after_the_first_failures)
+{
+    ProcessFleet fleet(sizeOf(2, 3));
+    BOOST_TEST(runCalls(fleet, 6, {0, 1}) == 6);
+    fleet.processes.at("engine-0")->signal(SIGKILL);
+    fleet.processes.at("engine-0")->wait();
+    // Each entry may lose the calls that it sent before it knew; after that all are served by the others.
+    runCalls(fleet, 12, {0, 1});
+    BOOST_TEST(runCalls(fleet, 6, {0, 1}) >= 5);
+}
--- /dev/null
+++ b/tests/unit/policy_queue_test.cpp
@@ -0,0 +1,184 @@
+/** @file policy_queue_test.cpp  Order, fairness, shedding, isolation and exact counts of endpoints' queues. */
+#define BOOST_TEST_MODULE policy_queue
+#include <boost/test/unit_test.hpp>
+
+#include "policy/permit_ledger_base.h"
+#include "policy/random_func.h"
+
+using namespace Chestnuthook;
+
+namespace
+{
+
+const EndpointId Engine{"127.0.0.1:1"};
+
+WaitingCall callOf(const char *tenant, double attained, std::int64_t arrivedMs, double tokens = 100)
+{
+    WaitingCall call;
+    call.tenant = TenantId{tenant};
+    call.attainedTokens = attained;
+    call.expectedTokens = tokens;
+    call.arrived = Instant(arrivedMs * 1000);
+    return call;
+}
+
+PermitKey keyOf(std::uint64_t permit, const char *entry = "entry-1")
+{
+    return {EntryId{entry}, permit};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(the_program_with_the_least_service_goes_first_but_a_long_wait_overtakes)
+{
+    PermitLedger ledger;
+    ledger.setBound(Engine, 1);
+    BOOST_TEST((ledger.ask(Engine, keyOf(1), callOf("a", 0, 0)) == PermitState::Running));
+    BOOST_TEST((ledger.ask(Engine, keyOf(2), callOf("a", 5000, 0)) == PermitState::Waiting));
+    ledger.ask(Engine, keyOf(3), callOf("a", 100, 1000));
+    ledger.ask(Engine, keyOf(4), callOf("a", 0, 60'000)); // 60 s later: ageing outweighs 5000 tokens.
+    std::vector<std::uint64_t> order;
+    for (std::uint64_t running = 1; order.size() < 3;) {
+        ledger.release(keyOf(running));
+        const auto granted = ledger.takeGranted();
+        BOOST_REQUIRE(granted.size() == 1U);
+        order.push_back(running = granted[0].permit);
+    }
+    BOOST_TEST((order == std::vector<std::uint64_t>{3, 2, 4}));
+}
+
+BOOST_AUTO_TEST_CASE(tenants_are_served_by_weight_and_idle_time_earns_nothing)
+{
+    PermitLedger ledger;
+    ledger.setBound(Engine, 1);
+    ledger.fairness.setWeight(TenantId{"big"}, 3);
+    ledger.fairness.setWeight(TenantId{"small"}, 1);
+    std::uint64_t next = 1;
+    std::map<std::uint64_t, std::string> tenantOf;
+    const auto add = [&](const char *tenant) {
+        tenantOf[next] = tenant;
+        ledger.ask(Engine, keyOf(next), callOf(tenant, 0, static_cast<std::int64_t>(next)));
+        ++next;
+    };
+    for (int i = 0; i < 200; ++i) {
+        add("big");
+        add("small");
+    }
+    std::map<std::string, int> served;
+    std::uint64_t running = 1;
+    for (int i = 0; i < 100; ++i) {
+        ledger.release(keyOf(running));
+        running = ledger.takeGranted().at(0).permit;
+        ++served[tenantOf[running]];
+    }
+    BOOST_TEST(std::abs(served["big"] - 75) <= 1);
+    add("late"); // Was idle all the time; gets its turn soon, but no more than its share.
+    served.clear();
+    for (int i = 0; i < 5; ++i) {
+        add("late");
+    }
+    for (int i = 0; i < 10; ++i) {
+        ledger.release(keyOf(running));
+        running = ledger.takeGranted().at(0).permit;
+        ++served[tenantOf[running]];
+    }
+    BOOST_TEST(served["late"] >= 1);
+    BOOST_TEST(served["late"] <= 3);
+}
+
+BOOST_AUTO_TEST_CASE(overload_sheds_the_newest_call_of_the_tenant_above_its_share)
+{
+    EndpointQueue<LeastAttained> queue(EndpointBounds{1, 4, true});
+    FairCounters fairness;
+    std::uint64_t id = 1;
+    const auto push = [&](const char *tenant) {
+        WaitingCall call = callOf(tenant, 0, static_cast<std::int64_t>(id));
+        call.id = id++;
+        return queue.push(call, fairness);
+    };
+    for (int i = 0; i < 4; ++i) {
+        BOOST_TEST(!push("greedy"));
+    }
+    BOOST_TEST((push("modest") == std::optional<std::uint64_t>(4)));
+    BOOST_TEST((push("greedy") == std::optional<std::uint64_t>(6)));
+    BOOST_TEST(queue.waitingSize() == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(an_isolated_call_runs_alone)
+{
+    PermitLedger ledger;
+    ledger.setBound(Engine, 8);
+    ledger.ask(Engine, keyOf(1), callOf("a", 0, 0));
+    WaitingCall suspect = callOf("a", 0, 1);
+    suspect.isolated = true;
+    BOOST_TEST((ledger.ask(Engine, keyOf(2), suspect) == PermitState::Waiting));
+    BOOST_TEST((ledger.ask(Engine, keyOf(3), callOf("a", 9000, 2)) == PermitState::Waiting));
+    ledger.release(keyOf(1));
+    BOOST_TEST((ledger.takeGranted() == std::vector<PermitKey>{keyOf(2)}));
+    BOOST_TEST(ledger.inFlight(Engine) == 1U);
+    ledger.release(keyOf(2));
+    BOOST_TEST((ledger.takeGranted() == std::vector<PermitKey>{keyOf(3)}));
+}
+
+BOOST_AUTO_TEST_CASE(a_permit_counts_once_whatever_is_resent_lost_or_overtaken)
+{
+    PermitLedger ledger;
+    ledger.setBound(Engine, 2);
+    for (int resend = 0; resend < 3; ++resend) {
+        BOOST_TEST((ledger.ask(Engine, keyOf(1), callOf("a", 0, 0)) == PermitState::Running));
+    }
+    BOOST_TEST(ledger.inFlight(Engine) == 1U);
+    ledger.release(keyOf(1));
+    ledger.release(keyOf(1));
+    BOOST_TEST((ledger.ask(Engine, keyOf(1), callOf("a", 0, 0)) == PermitState::Waiting));
+    BOOST_TEST(ledger.load(Engine) == 0U);
+    ledger.release(keyOf(9)); // Overtook its own request.
+    ledger.ask(Engine, keyOf(9), callOf("a", 0, 0));
+    BOOST_TEST(ledger.load(Engine) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(permits_of_an_entry_whose_lease_ended_return_and_running_ones_are_told_to_a_new_dispatcher)
+{
+    PermitLedger ledger;
+    ledger.setBound(Engine, 2);
+    ledger.ask(Engine, keyOf(1, "dead"), callOf("a", 0, 0));
+    ledger.ask(Engine, keyOf(2, "dead"), callOf("a", 0, 0));
+    ledger.ask(Engine, keyOf(3), callOf("a", 0, 0));
+    ledger.keepOnly({EntryId{"entry-1"}});
+    BOOST_TEST((ledger.takeGranted() == std::vector<PermitKey>{keyOf(3)}));
+    BOOST_TEST(ledger.inFlight(Engine) == 1U);
+    PermitLedger next;
+    next.setBound(Engine, 1);
+    next.adopt(Engine, keyOf(3), callOf("a", 0, 0));
+    next.adopt(Engine, keyOf(3), callOf("a", 0, 0));
+    BOOST_TEST(next.inFlight(Engine) == 1U);
+    BOOST_TEST((next.ask(Engine, keyOf(4), callOf("a", 0, 0)) == PermitState::Waiting));
+}
+
+BOOST_AUTO_TEST_CASE(random_messages_never_break_the_bound_or_the_count)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        std::uint64_t random = seed;
+        PermitLedger ledger;
+        ledger.setBound(Engine, 4);
+        std::set<PermitKey> running;
+        for (int i = 0; i < 3000; ++i) {
+            const PermitKey key = keyOf(nextRandom(random) % 400, nextRandom(random) % 2 == 0 ? "x" : "y");
+            if (nextRandom(random) % 2 == 0) {
+                WaitingCall call = callOf(nextRandom(random) % 3 == 0 ? "a" : "b", 0, i);
+                call.isolated = nextRandom(random) % 10 == 0;
+                if (ledger.ask(Engine, key, call) == PermitState::Running) {
+                    running.insert(key);
+                }
+            } else {
+                ledger.release(key);
+                running.erase(key);
+            }
+            for (const PermitKey &granted : ledger.takeGranted()) {
+                BOOST_TEST(running.insert(granted).second);
+            }
+            BOOST_TEST(running.size() <= 4U);
+            BOOST_TEST(running.size() == ledger.inFlight(Engine));
+        }
+    }
+}
