--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -43,7 +43,7 @@
     return FleetModel<Order, Choice, Keep>(mix, options, order, choice, keep).run();
 }
 
-using OurOrder = LeastAttained;
+using OurOrder = MostAttained;
 using OurChoice = PredictedCompletion;
 using OurKeep = LeastCost;
 
@@ -66,6 +66,7 @@
     printAll(name + "arrival_least_reported", measure<ArrivalOrder, LeastLoaded, AlwaysHold>(mix, reports), ours);
     printAll(name + "arrival_two_choices", measure<ArrivalOrder, TwoChoices, AlwaysHold>(mix, reports), ours);
     printAll(name + "arrival_affinity", measure<ArrivalOrder, PerfectAffinity, AlwaysHold>(mix, affinity), ours);
+    printAll(name + "least_attained", measure<LeastAttained, OurChoice, OurKeep>(mix, options), ours);
     printAll(name + "shortest_first", measure<ShortestFirst, OurChoice, OurKeep>(mix, options), ours);
 }
 
--- a/src/entry/dispatch_demand_type.h
+++ b/src/entry/dispatch_demand_type.h
@@ -20,7 +20,7 @@
     TenantId tenant; ///< For fairness.
     std::uint64_t promptTokens = 0; ///< Estimate, history included.
     std::uint32_t maxTokens = 0; ///< Bound of the answer.
-    std::uint64_t attainedTokens = 0; ///< Service that the program has had; less goes first.
+    std::uint64_t attainedTokens = 0; ///< Service that the program has had; more goes first, see docs/POLICY.md.
     std::string fingerprint; ///< Of tenant and content, for quarantine.
     std::vector<EndpointId> avoid; ///< Endpoints that failed this call before.
     std::int64_t deadlineMs = 0; ///< How long the attempt may wait for its turn, in milliseconds; 0 for the default.
--- a/src/entry/permit_broker_base.cpp
+++ b/src/entry/permit_broker_base.cpp
@@ -205,7 +205,8 @@
     ticket.running = true;
     ticket.fallback = fallback;
     constexpr std::uint64_t Highest = std::numeric_limits<std::int32_t>::max();
-    const auto priority = static_cast<std::int32_t>(std::min(ticket.demand.attainedTokens, Highest));
+    // As in the queue: the program with the most service first.
+    const auto priority = -static_cast<std::int32_t>(std::min(ticket.demand.attainedTokens, Highest));
     ticket.fulfiller->fulfill(
         kj::heap<PermitVerdict>(PermitVerdict{DispatchPermit{id, ticket.endpoint, priority}, std::nullopt}));
 }
--- a/src/policy/permit_ledger_base.h
+++ b/src/policy/permit_ledger_base.h
@@ -161,7 +161,7 @@
 
 private:
     static constexpr std::size_t MaxEnded = 16384;
-    using Queue = EndpointQueue<LeastAttained>;
+    using Queue = EndpointQueue<MostAttained>;
 
     void startNext(const EndpointId &endpoint)
     {
--- a/src/policy/queue_order_func.h
+++ b/src/policy/queue_order_func.h
@@ -60,6 +60,19 @@
     }
 };
 
-static_assert(QueueOrder<ArrivalOrder> && QueueOrder<ShortestFirst> && QueueOrder<LeastAttained>);
+/** The program with the most service first, so that what was begun is finished, ends its memory and wastes no cache.
+ * A call ages: each second of waiting counts as AgeingTokensPerSecond more service. */
+struct MostAttained
+{
+    double ageingTokensPerSecond = 50; ///< Zero for no ageing.
+
+    [[nodiscard]] double key(const WaitingCall &call) const
+    {
+        return static_cast<double>(call.arrived.us) / 1e6 * this->ageingTokensPerSecond - call.attainedTokens;
+    }
+};
+
+static_assert(
+    QueueOrder<MostAttained> && QueueOrder<ArrivalOrder> && QueueOrder<ShortestFirst> && QueueOrder<LeastAttained>);
 
 } // namespace Chestnuthook
