--- a/src/control/lease_keeper_base.h
+++ b/src/control/lease_keeper_base.h
@@ -24,6 +24,7 @@
 {
     Instant heard; ///< When its last request arrived.
     std::uint64_t inForceRevision = 0; ///< Revision that it said to serve under.
+    std::uint64_t haveIndex = 0; ///< Log index that it said to hold.
     Epoch ending; ///< Lease whose end was proposed; 0 for none.
 };
 
@@ -34,7 +35,7 @@
     void beginTerm(const FleetState &state, Instant now);
 
     /** An entry's request arrived. */
-    void heard(const EntryId &entry, std::uint64_t inForceRevision, Instant now);
+    void heard(const EntryId &entry, HeardEntry said);
 
     /** Whether @p entry's lease of @p epoch may not be renewed any more: once `expired` has named it, its end is under
      * way, and a successor relies on nothing being granted under it. */
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -1,6 +1,5 @@
 /** @file main.cpp  chestnuthook-entry: takes callers' requests, owns programs and dispatches calls to endpoints. */
 #include <cstdlib>
-#include <iostream>
 #include <string>
 #include <vector>
 
@@ -19,7 +18,14 @@
 DEFINE_string(entry, "entry-1", "Name of this instance.");
 DEFINE_string(data_centre, "local", "Data centre of this instance.");
 DEFINE_string(secret_file, "", "File with the fleet's secret; else CHESTNUTHOOK_SECRET.");
+DEFINE_string(tls_certificate, "", "PEM file with the certificate shown to callers; empty: no TLS.");
+DEFINE_string(tls_key, "", "PEM file with the certificate's key.");
+DEFINE_int64(max_connections, 1024, "Open connections of all callers.");
+DEFINE_int64(max_connections_per_caller, 512, "Open connections from one address.");
+DEFINE_int64(max_header_bytes, 32768, "Bytes of a request's header.");
+DEFINE_int64(request_send_ms, 10000, "Time in which a caller must send a whole request, in milliseconds.");
 DEFINE_string(log_file, "", "File that gets the log lines besides standard error.");
+DEFINE_string(log_level, "info", "Lowest level of events that are logged: debug, info, warning or error.");
 
 namespace
 {
@@ -34,7 +40,14 @@
     {"entry", "identity", nonEmptyCheck(), "give a name that no other entry has"},
     {"data_centre", "identity", nonEmptyCheck(), "name the data centre of this instance"},
     {"secret_file", "security", {}, "name a readable file, or set CHESTNUTHOOK_SECRET"},
+    {"tls_certificate", "security", {}, "name a PEM file, and its key in tls_key"},
+    {"tls_key", "security", {}, "name a PEM file, and its certificate in tls_certificate"},
+    {"max_connections", "limits", rangeCheck(1, 100000), "give a number from 1; each connection takes a thread"},
+    {"max_connections_per_caller", "limits", rangeCheck(1, 100000), "give a number from 1"},
+    {"max_header_bytes", "limits", rangeCheck(1024, 1048576), "give a number of bytes from 1024 to 1048576"},
+    {"request_send_ms", "limits", rangeCheck(100, 600000), "give milliseconds from 100 to 600000"},
     {"log_file", "logging", {}, "name a file that this user may write"},
+    {"log_level", "logging", oneOfCheck({"debug", "info", "warning", "error"}), "say debug, info, warning or error"},
 };
 
 EntrySettings settingsOf(std::string secret)
@@ -48,6 +61,12 @@
     settings.id = EntryId{FLAGS_entry + "." + randomHex(4)};
     settings.dataCentre = DataCentreId{FLAGS_data_centre};
     settings.secret = std::move(secret);
+    settings.callers.tlsCertificate = FLAGS_tls_certificate;
+    settings.callers.tlsKey = FLAGS_tls_key;
+    settings.callers.limits.connections = static_cast<int>(FLAGS_max_connections);
+    settings.callers.limits.connectionsPerCaller = static_cast<int>(FLAGS_max_connections_per_caller);
+    settings.callers.limits.headerBytes = static_cast<std::size_t>(FLAGS_max_header_bytes);
+    settings.callers.limits.sendTime = std::chrono::milliseconds(FLAGS_request_send_ms);
     return settings;
 }
 
@@ -55,18 +74,14 @@
 
 int main(int argc, char **argv)
 {
-    const SettingsOutcome outcome = loadSettings(argc, argv, Settings, {"CHESTNUTHOOK_SECRET"});
-    if (const auto code = reportSettings(outcome)) {
-        return *code;
-    }
-    const Result<std::string> secret = loadSecret("secret", FLAGS_secret_file);
-    if (!secret) {
-        std::cerr << errorText(secret.error()) << '\n';
-        return errorRow(secret.error().kind).exitCode;
+    const DaemonStart start = startDaemon(argc, argv, Settings);
+    if (start.exitCode) {
+        return *start.exitCode;
     }
     ControlLoop::captureSignals();
     initObserve("entry", FLAGS_entry, FLAGS_log_file);
-    const Result<void> ran = EntryDaemon(settingsOf(*secret)).run();
+    setLogLevel(*parseName<EventLevel>(FLAGS_log_level));
+    const Result<void> ran = EntryDaemon(settingsOf(start.secret)).run();
     if (!ran) {
         logEvent(EventKind::ChildFailed, {{"error", errorText(ran.error())}});
     }
--- a/tests/unit/admission_simulation_test.cpp
+++ b/tests/unit/admission_simulation_test.cpp
@@ -185,7 +185,7 @@
         if (this->leases.isEnding(entry->id, lease)) {
             return;
         }
-        this->leases.heard(entry->id, 0, this->now);
+        this->leases.heard(entry->id, HeardEntry{this->now, 0, 0, Epoch{}});
         std::vector<SlotRecord> slots(SlotCount);
         for (const auto &[slot, row] : this->fleet.slots.all()) {
             slots[slot.value] = row.record;
--- a/tests/unit/admission_tenure_test.cpp
+++ b/tests/unit/admission_tenure_test.cpp
@@ -139,7 +139,7 @@
     };
     LeaseKeeper leases;
     grant(1);
-    leases.heard(Other, 0, Instant(0));
+    leases.heard(Other, HeardEntry{Instant(0), 0, 0, Epoch{}});
     BOOST_TEST(leases.expired(fleet, Instant(3'300'000)).empty());
     BOOST_TEST(leases.expired(fleet, Instant(3'300'001)).size() == 1U);
     BOOST_TEST(leases.isEnding(Other, Epoch{1}));
