--- a/src/ctl/ctl_verb_func.h
+++ b/src/ctl/ctl_verb_func.h
@@ -28,5 +28,11 @@
 [[nodiscard]] CtlExit ctlPrograms(CtlSession &session, const CtlOptions &options, const Words &words);
 /** Has an entry hand over its slots, finish its calls and end. */
 [[nodiscard]] CtlExit ctlDrain(CtlSession &session, const CtlOptions &options, const Words &words);
+/** The control members, as a leader that a quorum confirms sees them. */
+[[nodiscard]] CtlExit ctlListMembers(CtlSession &session, const CtlOptions &options, const Words &words);
+/** Adds a control member; done when it holds all that is committed. */
+[[nodiscard]] CtlExit ctlAddMember(CtlSession &session, const CtlOptions &options, const Words &words);
+/** Removes a control member. */
+[[nodiscard]] CtlExit ctlRemoveMember(CtlSession &session, const CtlOptions &options, const Words &words);
 
 } // namespace Chestnuthook
