--- a/src/entry/entry_daemon_base.cpp
+++ b/src/entry/entry_daemon_base.cpp
@@ -78,6 +78,8 @@
             [this]() {
                 this->follower.onChange = [this]() {
                     this->programs.updateSlots();
+                    this->context.admission.client.onViewChange();
+                    this->context.dispatch.broker.onViewChange();
                 };
                 return Result<void>();
             },
--- a/src/rpc/entry.capnp
+++ b/src/rpc/entry.capnp
@@ -13,7 +13,21 @@
 struct AdmitReply {
     granted @0 :UInt32;
     holdMs @1 :UInt32;      # After which the rest would be inside the rate.
-    failure @2 :Common.Failure; # Where this entry doesn't own the tenant's slot.
+    failure @2 :Common.Failure; # Where this entry doesn't own the tenant's slot, or may not grant yet.
+    delaysUs @3 :List(UInt32);  # How long to hold each granted request, from when it was asked for.
+    recovering @4 :Bool;    # The rest may be asked for again: the owner changed a short while ago.
+}
+
+struct GivenUpSlot {
+    slot @0 :UInt16;
+    epoch @1 :UInt64;       # Under which the asked entry owned it.
+    stopped @2 :Bool;       # It grants nothing under that epoch any more; else the successor has to wait.
+    levels @3 :List(BucketLevel);
+}
+
+struct BucketLevel {
+    tenant @0 :Text;
+    level @1 :Float64;      # Below zero where requests are reserved ahead.
 }
 
 struct PermitRequest {
@@ -24,11 +38,16 @@
     priority @4 :Int32;
     permit @5 :UInt64;      # The asker's id, so that a resend is not counted twice.
     entry @6 :Text;
+    attained @7 :Float64;   # Service that the program has had, in tokens.
+    isolated @8 :Bool;      # Runs with nothing else in flight at the endpoint.
+    running @9 :Bool;       # Granted before, by an earlier dispatcher or in its absence: only to be counted.
 }
 
 struct PermitReply {
-    granted @0 :Bool;
+    granted @0 :Bool;       # Else it waits; a grant comes by `granted`, and is told again on a resend.
     failure @1 :Common.Failure;
+    inFlight @2 :UInt32;    # Calls that run or wait at the endpoint.
+    backlog @3 :Float64;    # Their expected tokens.
 }
 
 struct ForwardedRequest {
@@ -63,4 +82,8 @@
     forward @3 (request :ForwardedRequest, sink :AnswerSink) -> ();
     # The result of an attempt that began under an earlier owner of the program.
     result @4 (program :Text, call :Program.Call) -> (failure :Common.Failure);
+    # The asker has become the owner of slots: stop granting for them and tell what the buckets hold.
+    giveUp @5 (slots :List(GivenUpSlot)) -> (slots :List(GivenUpSlot));
+    # From a dispatcher: permits of the called entry that waited may be used now.
+    granted @6 (permits :List(UInt64)) -> ();
 }
