--- a/src/ctl/ctl_session_base.h
+++ b/src/ctl/ctl_session_base.h
@@ -28,6 +28,9 @@
     /** Submits a flat fleet command. @return the flat reply. */
     Result<std::string> submit(std::string command);
 
+    /** Adds or removes a control member. Errors: those of the members. */
+    Result<void> changeMember(const std::string &name, const std::string &address, bool remove);
+
     /** Statuses of all members at @p addresses, asked at once. Errors: NoQuorum where one doesn't answer. */
     std::vector<Result<StatusResponse>> status(const std::vector<std::string> &addresses);
 
