--- a/src/ctl/ctl_members_func.cpp
+++ b/src/ctl/ctl_members_func.cpp
@@ -26,7 +26,7 @@
 
 CtlExit ctlListMembers(CtlSession &session, const CtlOptions &options, const Words & /*words*/)
 {
-    for (const Result<StatusResponse> &response : session.status(options.controls)) {
+    for (const auto &response : session.status(options.controls)) {
         if (!response || !response->getStatus().getConfirmed()) {
             continue;
         }
--- a/src/ctl/ctl_status_func.cpp
+++ b/src/ctl/ctl_status_func.cpp
@@ -1,6 +1,7 @@
 /** @file ctl_status_func.cpp  status: members, entries, slots, revisions and freshness at a glance. */
 #include "ctl/ctl_status_func.h"
 
+#include <algorithm>
 #include <map>
 
 #include "ctl/ctl_verb_func.h"
@@ -58,19 +59,31 @@
     return counts;
 }
 
+/** @p term is that of the leader whom a quorum confirmed; a member that is cut off doesn't follow it for long. */
+std::string memberState(const CtlOptions &options, const MemberGlance &member, std::uint64_t term)
+{
+    if (member.confirmed) {
+        return coloured(options, ColourGreen, "leader");
+    }
+    const bool follows = term != 0 && member.term == term && !member.leader.empty();
+    return follows ? coloured(options, ColourGreen, "follower") : coloured(options, ColourYellow, "unconfirmed");
+}
+
 std::vector<Words> memberRows(const CtlOptions &options, const FleetGlance &glance)
 {
+    std::uint64_t term = 0;
+    for (const MemberGlance &member : glance.members) {
+        term = member.confirmed ? std::max(term, member.term) : term;
+    }
     std::vector<Words> rows = {{"MEMBER", "ADDRESS", "STATE", "TERM", "REVISION", "FLEET", "JOURNAL", "PROGRAMS"}};
     for (const MemberGlance &member : glance.members) {
         if (!member.fault.empty()) {
             rows.push_back({"?", member.address, coloured(options, ColourRed, "down: " + member.fault)});
             continue;
         }
-        const bool leads = !member.leader.empty() && (member.leader == member.address || member.leader == member.id);
-        const std::string state = !member.confirmed ? coloured(options, ColourYellow, "unconfirmed")
-                                                    : coloured(options, ColourGreen, leads ? "leader" : "confirmed");
-        rows.push_back({member.id, member.address, state, std::to_string(member.term), std::to_string(member.revision),
-            std::to_string(member.fleetIndex), std::to_string(member.journalIndex), std::to_string(member.programs)});
+        rows.push_back({member.id, member.address, memberState(options, member, term), std::to_string(member.term),
+            std::to_string(member.revision), std::to_string(member.fleetIndex), std::to_string(member.journalIndex),
+            std::to_string(member.programs)});
     }
     return rows;
 }
