--- a/src/timeline/main.cpp
+++ b/src/timeline/main.cpp
@@ -106,5 +106,5 @@
     for (const std::string &note : timeline->notes) {
         std::cerr << "note: " << note << '\n';
     }
-    return written && timeline->notes.empty() ? EXIT_SUCCESS : EXIT_FAILURE;
+    return written && !timeline->partial ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/src/timeline/timeline_source_func.cpp
+++ b/src/timeline/timeline_source_func.cpp
@@ -41,6 +41,12 @@
     return event;
 }
 
+void noteFailure(Timeline &timeline, std::string note)
+{
+    timeline.partial = true;
+    timeline.notes.push_back(std::move(note));
+}
+
 /** Reads page after page until one is empty. */
 void readPages(const std::string &source, Timeline &timeline, const std::function<std::string(std::uint64_t)> &read)
 {
@@ -48,7 +54,7 @@
     for (int page = 0; page < MaxPages; ++page) {
         const Result<EventPage> found = parseEventPage(read(since), timeline.events);
         if (!found) {
-            timeline.notes.push_back(source + ": " + found.error().what);
+            noteFailure(timeline, source + ": " + found.error().what);
             return;
         }
         if (found->lost) {
@@ -173,7 +179,7 @@
             return getEvents(address, since);
         });
     } catch (const Poco::Exception &exception) {
-        timeline.notes.push_back(address + ": can't be read: " + exception.displayText());
+        noteFailure(timeline, address + ": can't be read: " + exception.displayText());
     }
 }
 
@@ -193,7 +199,7 @@
                 return textOf(loop.wait(loop.kjTimer().timeoutAfter(MemberTimeout, kj::mv(asked))).getJson());
             });
         } catch (const kj::Exception &exception) {
-            timeline.notes.push_back(address + ": can't be read: " + exception.getDescription().cStr());
+            noteFailure(timeline, address + ": can't be read: " + exception.getDescription().cStr());
         }
     }
 }
@@ -202,7 +208,7 @@
 {
     std::ifstream file(path);
     if (!file) {
-        timeline.notes.push_back(path + ": can't be read");
+        noteFailure(timeline, path + ": can't be read");
         return;
     }
     std::string line;
--- a/src/timeline/timeline_type.h
+++ b/src/timeline/timeline_type.h
@@ -31,6 +31,7 @@
 struct Timeline
 {
     TimelineEvents events; ///< In hybrid order once merged.
+    bool partial = false; ///< A source couldn't be read.
     std::vector<std::string> notes; ///< Sources that couldn't be read or had lost events; for people.
 };
 
