--- a/src/control/control_service_base.cpp
+++ b/src/control/control_service_base.cpp
@@ -255,9 +255,14 @@
                 return;
             }
             const EntryId id{textOf(request.getEntry().getId())};
+            if (this->member.leases.isEnding(id, Epoch{epoch})) {
+                writeFailure(result.initFailure(), Error{ErrorKind::NotReady, "the lease is ending", Ran::No, 0});
+                return;
+            }
             writeHybridTime(result.initTime());
-            this->member.leases.heard(
-                id, HeardEntry{this->member.loop.timers().now(), request.getInForceRevision(), request.getHaveIndex()});
+            this->member.leases.heard(id,
+                HeardEntry{
+                    this->member.loop.timers().now(), request.getInForceRevision(), request.getHaveIndex(), Epoch{}});
             auto delta = result.initDelta();
             this->member.fleet.machine.writeDelta(request.getHaveIndex(), delta.initDelta());
             delta.setEpoch(epoch);
--- a/src/entry/entry_peer_base.h
+++ b/src/entry/entry_peer_base.h
@@ -16,8 +16,10 @@
     explicit EntryPeerServer(EntryContext &context);
 
     kj::Promise<void> admit(AdmitContext context) override;
+    kj::Promise<void> giveUp(GiveUpContext context) override;
     kj::Promise<void> permit(PermitContext context) override;
     kj::Promise<void> release(ReleaseContext context) override;
+    kj::Promise<void> granted(GrantedContext context) override;
     kj::Promise<void> forward(ForwardContext context) override;
 
 private:
