--- a/src/control/main.cpp
+++ b/src/control/main.cpp
@@ -75,60 +75,84 @@
     return errorRow(error.kind).exitCode;
 }
 
-int runMember(const std::string &secret)
+ReplicaSettings replicaSettings()
 {
-    ControlLoop loop(secret, FLAGS_member);
     ReplicaSettings replica;
     replica.name = FLAGS_member;
     replica.address = FLAGS_listen;
     replica.initialMembers = parseMembers(FLAGS_members);
     replica.join = FLAGS_join;
     replica.snapshotEntries = FLAGS_snapshot_entries;
-    ControlMember member(loop, replica, FLAGS_test_hooks);
-    int exitCode = EXIT_SUCCESS;
-    std::vector<ChildSpecification> children;
-    children.push_back({.name = "state",
-        .start =
-            [&]() {
-                return member.open(FLAGS_data);
-            },
-        .stop = {},
-        .ready = {}});
-    children.push_back({.name = "replication",
-        .start =
-            [&]() {
-                member.start();
-                return Result<void>();
-            },
-        .stop = {},
-        .ready = {}});
-    children.push_back({.name = "port",
-        .start =
-            [&]() {
-                OfferedServices services{makeControlService(member), member.node.makeService()};
-                loop.detach(serveRpc(loop.rpc(), FLAGS_listen, kj::mv(services)).catch_([&](kj::Exception &&exception) {
-                    exitCode = endWith(Error{ErrorKind::AddressInUse, exception.getDescription().cStr(), Ran::No, 0});
-                    loop.stop();
-                }));
-                return Result<void>();
-            },
-        .stop = {},
-        .ready = {}});
-    Supervisor root("control", RestartStrategy::RestForOne, {}, loop.timers(), std::move(children));
-    const Result<void> started = root.start();
-    if (!started) {
-        return endWith(started.error());
-    }
-    loop.onTerminate([&]() {
-        logEvent(EventKind::ProcessStopping, {});
-        loop.stop();
-    });
-    logEvent(EventKind::ProcessStarted, {{"listen", FLAGS_listen}, {"data", FLAGS_data}});
-    loop.run();
-    root.stop();
-    return exitCode;
+    return replica;
 }
 
+/** A control member's process. */
+class MemberDaemon
+{
+public:
+    explicit MemberDaemon(const std::string &secret)
+        : loop(secret, FLAGS_member)
+        , member(this->loop, replicaSettings(), FLAGS_test_hooks)
+    {
+    }
+
+    /** Runs until SIGTERM or SIGINT. @return the exit code. */
+    int run()
+    {
+        Supervisor root("control", RestartStrategy::RestForOne, {}, this->loop.timers(), this->children());
+        const Result<void> started = root.start();
+        if (!started) {
+            return endWith(started.error());
+        }
+        this->loop.onTerminate([this]() {
+            logEvent(EventKind::ProcessStopping, {});
+            this->loop.stop();
+        });
+        logEvent(EventKind::ProcessStarted, {{"listen", FLAGS_listen}, {"data", FLAGS_data}});
+        this->loop.run();
+        root.stop();
+        return this->exitCode;
+    }
+
+private:
+    /** The supervisor's table, in start order: each row leans on those above it. */
+    std::vector<ChildSpecification> children()
+    {
+        using Daemon = MemberDaemon;
+        return {
+            childRow("state", *this, &Daemon::openState),
+            childRow("replication", *this, &Daemon::startReplication),
+            childRow("port", *this, &Daemon::startPort),
+        };
+    }
+
+    Result<void> openState()
+    {
+        return this->member.open(FLAGS_data);
+    }
+
+    Result<void> startReplication()
+    {
+        this->member.start();
+        return {};
+    }
+
+    Result<void> startPort()
+    {
+        OfferedServices services{makeControlService(this->member), this->member.node.makeService()};
+        auto port = serveRpc(this->loop.rpc(), FLAGS_listen, kj::mv(services));
+        this->loop.detach(port.catch_([this](kj::Exception &&exception) {
+            this->exitCode = endWith(Error{ErrorKind::AddressInUse, exception.getDescription().cStr(), Ran::No, 0});
+            this->loop.stop();
+        }));
+        return {};
+    }
+
+    ControlLoop loop; ///< The control thread's.
+    ControlMember member; ///< The replicated state.
+    int exitCode = EXIT_SUCCESS; ///< Why the daemon ends by itself.
+};
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -140,7 +164,7 @@
     ControlLoop::captureSignals();
     initObserve("control", FLAGS_member, FLAGS_log_file);
     setLogLevel(*parseName<EventLevel>(FLAGS_log_level));
-    const int code = runMember(start.secret);
+    const int code = MemberDaemon(start.secret).run();
     flushObserve();
     return code;
 }
--- a/src/entry/entry_context_type.h
+++ b/src/entry/entry_context_type.h
@@ -28,8 +28,9 @@
         , follower(follower)
         , programs(programs)
         , quarantine(quarantine)
-        , admission(follower.views, loop.timers())
         , peers(peers)
+        , admission(loop, follower, this->peers)
+        , dispatch(loop, follower, this->peers)
     {
     }
 
@@ -38,9 +39,9 @@
     ProgramRuntime &programs; ///< For the control thread only.
     Quarantine &quarantine; ///< For the control thread only.
     Supervisor *root = nullptr; ///< For /readyz; control thread only.
+    PeerLinks &peers; ///< Other entries; control thread only.
     AdmissionGate admission; ///< Tenants' rates.
     Dispatch dispatch; ///< Endpoints.
-    PeerLinks &peers; ///< Other entries; control thread only.
     AttemptDeadlines deadlines; ///< Ends attempts whose time has run out.
     WorkerPool workers; ///< Run calls.
     EntryId self; ///< Of this process.
--- a/src/entry/entry_daemon_base.cpp
+++ b/src/entry/entry_daemon_base.cpp
@@ -92,6 +92,8 @@
             [this]() {
                 this->follower.onChange = [this]() {
                     this->programs.updateSlots();
+                    this->context.admission.client.onViewChange();
+                    this->context.dispatch.broker.onViewChange();
                 };
                 this->programs.releaseCache = [this](const ProgramId &program, const EndpointId &endpoint) {
                     this->releaseCache(program, endpoint);
--- a/src/entry/forwarded_answer_base.cpp
+++ b/src/entry/forwarded_answer_base.cpp
@@ -127,6 +127,8 @@
     KJ_DEFER(this->context.loop.call([&]() {
         pipe->call = nullptr; // Cancels it where the caller has gone; the owner then stops reading.
     }););
+    Pipe::Piece head;
+    bool streamed = false;
     bool open = true;
     while (open) {
         std::deque<Pipe::Piece> pieces;
@@ -140,9 +142,17 @@
         }
         for (const Pipe::Piece &piece : pieces) {
             if (piece.status) {
-                this->answer.start(*piece.status, piece.headers, -1);
-            } else {
+                head = piece;
+                streamed = std::any_of(piece.headers.begin(), piece.headers.end(), [](const HttpHeader &header) {
+                    return header.value == "text/event-stream";
+                });
+                if (streamed) {
+                    this->answer.start(*piece.status, piece.headers, -1);
+                }
+            } else if (streamed) {
                 this->answer.write(piece.bytes);
+            } else {
+                head.bytes += piece.bytes; // Given to the caller only when it is whole.
             }
         }
         if (open && !this->isListed(address)) {
@@ -154,6 +164,10 @@
         const Error lost{ErrorKind::NotReady, "the entry that ran the call was lost; send again", Ran::Unknown, 0};
         this->answer.write("event: error\ndata: " + errorJson(lost) + "\n\n");
     }
+    if (pipe->ended && !streamed && head.status) {
+        this->answer.start(*head.status, head.headers, static_cast<std::int64_t>(head.bytes.size()));
+        this->answer.write(head.bytes);
+    }
     if (pipe->ended || this->answer.isStarted()) {
         this->answer.end();
         return {};
