--- a/tests/unit/lease_keeper_test.cpp
+++ b/tests/unit/lease_keeper_test.cpp
@@ -14,6 +14,13 @@
 
 constexpr Duration Short = std::chrono::milliseconds(1);
 
+HeardEntry heardAt(Instant instant)
+{
+    HeardEntry said{};
+    said.heard = instant;
+    return said;
+}
+
 FleetState stateWithLease(const std::string &id)
 {
     capnp::MallocMessageBuilder message;
@@ -31,7 +38,7 @@
 {
     const FleetState state = stateWithLease("a");
     LeaseKeeper keeper;
-    keeper.heard(EntryId{"a"}, HeardEntry{.heard = Instant(0)});
+    keeper.heard(EntryId{"a"}, heardAt(Instant(0)));
     BOOST_TEST(keeper.expired(state, Instant(0) + LeasePeriod + LeaseMargin).empty());
     BOOST_TEST(keeper.expired(state, Instant(0) + LeasePeriod + LeaseMargin + Short).size() == 1U);
 }
@@ -40,7 +47,7 @@
 {
     const FleetState state = stateWithLease("a");
     LeaseKeeper keeper;
-    keeper.heard(EntryId{"a"}, HeardEntry{.heard = Instant(0)}); // In an earlier term.
+    keeper.heard(EntryId{"a"}, heardAt(Instant(0))); // In an earlier term.
     const Instant elected = Instant(0) + 10 * LeasePeriod;
     keeper.beginTerm(state, elected);
     BOOST_TEST(keeper.expired(state, elected + LeasePeriod + LeaseMargin).empty());
