--- a/bench/capacity_bench.cpp
+++ b/bench/capacity_bench.cpp
@@ -14,6 +14,7 @@
 #include <Poco/Net/HTTPResponse.h>
 #include <capnp/message.h>
 #include <capnp/serialize.h>
+#include <gflags/gflags.h>
 
 #include "admission/token_bucket_type.h"
 #include "capacity_slope.h"
@@ -26,6 +27,7 @@
 #include "rpc/control_loop_base.h"
 #include "rpc/entry.capnp.h"
 #include "rpc/message_func.h"
+#include "support/certificate_func.h"
 #include "support/process_fleet.h"
 
 using namespace Chestnuthook;
@@ -295,7 +297,8 @@
     });
 }
 
-void measureRpc(const Extent &extent)
+/** Measures connections and admission questions between two ends; @p mark stands behind the slopes' names. */
+void measureRpc(const Extent &extent, const std::string &mark)
 {
     ControlLoop loop("a secret of this bench", "bench");
     const std::string address = Testing::freeAddresses(1)[0];
@@ -306,18 +309,31 @@
         link.reset();
         loop.wait(link.services().ignoreResult());
     });
-    printSlope("rpc_connect_us_both_ends", connectUs);
+    printSlope("rpc_connect_us_both_ends" + mark, connectUs);
     auto peer = loop.wait(link.services()).peer.castAs<Wire::EntryPeer>();
     admitUs(loop, peer, 1, extent.repeats);
     for (const unsigned batch : {1U, 4U, 16U, 64U}) {
         const double bytes = readAndWrittenBytes(::getpid());
-        printSlope("admit_us_both_ends_batch_" + std::to_string(batch), admitUs(loop, peer, batch, extent.repeats * 5));
+        const std::string name = std::to_string(batch) + mark;
+        printSlope("admit_us_both_ends_batch_" + name, admitUs(loop, peer, batch, extent.repeats * 5));
         // Each byte is written at one end and read at the other.
-        printSlope("admit_wire_bytes_batch_" + std::to_string(batch),
-            (readAndWrittenBytes(::getpid()) - bytes) / 2 / (extent.repeats * 5));
+        printSlope(
+            "admit_wire_bytes_batch_" + name, (readAndWrittenBytes(::getpid()) - bytes) / 2 / (extent.repeats * 5));
     }
 }
 
+/** The same under TLS, as processes with fleet_certificate talk. */
+void measureEncryptedRpc(const Extent &extent)
+{
+    const Testing::TemporaryFolder folder;
+    Testing::writeCertificate(folder.path + "/authority", "authority of the bench");
+    Testing::writeCertificate(folder.path + "/member", FleetSecurity::FleetServerName, folder.path + "/authority");
+    gflags::SetCommandLineOption("fleet_certificate", (folder.path + "/member.crt").c_str());
+    gflags::SetCommandLineOption("fleet_key", (folder.path + "/member.key").c_str());
+    gflags::SetCommandLineOption("fleet_trust", (folder.path + "/authority.crt").c_str());
+    measureRpc(extent, "_tls");
+}
+
 const char *const ModelCall = R"({"kind":"model","model":"verse","messages":[{"role":"user","content":"a verse"}]})";
 
 void measureIdle(const Extent &extent, const Testing::ProcessFleet &fleet)
@@ -432,7 +448,8 @@
     measureFleetState(extent);
     measurePrograms(extent);
     measureJournal(extent);
-    measureRpc(extent);
+    measureRpc(extent, "");
+    measureEncryptedRpc(extent);
     measureProcesses(extent);
     return 0;
 }
--- a/src/control/main.cpp
+++ b/src/control/main.cpp
@@ -10,6 +10,7 @@
 #include "core/settings_func.h"
 #include "observe/log_func.h"
 #include "rpc/control_loop_base.h"
+#include "rpc/fleet_security_base.h"
 #include "supervisor/supervisor_base.h"
 #include "table/error_table.h"
 
@@ -92,7 +93,7 @@
 
 int main(int argc, char **argv)
 {
-    const SettingsOutcome settings = loadSettings(argc, argv, Settings, {"CHESTNUTHOOK_SECRET"});
+    const SettingsOutcome settings = loadSettings(argc, argv, withFleetSecurity(Settings), {"CHESTNUTHOOK_SECRET"});
     if (const auto code = reportSettings(settings)) {
         return *code;
     }
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -9,6 +9,7 @@
 
 #include "core/settings_func.h"
 #include "ctl/ctl_command_func.h"
+#include "rpc/fleet_security_base.h"
 #include "table/error_table.h"
 
 DEFINE_string(controls, "127.0.0.1:7600", "Addresses of the control members, comma-separated.");
@@ -59,7 +60,7 @@
 
 int main(int argc, char **argv)
 {
-    SettingsOutcome outcome = loadSettings(argc, argv, Settings, {"CHESTNUTHOOK_SECRET"});
+    SettingsOutcome outcome = loadSettings(argc, argv, withFleetSecurity(Settings), {"CHESTNUTHOOK_SECRET"});
     if (!outcome.help.empty()) {
         outcome.help.insert(0, ctlVerbsHelp());
     }
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -10,6 +10,7 @@
 #include "core/settings_func.h"
 #include "entry/entry_daemon_base.h"
 #include "observe/log_func.h"
+#include "rpc/fleet_security_base.h"
 #include "table/error_table.h"
 
 DEFINE_string(listen, "127.0.0.1:8080", "Address for callers, ip:port.");
@@ -73,7 +74,7 @@
 
 int main(int argc, char **argv)
 {
-    const SettingsOutcome outcome = loadSettings(argc, argv, Settings, {"CHESTNUTHOOK_SECRET"});
+    const SettingsOutcome outcome = loadSettings(argc, argv, withFleetSecurity(Settings), {"CHESTNUTHOOK_SECRET"});
     if (const auto code = reportSettings(outcome)) {
         return *code;
     }
--- a/src/rpc/control_loop_base.cpp
+++ b/src/rpc/control_loop_base.cpp
@@ -16,10 +16,11 @@
 
 } // namespace
 
-ControlLoop::ControlLoop(std::string secret, std::string party)
+ControlLoop::ControlLoop(const std::string &secret, std::string party)
     : io(kj::setupAsyncIo())
     , executor(kj::getCurrentThreadExecutor())
-    , rpcContext{this->io.provider->getNetwork(), this->io.provider->getTimer(), std::move(secret), std::move(party)}
+    , rpcContext{this->io.provider->getNetwork(), this->io.provider->getTimer(),
+          FleetSecurity(secret, fleetSecurityFiles()), std::move(party)}
     , tasks(this->failures)
     , stopped(nullptr)
 {
--- a/src/rpc/control_loop_base.h
+++ b/src/rpc/control_loop_base.h
@@ -18,7 +18,7 @@
 class ControlLoop
 {
 public:
-    ControlLoop(std::string secret, std::string party);
+    ControlLoop(const std::string &secret, std::string party);
     ControlLoop(const ControlLoop &) = delete;
     ControlLoop &operator=(const ControlLoop &) = delete;
 
--- a/src/rpc/gate_func.cpp
+++ b/src/rpc/gate_func.cpp
@@ -1,6 +1,7 @@
 /** @file gate_func.cpp  Challenge and response of the gate. */
 #include "rpc/gate_func.h"
 
+#include <algorithm>
 #include <string_view>
 #include <utility>
 
@@ -62,8 +63,8 @@
 class GateServer final : public Wire::Gate::Server
 {
 public:
-    GateServer(std::string secret, OfferedServices services)
-        : secret(std::move(secret))
+    GateServer(FleetSecurity &security, OfferedServices services)
+        : security(security)
         , services(std::move(services))
     {
     }
@@ -73,39 +74,42 @@
         const std::string client = textOf(context.getParams().getNonce());
         KJ_REQUIRE(client.size() == NonceBytes * 2, "unauthenticated: malformed nonce");
         const std::string server = randomHex(NonceBytes);
+        const std::string secret = this->security.secrets().front();
         auto results = context.getResults();
         results.setNonce(dataOf(server));
-        results.setProof(dataOf(proofOf(ServerSide, this->secret, client, server)));
-        results.setProver(kj::heap<ProverServer>(proofOf(ClientSide, this->secret, client, server), this->services));
+        results.setProof(dataOf(proofOf(ServerSide, secret, client, server)));
+        results.setProver(kj::heap<ProverServer>(proofOf(ClientSide, secret, client, server), this->services));
         return kj::READY_NOW;
     }
 
 private:
-    std::string secret; ///< Shared by the fleet's processes.
+    FleetSecurity &security; ///< Outlives the gate.
     OfferedServices services; ///< Handed out after a proof.
 };
 
 } // namespace
 
-Wire::Gate::Client makeGate(std::string secret, OfferedServices services)
+Wire::Gate::Client makeGate(FleetSecurity &security, OfferedServices services)
 {
-    return kj::heap<GateServer>(std::move(secret), std::move(services));
+    return kj::heap<GateServer>(security, std::move(services));
 }
 
 kj::Promise<capnp::Response<Wire::Prover::ProveResults>> passGate(
-    Wire::Gate::Client gate, std::string secret, std::string party)
+    Wire::Gate::Client gate, std::vector<std::string> secrets, std::string party)
 {
     const std::string client = randomHex(NonceBytes);
     auto request = gate.challengeRequest();
     request.setParty(party);
     request.setNonce(dataOf(client));
-    return request.send().then([client, secret = std::move(secret)](auto &&response) {
+    return request.send().then([client, secrets = std::move(secrets)](auto &&response) {
         const std::string server = textOf(response.getNonce());
-        const std::string expected = proofOf(ServerSide, secret, client, server);
-        KJ_REQUIRE(
-            constantTimeEquals(textOf(response.getProof()), expected), "unauthenticated: the fleet secrets differ");
+        const std::string proved = textOf(response.getProof());
+        const auto shared = std::find_if(secrets.begin(), secrets.end(), [&](const std::string &secret) {
+            return constantTimeEquals(proved, proofOf(ServerSide, secret, client, server));
+        });
+        KJ_REQUIRE(shared != secrets.end(), "unauthenticated: the fleet secrets differ");
         auto proof = response.getProver().proveRequest();
-        proof.setProof(dataOf(proofOf(ClientSide, secret, client, server)));
+        proof.setProof(dataOf(proofOf(ClientSide, *shared, client, server)));
         return proof.send();
     });
 }
--- a/src/rpc/gate_func.h
+++ b/src/rpc/gate_func.h
@@ -3,11 +3,13 @@
 #pragma once
 
 #include <string>
+#include <vector>
 
 #include <kj/async-io.h>
 
 #include "core/error_type.h"
 #include "rpc/control.capnp.h"
+#include "rpc/fleet_security_base.h"
 
 namespace Chestnuthook
 {
@@ -19,11 +21,14 @@
     capnp::Capability::Client peer = nullptr; ///< Member or EntryPeer.
 };
 
-/** Makes the bootstrap capability of a port. */
-[[nodiscard]] Wire::Gate::Client makeGate(std::string secret, OfferedServices services);
+/** Makes the bootstrap capability of a port. It proves itself by the first secret that @p security holds at that time.
+ */
+[[nodiscard]] Wire::Gate::Client makeGate(FleetSecurity &security, OfferedServices services);
 
-/** Passes the gate at the other end. @return its services; the promise fails where a proof is wrong. */
+/** Passes the gate at the other end by whichever of @p secrets that end has proved itself by; so a secret is changed
+ * without a moment in which two processes share none. @return its services; the promise fails where a proof is wrong.
+ */
 [[nodiscard]] kj::Promise<capnp::Response<Wire::Prover::ProveResults>> passGate(
-    Wire::Gate::Client gate, std::string secret, std::string party);
+    Wire::Gate::Client gate, std::vector<std::string> secrets, std::string party);
 
 } // namespace Chestnuthook
--- a/src/rpc/rpc_link_base.cpp
+++ b/src/rpc/rpc_link_base.cpp
@@ -10,6 +10,7 @@
 {
 
 constexpr auto ConnectTimeout = 700 * kj::MILLISECONDS;
+constexpr auto HandshakeTimeout = 3 * kj::SECONDS;
 
 /** Limits of one message from another process; a peer is authenticated, but may be broken. */
 constexpr std::uint64_t MaxMessageWords = 64ULL * 1024 * 1024 / 8;
@@ -24,13 +25,16 @@
 /** One accepted connection; kept alive until it ends. */
 struct AcceptedConnection
 {
-    AcceptedConnection(kj::Own<kj::AsyncIoStream> accepted, capnp::Capability::Client bootstrap)
-        : stream(kj::mv(accepted))
+    AcceptedConnection(
+        std::shared_ptr<kj::TlsContext> tls, kj::Own<kj::AsyncIoStream> accepted, capnp::Capability::Client bootstrap)
+        : tls(std::move(tls))
+        , stream(kj::mv(accepted))
         , network(*this->stream, capnp::rpc::twoparty::Side::SERVER, readerOptions())
         , system(capnp::makeRpcServer(this->network, kj::mv(bootstrap)))
     {
     }
 
+    std::shared_ptr<kj::TlsContext> tls; ///< Of the stream; null where it is not encrypted.
     kj::Own<kj::AsyncIoStream> stream; ///< The socket.
     capnp::TwoPartyVatNetwork network; ///< Frames messages on it.
     capnp::RpcSystem<capnp::rpc::twoparty::VatId> system; ///< Serves the gate.
@@ -40,8 +44,9 @@
 class RpcPort final : private kj::TaskSet::ErrorHandler
 {
 public:
-    RpcPort(kj::Own<kj::ConnectionReceiver> receiver, Wire::Gate::Client gate)
-        : receiver(kj::mv(receiver))
+    RpcPort(RpcContext &context, kj::Own<kj::ConnectionReceiver> receiver, Wire::Gate::Client gate)
+        : context(context)
+        , receiver(kj::mv(receiver))
         , gate(kj::mv(gate))
         , tasks(*this)
     {
@@ -50,19 +55,40 @@
     kj::Promise<void> acceptLoop()
     {
         return this->receiver->accept().then([this](kj::Own<kj::AsyncIoStream> &&stream) {
-            auto connection = kj::heap<AcceptedConnection>(kj::mv(stream), this->gate);
-            auto ended = connection->network.onDisconnect();
-            this->tasks.add(ended.attach(kj::mv(connection)));
+            this->tasks.add(kj::evalNow([&]() {
+                return this->serve(kj::mv(stream));
+            }));
             return this->acceptLoop();
         });
     }
 
 private:
+    /** Serves one connection to its end; a handshake that takes too long ends it. */
+    kj::Promise<void> serve(kj::Own<kj::AsyncIoStream> stream)
+    {
+        auto tls = this->context.security.tls();
+        if (tls == nullptr) {
+            return this->serveStream(nullptr, kj::mv(stream));
+        }
+        auto handshake = this->context.timer.timeoutAfter(HandshakeTimeout, tls->wrapServer(kj::mv(stream)));
+        return handshake.then([this, tls](kj::Own<kj::AsyncIoStream> &&encrypted) {
+            return this->serveStream(tls, kj::mv(encrypted));
+        });
+    }
+
+    kj::Promise<void> serveStream(std::shared_ptr<kj::TlsContext> tls, kj::Own<kj::AsyncIoStream> stream)
+    {
+        auto connection = kj::heap<AcceptedConnection>(std::move(tls), kj::mv(stream), this->gate);
+        auto ended = connection->network.onDisconnect();
+        return ended.attach(kj::mv(connection));
+    }
+
     void taskFailed(kj::Exception && /*exception*/) override
     {
         // A connection that ended with an error is gone like any other.
     }
 
+    RpcContext &context; ///< Outlives the port.
     kj::Own<kj::ConnectionReceiver> receiver; ///< The listening socket.
     Wire::Gate::Client gate; ///< Bootstrap of each connection.
     kj::TaskSet tasks; ///< One task per connection.
@@ -72,8 +98,9 @@
 
 struct RpcLink::Connection
 {
-    explicit Connection(kj::Own<kj::AsyncIoStream> connected)
-        : stream(kj::mv(connected))
+    Connection(std::shared_ptr<kj::TlsContext> tls, kj::Own<kj::AsyncIoStream> connected)
+        : tls(std::move(tls))
+        , stream(kj::mv(connected))
         , network(*this->stream, capnp::rpc::twoparty::Side::CLIENT, readerOptions())
         , system(capnp::makeRpcClient(this->network))
     {
@@ -87,6 +114,7 @@
         return this->system.bootstrap(vat).castAs<Wire::Gate>();
     }
 
+    std::shared_ptr<kj::TlsContext> tls; ///< Of the stream; null where it is not encrypted.
     kj::Own<kj::AsyncIoStream> stream; ///< The socket.
     capnp::TwoPartyVatNetwork network; ///< Frames messages on it.
     capnp::RpcSystem<capnp::rpc::twoparty::VatId> system; ///< Runs the calls.
@@ -100,6 +128,17 @@
 {
 }
 
+kj::Promise<RpcLink::SecuredStream> RpcLink::secure(kj::Own<kj::AsyncIoStream> stream)
+{
+    auto tls = this->context.security.tls();
+    if (tls == nullptr) {
+        return SecuredStream{nullptr, kj::mv(stream)};
+    }
+    return tls->wrapClient(kj::mv(stream), FleetSecurity::FleetServerName).then([tls](auto &&encrypted) {
+        return SecuredStream{tls, kj::mv(encrypted)};
+    });
+}
+
 kj::Promise<void> RpcLink::connect()
 {
     return this->context.network.parseAddress(this->address)
@@ -108,8 +147,11 @@
             return connected.attach(kj::mv(parsed));
         })
         .then([this](kj::Own<kj::AsyncIoStream> &&stream) {
-            this->connection = std::make_shared<Connection>(kj::mv(stream));
-            return passGate(this->connection->gate(), this->context.secret, this->context.party);
+            return this->secure(kj::mv(stream));
+        })
+        .then([this](SecuredStream &&secured) {
+            this->connection = std::make_shared<Connection>(std::move(secured.tls), kj::mv(secured.stream));
+            return passGate(this->connection->gate(), this->context.security.secrets(), this->context.party);
         })
         .then([this](capnp::Response<Wire::Prover::ProveResults> &&response) {
             KJ_REQUIRE(this->connection != nullptr, "the link was reset");
@@ -153,7 +195,7 @@
 kj::Promise<void> serveRpc(RpcContext &context, const std::string &address, OfferedServices services)
 {
     return context.network.parseAddress(address).then([&context, services = kj::mv(services)](auto &&parsed) mutable {
-        auto port = kj::heap<RpcPort>(parsed->listen(), makeGate(context.secret, kj::mv(services)));
+        auto port = kj::heap<RpcPort>(context, parsed->listen(), makeGate(context.security, kj::mv(services)));
         auto loop = port->acceptLoop();
         return loop.attach(kj::mv(port));
     });
--- a/src/rpc/rpc_link_base.h
+++ b/src/rpc/rpc_link_base.h
@@ -18,7 +18,7 @@
 {
     kj::Network &network; ///< Of the control thread.
     kj::Timer &timer; ///< Of the control thread.
-    std::string secret; ///< The fleet's secret.
+    FleetSecurity security; ///< Secrets and certificates.
     std::string party; ///< Who we are, for the other end's log.
 };
 
@@ -45,6 +45,14 @@
 private:
     struct Connection;
 
+    /** A connected stream with the TLS context that it needs. */
+    struct SecuredStream
+    {
+        std::shared_ptr<kj::TlsContext> tls; ///< Null where it is not encrypted.
+        kj::Own<kj::AsyncIoStream> stream; ///< Ready for messages.
+    };
+
+    kj::Promise<SecuredStream> secure(kj::Own<kj::AsyncIoStream> stream);
     kj::Promise<void> connect();
 
     RpcContext &context; ///< Outlives the link.
--- a/tests/support/process_fleet.cpp
+++ b/tests/support/process_fleet.cpp
@@ -354,6 +354,7 @@
         controls += (controls.empty() ? "" : ",") + address;
     }
     arguments.insert(arguments.begin(), {"--controls=" + controls, "--secret_file=" + this->folder + "/secret"});
+    arguments.insert(arguments.begin(), this->size.ctlFlags.begin(), this->size.ctlFlags.end());
     return runCommand("chestnuthook-ctl", std::move(arguments));
 }
 
--- a/tests/support/process_fleet.h
+++ b/tests/support/process_fleet.h
@@ -75,6 +75,7 @@
     std::vector<std::string> engineFlags; ///< Added to each engine's command line.
     std::vector<std::string> entryFlags; ///< Added to each entry's command line.
     std::vector<std::string> controlFlags; ///< Added to each control member's command line.
+    std::vector<std::string> ctlFlags; ///< Added to each command line of chestnuthook-ctl.
 };
 
 /** A fleet of real processes in a folder of its own. */
