--- /dev/null
+++ b/src/ctl/ctl_members_func.cpp
@@ -0,0 +1,64 @@
+/** @file ctl_members_func.cpp  members list, add and remove. */
+#include "ctl/ctl_verb_func.h"
+#include "rpc/message_func.h"
+
+namespace Chestnuthook
+{
+
+namespace
+{
+
+CtlExit change(CtlSession &session, const CtlOptions &options, const Words &words, bool remove)
+{
+    const Result<void> done = session.changeMember(words[0], remove ? "" : words[1], remove);
+    if (!done) {
+        return complain(options, done.error());
+    }
+    Poco::JSON::Object object(Poco::JSON_PRESERVE_KEY_ORDER);
+    object.set("member", words[0]);
+    object.set("state", remove ? "removed" : "added");
+    printResult(
+        options, "member " + words[0] + (remove ? " removed\n" : " added; it holds all that is committed\n"), object);
+    return CtlExit::Done;
+}
+
+} // namespace
+
+CtlExit ctlListMembers(CtlSession &session, const CtlOptions &options, const Words & /*words*/)
+{
+    for (const std::string &address : options.controls) {
+        auto response = session.status(address);
+        if (!response || !response->getStatus().getConfirmed()) {
+            continue;
+        }
+        std::vector<Words> rows;
+        Poco::JSON::Array list;
+        for (const auto member : response->getStatus().getMembers()) {
+            rows.push_back({textOf(member.getId()), textOf(member.getAddress()), textOf(member.getRole()), "holds",
+                std::to_string(member.getMatchIndex())});
+            Poco::JSON::Object object(Poco::JSON_PRESERVE_KEY_ORDER);
+            object.set("id", textOf(member.getId()));
+            object.set("address", textOf(member.getAddress()));
+            object.set("role", textOf(member.getRole()));
+            object.set("holds", member.getMatchIndex());
+            list.add(object);
+        }
+        Poco::JSON::Object object;
+        object.set("members", list);
+        printResult(options, columns(rows), object);
+        return CtlExit::Done;
+    }
+    return complain(options, Error{ErrorKind::NoQuorum, "no control member that leads answered", Ran::No, 0});
+}
+
+CtlExit ctlAddMember(CtlSession &session, const CtlOptions &options, const Words &words)
+{
+    return change(session, options, words, false);
+}
+
+CtlExit ctlRemoveMember(CtlSession &session, const CtlOptions &options, const Words &words)
+{
+    return change(session, options, words, true);
+}
+
+} // namespace Chestnuthook
