--- /dev/null
+++ b/fuzz/call_request_fuzz.cpp
@@ -0,0 +1,15 @@
+/** @file call_request_fuzz.cpp  Bodies of calls: whatever is sent is parsed or refused with a reason. */
+#include "fuzz_input.h"
+#include "program/call_request_type.h"
+
+using namespace Chestnuthook;
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    const std::string body = Fuzz::textOf(data, size);
+    const Result<CallRequest> call = parseCall(body);
+    Fuzz::require(call ? call->body == body : !call.error().what.empty());
+    const auto messages = parseMessages(body);
+    Fuzz::require(messages || !messages.error().what.empty());
+    return 0;
+}
--- /dev/null
+++ b/fuzz/event_stream_fuzz.cpp
@@ -0,0 +1,27 @@
+/** @file event_stream_fuzz.cpp  An engine's server-sent events: whatever comes ends, within bounds, and is called
+ * complete only where [DONE] was read. */
+#include <sstream>
+
+#include "endpoint/http_attempt_func.h"
+#include "fuzz_input.h"
+
+using namespace Chestnuthook;
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    const std::string text = Fuzz::textOf(data, size);
+    std::istringstream stream(text);
+    AttemptOutcome outcome;
+    std::string seen;
+    try {
+        readEventStream(stream, outcome, [&](std::string_view piece) {
+            seen += piece;
+            return true;
+        });
+    } catch (const std::exception &) {
+        outcome.complete = false; // As runEngineAttempt does.
+    }
+    Fuzz::require(!outcome.complete || text.find("data: [DONE]") != std::string::npos);
+    Fuzz::require(outcome.body == seen);
+    return 0;
+}
