--- a/fuzz/call_request_fuzz.cpp
+++ b/fuzz/call_request_fuzz.cpp
@@ -4,6 +4,7 @@
 
 using namespace Chestnuthook;
 
+// The name is set by libFuzzer. NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     const std::string body = Fuzz::textOf(data, size);
--- a/fuzz/command_fuzz.cpp
+++ b/fuzz/command_fuzz.cpp
@@ -107,6 +107,7 @@
 
 } // namespace
 
+// The name is set by libFuzzer. NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     FleetState fleet;
--- a/fuzz/log_record_fuzz.cpp
+++ b/fuzz/log_record_fuzz.cpp
@@ -25,6 +25,7 @@
 
 } // namespace
 
+// The name is set by libFuzzer. NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     const std::string input = Fuzz::textOf(data, size);
