--- a/src/control/main.cpp
+++ b/src/control/main.cpp
@@ -11,6 +11,7 @@
 #include "core/settings_func.h"
 #include "observe/log_func.h"
 #include "rpc/control_loop_base.h"
+#include "rpc/fleet_security_base.h"
 #include "supervisor/supervisor_base.h"
 #include "table/error_table.h"
 
@@ -157,7 +158,7 @@
 
 int main(int argc, char **argv)
 {
-    const DaemonStart start = startDaemon(argc, argv, Settings);
+    const DaemonStart start = startDaemon(argc, argv, withFleetSecurity(Settings));
     if (start.exitCode) {
         return *start.exitCode;
     }
--- a/src/endpoint/http_attempt_func.cpp
+++ b/src/endpoint/http_attempt_func.cpp
@@ -108,13 +108,27 @@
     return sink(text);
 }
 
-void readStream(std::istream &stream, AttemptOutcome &outcome, const TextSink &sink)
+/** Reads a line without ever holding more than the bound of an event. @return false at the stream's end. */
+bool readLine(std::istream &stream, std::string &line)
 {
-    std::string line;
-    while (std::getline(stream, line)) {
+    line.clear();
+    std::streambuf &buffer = *stream.rdbuf();
+    for (int byte = buffer.sbumpc(); byte != std::char_traits<char>::eof(); byte = buffer.sbumpc()) {
+        if (byte == '\n') {
+            return true;
+        }
+        line.push_back(static_cast<char>(byte));
         if (line.size() > MaxEventBytes) {
             throw Poco::DataFormatException("an event is over its bound");
         }
+    }
+    return !line.empty();
+}
+
+void readStream(std::istream &stream, AttemptOutcome &outcome, const TextSink &sink)
+{
+    std::string line;
+    while (readLine(stream, line)) {
         if (!line.empty() && line.back() == '\r') {
             line.pop_back();
         }
@@ -166,6 +180,11 @@
 
 } // namespace
 
+void readEventStream(std::istream &stream, AttemptOutcome &outcome, const TextSink &sink)
+{
+    readStream(stream, outcome, sink);
+}
+
 AttemptOutcome runServiceAttempt(const AttemptRequest &request, CancelToken &cancel)
 {
     return runAttempt(request, cancel, [](std::istream &stream, AttemptOutcome &outcome) {
