--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -9,6 +9,7 @@
 #include "core/settings_func.h"
 #include "entry/entry_daemon_base.h"
 #include "observe/log_func.h"
+#include "rpc/fleet_security_base.h"
 #include "table/error_table.h"
 
 DEFINE_string(listen, "127.0.0.1:8080", "Address for callers, ip:port.");
@@ -74,7 +75,7 @@
 
 int main(int argc, char **argv)
 {
-    const DaemonStart start = startDaemon(argc, argv, Settings);
+    const DaemonStart start = startDaemon(argc, argv, withFleetSecurity(Settings));
     if (start.exitCode) {
         return *start.exitCode;
     }
