--- a/bench/model/fleet_model.h
+++ b/bench/model/fleet_model.h
@@ -49,6 +49,7 @@
     double pausedTokenSeconds = 0; ///< Cache held by paused programs.
     double endedTokenSeconds = 0; ///< Cache held by ended programs.
     double worstShare = 0; ///< Least of served over fair share, at the end of the burst.
+    double worstShareOfAllDemand = 0; ///< The same with all of the calls under way as demand.
     double worstLatency = 0; ///< Largest mean of a tenant within its share, in seconds.
     double retries = 0; ///< Calls that an engine's loss sent elsewhere.
     std::size_t ended = 0; ///< Programs.
@@ -443,23 +444,35 @@
         });
     }
 
-    /** Served over fair share by weighted max-min of what was served in all, bounded by each tenant's demand: what it
-     * was served, what has been done of its running calls, and its waiting calls whole. What is left of a running call
-     * can't be served sooner by any order, so it is not demand yet. */
+    /** Both forms of the worst share: with all that is under way as demand not yet served, and with what running calls
+     * have had as served and what is left of them not yet as demand, as no order can serve that sooner. */
     void measureShares()
     {
+        std::vector<double> demand = this->served;
+        for (const auto &[id, flight] : this->flights) {
+            demand[static_cast<std::size_t>(this->shapeOf(flight.call.program).tenant)] +=
+                flight.call.outputTokens + flight.uncached * PrefillCost;
+        }
+        this->measures.worstShareOfAllDemand = this->worstShareOf(demand);
         for (const Host &host : this->hosts) {
             for (const EngineCall &call : host.engine.running) {
                 const double done = std::max(0.0, call.outputTokens - call.decodeLeft);
                 this->served[static_cast<std::size_t>(this->shapeOf(call.program).tenant)] += done;
             }
         }
-        std::vector<double> demand = this->served;
+        demand = this->served;
         for (const auto &[id, flight] : this->flights) {
             if (!this->hosts[flight.host].queue.isRunning(id)) {
                 demand[static_cast<std::size_t>(this->shapeOf(flight.call.program).tenant)] += flight.call.outputTokens;
             }
         }
+        this->measures.worstShare = this->worstShareOf(demand);
+    }
+
+    /** Least of served over fair share by weighted max-min of what was served in all, bounded by each tenant's
+     * @p demand. */
+    [[nodiscard]] double worstShareOf(const std::vector<double> &demand) const
+    {
         double left = std::accumulate(this->served.begin(), this->served.end(), 0.0);
         std::vector<double> fair(demand.size(), 0);
         std::vector<bool> met(demand.size(), false);
@@ -479,10 +492,11 @@
                 }
             }
         }
-        this->measures.worstShare = 1e9;
+        double worst = 1e9;
         for (std::size_t i = 0; i < demand.size(); ++i) {
-            this->measures.worstShare = std::min(this->measures.worstShare, this->served[i] / fair[i]);
+            worst = std::min(worst, this->served[i] / fair[i]);
         }
+        return worst;
     }
 
     /** An engine is lost for half a minute, and then an entry, with the counts that it kept. */
--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -104,6 +104,7 @@
     print(mix.name + ".recomputed_tokens_against_round_robin", ours.recomputed, rotation.recomputed, 0.3);
     print(mix.name + ".recomputed_tokens_against_affinity", ours.recomputed, affinity.recomputed, 1.1);
     print(mix.name + ".worst_share", ours.worstShare, rotation.worstShare, -0.95);
+    print(mix.name + ".worst_share_of_all_demand", ours.worstShareOfAllDemand, rotation.worstShareOfAllDemand, -0.95);
     printAll(mix.name + ".baseline.arrival_round_robin", rotation, ours);
 }
 
--- a/src/entry/entry_daemon_base.cpp
+++ b/src/entry/entry_daemon_base.cpp
@@ -61,81 +61,73 @@
 
 std::vector<ChildSpecification> EntryDaemon::children()
 {
-    std::vector<ChildSpecification> table;
-    table.push_back({.name = "endpoint-list",
-        .start =
-            [this]() {
-                this->startListPoll();
-                return Result<void>();
-            },
-        .stop =
-            [this]() {
-                this->stopListPoll();
-            },
-        .ready = {}});
-    table.push_back({.name = "fleet",
-        .start =
-            [this]() {
-                this->follower.onDrainOrdered = [this]() {
-                    this->beginDrain();
-                };
-                this->follower.start();
-                return Result<void>();
-            },
-        .stop =
-            [this]() {
-                this->follower.stop();
-            },
-        .ready = {}});
-    table.push_back({.name = "programs",
-        .start =
-            [this]() {
-                this->follower.onChange = [this]() {
-                    this->programs.updateSlots();
-                    this->context.admission.client.onViewChange();
-                    this->context.dispatch.broker.onViewChange();
-                };
-                this->programs.releaseCache = [this](const ProgramId &program, const EndpointId &endpoint) {
-                    this->releaseCache(program, endpoint);
-                };
-                this->programs.start(this->loop.timers());
-                this->deadlineTimer = this->loop.timers().every(DeadlinePeriod, [this]() {
-                    this->context.deadlines.expire(this->loop.timers().now());
-                });
-                return Result<void>();
-            },
-        .stop =
-            [this]() {
-                this->follower.onChange = {};
-                this->programs.stop();
-                this->deadlineTimer.cancel();
-            },
-        .ready =
-            [this]() {
-                return this->programs.ready();
-            }});
-    table.push_back({.name = "peers",
-        .start =
-            [this]() {
-                OfferedServices services{nullptr, kj::heap<EntryPeerServer>(this->context)};
-                this->loop.detach(
-                    serveRpc(this->loop.rpc(), this->settings.rpcAddress, kj::mv(services))
-                        .catch_([this](kj::Exception &&exception) {
-                            this->fault = Error{ErrorKind::AddressInUse, exception.getDescription().cStr(), Ran::No, 0};
-                            this->loop.stop();
-                        }));
-                return Result<void>();
-            },
-        .stop = {},
-        .ready = {}});
-    table.push_back({.name = "callers",
-        .start =
-            [this]() {
-                return this->server.start(this->settings.address, this->settings.callers);
-            },
-        .stop = {},
-        .ready = {}});
-    return table;
+    using Daemon = EntryDaemon;
+    return {
+        childRow("endpoint-list", *this, &Daemon::startListPoll, &Daemon::stopListPoll),
+        childRow("fleet", *this, &Daemon::startFleet, &Daemon::stopFleet),
+        childRow("programs", *this, &Daemon::startPrograms, &Daemon::stopPrograms, &Daemon::programsReady),
+        childRow("peers", *this, &Daemon::startPeers),
+        childRow("callers", *this, &Daemon::startCallers),
+    };
+}
+
+Result<void> EntryDaemon::startFleet()
+{
+    this->follower.onDrainOrdered = [this]() {
+        this->beginDrain();
+    };
+    this->follower.start();
+    return {};
+}
+
+void EntryDaemon::stopFleet()
+{
+    this->follower.stop();
+}
+
+Result<void> EntryDaemon::startPrograms()
+{
+    this->follower.onChange = [this]() {
+        this->programs.updateSlots();
+        this->context.admission.client.onViewChange();
+        this->context.dispatch.broker.onViewChange();
+    };
+    this->programs.releaseCache = [this](const ProgramId &program, const EndpointId &endpoint) {
+        this->releaseCache(program, endpoint);
+    };
+    this->programs.start(this->loop.timers());
+    this->deadlineTimer = this->loop.timers().every(DeadlinePeriod, [this]() {
+        this->context.deadlines.expire(this->loop.timers().now());
+    });
+    return {};
+}
+
+void EntryDaemon::stopPrograms()
+{
+    this->follower.onChange = {};
+    this->programs.stop();
+    this->deadlineTimer.cancel();
+}
+
+Result<void> EntryDaemon::programsReady() const
+{
+    return this->programs.ready();
+}
+
+Result<void> EntryDaemon::startPeers()
+{
+    OfferedServices services{nullptr, kj::heap<EntryPeerServer>(this->context)};
+    auto port = serveRpc(this->loop.rpc(), this->settings.rpcAddress, kj::mv(services));
+    this->loop.detach(port.catch_([this](kj::Exception &&exception) {
+        this->fault = Error{ErrorKind::AddressInUse, exception.getDescription().cStr(), Ran::No, 0};
+        this->loop.stop();
+    }));
+    return {};
+}
+
+Result<void> EntryDaemon::startCallers()
+{
+    return this->server.start(this->settings.address, this->settings.callers);
 }
 
 Result<void> EntryDaemon::run()
@@ -158,7 +150,7 @@
     return {};
 }
 
-void EntryDaemon::startListPoll()
+Result<void> EntryDaemon::startListPoll()
 {
     this->polling = true;
     this->listThread = std::thread([this]() {
@@ -169,6 +161,7 @@
             std::this_thread::sleep_for(ListPollPeriod);
         }
     });
+    return {};
 }
 
 void EntryDaemon::stopListPoll()
--- a/src/entry/entry_daemon_base.h
+++ b/src/entry/entry_daemon_base.h
@@ -38,9 +38,17 @@
     Result<void> run();
 
 private:
+    /** The supervisor's table, in start order: each row leans on those above it. */
     std::vector<ChildSpecification> children();
-    void startListPoll();
+    Result<void> startListPoll();
     void stopListPoll();
+    Result<void> startFleet();
+    void stopFleet();
+    Result<void> startPrograms();
+    void stopPrograms();
+    [[nodiscard]] Result<void> programsReady() const;
+    Result<void> startPeers();
+    Result<void> startCallers();
     void beginDrain();
     void drain();
     void releaseCache(const ProgramId &program, const EndpointId &endpoint);
--- a/src/entry/program_runtime_base.cpp
+++ b/src/entry/program_runtime_base.cpp
@@ -302,11 +302,13 @@
             writeProgram(command.initCreate(), program);
             return this->commit(program.id, flatBytes(message));
         })
-        .then([id = made->id](Result<void> &&done) -> Result<ProgramId> {
+        .then([id = made->id, wish](Result<void> &&done) -> Result<ProgramId> {
             if (!done) {
                 return tl::unexpected(done.error());
             }
-            logEvent(EventKind::ProgramCreated, {{"program", id.text}});
+            logEvent(EventKind::ProgramCreated,
+                {{"program", id.text}, {"tenant", wish.tenant.text}, {"parent", wish.parent.text},
+                    {"key_id", wish.key.text}});
             return id;
         });
 }
--- a/src/entry/program_runtime_base.h
+++ b/src/entry/program_runtime_base.h
@@ -60,6 +60,7 @@
 struct ProgramWish
 {
     TenantId tenant; ///< Of the caller's key.
+    KeyId key; ///< The caller's; for events only.
     Budget budget; ///< Parts that are 0 take the site's defaults.
     ProgramId parent; ///< Empty for a root.
     std::string requestKey; ///< The caller's Idempotency-Key; empty for none.
--- a/src/entry/program_service_base.cpp
+++ b/src/entry/program_service_base.cpp
@@ -115,6 +115,7 @@
     builder.setIdempotencyKey(request.idempotencyKey);
     builder.setBody(dataOf(request.body));
     builder.setHops(1);
+    writeHybridTime(builder.initTime());
     auto headers = builder.initHeaders(2);
     headers[0].setName("Content-Type");
     headers[0].setValue(request.contentType);
@@ -124,6 +125,7 @@
 
 CallerRequest readRequest(Wire::ForwardedRequest::Reader reader)
 {
+    observeHybridTime(reader.getTime());
     CallerRequest request;
     request.method = textOf(reader.getMethod());
     request.uri = textOf(reader.getPath());
@@ -192,6 +194,7 @@
     }
     this->wish = std::move(*parsed);
     this->wish.tenant = this->request.caller.tenant;
+    this->wish.key = this->request.caller.key;
     this->wish.requestKey = this->request.idempotencyKey;
     this->wish.digest = sha256Hex(this->request.body);
     if (!this->wish.parent.empty()) {
@@ -355,6 +358,7 @@
 {
     ProgramWish one;
     one.tenant = this->request.caller.tenant;
+    one.key = this->request.caller.key;
     one.requestKey = this->request.idempotencyKey;
     one.digest = this->call.digest;
     one.budget.calls = 1;
--- a/src/fleet/fleet_base.cpp
+++ b/src/fleet/fleet_base.cpp
@@ -17,29 +17,29 @@
 void writeRecord(Wire::FleetItem::Builder item, const DeclarationName &name, const DeclarationRecord &record)
 {
     auto declaration = item.initDeclaration();
-    declaration.setSection(name.section);
-    declaration.setName(name.name);
-    declaration.setJson(record.json);
+    declaration.setSection(wireText(name.section));
+    declaration.setName(wireText(name.name));
+    declaration.setJson(wireText(record.json));
 }
 
 void writeRecord(Wire::FleetItem::Builder item, const KeyId &id, const KeyRecord &record)
 {
     auto key = item.initKey();
-    key.setId(id.text);
-    key.setTenant(record.tenant.text);
+    key.setId(wireText(id.text));
+    key.setTenant(wireText(record.tenant.text));
     key.setHash(dataOf(record.hash));
     key.setWithdrawn(record.withdrawn);
-    key.setNote(record.note);
+    key.setNote(wireText(record.note));
 }
 
 void writeRecord(Wire::FleetItem::Builder item, const EntryId &id, const EntryRecord &record)
 {
     auto entry = item.initEntry();
-    entry.setId(id.text);
+    entry.setId(wireText(id.text));
     entry.setEpoch(record.epoch.value);
-    entry.setAddress(record.address);
-    entry.setRpcAddress(record.rpcAddress);
-    entry.setDataCentre(record.dataCentre.text);
+    entry.setAddress(wireText(record.address));
+    entry.setRpcAddress(wireText(record.rpcAddress));
+    entry.setDataCentre(wireText(record.dataCentre.text));
     entry.setState(record.state == EntryState::Draining ? Wire::EntryState::DRAINING : Wire::EntryState::LIVE);
 }
 
@@ -47,29 +47,29 @@
 {
     auto slot = item.initSlot();
     slot.setNumber(id.value);
-    slot.setOwner(record.owner.text);
+    slot.setOwner(wireText(record.owner.text));
     slot.setEpoch(record.epoch.value);
-    slot.setFormer(record.former.text);
+    slot.setFormer(wireText(record.former.text));
     slot.setFormerEpoch(record.formerEpoch.value);
 }
 
 void writeRecord(Wire::FleetItem::Builder item, const std::string &fingerprint, const StrikeRecord &record)
 {
     auto strike = item.initStrike();
-    strike.setFingerprint(fingerprint);
+    strike.setFingerprint(wireText(fingerprint));
     strike.setStrikes(record.strikes);
     strike.setExpiresAtMs(record.expiresAtMs);
     auto endpoints = strike.initEndpoints(static_cast<unsigned>(record.endpoints.size()));
     for (unsigned i = 0; i < endpoints.size(); ++i) {
-        endpoints.set(i, record.endpoints[i].text);
+        endpoints.set(i, wireText(record.endpoints[i].text));
     }
 }
 
 void writeRecord(Wire::FleetItem::Builder item, const EndpointId &endpoint, const OrderRecord &record)
 {
     auto order = item.initOrder();
-    order.setEndpoint(endpoint.text);
-    order.setJson(record.json);
+    order.setEndpoint(wireText(endpoint.text));
+    order.setJson(wireText(record.json));
     order.setFence(record.fence);
     order.setConfirmed(record.confirmed);
 }
@@ -216,7 +216,7 @@
     for (const auto &[index, requestId] : this->replyOrder) {
         auto reply = replies[next++];
         reply.setIndex(index);
-        reply.setRequestId(requestId);
+        reply.setRequestId(wireText(requestId));
         reply.setReply(dataOf(this->replies.at(requestId)));
     }
     return flatBytes(builder);
--- a/src/program/program_type.cpp
+++ b/src/program/program_type.cpp
@@ -13,7 +13,7 @@
 void writeIds(capnp::List<capnp::Text>::Builder builder, const std::vector<Id> &ids)
 {
     for (unsigned i = 0; i < builder.size(); ++i) {
-        builder.set(i, ids[i].text);
+        builder.set(i, wireText(ids[i].text));
     }
 }
 
@@ -52,17 +52,17 @@
 void writeCall(Wire::Call::Builder builder, const CallRecord &call)
 {
     builder.setNumber(call.number.value);
-    builder.setDigest(call.digest);
-    builder.setAttempt(call.attempt.text);
+    builder.setDigest(wireText(call.digest));
+    builder.setAttempt(wireText(call.attempt.text));
     builder.setState(call.state == CallState::Ended ? Wire::CallState::ENDED : Wire::CallState::INTENT);
-    builder.setRequest(call.request);
-    builder.setAnswer(call.answer);
+    builder.setRequest(wireText(call.request));
+    builder.setAnswer(wireText(call.answer));
     builder.setStatus(call.status);
     if (call.failure) {
         writeFailure(builder.initFailure(), *call.failure);
     }
     builder.setTokens(call.tokens);
-    builder.setEndpoint(call.endpoint.text);
+    builder.setEndpoint(wireText(call.endpoint.text));
     builder.setDeadlineMs(call.deadlineMs);
     builder.setFinishReason(call.finishReason);
     builder.setPromptTokens(call.promptTokens);
@@ -93,9 +93,9 @@
 
 void writeProgram(Wire::Program::Builder builder, const ProgramRecord &program)
 {
-    builder.setId(program.id.text);
-    builder.setTenant(program.tenant.text);
-    builder.setParent(program.parent.text);
+    builder.setId(wireText(program.id.text));
+    builder.setTenant(wireText(program.tenant.text));
+    builder.setParent(wireText(program.parent.text));
     writeIds(builder.initChildren(static_cast<unsigned>(program.children.size())), program.children);
     writeBudget(builder.initBudget(), program.budget);
     writeBudget(builder.initSpent(), program.spent);
@@ -106,7 +106,7 @@
         writeCall(calls[i], program.calls[i]);
     }
     writeIds(builder.initReleases(static_cast<unsigned>(program.releases.size())), program.releases);
-    builder.setRequestId(program.requestId);
+    builder.setRequestId(wireText(program.requestId));
     builder.setLastReserve(program.lastReserve);
 }
 
--- a/src/rpc/message_func.cpp
+++ b/src/rpc/message_func.cpp
@@ -39,7 +39,7 @@
 void writeFailure(Wire::Failure::Builder builder, const Error &error)
 {
     builder.setCode(std::string(errorRow(error.kind).code));
-    builder.setWhat(error.what);
+    builder.setWhat(wireText(error.what));
     builder.setRan(std::string(nameOf(error.ran)));
     builder.setRetryAfterMs(error.retryAfterMs);
 }
--- a/src/rpc/message_func.h
+++ b/src/rpc/message_func.h
@@ -51,6 +51,13 @@
     return {reader.begin(), reader.size()};
 }
 
+/** @p text as a whole: the conversion that Cap'n Proto has for std::string stops at a NUL byte. The text outlives the
+ * reader. */
+[[nodiscard]] inline capnp::Text::Reader wireText(const std::string &text)
+{
+    return {text.c_str(), text.size()};
+}
+
 [[nodiscard]] inline std::string bytesOf(capnp::Data::Reader reader)
 {
     return {reinterpret_cast<const char *>(reader.begin()), reader.size()};
--- a/tests/unit/program_journal_test.cpp
+++ b/tests/unit/program_journal_test.cpp
@@ -220,6 +220,24 @@
     BOOST_TEST(journal.apply(Journal::end(3, "c")) == "budget_spent");
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_with_a_nul_byte_is_kept_whole)
+{
+    const std::string answer("before\0after", 12);
+    ProgramRecord program;
+    program.id = ProgramId{Program};
+    CallRecord call = Journal::callOf(1, "a");
+    call.answer = answer;
+    call.request = answer;
+    call.failure = Error{ErrorKind::EndpointFailed, answer, Ran::Unknown, 0};
+    program.calls.push_back(call);
+    capnp::MallocMessageBuilder message;
+    writeProgram(message.initRoot<Wire::Program>(), program);
+    const ProgramRecord read = readProgram(message.getRoot<Wire::Program>().asReader());
+    BOOST_TEST(read.calls[0].answer == answer);
+    BOOST_TEST(read.calls[0].request == answer);
+    BOOST_TEST(read.calls[0].failure->what == answer);
+}
+
 /** Invariants: calls are numbered without gaps, only the last is an intent, an ended call keeps its first result, and
  * no part of the budget is overspent, whatever commands come twice, late and in any order. */
 BOOST_AUTO_TEST_CASE(commands_in_any_order_keep_the_invariants)
