--- a/src/entry/answer_writer_base.cpp
+++ b/src/entry/answer_writer_base.cpp
@@ -68,7 +68,22 @@
     pollfd watched{this->socket, POLLRDHUP, 0};
     const bool closed = this->socket >= 0 && ::poll(&watched, 1, 0) > 0
         && (watched.revents & (POLLRDHUP | POLLHUP | POLLERR | POLLNVAL)) != 0;
-    return this->broken || closed || (this->isKeyValid && !this->isKeyValid());
+    const bool withdrawn = this->isKeyValid && !this->isKeyValid();
+    if (withdrawn && !closed && !this->broken && !this->told) {
+        this->told = true;
+        this->tellWithdrawn();
+    }
+    return this->broken || closed || withdrawn;
+}
+
+void HttpAnswerWriter::tellWithdrawn()
+{
+    const Error error{ErrorKind::UnknownKey, "the key was withdrawn", Ran::Unknown, 0};
+    if (this->isStarted()) {
+        this->write("event: error\ndata: " + errorJson(error) + "\n\n");
+    } else {
+        replyError(*this, error);
+    }
 }
 
 void replyText(AnswerWriter &answer, int status, const std::string &type, const std::string &body)
--- a/src/entry/answer_writer_base.h
+++ b/src/entry/answer_writer_base.h
@@ -56,10 +56,14 @@
     std::function<bool()> isKeyValid; ///< Asked now and then while the answer is under way; empty for open routes.
 
 private:
+    /** Ends the answer by an error: the caller is connected, but may have nothing more. */
+    void tellWithdrawn();
+
     Poco::Net::HTTPServerResponse &response; ///< Outlives this.
     int socket; ///< The caller's connection, to see whether it was closed.
     std::ostream *stream = nullptr; ///< Set by start.
     bool broken = false; ///< A write failed.
+    bool told = false; ///< The caller was told that its key was withdrawn.
 };
 
 /** Sends @p body as JSON. */
--- a/tests/process/freshness_test.cpp
+++ b/tests/process/freshness_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <csignal>
+#include <thread>
 
 #include "support/control_probe.h"
 
@@ -64,6 +65,33 @@
     BOOST_TEST(createStatus(fleet, key, 0) == 401);
 }
 
+BOOST_AUTO_TEST_CASE(a_stream_of_a_withdrawn_key_ends_at_an_entry_that_followed_the_isolated_leader)
+{
+    FleetSize size = threeControls();
+    size.engineFlags = {"--token_ms=1500"}; // An answer has eight tokens or more: twelve seconds.
+    ProcessFleet fleet(size);
+    ControlProbe probe(fleet);
+    const std::string issued = fleet.ctl({"keys", "issue", fleet.tenant}).output;
+    const std::string id = issued.substr(3, issued.find('\n') - 3);
+    const std::size_t at = issued.find("key chk-") + 4;
+    const std::string key = issued.substr(at, issued.find('\n', at) - at);
+    const std::string program = "/v1/programs/" + fleet.createProgram(0);
+    HttpAnswer answer;
+    std::thread caller([&]() {
+        answer = httpAs(key, fleet.entryAddresses[0], "POST", program + "/calls/1",
+            R"({"kind":"model","model":"verse","stream":true,"max_tokens":64,"messages":[{"role":"user","content":"a"}]})");
+    });
+    BOOST_TEST(waitUntil([&]() {
+        return ProcessFleet::ledgerCount(fleet.engineAddresses[0], "\"running\"") == 1;
+    }));
+    probe.setFault(probe.leader(), true, false);
+    BOOST_TEST(fleet.ctl({"keys", "withdraw", id}).exitCode == 0);
+    caller.join();
+    BOOST_TEST((answer.status == 200 || answer.status == 401)); // By whether a token had come.
+    BOOST_TEST(answer.body.find("[DONE]") == std::string::npos, answer.body);
+    BOOST_TEST(answer.body.find("unknown_key") != std::string::npos, answer.body);
+}
+
 BOOST_AUTO_TEST_CASE(an_entry_without_a_confirmed_read_admits_nothing_and_says_so)
 {
     ProcessFleet fleet(threeControls());
