--- a/src/consensus/raft_core_base.h
+++ b/src/consensus/raft_core_base.h
@@ -136,6 +136,9 @@
     void sendAppend(const std::string &member, Progress &known, bool evenEmpty);
     void sendSnapshot(const std::string &member, Progress &known);
     void handleAppend(const RaftMessage &message);
+    /** Notes at the leader that a follower answered. @return what the leader knows of it; null where that is nothing.
+     */
+    Progress *hearFrom(const RaftMessage &message);
     void handleAppendReply(const RaftMessage &message);
     void handleSnapshot(const RaftMessage &message);
     void handleSnapshotReply(const RaftMessage &message);
--- a/src/consensus/raft_replication.cpp
+++ b/src/consensus/raft_replication.cpp
@@ -136,15 +136,25 @@
     this->syncedIndex = std::min(this->syncedIndex, index - 1);
 }
 
-void RaftCore::handleAppendReply(const RaftMessage &message)
+RaftCore::Progress *RaftCore::hearFrom(const RaftMessage &message)
 {
     const auto found = this->progress.find(message.from);
     if (this->currentRole != RaftRole::Leader || found == this->progress.end()) {
-        return;
+        return nullptr;
     }
     Progress &known = found->second;
     known.heard = true;
     known.readContext = std::max(known.readContext, message.readContext);
+    return &known;
+}
+
+void RaftCore::handleAppendReply(const RaftMessage &message)
+{
+    Progress *const heard = this->hearFrom(message);
+    if (heard == nullptr) {
+        return;
+    }
+    Progress &known = *heard;
     if (message.ok) {
         known.match = std::max(known.match, message.index);
         known.next = std::max(known.next, known.match + 1);
@@ -207,13 +217,11 @@
 
 void RaftCore::handleSnapshotReply(const RaftMessage &message)
 {
-    const auto found = this->progress.find(message.from);
-    if (this->currentRole != RaftRole::Leader || found == this->progress.end()) {
+    Progress *const heard = this->hearFrom(message);
+    if (heard == nullptr) {
         return;
     }
-    Progress &known = found->second;
-    known.heard = true;
-    known.readContext = std::max(known.readContext, message.readContext);
+    Progress &known = *heard;
     if (known.snapshotIndex == message.index && message.offset != known.snapshotOffset) {
         known.snapshotOffset = message.offset;
         this->sendSnapshot(message.from, known);
--- a/src/ctl/ctl_apply_func.cpp
+++ b/src/ctl/ctl_apply_func.cpp
@@ -25,6 +25,28 @@
     return submitCommand(session, message);
 }
 
+/** What the files would change in the fleet. */
+struct Comparison
+{
+    FleetState state; ///< As the fleet holds it now.
+    std::vector<DeclarationChange> changes; ///< From it to the files.
+};
+
+/** Reads the files and the fleet; complains of what is wrong and gives the exit code for it. */
+tl::expected<Comparison, CtlExit> compareWithFleet(CtlSession &session, const CtlOptions &options, const Words &files)
+{
+    const DeclarationFiles read = readDeclarations(files);
+    if (!read.faults.empty()) {
+        return tl::unexpected(complainAll(options, read.faults));
+    }
+    Result<FleetState> state = session.readFleet();
+    if (!state) {
+        return tl::unexpected(complain(options, state.error()));
+    }
+    std::vector<DeclarationChange> changes = declarationChanges(*state, read.items);
+    return Comparison{std::move(*state), std::move(changes)};
+}
+
 } // namespace
 
 CtlExit ctlValidate(const CtlOptions &options, const Words &files)
@@ -41,37 +63,29 @@
 
 CtlExit ctlDiff(CtlSession &session, const CtlOptions &options, const Words &files)
 {
-    const DeclarationFiles read = readDeclarations(files);
-    if (!read.faults.empty()) {
-        return complainAll(options, read.faults);
-    }
-    const Result<FleetState> state = session.readFleet();
-    if (!state) {
-        return complain(options, state.error());
+    const tl::expected<Comparison, CtlExit> compared = compareWithFleet(session, options, files);
+    if (!compared) {
+        return compared.error();
     }
-    const std::vector<DeclarationChange> changes = declarationChanges(*state, read.items);
+    const auto &[state, changes] = *compared;
     Poco::JSON::Object object(Poco::JSON_PRESERVE_KEY_ORDER);
-    object.set("revision", state->revision().value);
+    object.set("revision", state.revision().value);
     object.set("changes", changesJson(changes));
     printResult(options,
-        changesText(options, changes) + "against revision " + std::to_string(state->revision().value) + "\n", object);
+        changesText(options, changes) + "against revision " + std::to_string(state.revision().value) + "\n", object);
     return CtlExit::Done;
 }
 
 CtlExit ctlApply(CtlSession &session, const CtlOptions &options, const Words &files)
 {
-    const DeclarationFiles read = readDeclarations(files);
-    if (!read.faults.empty()) {
-        return complainAll(options, read.faults);
-    }
-    const Result<FleetState> state = session.readFleet();
-    if (!state) {
-        return complain(options, state.error());
+    const tl::expected<Comparison, CtlExit> compared = compareWithFleet(session, options, files);
+    if (!compared) {
+        return compared.error();
     }
-    const std::vector<DeclarationChange> changes = declarationChanges(*state, read.items);
-    const std::uint64_t expected = options.expectedRevision.value_or(state->revision().value);
+    const auto &[state, changes] = *compared;
+    const std::uint64_t expected = options.expectedRevision.value_or(state.revision().value);
     const bool named = options.expectedRevision.has_value() || !options.requestId.empty();
-    const Result<Submitted> submitted = changes.empty() && !named ? Submitted{state->index(), expected}
+    const Result<Submitted> submitted = changes.empty() && !named ? Submitted{state.index(), expected}
                                                                   : submitChanges(session, options, expected, changes);
     if (!submitted) {
         return complain(options, submitted.error());
