A lease of epoch 0 is never ending

Cause: an unset ending epoch equalled the epoch 0 of a reply without a lease, found in review; no failure was seen. Change: isEnding is false for epoch 0. thin_path and unit/admission* pass.

--- a/src/control/lease_keeper_base.cpp
+++ b/src/control/lease_keeper_base.cpp
@@ -43,7 +43,7 @@
 bool LeaseKeeper::isEnding(const EntryId &entry, Epoch epoch) const
 {
     const HeardEntry *heard = this->find(entry);
-    return heard != nullptr && heard->ending == epoch;
+    return heard != nullptr && epoch.value != 0 && heard->ending == epoch;
 }
 
 const HeardEntry *LeaseKeeper::find(const EntryId &entry) const
