--- /dev/null
+++ b/src/deployment/credit_pool_base.cpp
@@ -0,0 +1,44 @@
+/** @file credit_pool_base.cpp  Token buckets of the deployment. */
+#include "deployment/credit_pool_base.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Chestnuthook
+{
+
+namespace
+{
+
+/** A leader that has just begun doesn't know what the one before it granted; it begins with this part of a second's
+ * rate. */
+constexpr double FirstFillSeconds = 0.5;
+
+} // namespace
+
+void CreditPool::setGateways(std::size_t gateways, std::size_t silent)
+{
+    this->heardShare =
+        gateways == 0 ? 1 : 1 - static_cast<double>(silent) / static_cast<double>(std::max(gateways, silent));
+}
+
+std::uint32_t CreditPool::take(Instant now, const CustomerRule &customer, std::uint32_t wanted)
+{
+    if (customer.ratePerSecond <= 0) {
+        return wanted;
+    }
+    const double most = std::max(customer.burst, 1.0);
+    const auto [entry, isNew] = this->buckets.try_emplace(customer.name);
+    Bucket &bucket = entry->second;
+    if (isNew) {
+        bucket = Bucket{std::min(most, customer.ratePerSecond * FirstFillSeconds), now};
+    }
+    const double seconds = std::chrono::duration<double>(now - bucket.filled).count();
+    bucket.tokens = std::min(most, bucket.tokens + seconds * customer.ratePerSecond * this->heardShare);
+    bucket.filled = now;
+    const auto granted = std::min(wanted, static_cast<std::uint32_t>(std::floor(std::max(bucket.tokens, 0.0))));
+    bucket.tokens -= granted;
+    return granted;
+}
+
+} // namespace Chestnuthook
--- /dev/null
+++ b/src/deployment/credit_pool_base.h
@@ -0,0 +1,36 @@
+/** @file credit_pool_base.h  The rate of each customer over the whole deployment, handed out in small grants. Pure. */
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "core/timer_type.h"
+#include "deployment/configuration_type.h"
+
+namespace Chestnuthook
+{
+
+/** At the leader. What was granted is spent soon or lost, so that grants in the hands of gateways stay few. */
+class CreditPool
+{
+public:
+    /** Part of the rate that the leader hands out, while @p silent of @p gateways can't be heard: these may go on with
+     * their own share, so it is left to them. */
+    void setGateways(std::size_t gateways, std::size_t silent);
+
+    /** @return how many of the @p wanted requests of @p customer may be admitted. */
+    std::uint32_t take(Instant now, const CustomerRule &customer, std::uint32_t wanted);
+
+private:
+    struct Bucket
+    {
+        double tokens = 0; ///< At most the burst.
+        Instant filled{0}; ///< When `tokens` was worked out.
+    };
+
+    double heardShare = 1; ///< 0 to 1.
+    std::map<std::string, Bucket> buckets; ///< By customer.
+};
+
+} // namespace Chestnuthook
--- /dev/null
+++ b/src/deployment/deployment_member_base.cpp
@@ -0,0 +1,482 @@
+/** @file deployment_member_base.cpp  Commands of operators, watches of daemons, and the duties of the leader. */
+#include "deployment/deployment_member_base.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "deployment/group_plan_func.h"
+#include "observe/log_func.h"
+#include "rpc/message_func.h"
+#include "table/error_table.h"
+
+namespace Chestnuthook
+{
+
+namespace
+{
+
+constexpr std::uint8_t StateTag = 1;
+constexpr Duration LookPeriod = std::chrono::milliseconds(200);
+/** Each read of the platform's list is charged; a leaving endpoint must get no work some seconds after it shows. */
+constexpr Duration EndpointReadPeriod = std::chrono::milliseconds(700);
+/** Broken connections after which a request is refused everywhere. */
+constexpr unsigned QuarantineStrikes = 3;
+
+template<typename T>
+LateResult<T> late(Result<T> result)
+{
+    return std::make_unique<Result<T>>(std::move(result));
+}
+
+class DeploymentServer final : public Wire::Deployment::Server
+{
+public:
+    explicit DeploymentServer(DeploymentMember &member)
+        : member(member)
+    {
+    }
+
+    kj::Promise<void> watch(WatchContext context) override
+    {
+        const auto params = context.getParams();
+        return this->member.awaitNews(params.getReport(), params.getHeld(), params.getWaitMs())
+            .then([this, context]() mutable {
+                this->member.writeUpdate(context.getParams().getHeld(), context.getResults().initUpdate());
+            });
+    }
+
+    kj::Promise<void> credit(CreditContext context) override
+    {
+        const auto wanted = context.getParams().getWanted();
+        auto results = context.getResults();
+        results.setLeading(this->member.leads());
+        auto granted = results.initGranted(wanted.size());
+        for (unsigned i = 0; i < wanted.size(); ++i) {
+            granted[i].setCustomer(wanted[i].getCustomer());
+            granted[i].setRequests(this->member.takeCredit(textOf(wanted[i].getCustomer()), wanted[i].getRequests()));
+        }
+        return kj::READY_NOW;
+    }
+
+private:
+    DeploymentMember &member; ///< Outlives this.
+};
+
+InstanceFacts readFacts(Wire::InstanceReport::Reader report)
+{
+    return {textOf(report.getName()), report.getRole(), textOf(report.getDataCentre()),
+        textOf(report.getCallerAddress()), textOf(report.getRpcAddress()), textOf(report.getIdentity()),
+        report.getReady()};
+}
+
+} // namespace
+
+DeploymentMember::DeploymentMember(ControlLoop &loop, DeploymentMemberSettings settings,
+    ConfigurationReader readConfiguration, EndpointSource &endpointSource)
+    : node(loop, settings.replica)
+    , loop(loop)
+    , settings(std::move(settings))
+    , readDocument(std::move(readConfiguration))
+    , endpointSource(endpointSource)
+    , group(this->node, StateTag)
+    , watcher(loop, this->settings.seeds)
+{
+}
+
+Result<void> DeploymentMember::open(const std::string &folder)
+{
+    Result<void> opened = this->node.open(folder);
+    if (opened) {
+        this->settings.self.identity = this->node.identity();
+    }
+    return opened;
+}
+
+void DeploymentMember::start()
+{
+    this->node.onLead = [this]() {
+        this->beginLeading();
+    };
+    this->node.start();
+    this->watcher.describe = [this]() {
+        return this->settings.self;
+    };
+    this->watcher.isPaused = [this]() {
+        return this->leads();
+    };
+    this->watcher.start();
+    this->looking = this->loop.timers().every(LookPeriod, [this]() {
+        this->look();
+    });
+    this->reading = this->loop.timers().every(EndpointReadPeriod, [this]() {
+        this->readEndpoints();
+    });
+}
+
+void DeploymentMember::beginLeading()
+{
+    const Instant now = this->loop.timers().now();
+    this->ledTerm = this->node.term();
+    this->leadingSince = now;
+    this->board = InstanceBoard();
+    this->board.adopt(now, this->watcher.view.instances);
+    this->board.note(now, this->settings.self, 0);
+    this->instancesVersion = 1;
+    this->endpoints.clear();
+    this->endpointsVersion = 0;
+    this->credits = CreditPool();
+    this->quarantineVersion = 1;
+    this->changingGroup = false;
+    this->changingView = false;
+    this->notifyWatchers();
+    this->readEndpoints();
+}
+
+void DeploymentMember::notifyWatchers()
+{
+    for (auto &fulfiller : std::exchange(this->watching, {})) {
+        fulfiller->fulfill();
+    }
+}
+
+void DeploymentMember::refreshConfiguration()
+{
+    const DeploymentState &state = this->group.machine;
+    if (state.configurationVersion == 0
+        || (this->configuration != nullptr && this->configuration->version == state.configurationVersion)) {
+        return;
+    }
+    const Result<ConfigurationPtr> read = this->readDocument(state.document);
+    if (!read) { // It was valid when it was accepted.
+        logEvent(EventKind::ChildFailed, {{"child", "configuration"}, {"error", errorText(read.error())}});
+        return;
+    }
+    this->configuration = *read;
+}
+
+void DeploymentMember::look()
+{
+    if (!this->leads()) {
+        return;
+    }
+    const Instant now = this->loop.timers().now();
+    bool changed = this->board.note(now, this->settings.self, 0);
+    changed = this->board.expire(now) || changed;
+    if (changed) {
+        ++this->instancesVersion;
+        this->notifyWatchers();
+    }
+    const auto [gateways, silent] = this->board.gatewaysAndSilent();
+    this->credits.setGateways(gateways, silent);
+    this->refreshConfiguration();
+    this->planHistory();
+    this->planGroup();
+}
+
+void DeploymentMember::planHistory()
+{
+    const DeploymentState &state = this->group.machine;
+    const Instant now = this->loop.timers().now();
+    const auto candidates = this->board.historyCandidates(now, state.view, state.retiring, this->leadingSince);
+    auto plan = planHistoryView(state.view, candidates, this->settings.historySize);
+    if (!plan || this->changingView) {
+        return;
+    }
+    this->changingView = true;
+    logEvent(EventKind::MembershipChanged,
+        {{"what", "history view proposed"}, {"version", std::to_string(plan->version)},
+            {"current", std::to_string(plan->current.size())}, {"next", std::to_string(plan->next.size())}});
+    this->loop.detach(this->group.propose(viewCommand(*plan)).then([this](Result<std::string> &&done) {
+        this->changingView = false;
+        if (!done) {
+            logEvent(
+                EventKind::MembershipChanged, {{"what", "history view failed"}, {"error", errorText(done.error())}});
+        }
+        this->notifyWatchers();
+    }));
+}
+
+void DeploymentMember::planGroup()
+{
+    if (this->changingGroup) {
+        return;
+    }
+    const Instant now = this->loop.timers().now();
+    std::vector<GroupMemberState> members;
+    for (const MemberView &member : this->node.members()) {
+        const Instant heard = this->board.heardControl(member.identity).value_or(this->leadingSince);
+        const bool isSelf = member.identity == this->node.identity();
+        members.push_back({member.identity, member.address, member.role != "learner",
+            isSelf ? Duration(0) : now - std::max(heard, this->leadingSince)});
+    }
+    std::vector<GroupCandidate> alive;
+    for (const InstanceFacts &one : this->board.alive()) {
+        if (one.role == Wire::InstanceRole::CONTROL && !one.identity.empty()) {
+            alive.push_back({one.identity, one.rpcAddress});
+        }
+    }
+    const auto change = planGroupChange(members, alive);
+    if (!change) {
+        return;
+    }
+    logEvent(EventKind::MembershipChanged,
+        {{"what", change->adds ? "control member joins" : "control member leaves"}, {"address", change->address}});
+    this->changingGroup = true;
+    auto done = change->adds ? this->node.addMember(change->address, change->address)
+                             : this->node.removeMember(change->identity);
+    this->loop.detach(done.then([this](Result<void> &&result) {
+        this->changingGroup = false;
+        if (!result) {
+            logEvent(EventKind::MembershipChanged,
+                {{"what", "change of control members failed"}, {"error", errorText(result.error())}});
+        }
+    }));
+}
+
+void DeploymentMember::readEndpoints()
+{
+    if (!this->leads() || this->readingEndpoints) {
+        return;
+    }
+    this->readingEndpoints = true;
+    const Instant asked = this->loop.timers().now();
+    this->loop.detach(this->endpointSource.read().then([this, asked](EndpointListResult &&list) {
+        this->readingEndpoints = false;
+        if (!*list) {
+            logEvent(EventKind::FreshnessLost, {{"what", "endpoint list"}, {"error", errorText(list->error())}});
+            return;
+        }
+        this->endpointsRead = asked;
+        if (this->endpointsVersion == 0 || this->endpoints != **list) {
+            this->endpoints = std::move(**list);
+            ++this->endpointsVersion;
+            this->notifyWatchers();
+        }
+    }));
+}
+
+void DeploymentMember::noteStrikes(Wire::InstanceReport::Reader report)
+{
+    for (const std::uint64_t fingerprint : report.getStrikes()) {
+        const unsigned count = ++this->strikeCounts[fingerprint];
+        logEvent(EventKind::StrikeRecorded,
+            {{"fingerprint", std::to_string(fingerprint)}, {"count", std::to_string(count)}});
+        if (count >= QuarantineStrikes && this->quarantine.insert(fingerprint).second) {
+            logEvent(EventKind::RequestQuarantined, {{"fingerprint", std::to_string(fingerprint)}});
+            ++this->quarantineVersion;
+            this->notifyWatchers();
+        }
+    }
+}
+
+std::uint32_t DeploymentMember::newParts(Wire::HeldVersions::Reader held) const
+{
+    const bool sameTerm = held.getTerm() == this->ledTerm;
+    const auto differs = [sameTerm](std::uint64_t theirs, std::uint64_t ours) {
+        return ours != 0 && (!sameTerm || theirs != ours);
+    };
+    std::uint32_t parts = 0;
+    const auto add = [&parts](bool isNew, UpdatePart part) {
+        parts |= isNew ? static_cast<std::uint32_t>(part) : 0;
+    };
+    add(held.getConfiguration() < this->group.machine.configurationVersion, UpdatePart::Configuration);
+    add(held.getView() < this->group.machine.view.version, UpdatePart::History);
+    add(differs(held.getEndpoints(), this->endpointsVersion), UpdatePart::Endpoints);
+    add(differs(held.getInstances(), this->instancesVersion), UpdatePart::Instances);
+    add(differs(held.getQuarantine(), this->quarantineVersion), UpdatePart::Quarantine);
+    return parts;
+}
+
+kj::Promise<void> DeploymentMember::awaitNews(
+    Wire::InstanceReport::Reader report, Wire::HeldVersions::Reader held, unsigned waitMs)
+{
+    if (!this->leads()) {
+        return kj::READY_NOW;
+    }
+    this->noteStrikes(report);
+    if (this->board.note(this->loop.timers().now(), readFacts(report), report.getCopiedView())) {
+        ++this->instancesVersion;
+        this->notifyWatchers();
+    }
+    if (this->newParts(held) != 0 || waitMs == 0) {
+        return kj::READY_NOW;
+    }
+    auto pair = kj::newPromiseAndFulfiller<void>();
+    this->watching.push_back(kj::mv(pair.fulfiller));
+    return pair.promise.exclusiveJoin(this->loop.kjTimer().afterDelay(waitMs * kj::MILLISECONDS));
+}
+
+void DeploymentMember::writeUpdate(Wire::HeldVersions::Reader held, Wire::Update::Builder update)
+{
+    update.setLeader(wireText(this->node.leaderAddress()));
+    if (!this->leads()) {
+        return;
+    }
+    const std::uint32_t parts = this->newParts(held);
+    update.setTerm(this->ledTerm);
+    update.setHas(parts);
+    auto versions = update.initVersions();
+    versions.setTerm(this->ledTerm);
+    versions.setConfiguration(this->group.machine.configurationVersion);
+    versions.setEndpoints(this->endpointsVersion);
+    versions.setInstances(this->instancesVersion);
+    versions.setQuarantine(this->quarantineVersion);
+    versions.setView(this->group.machine.view.version);
+    const Duration age = this->loop.timers().now() - this->endpointsRead;
+    update.setEndpointsAgeMs(static_cast<std::uint32_t>(std::chrono::duration_cast<Milliseconds>(age).count()));
+    if (hasPart(parts, UpdatePart::Configuration)) {
+        update.setConfiguration(dataOf(this->group.machine.document));
+    }
+    if (hasPart(parts, UpdatePart::Endpoints)) {
+        auto list = update.initEndpoints(static_cast<unsigned>(this->endpoints.size()));
+        for (unsigned i = 0; i < this->endpoints.size(); ++i) {
+            const DeployedEndpoint &endpoint = this->endpoints[i];
+            list[i].setId(wireText(endpoint.id));
+            list[i].setService(wireText(endpoint.service));
+            list[i].setAddress(wireText(endpoint.address));
+            list[i].setDataCentre(wireText(endpoint.dataCentre));
+            list[i].setSlots(endpoint.slots);
+            list[i].setLeaving(endpoint.leaving);
+        }
+    }
+    if (hasPart(parts, UpdatePart::Instances)) {
+        const auto alive = this->board.alive();
+        auto list = update.initInstances(static_cast<unsigned>(alive.size()));
+        for (unsigned i = 0; i < alive.size(); ++i) {
+            list[i].setName(wireText(alive[i].name));
+            list[i].setRole(alive[i].role);
+            list[i].setDataCentre(wireText(alive[i].dataCentre));
+            list[i].setCallerAddress(wireText(alive[i].callerAddress));
+            list[i].setRpcAddress(wireText(alive[i].rpcAddress));
+            list[i].setReady(alive[i].ready);
+        }
+    }
+    if (hasPart(parts, UpdatePart::Quarantine)) {
+        auto list = update.initQuarantine(static_cast<unsigned>(this->quarantine.size()));
+        unsigned at = 0;
+        for (const std::uint64_t fingerprint : this->quarantine) {
+            list.set(at++, fingerprint);
+        }
+    }
+    if (hasPart(parts, UpdatePart::History)) {
+        writeView(update.initView(), this->group.machine.view);
+    }
+}
+
+std::uint32_t DeploymentMember::takeCredit(const std::string &customer, std::uint32_t wanted)
+{
+    this->refreshConfiguration();
+    if (!this->leads() || this->configuration == nullptr) {
+        return 0;
+    }
+    const auto &customers = this->configuration->customers;
+    const auto rule = std::find_if(customers.begin(), customers.end(), [&customer](const CustomerRule &one) {
+        return one.name == customer;
+    });
+    return rule == customers.end() ? 0 : this->credits.take(this->loop.timers().now(), *rule, wanted);
+}
+
+kj::Promise<LateResult<void>> DeploymentMember::putConfiguration(std::string document)
+{
+    const Result<ConfigurationPtr> read = this->readDocument(document);
+    if (!read) {
+        logEvent(EventKind::RequestRejected, {{"what", "configuration"}, {"error", errorText(read.error())}});
+        return late(Result<void>(tl::unexpected(read.error())));
+    }
+    const std::uint64_t version = (*read)->version;
+    return this->group.propose(configurationCommand(version, document))
+        .then([this, version](Result<std::string> &&done) {
+            if (!done) {
+                return late(Result<void>(tl::unexpected(done.error())));
+            }
+            logEvent(EventKind::ConfigurationApplied,
+                {{"version", std::to_string(version)},
+                    {"in_force", std::to_string(this->group.machine.configurationVersion)}});
+            this->refreshConfiguration();
+            this->notifyWatchers();
+            return late(Result<void>());
+        });
+}
+
+kj::Promise<LateResult<std::string>> DeploymentMember::readConfiguration()
+{
+    return this->group.confirmRead().then([this](Result<void> &&confirmed) {
+        if (!confirmed) {
+            return late(Result<std::string>(tl::unexpected(confirmed.error())));
+        }
+        if (this->group.machine.configurationVersion == 0) {
+            return late(Result<std::string>(fail(ErrorKind::NotFound, "no configuration was accepted yet")));
+        }
+        return late(Result<std::string>(this->group.machine.document));
+    });
+}
+
+kj::Promise<LateResult<void>> DeploymentMember::startRetire(std::string instance)
+{
+    return this->group.confirmRead().then([this, instance](Result<void> &&confirmed) -> kj::Promise<LateResult<void>> {
+        if (!confirmed) {
+            return late(Result<void>(tl::unexpected(confirmed.error())));
+        }
+        const DeploymentState &state = this->group.machine;
+        const auto candidates =
+            this->board.historyCandidates(this->loop.timers().now(), state.view, state.retiring, this->leadingSince);
+        const bool isKnown = std::any_of(candidates.begin(), candidates.end(), [&instance](const auto &one) {
+            return one.member.name == instance;
+        });
+        if (!isKnown) {
+            return late(Result<void>(fail(ErrorKind::NotFound, "no history instance is called " + instance)));
+        }
+        if (!state.retiring.contains(instance) && !mayRetire(state.view, candidates, instance)) {
+            return late(Result<void>(fail(ErrorKind::Conflict, "too few instances would remain without " + instance)));
+        }
+        return this->group.propose(retireCommand(instance)).then([instance](Result<std::string> &&done) {
+            logEvent(EventKind::DrainStarted, {{"instance", instance}, {"committed", done ? "yes" : "unknown"}});
+            return late(done ? Result<void>() : Result<void>(tl::unexpected(done.error())));
+        });
+    });
+}
+
+kj::Promise<LateResult<RetireState>> DeploymentMember::retireState(std::string instance)
+{
+    return this->group.confirmRead().then([this, instance](Result<void> &&confirmed) {
+        if (!confirmed) {
+            return late(Result<RetireState>(tl::unexpected(confirmed.error())));
+        }
+        const DeploymentState &state = this->group.machine;
+        if (!state.retiring.contains(instance)) {
+            return late(Result<RetireState>(fail(ErrorKind::NotFound, instance + " is not being emptied")));
+        }
+        const auto members = state.view.members();
+        const bool holds = std::any_of(members.begin(), members.end(), [&instance](const HistoryMember &member) {
+            return member.name == instance;
+        });
+        return late(Result<RetireState>(holds ? RetireState::Running : RetireState::Completed));
+    });
+}
+
+std::string DeploymentMember::leaderForOperators() const
+{
+    const std::string address = this->node.leaderAddress();
+    for (const InstanceFacts &instance : this->watcher.view.instances) {
+        if (instance.rpcAddress == address && address != this->settings.self.rpcAddress) {
+            return instance.callerAddress;
+        }
+    }
+    return {};
+}
+
+std::vector<InstanceFacts> DeploymentMember::readyGateways() const
+{
+    std::vector<InstanceFacts> list = this->leads() ? this->board.alive() : this->watcher.view.instances;
+    std::erase_if(list, [](const InstanceFacts &one) {
+        return one.role != Wire::InstanceRole::GATEWAY || !one.ready;
+    });
+    return list;
+}
+
+Wire::Deployment::Client DeploymentMember::makeService()
+{
+    return kj::heap<DeploymentServer>(*this);
+}
+
+} // namespace Chestnuthook
--- /dev/null
+++ b/src/gateway/endpoint_board_base.h
@@ -0,0 +1,76 @@
+/** @file endpoint_board_base.h  The endpoints that a gateway knows, their load and health, and the choice among them.
+ * Pure. */
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/timer_type.h"
+#include "deployment/endpoint_list_type.h"
+#include "gateway/call_dialect_type.h"
+
+namespace Chestnuthook
+{
+
+/** What a choice is made for. */
+struct PlacementWish
+{
+    std::string service; ///< Which endpoints.
+    std::uint64_t affinity = 0; ///< Calls with the same value share cached prompts; 0 for none.
+    std::string dataCentre; ///< Of this gateway; endpoints there are preferred among equals.
+};
+
+class EndpointBoard
+{
+public:
+    /** Takes the platform's list. */
+    void setList(const std::vector<DeployedEndpoint> &list);
+
+    /** The endpoint for a call, or null where none can take it. @p tried are ids that were tried before. */
+    [[nodiscard]] const DeployedEndpoint *choose(
+        Instant now, const PlacementWish &wish, const std::set<std::string> &tried) const;
+    /** Whether @p id is listed and not leaving. */
+    [[nodiscard]] bool isUsable(const std::string &id) const;
+
+    void noteSent(const std::string &id);
+    void noteEnded(const std::string &id);
+    void noteLoad(Instant now, const std::string &id, const EndpointLoad &load);
+    /** A connection or an answer failed; the endpoint is avoided for a while. */
+    void noteFailure(Instant now, const std::string &id);
+    void noteSuccess(const std::string &id);
+    /** The endpoint refused a request for lack of room. */
+    void noteFull(Instant now, const std::string &id);
+
+private:
+    /** Load that was told longer ago than this is not counted on. */
+    static constexpr Duration LoadLife = std::chrono::milliseconds(500);
+    /** An endpoint that failed is avoided for this long, twice as long after each further failure. */
+    static constexpr Duration FirstAvoidance = std::chrono::milliseconds(250);
+    static constexpr unsigned MostDoublings = 3;
+    /** An endpoint that refused is avoided for this long. */
+    static constexpr Duration FullAvoidance = std::chrono::milliseconds(60);
+    /** The endpoint with the affinity is passed over when this part of its slots is taken. */
+    static constexpr double AffinityFill = 0.75;
+
+    struct State
+    {
+        DeployedEndpoint listed; ///< From the platform.
+        unsigned inFlight = 0; ///< Our own requests there.
+        EndpointLoad load; ///< As told last.
+        Instant loadTold{0}; ///< When; 0 for never.
+        unsigned inFlightThen = 0; ///< `inFlight` when the load was told.
+        unsigned failures = 0; ///< In a row.
+        Instant avoidUntil{0}; ///< Not chosen before, where there is another.
+    };
+
+    /** Part of the slots that is taken, over 1 where requests wait. */
+    [[nodiscard]] static double fillOf(Instant now, const State &state);
+
+    std::map<std::string, State> states; ///< By id.
+    std::map<std::string, std::vector<std::string>> idsByService; ///< Usable ones.
+};
+
+} // namespace Chestnuthook
--- /dev/null
+++ b/src/gateway/gateway_call_internal.h
@@ -0,0 +1,49 @@
+/** @file gateway_call_internal.h  One request on its way through a gateway. */
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "gateway/gateway_base.h"
+
+namespace Chestnuthook
+{
+
+/** Statuses that a gateway gives by itself. */
+namespace Status
+{
+constexpr unsigned BadRequest = 400;
+constexpr unsigned Unauthorized = 401;
+constexpr unsigned NotFound = 404;
+constexpr unsigned TooManyRequests = 429;
+constexpr unsigned BadGateway = 502;
+constexpr unsigned Unavailable = 503;
+constexpr unsigned GatewayTimeout = 504;
+} // namespace Status
+
+struct Gateway::Call
+{
+    explicit Call(HttpExchange &exchange)
+        : exchange(exchange)
+    {
+    }
+
+    HttpExchange &exchange; ///< The request and its answer.
+    ConfigurationPtr configuration; ///< Under which it is served.
+    CallFacts facts; ///< What the caller says.
+    const RouteRule *route = nullptr; ///< In `configuration`.
+    const CustomerRule *customer = nullptr; ///< In `configuration`; null on open routes without a key.
+    Instant until{0}; ///< When a final answer is due.
+    std::uint64_t fingerprint = 0; ///< Of customer, target and body.
+    std::string prefix; ///< Inputs and outputs of the turns that it continues.
+    std::uint64_t retentionMs = 0; ///< How long its turn is kept.
+    std::unique_ptr<TokenSettlement> settlement; ///< Of its tokens; null where it has no budget.
+
+    std::string output; ///< Data of the events so far, for the history.
+    std::string lastEventId; ///< Of the last event that the caller has.
+    unsigned events = 0; ///< That the caller has.
+    unsigned tokensPerEvent = 1; ///< Of the service.
+    unsigned runs = 0; ///< Attempts that may have run.
+};
+
+} // namespace Chestnuthook
--- /dev/null
+++ b/src/gateway/gateway_run.cpp
@@ -0,0 +1,317 @@
+/** @file gateway_run.cpp  Running a request at endpoints, and delivery of the answer. */
+#include <algorithm>
+#include <utility>
+
+#include "core/hash_func.h"
+#include "gateway/gateway_base.h"
+#include "gateway/gateway_call_internal.h"
+#include "observe/log_func.h"
+
+namespace Chestnuthook
+{
+
+namespace
+{
+
+/** Endpoints that a request is offered to before it is refused. */
+constexpr unsigned MostOffers = 4;
+constexpr double BusySeconds = 0.25; ///< Retry-After where all endpoints refused.
+/** Time for a new connection; endpoints that don't accept in it are down or cut off. */
+constexpr Duration ConnectLimit = std::chrono::milliseconds(400);
+/** A kept connection may have been closed by the endpoint without our knowing; what mustn't run twice goes on one only
+ * where it was used this lately. */
+constexpr Duration FreshForUnsafe = std::chrono::milliseconds(700);
+constexpr Duration FreshForSafe = std::chrono::seconds(60);
+/** Time for the writing of a turn to the history after its stream has ended. */
+constexpr Duration KeepWait = std::chrono::milliseconds(1500);
+/** Least time in which an endpoint can still be of use. */
+constexpr Duration LeastUsefulTime = std::chrono::milliseconds(5);
+/** Offset of priorities in what endpoints are told, so that the most urgent stand before requests without one. */
+constexpr int UrgencyBase = 3;
+constexpr int LeastUrgent = 9;
+
+constexpr unsigned MisdirectedStatus = 421;
+
+bool isSuccess(unsigned status)
+{
+    return status >= 200 && status < 300;
+}
+
+Milliseconds toMs(Duration duration)
+{
+    return std::chrono::duration_cast<Milliseconds>(duration);
+}
+
+} // namespace
+
+std::string Gateway::forwardBytes(const Call &call, const DeployedEndpoint &endpoint) const
+{
+    ForwardFacts facts;
+    facts.timeLeft = toMs(call.until - this->now());
+    facts.endpointId = endpoint.id;
+    facts.customer = call.customer == nullptr ? std::string() : call.customer->name;
+    facts.lastEventId = call.lastEventId.empty() ? call.facts.lastEventId : call.lastEventId;
+    const bool hasOwnPriority = call.customer != nullptr && call.customer->priority >= 0;
+    const int priority = hasOwnPriority ? call.customer->priority : call.route->priority;
+    facts.urgency = static_cast<unsigned>(std::clamp(UrgencyBase + priority, 0, LeastUrgent));
+    facts.bodyBytes = call.prefix.size() + call.exchange.body.size();
+    facts.hasBody = facts.bodyBytes != 0 || call.exchange.head.fields.find("Content-Length") != nullptr;
+    return formatHead(this->dialect.forwardHead(call.exchange.head, facts)) + call.prefix + call.exchange.body;
+}
+
+void Gateway::run(kj::WaitScope &scope, Call &call)
+{
+    const RouteRule &route = *call.route;
+    PlacementWish wish;
+    std::uint64_t weights = 0;
+    for (const RouteTarget &target : route.targets) {
+        weights += target.weight;
+    }
+    std::uint64_t point = hash64(call.facts.requestId) % weights;
+    for (const RouteTarget &target : route.targets) {
+        if (point < target.weight) {
+            wish.service = target.service;
+            break;
+        }
+        point -= target.weight;
+    }
+    const ServiceRule &service = call.configuration->services.at(wish.service);
+    if (service.engine) {
+        call.tokensPerEvent = service.engine->tokensPerEvent;
+        const std::string &line = call.facts.program.empty() ? call.facts.requestId : call.facts.program;
+        wish.affinity = std::max<std::uint64_t>(hash64(line), 1);
+    }
+    wish.dataCentre = this->settings.dataCentre;
+    const bool repeatable = route.kind == RouteKind::Safe || (route.kind == RouteKind::Stream && route.resumable);
+    std::set<std::string> tried;
+    unsigned offers = 0;
+    AttemptEnd last = AttemptEnd::NotRun;
+    while (call.until - this->now() > LeastUsefulTime && offers < MostOffers) {
+        const DeployedEndpoint *chosen = this->board.choose(this->now(), wish, tried);
+        if (chosen == nullptr) {
+            break;
+        }
+        const DeployedEndpoint endpoint = *chosen;
+        ++offers;
+        last = this->attempt(scope, call, endpoint);
+        if (last == AttemptEnd::Delivered) {
+            return;
+        }
+        tried.insert(endpoint.id);
+        if (last == AttemptEnd::NotRun) {
+            continue;
+        }
+        ++call.runs;
+        if (last == AttemptEnd::TimedOut || !repeatable || call.runs >= route.maxAttempts) {
+            break;
+        }
+    }
+    if (call.exchange.hasBegun()) {
+        logEvent(EventKind::CallEnded,
+            {{"request", call.facts.requestId}, {"outcome", "stream cut"}, {"events", std::to_string(call.events)}});
+        return; // The connection is closed: the answer is not whole.
+    }
+    if (call.runs == 0) {
+        const bool late = call.until - this->now() <= LeastUsefulTime;
+        this->refuse(scope, call, Status::Unavailable, late ? "no time is left" : "no endpoint has room",
+            late ? 0 : BusySeconds);
+        return;
+    }
+    const bool late = last == AttemptEnd::TimedOut;
+    this->refuse(scope, call, late ? Status::GatewayTimeout : Status::BadGateway,
+        late ? "the endpoint didn't answer in time" : "the endpoint failed", 0);
+}
+
+Gateway::AttemptEnd Gateway::attempt(kj::WaitScope &scope, Call &call, const DeployedEndpoint &endpoint)
+{
+    const bool mayRepeat = call.route->kind == RouteKind::Safe;
+    auto connection = this->links.takeKept(endpoint.address, mayRepeat ? FreshForSafe : FreshForUnsafe);
+    const bool kept = connection != nullptr;
+    if (!kept) {
+        connection = this->links.connect(scope, endpoint.address, std::min(ConnectLimit, call.until - this->now()));
+    }
+    if (connection == nullptr) {
+        this->board.noteFailure(this->now(), endpoint.id);
+        logEvent(EventKind::AttemptFailed,
+            {{"request", call.facts.requestId}, {"endpoint", endpoint.id}, {"reason", "no connection"}});
+        return AttemptEnd::NotRun;
+    }
+    this->board.noteSent(endpoint.id);
+    KJ_DEFER(this->board.noteEnded(endpoint.id));
+    const AttemptEnd end = this->exchangeWith(scope, call, endpoint, *connection);
+    if (end == AttemptEnd::Delivered || end == AttemptEnd::NotRun) {
+        if (connection->idleLimit.count() > 0) {
+            this->links.keep(endpoint.address, std::move(connection), connection->idleLimit);
+        }
+        return end;
+    }
+    if (end == AttemptEnd::Failed) {
+        this->board.noteFailure(this->now(), endpoint.id);
+        if (!kept) {
+            this->strikes.push_back(call.fingerprint);
+        }
+    }
+    logEvent(EventKind::AttemptFailed,
+        {{"request", call.facts.requestId}, {"endpoint", endpoint.id},
+            {"reason", end == AttemptEnd::TimedOut ? "time-out" : "broken"}, {"kept", kept ? "yes" : "no"},
+            {"events", std::to_string(call.events)}});
+    return end;
+}
+
+Gateway::AttemptEnd Gateway::exchangeWith(
+    kj::WaitScope &scope, Call &call, const DeployedEndpoint &endpoint, EndpointConnection &connection)
+{
+    const std::string bytes = this->forwardBytes(call, endpoint);
+    kj::Timer &timer = this->loop.kjTimer();
+    const kj::TimePoint end = timer.now() + (call.until - this->now()).count() * kj::MICROSECONDS;
+    connection.input.setDeadline(timer, end);
+    const bool written = connection.stream->write(bytes.data(), bytes.size())
+                             .then(
+                                 []() {
+                                     return true;
+                                 },
+                                 [](kj::Exception && /*exception*/) {
+                                     return false;
+                                 })
+                             .exclusiveJoin(timer.atTime(end).then([]() {
+                                 return false;
+                             }))
+                             .wait(scope);
+    if (!written) {
+        return this->now() >= call.until ? AttemptEnd::TimedOut : AttemptEnd::Failed;
+    }
+    while (true) {
+        HttpResponseReader reader(connection.input, call.exchange.head.method == "HEAD");
+        ResponseHead head;
+        const HttpRead read = reader.readHead(scope, head);
+        if (read != HttpRead::Done) {
+            return connection.input.hasTimedOut() ? AttemptEnd::TimedOut : AttemptEnd::Failed;
+        }
+        const AnswerFacts facts = this->dialect.readAnswer(head);
+        if (facts.load) {
+            this->board.noteLoad(this->now(), endpoint.id, *facts.load);
+        }
+        const bool isOurs = facts.requestId == call.facts.requestId;
+        if (!isOurs && !facts.notRun && head.status != MisdirectedStatus) {
+            std::string skipped; // A late answer to an earlier request.
+            HttpRead part = HttpRead::Done;
+            do {
+                part = reader.readPart(scope, skipped);
+            } while (part == HttpRead::Done && !skipped.empty());
+            if (part != HttpRead::Done || !head.keepAlive) {
+                return connection.input.hasTimedOut() ? AttemptEnd::TimedOut : AttemptEnd::Failed;
+            }
+            continue;
+        }
+        if (facts.notRun || head.status == MisdirectedStatus) {
+            if (head.status == MisdirectedStatus) {
+                this->board.noteFailure(this->now(), endpoint.id);
+            } else {
+                this->board.noteFull(this->now(), endpoint.id);
+            }
+            logEvent(EventKind::AttemptFailed,
+                {{"request", call.facts.requestId}, {"endpoint", endpoint.id}, {"reason", "not run"},
+                    {"status", std::to_string(head.status)}});
+            return AttemptEnd::NotRun; // The connection isn't kept: its body is unread.
+        }
+        if (!facts.isSigned || head.fields.find("Content-Encoding") != nullptr) {
+            return AttemptEnd::Failed;
+        }
+        const bool streams = call.route->kind == RouteKind::Stream && isSuccess(head.status);
+        const AttemptEnd delivered =
+            streams ? this->deliverStream(scope, call, reader, head) : this->deliverWhole(scope, call, reader, head);
+        if (delivered == AttemptEnd::Delivered) {
+            this->board.noteSuccess(endpoint.id);
+            connection.idleLimit = head.keepAlive ? EndpointLinks::idleLimitOf(head.fields) : Duration(0);
+        }
+        return delivered == AttemptEnd::Failed && connection.input.hasTimedOut() ? AttemptEnd::TimedOut : delivered;
+    }
+}
+
+Gateway::AttemptEnd Gateway::deliverWhole(
+    kj::WaitScope &scope, Call &call, HttpResponseReader &reader, const ResponseHead &head)
+{
+    std::string content;
+    while (true) {
+        std::string part;
+        if (reader.readPart(scope, part) != HttpRead::Done) {
+            return AttemptEnd::Failed;
+        }
+        if (part.empty()) {
+            break;
+        }
+        content += part;
+    }
+    call.exchange.respond(scope, this->dialect.answerHead(head), content);
+    logEvent(EventKind::CallEnded, {{"request", call.facts.requestId}, {"status", std::to_string(head.status)}});
+    return AttemptEnd::Delivered;
+}
+
+Gateway::AttemptEnd Gateway::deliverStream(
+    kj::WaitScope &scope, Call &call, HttpResponseReader &reader, const ResponseHead &head)
+{
+    EventSplitter splitter;
+    while (true) {
+        std::string part;
+        if (reader.readPart(scope, part) != HttpRead::Done) {
+            return AttemptEnd::Failed;
+        }
+        std::vector<StreamEvent> events;
+        std::string ready = part.empty() ? splitter.rest() : splitter.take(part, events);
+        if (!ready.empty() || part.empty()) {
+            if (!call.exchange.hasBegun()) {
+                call.exchange.beginStream(scope, this->dialect.answerHead(head));
+            }
+        }
+        for (const StreamEvent &event : events) {
+            if (event.hasData) {
+                call.output += event.data + "\n";
+                ++call.events;
+                if (call.settlement != nullptr) {
+                    call.settlement->addHanded(call.tokensPerEvent);
+                }
+            }
+            if (!event.id.empty()) {
+                call.lastEventId = event.id;
+            }
+        }
+        if (!ready.empty()) {
+            call.exchange.writePart(scope, ready);
+        }
+        if (part.empty()) {
+            this->finishStream(scope, call);
+            return AttemptEnd::Delivered;
+        }
+    }
+}
+
+void Gateway::finishStream(kj::WaitScope &scope, Call &call)
+{
+    if (call.route->keepsTurns) {
+        std::vector<HistoryRecord> records;
+        KeptTurn turn;
+        turn.id = call.facts.requestId;
+        turn.previous = call.facts.previousTurn;
+        turn.customer = call.customer == nullptr ? std::string() : call.customer->name;
+        turn.input = call.exchange.body;
+        turn.output = call.output;
+        turn.expiresMs = static_cast<std::uint64_t>(wallMsNow()) + call.retentionMs + call.retentionMs / 2;
+        records.emplace_back(std::move(turn));
+        if (call.settlement != nullptr) {
+            ProgramClaim settled = call.settlement->settle();
+            if (!settled.program.empty()) {
+                records.emplace_back(std::move(settled));
+            }
+        }
+        const Result<void> kept = this->history.write(scope, records, this->now() + KeepWait);
+        if (!kept) {
+            logEvent(EventKind::CallEnded,
+                {{"request", call.facts.requestId}, {"outcome", "turn not kept"}, {"error", kept.error().what}});
+            return; // Without its end the answer doesn't count as whole.
+        }
+    }
+    call.exchange.endStream(scope);
+    logEvent(EventKind::CallEnded, {{"request", call.facts.requestId}, {"events", std::to_string(call.events)}});
+}
+
+} // namespace Chestnuthook
--- /dev/null
+++ b/src/history/history_member_base.cpp
@@ -0,0 +1,305 @@
+/** @file history_member_base.cpp  Service, sync and copies of a history member. */
+#include "history/history_member_base.h"
+
+#include <utility>
+
+#include "consensus/raft_storage_base.h"
+#include "observe/log_func.h"
+#include "rpc/message_func.h"
+#include "table/error_table.h"
+
+namespace Chestnuthook
+{
+
+namespace
+{
+
+constexpr Duration ExpirePeriod = std::chrono::seconds(5);
+constexpr auto CopyTimeout = 1 * kj::SECONDS;
+/** Records in one answer to a copy, in bytes. */
+constexpr std::size_t CopyBytes = 256U << 10U;
+constexpr auto CopyRetryDelay = 150 * kj::MILLISECONDS;
+/** A notice of a view is kept at least this long, in milliseconds. */
+constexpr std::uint64_t SeenViewLifeMs = 3600ULL * 1000;
+
+std::uint64_t expiryOf(const HistoryRecord &record)
+{
+    if (const auto *turn = std::get_if<KeptTurn>(&record)) {
+        return turn->expiresMs;
+    }
+    if (const auto *claim = std::get_if<ProgramClaim>(&record)) {
+        return claim->expiresMs;
+    }
+    return static_cast<std::uint64_t>(wallMsNow()) + SeenViewLifeMs;
+}
+
+class HistoryServer final : public Wire::HistoryStore::Server
+{
+public:
+    explicit HistoryServer(HistoryMemberDaemon &member)
+        : member(member)
+    {
+    }
+
+    kj::Promise<void> begin(BeginContext context) override
+    {
+        const auto params = context.getParams();
+        const auto status = this->member.check(textOf(params.getIdentity()), params.getView());
+        auto results = context.getResults();
+        results.setStatus(status);
+        if (status != Wire::HistoryStatus::OK) {
+            return kj::READY_NOW;
+        }
+        const HistoryRecord record = readRecord(params.getClaim());
+        if (const auto *claim = std::get_if<ProgramClaim>(&record)) {
+            this->member.add(record);
+            const auto claims = this->member.table.claimsOf(claim->program);
+            auto list = results.initClaims(static_cast<unsigned>(claims.size()));
+            for (unsigned i = 0; i < claims.size(); ++i) {
+                list[i].setTurn(wireText(claims[i].turn));
+                list[i].setTokens(claims[i].tokens);
+                list[i].setSettled(claims[i].settled);
+            }
+        }
+        if (params.getWithChain()) {
+            const TurnChain chain =
+                this->member.table.chain(textOf(params.getPrevious()), textOf(params.getCustomer()));
+            writeChain(results, chain);
+        }
+        return this->member.synced();
+    }
+
+    kj::Promise<void> write(WriteContext context) override
+    {
+        const auto params = context.getParams();
+        const auto status = this->member.check(textOf(params.getIdentity()), params.getView());
+        context.getResults().setStatus(status);
+        if (status != Wire::HistoryStatus::OK) {
+            return kj::READY_NOW;
+        }
+        for (const auto record : params.getRecords()) {
+            this->member.add(readRecord(record));
+        }
+        return this->member.synced();
+    }
+
+    kj::Promise<void> copy(CopyContext context) override
+    {
+        const auto params = context.getParams();
+        const auto status = this->member.check(textOf(params.getIdentity()), params.getView());
+        auto results = context.getResults();
+        results.setStatus(status);
+        if (status != Wire::HistoryStatus::OK) {
+            return kj::READY_NOW;
+        }
+        std::uint64_t position = params.getPosition();
+        const auto records = this->member.table.copyFrom(position, CopyBytes);
+        auto list = results.initRecords(static_cast<unsigned>(records.size()));
+        for (unsigned i = 0; i < records.size(); ++i) {
+            writeRecord(list[i], records[i]);
+        }
+        results.setNext(position);
+        results.setDone(records.empty());
+        return this->member.synced(); // The notice of the view lasts before the copy counts.
+    }
+
+    kj::Promise<void> chain(ChainContext context) override
+    {
+        const auto params = context.getParams();
+        const auto status = this->member.check(textOf(params.getIdentity()), params.getView());
+        auto results = context.getResults();
+        results.setStatus(status);
+        if (status == Wire::HistoryStatus::OK) {
+            writeChain(results, this->member.table.chain(textOf(params.getTurn()), textOf(params.getCustomer())));
+        }
+        return kj::READY_NOW;
+    }
+
+private:
+    template<typename Results>
+    static void writeChain(Results &results, const TurnChain &chain)
+    {
+        results.setKnown(!chain.turns.empty());
+        results.setMissing(wireText(chain.missing));
+        auto list = results.initChain(static_cast<unsigned>(chain.turns.size()));
+        for (unsigned i = 0; i < chain.turns.size(); ++i) {
+            writeTurn(list[i], *chain.turns[i]);
+        }
+    }
+
+    HistoryMemberDaemon &member; ///< Outlives this.
+};
+
+} // namespace
+
+HistoryMemberDaemon::HistoryMemberDaemon(ControlLoop &loop, DeploymentWatcher &watcher)
+    : loop(loop)
+    , watcher(watcher)
+{
+}
+
+Result<void> HistoryMemberDaemon::open(const std::string &folder, const std::string &name)
+{
+    RaftStorage identityFile;
+    Result<void> done = identityFile.openIdentity(folder, name);
+    if (!done) {
+        return done;
+    }
+    this->ownIdentity = identityFile.identity();
+    done = this->log.open(folder, [this](std::string_view bytes) {
+        const HistoryRecord record = recordOf(bytes);
+        this->table.apply(record);
+        return expiryOf(record);
+    });
+    return done;
+}
+
+void HistoryMemberDaemon::start()
+{
+    this->expiring = this->loop.timers().every(ExpirePeriod, [this]() {
+        const auto now = static_cast<std::uint64_t>(wallMsNow());
+        this->table.expire(now);
+        const Result<void> removed = this->log.removeExpired(now);
+        if (!removed) {
+            logEvent(EventKind::StorageFault, {{"error", errorText(removed.error())}});
+        }
+    });
+}
+
+Wire::HistoryStatus HistoryMemberDaemon::check(const std::string &calledIdentity, std::uint64_t view)
+{
+    if (calledIdentity != this->ownIdentity) {
+        return Wire::HistoryStatus::WRONG_MEMBER;
+    }
+    if (view < this->table.seenView()) {
+        return Wire::HistoryStatus::STALE_VIEW;
+    }
+    if (view > this->table.seenView()) {
+        logEvent(EventKind::MembershipChanged, {{"what", "history view seen"}, {"version", std::to_string(view)}});
+        this->add(SeenView{view});
+    }
+    return Wire::HistoryStatus::OK;
+}
+
+void HistoryMemberDaemon::add(const HistoryRecord &record)
+{
+    this->table.apply(record);
+    this->log.append(recordBytes(record), expiryOf(record));
+}
+
+kj::Promise<void> HistoryMemberDaemon::synced()
+{
+    if (!this->log.hasUnsynced()) {
+        return kj::READY_NOW;
+    }
+    if (this->syncing == nullptr) { // One sync for all that arrives in this turn of the loop.
+        this->syncing = kj::evalLater([this]() {
+            this->syncNow();
+        }).fork();
+    }
+    KJ_IF_MAYBE (fork, this->syncing) {
+        return fork->addBranch();
+    }
+    return kj::READY_NOW;
+}
+
+void HistoryMemberDaemon::syncNow()
+{
+    this->syncing = nullptr;
+    const Result<void> done = this->log.sync();
+    if (!done) {
+        logEvent(EventKind::StorageFault, {{"error", errorText(done.error())}});
+        this->onStorageFailed(done.error());
+        KJ_FAIL_REQUIRE("the history can't be written");
+    }
+}
+
+void HistoryMemberDaemon::followView()
+{
+    const HistoryView &view = this->watcher.view.history;
+    const bool joins = view.isChanging() && view.isMember(this->ownIdentity) && !view.isCurrent(this->ownIdentity);
+    if (!joins || this->copying == view.version || this->copied == view.version) {
+        return;
+    }
+    this->copying = view.version;
+    this->copiedFrom.clear();
+    logEvent(EventKind::MembershipChanged, {{"what", "copy begins"}, {"version", std::to_string(view.version)}});
+    this->loop.detach(this->copyAll(view.version));
+}
+
+kj::Promise<void> HistoryMemberDaemon::copyAll(std::uint64_t version)
+{
+    const HistoryView &view = this->watcher.view.history;
+    if (view.version != version) {
+        return kj::READY_NOW; // Another view is in force; followView has begun anew where needed.
+    }
+    kj::Vector<kj::Promise<void>> copies;
+    for (const HistoryMember &member : view.current) {
+        if (!this->copiedFrom.contains(member.identity)) {
+            copies.add(
+                this->copyFrom(member, version, 0)
+                    .then([this, identity = member.identity, version]() {
+                        if (this->copying == version) {
+                            this->copiedFrom.insert(identity);
+                        }
+                    })
+                    .catch_([address = member.address](kj::Exception &&exception) {
+                        logEvent(EventKind::PeerLost,
+                            {{"peer", address}, {"role", "history"}, {"error", exception.getDescription().cStr()}});
+                    }));
+        }
+    }
+    return kj::joinPromises(copies.releaseAsArray())
+        .then([this]() {
+            return this->synced();
+        })
+        .then([this, version]() -> kj::Promise<void> {
+            if (this->copying != version) {
+                return kj::READY_NOW;
+            }
+            if (this->watcher.view.history.mayRead(this->copiedFrom)) {
+                this->copied = version;
+                this->copying = 0;
+                logEvent(EventKind::MembershipChanged,
+                    {{"what", "copy complete"}, {"version", std::to_string(version)},
+                        {"turns", std::to_string(this->table.turnCount())}});
+                this->watcher.reportSoon();
+                return kj::READY_NOW;
+            }
+            return this->loop.kjTimer().afterDelay(CopyRetryDelay).then([this, version]() {
+                return this->copyAll(version);
+            });
+        });
+}
+
+kj::Promise<void> HistoryMemberDaemon::copyFrom(HistoryMember from, std::uint64_t version, std::uint64_t position)
+{
+    auto link = kj::heap<RpcLink>(this->loop.rpc(), from.address);
+    auto called = link->services().then([from, version, position](OfferedServices &&services) {
+        auto request = services.peer.castAs<Wire::HistoryStore>().copyRequest();
+        request.setIdentity(wireText(from.identity));
+        request.setView(version);
+        request.setPosition(position);
+        return request.send();
+    });
+    return this->loop.kjTimer()
+        .timeoutAfter(CopyTimeout, kj::mv(called))
+        .attach(kj::mv(link))
+        .then([this, from, version](auto &&response) -> kj::Promise<void> {
+            KJ_REQUIRE(response.getStatus() == Wire::HistoryStatus::OK, "the member refused the copy");
+            for (const auto record : response.getRecords()) {
+                this->add(readRecord(record));
+            }
+            if (response.getDone()) {
+                return kj::READY_NOW;
+            }
+            return this->copyFrom(from, version, response.getNext());
+        });
+}
+
+Wire::HistoryStore::Client HistoryMemberDaemon::makeService()
+{
+    return kj::heap<HistoryServer>(*this);
+}
+
+} // namespace Chestnuthook
--- /dev/null
+++ b/src/history/history_table_base.cpp
@@ -0,0 +1,185 @@
+/** @file history_table_base.cpp  Records of the history, applied and read. */
+#include "history/history_table_base.h"
+
+#include <capnp/message.h>
+
+#include "rpc/message_func.h"
+
+namespace Chestnuthook
+{
+
+KeptTurn readTurn(Wire::KeptTurn::Reader reader)
+{
+    return {textOf(reader.getId()), textOf(reader.getPrevious()), textOf(reader.getCustomer()),
+        bytesOf(reader.getInput()), bytesOf(reader.getOutput()), reader.getExpiresMs()};
+}
+
+void writeTurn(Wire::KeptTurn::Builder builder, const KeptTurn &turn)
+{
+    builder.setId(wireText(turn.id));
+    builder.setPrevious(wireText(turn.previous));
+    builder.setCustomer(wireText(turn.customer));
+    builder.setInput(dataOf(turn.input));
+    builder.setOutput(dataOf(turn.output));
+    builder.setExpiresMs(turn.expiresMs);
+}
+
+HistoryRecord readRecord(Wire::HistoryRecord::Reader reader)
+{
+    switch (reader.which()) {
+    case Wire::HistoryRecord::TURN:
+        return readTurn(reader.getTurn());
+    case Wire::HistoryRecord::VIEW:
+        return SeenView{reader.getView()};
+    case Wire::HistoryRecord::CLAIM:
+        break;
+    }
+    const auto group = reader.getClaim();
+    const auto claim = group.getClaim();
+    return ProgramClaim{textOf(group.getProgram()),
+        TokenClaim{textOf(claim.getTurn()), claim.getTokens(), claim.getSettled()}, group.getExpiresMs()};
+}
+
+void writeRecord(Wire::HistoryRecord::Builder builder, const HistoryRecord &record)
+{
+    if (const auto *turn = std::get_if<KeptTurn>(&record)) {
+        writeTurn(builder.initTurn(), *turn);
+    } else if (const auto *seen = std::get_if<SeenView>(&record)) {
+        builder.setView(seen->version);
+    } else if (const auto *claim = std::get_if<ProgramClaim>(&record)) {
+        auto group = builder.initClaim();
+        group.setProgram(wireText(claim->program));
+        group.setExpiresMs(claim->expiresMs);
+        auto tokens = group.initClaim();
+        tokens.setTurn(wireText(claim->claim.turn));
+        tokens.setTokens(claim->claim.tokens);
+        tokens.setSettled(claim->claim.settled);
+    }
+}
+
+std::string recordBytes(const HistoryRecord &record)
+{
+    capnp::MallocMessageBuilder message;
+    writeRecord(message.initRoot<Wire::HistoryRecord>(), record);
+    return flatBytes(message);
+}
+
+HistoryRecord recordOf(std::string_view bytes)
+{
+    FlatMessage message(bytes);
+    return readRecord(message.root<Wire::HistoryRecord>());
+}
+
+void HistoryTable::apply(const HistoryRecord &record)
+{
+    if (const auto *turn = std::get_if<KeptTurn>(&record)) {
+        if (this->turns.try_emplace(turn->id, std::make_shared<KeptTurn>(*turn)).second) {
+            this->order.emplace(this->nextPosition++, Place{{}, turn->id});
+        }
+    } else if (const auto *seen = std::get_if<SeenView>(&record)) {
+        this->view = std::max(this->view, seen->version);
+    } else if (const auto *claim = std::get_if<ProgramClaim>(&record)) {
+        auto [entry, isNew] = this->claims[claim->program].try_emplace(claim->claim.turn);
+        if (isNew) {
+            this->order.emplace(this->nextPosition++, Place{claim->program, claim->claim.turn});
+        }
+        if (isNew || claim->claim.settled) {
+            entry->second = ClaimEntry{claim->claim, claim->expiresMs};
+        }
+    }
+}
+
+void HistoryTable::expire(std::uint64_t nowMs)
+{
+    for (auto at = this->order.begin(); at != this->order.end();) {
+        const Place &place = at->second;
+        bool expired = false;
+        if (place.program.empty()) {
+            const auto turn = this->turns.find(place.turn);
+            expired = turn->second->expiresMs < nowMs;
+            if (expired) {
+                this->turns.erase(turn);
+            }
+        } else {
+            const auto program = this->claims.find(place.program);
+            const auto claim = program->second.find(place.turn);
+            expired = claim->second.expiresMs < nowMs;
+            if (expired) {
+                program->second.erase(claim);
+            }
+            if (program->second.empty()) {
+                this->claims.erase(program);
+            }
+        }
+        at = expired ? this->order.erase(at) : std::next(at);
+    }
+}
+
+std::vector<TokenClaim> HistoryTable::claimsOf(const std::string &program) const
+{
+    std::vector<TokenClaim> list;
+    const auto known = this->claims.find(program);
+    if (known != this->claims.end()) {
+        for (const auto &[turn, entry] : known->second) {
+            list.push_back(entry.claim);
+        }
+    }
+    return list;
+}
+
+TurnChain HistoryTable::chain(const std::string &turn, const std::string &customer) const
+{
+    TurnChain chain;
+    std::string next = turn;
+    while (!next.empty()) {
+        const auto known = this->turns.find(next);
+        if (known == this->turns.end() || known->second->customer != customer) {
+            chain.missing = next;
+            return chain;
+        }
+        chain.turns.push_back(known->second);
+        next = known->second->previous;
+    }
+    return chain;
+}
+
+std::vector<HistoryRecord> HistoryTable::copyFrom(std::uint64_t &position, std::size_t bytes) const
+{
+    constexpr std::size_t ClaimBytes = 100;
+    std::vector<HistoryRecord> records;
+    std::size_t size = 0;
+    for (auto at = this->order.lower_bound(position); at != this->order.end() && size < bytes; ++at) {
+        const Place &place = at->second;
+        if (place.program.empty()) {
+            const auto &turn = this->turns.at(place.turn);
+            records.emplace_back(*turn);
+            size += turn->input.size() + turn->output.size() + ClaimBytes;
+        } else {
+            const ClaimEntry &entry = this->claims.at(place.program).at(place.turn);
+            records.emplace_back(ProgramClaim{place.program, entry.claim, entry.expiresMs});
+            size += ClaimBytes;
+        }
+        position = at->first + 1;
+    }
+    return records;
+}
+
+std::uint64_t claimedTokens(const std::vector<std::vector<TokenClaim>> &answers, const std::string &except)
+{
+    std::unordered_map<std::string, TokenClaim> byTurn;
+    for (const auto &answer : answers) {
+        for (const TokenClaim &claim : answer) {
+            TokenClaim &known = byTurn.try_emplace(claim.turn, claim).first->second;
+            if (claim.settled && !known.settled) {
+                known = claim;
+            }
+        }
+    }
+    std::uint64_t sum = 0;
+    for (const auto &[turn, claim] : byTurn) {
+        sum += turn == except ? 0 : claim.tokens;
+    }
+    return sum;
+}
+
+} // namespace Chestnuthook
--- a/src/rpc/control.capnp
+++ b/src/rpc/control.capnp
@@ -17,7 +17,8 @@
 
 struct Services {
     control @0 :Control;    # Null at an entry.
-    peer @1 :Capability;    # A Member at a control member, an EntryPeer at an entry.
+    peer @1 :Capability;    # A Member at a control member, an EntryPeer at an entry, a HistoryStore at a history store.
+    deployment @2 :Capability; # A Deployment at a control member of a deployment.
 }
 
 enum Group {
--- a/src/rpc/control.capnp.h
+++ b/src/rpc/control.capnp.h
@@ -174,7 +174,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d2399c84e7b3ca1d, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(d2399c84e7b3ca1d, 0, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1099,6 +1099,11 @@
   inline  ::capnp::Capability::Client getPeer() const;
 #endif  // !CAPNP_LITE
 
+  inline bool hasDeployment() const;
+#if !CAPNP_LITE
+  inline  ::capnp::Capability::Client getDeployment() const;
+#endif  // !CAPNP_LITE
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1145,6 +1150,15 @@
   inline ::capnp::Orphan< ::capnp::Capability> disownPeer();
 #endif  // !CAPNP_LITE
 
+  inline bool hasDeployment();
+#if !CAPNP_LITE
+  inline  ::capnp::Capability::Client getDeployment();
+  inline void setDeployment( ::capnp::Capability::Client&& value);
+  inline void setDeployment( ::capnp::Capability::Client& value);
+  inline void adoptDeployment(::capnp::Orphan< ::capnp::Capability>&& value);
+  inline ::capnp::Orphan< ::capnp::Capability> disownDeployment();
+#endif  // !CAPNP_LITE
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1165,6 +1179,7 @@
 
   inline  ::Chestnuthook::Wire::Control::Client getControl();
   inline  ::capnp::Capability::Client getPeer();
+  inline  ::capnp::Capability::Client getDeployment();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3916,6 +3931,45 @@
 }
 #endif  // !CAPNP_LITE
 
+inline bool Services::Reader::hasDeployment() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Services::Builder::hasDeployment() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+#if !CAPNP_LITE
+inline  ::capnp::Capability::Client Services::Reader::getDeployment() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Capability>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Capability::Client Services::Builder::getDeployment() {
+  return ::capnp::_::PointerHelpers< ::capnp::Capability>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Capability::Client Services::Pipeline::getDeployment() {
+  return  ::capnp::Capability::Client(_typeless.getPointerField(2).asCap());
+}
+inline void Services::Builder::setDeployment( ::capnp::Capability::Client&& cap) {
+  ::capnp::_::PointerHelpers< ::capnp::Capability>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(cap));
+}
+inline void Services::Builder::setDeployment( ::capnp::Capability::Client& cap) {
+  ::capnp::_::PointerHelpers< ::capnp::Capability>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), cap);
+}
+inline void Services::Builder::adoptDeployment(
+    ::capnp::Orphan< ::capnp::Capability>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Capability>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Capability> Services::Builder::disownDeployment() {
+  return ::capnp::_::PointerHelpers< ::capnp::Capability>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#endif  // !CAPNP_LITE
+
 inline  ::Chestnuthook::Wire::SubmitReply::Which SubmitReply::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/rpc/control_loop_base.cpp
+++ b/src/rpc/control_loop_base.cpp
@@ -33,6 +33,7 @@
 {
     kj::UnixEventPort::captureSignal(SIGTERM);
     kj::UnixEventPort::captureSignal(SIGINT);
+    kj::UnixEventPort::captureSignal(SIGHUP);
     std::signal(SIGPIPE, SIG_IGN);
 }
 
@@ -61,6 +62,19 @@
     });
 }
 
+void ControlLoop::onReload(std::function<void()> action)
+{
+    this->tasks.add(this->waitForReload(std::move(action)));
+}
+
+kj::Promise<void> ControlLoop::waitForReload(std::function<void()> action)
+{
+    return this->io.unixEventPort.onSignal(SIGHUP).then([this, action = std::move(action)](auto && /*info*/) {
+        action();
+        return this->waitForReload(action);
+    });
+}
+
 void ControlLoop::detach(kj::Promise<void> promise)
 {
     this->tasks.add(kj::mv(promise));
--- a/src/rpc/control_loop_base.h
+++ b/src/rpc/control_loop_base.h
@@ -34,6 +34,9 @@
     /** Calls @p action on the first SIGTERM or SIGINT. */
     void onTerminate(std::function<void()> action);
 
+    /** Calls @p action on each SIGHUP. */
+    void onReload(std::function<void()> action);
+
     /** Runs @p function on the control thread and waits for its result, or for that of the promise it returns. For
      * traffic threads only. @throws kj::Exception where it fails or the loop has ended. */
     template<typename Function>
@@ -68,6 +71,7 @@
 private:
     kj::Promise<void> tick();
     kj::Promise<void> waitForSignal(std::function<void()> action);
+    kj::Promise<void> waitForReload(std::function<void()> action);
 
     struct LogFailures final : kj::TaskSet::ErrorHandler
     {
--- /dev/null
+++ b/src/rpc/deployment.capnp
@@ -0,0 +1,108 @@
+@0xd31c7f0a86e2b945;
+# What the control members of a deployment offer its other daemons: configuration, endpoints, instances, rate credit.
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("Chestnuthook::Wire");
+
+enum InstanceRole {
+    gateway @0;
+    history @1;
+    control @2;
+}
+
+# One daemon as it describes itself in each watch.
+struct InstanceReport {
+    name @0 :Text;
+    role @1 :InstanceRole;
+    dataCentre @2 :Text;
+    callerAddress @3 :Text;     # Where callers (gateway) or operators (control) connect; else empty.
+    rpcAddress @4 :Text;        # Where other daemons connect.
+    identity @5 :Text;          # Of the data folder; empty at a gateway.
+    ready @6 :Bool;             # A gateway that takes callers.
+    copiedView @7 :UInt64;      # History: view for which the copy of all turns is complete; 0 for none.
+    strikes @8 :List(UInt64);   # Fingerprints of requests that broke an endpoint's connection since the last report.
+}
+
+struct EndpointEntry {
+    id @0 :Text;
+    service @1 :Text;
+    address @2 :Text;
+    dataCentre @3 :Text;
+    slots @4 :UInt32;
+    leaving @5 :Bool;
+}
+
+struct HistoryMember {
+    identity @0 :Text;
+    name @1 :Text;
+    address @2 :Text;
+}
+
+# Who holds the history of turns. Writes need a majority of `current` and, while `next` is not empty, of `next` too.
+struct HistoryView {
+    version @0 :UInt64;
+    current @1 :List(HistoryMember);
+    next @2 :List(HistoryMember);
+}
+
+struct InstanceEntry {
+    name @0 :Text;
+    role @1 :InstanceRole;
+    dataCentre @2 :Text;
+    callerAddress @3 :Text;
+    rpcAddress @4 :Text;
+    ready @5 :Bool;
+}
+
+# Versions that the caller holds; a part whose version is the same is left out of the update.
+struct HeldVersions {
+    configuration @0 :UInt64;
+    endpoints @1 :UInt64;
+    instances @2 :UInt64;
+    quarantine @3 :UInt64;
+    view @4 :UInt64;
+    term @5 :UInt64;            # Leader's term under which the versions count; all but configuration and view.
+}
+
+struct Update {
+    leader @0 :Text;            # RPC address of the leader where known; set alone at a member that doesn't lead.
+    term @1 :UInt64;            # 0 where this member doesn't lead.
+    versions @2 :HeldVersions;
+    configuration @3 :Data;     # As the operator sent it.
+    endpoints @4 :List(EndpointEntry);
+    endpointsAgeMs @5 :UInt32;  # Since the platform's list was read.
+    instances @6 :List(InstanceEntry);
+    quarantine @7 :List(UInt64);
+    view @8 :HistoryView;
+    has @9 :UInt32;             # Bit per part: 1 configuration, 2 endpoints, 4 instances, 8 quarantine, 16 view.
+}
+
+struct CustomerCredit {
+    customer @0 :Text;
+    requests @1 :UInt32;
+}
+
+interface Deployment {
+    # Reports the caller and waits up to waitMs for something newer than what it holds.
+    watch @0 (report :InstanceReport, held :HeldVersions, waitMs :UInt32) -> (update :Update);
+    # Requests that the caller may admit for each customer, out of the rate of the whole deployment.
+    credit @1 (instance :Text, wanted :List(CustomerCredit)) -> (leading :Bool, granted :List(CustomerCredit));
+}
+
+# A command of the deployment's replicated state.
+struct DeploymentCommand {
+    union {
+        configuration :group {
+            version @0 :UInt64;
+            document @1 :Data;
+        }
+        view @2 :HistoryView;   # Takes effect where its version follows the one in force.
+        retire @3 :Text;        # Name of a history instance that is to be emptied.
+    }
+}
+
+struct DeploymentState {
+    configurationVersion @0 :UInt64;
+    document @1 :Data;
+    view @2 :HistoryView;
+    retiring @3 :List(Text);
+}
--- a/src/rpc/gate_func.cpp
+++ b/src/rpc/gate_func.cpp
@@ -52,6 +52,7 @@
         auto offered = context.getResults().initServices();
         offered.setControl(this->services.control);
         offered.setPeer(this->services.peer);
+        offered.setDeployment(this->services.deployment);
         return kj::READY_NOW;
     }
 
--- a/src/rpc/gate_func.h
+++ b/src/rpc/gate_func.h
@@ -18,7 +18,8 @@
 struct OfferedServices
 {
     Wire::Control::Client control = nullptr; ///< Set at a control member.
-    capnp::Capability::Client peer = nullptr; ///< Member or EntryPeer.
+    capnp::Capability::Client peer = nullptr; ///< Member, EntryPeer or HistoryStore.
+    capnp::Capability::Client deployment = nullptr; ///< Deployment; set at a control member of a deployment.
 };
 
 /** Makes the bootstrap capability of a port. It proves itself by the first secret that @p security holds at that time.
--- /dev/null
+++ b/src/rpc/history.capnp
@@ -0,0 +1,53 @@
+@0xb7e0f52c9d1a4836;
+# Storage of kept turns and of programs' token budgets.
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("Chestnuthook::Wire");
+
+# Tokens that a turn may generate (until it is settled) or did generate.
+struct TokenClaim {
+    turn @0 :Text;
+    tokens @1 :UInt32;
+    settled @2 :Bool;
+}
+
+struct KeptTurn {
+    id @0 :Text;
+    previous @1 :Text;      # Empty at the start of a chain.
+    customer @2 :Text;
+    input @3 :Data;
+    output @4 :Data;        # Data of each event, each followed by a line feed.
+    expiresMs @5 :UInt64;   # Wall clock, milliseconds since 1970.
+}
+
+struct HistoryRecord {
+    union {
+        claim :group {
+            program @0 :Text;
+            claim @1 :TokenClaim;
+            expiresMs @2 :UInt64;
+        }
+        turn @3 :KeptTurn;
+        view @4 :UInt64;        # Highest view that the member has taken notice of.
+    }
+}
+
+enum HistoryStatus {
+    ok @0;
+    staleView @1;           # The caller's view is older than one that this member has seen.
+    wrongMember @2;         # Another data folder is at this address now.
+    failed @3;
+}
+
+interface HistoryStore {
+    # Writes the claim of a turn that is to run, and reads what it depends on.
+    begin @0 (identity :Text, view :UInt64, claim :HistoryRecord, previous :Text, customer :Text, withChain :Bool)
+        -> (status :HistoryStatus, claims :List(TokenClaim), known :Bool, chain :List(KeptTurn), missing :Text);
+    # Writes records durably.
+    write @1 (identity :Text, view :UInt64, records :List(HistoryRecord)) -> (status :HistoryStatus);
+    # A part of all records, in the order in which they were written; for a member that joins.
+    copy @2 (identity :Text, view :UInt64, position :UInt64)
+        -> (status :HistoryStatus, records :List(HistoryRecord), next :UInt64, done :Bool);
+    # The chain that ends at a turn, newest first.
+    chain @3 (identity :Text, view :UInt64, turn :Text, customer :Text)
+        -> (status :HistoryStatus, known :Bool, chain :List(KeptTurn), missing :Text);
+}
--- a/src/rpc/rpc_link_base.cpp
+++ b/src/rpc/rpc_link_base.cpp
@@ -156,7 +156,8 @@
         .then([this](capnp::Response<Wire::Prover::ProveResults> &&response) {
             KJ_REQUIRE(this->connection != nullptr, "the link was reset");
             auto offered = response.getServices();
-            this->connection->offered = OfferedServices{offered.getControl(), offered.getPeer()};
+            this->connection->offered =
+                OfferedServices{offered.getControl(), offered.getPeer(), offered.getDeployment()};
             this->connection->ready = true;
         });
 }
