--- a/src/consensus/replica_node_base.cpp
+++ b/src/consensus/replica_node_base.cpp
@@ -95,7 +95,7 @@
     }
     this->applied = restored->snapshot.index;
     const std::uint64_t seed = std::hash<std::string>()(this->identity());
-    this->core = std::make_unique<RaftCore>(RaftSettings{}, this->identity(), seed, std::move(*restored));
+    this->core = std::make_unique<RaftCore>(this->settings.raft, this->identity(), seed, std::move(*restored));
     return {};
 }
 
--- a/src/consensus/replica_node_base.h
+++ b/src/consensus/replica_node_base.h
@@ -41,6 +41,7 @@
     std::map<std::string, std::string> initialMembers; ///< Names and addresses of a new group; empty: we alone.
     bool join = false; ///< Never founds a group: waits to be added to one.
     std::uint64_t snapshotEntries = 10000; ///< Entries applied between snapshots.
+    RaftSettings raft; ///< Bounds of the log's rules.
 };
 
 /** One member as operators see it. */
--- a/src/deployment/credit_pool_base.cpp
+++ b/src/deployment/credit_pool_base.cpp
@@ -22,23 +22,28 @@
         gateways == 0 ? 1 : 1 - static_cast<double>(silent) / static_cast<double>(std::max(gateways, silent));
 }
 
-std::uint32_t CreditPool::take(Instant now, const CustomerRule &customer, std::uint32_t wanted)
+std::uint32_t CreditPool::take(Instant now, const CustomerRule &customer, const CreditWish &wish)
 {
     if (customer.ratePerSecond <= 0) {
-        return wanted;
+        return wish.sum();
     }
     const double most = std::max(customer.burst, 1.0);
     const auto [entry, isNew] = this->buckets.try_emplace(customer.name);
     Bucket &bucket = entry->second;
     if (isNew) {
-        bucket = Bucket{std::min(most, customer.ratePerSecond * FirstFillSeconds), now};
+        bucket = Bucket{std::min(most, most * ReservePart + customer.ratePerSecond * FirstFillSeconds), now};
     }
     const double seconds = std::chrono::duration<double>(now - bucket.filled).count();
     bucket.tokens = std::min(most, bucket.tokens + seconds * customer.ratePerSecond * this->heardShare);
     bucket.filled = now;
-    const auto granted = std::min(wanted, static_cast<std::uint32_t>(std::floor(std::max(bucket.tokens, 0.0))));
+    const auto upTo = [](std::uint32_t wanted, double tokens) {
+        return std::min(wanted, static_cast<std::uint32_t>(std::floor(std::max(tokens, 0.0))));
+    };
+    const std::uint32_t granted = upTo(wish.requests, bucket.tokens);
     bucket.tokens -= granted;
-    return granted;
+    const std::uint32_t ahead = upTo(wish.ahead, bucket.tokens - most * ReservePart);
+    bucket.tokens -= ahead;
+    return granted + ahead;
 }
 
 } // namespace Chestnuthook
--- a/src/deployment/credit_pool_base.h
+++ b/src/deployment/credit_pool_base.h
@@ -11,6 +11,17 @@
 namespace Chestnuthook
 {
 
+/** What a gateway asks for one customer. */
+struct CreditWish
+{
+    std::uint32_t requests = 0; ///< Of programs under way, and single requests.
+    std::uint32_t ahead = 0; ///< Of new programs, and ahead of need.
+    [[nodiscard]] std::uint32_t sum() const
+    {
+        return this->requests + this->ahead;
+    }
+};
+
 /** At the leader. What was granted is spent soon or lost, so that grants in the hands of gateways stay few. */
 class CreditPool
 {
@@ -19,8 +30,11 @@
      * their own share, so it is left to them. */
     void setGateways(std::size_t gateways, std::size_t silent);
 
-    /** @return how many of the @p wanted requests of @p customer may be admitted. */
-    std::uint32_t take(Instant now, const CustomerRule &customer, std::uint32_t wanted);
+    /** @return how many of the requests that @p wish names may be admitted. A new program takes many requests after
+     * its first, so that none begins while less than ReservePart of the burst is left for those under way. */
+    std::uint32_t take(Instant now, const CustomerRule &customer, const CreditWish &wish);
+
+    static constexpr double ReservePart = 0.4; ///< Of the burst; what is left when new programs are refused.
 
 private:
     struct Bucket
--- a/src/deployment/deployment_member_base.cpp
+++ b/src/deployment/deployment_member_base.cpp
@@ -53,7 +53,8 @@
         auto granted = results.initGranted(wanted.size());
         for (unsigned i = 0; i < wanted.size(); ++i) {
             granted[i].setCustomer(wanted[i].getCustomer());
-            granted[i].setRequests(this->member.takeCredit(textOf(wanted[i].getCustomer()), wanted[i].getRequests()));
+            granted[i].setRequests(this->member.takeCredit(
+                textOf(wanted[i].getCustomer()), CreditWish{wanted[i].getRequests(), wanted[i].getAhead()}));
         }
         return kj::READY_NOW;
     }
@@ -363,7 +364,7 @@
     }
 }
 
-std::uint32_t DeploymentMember::takeCredit(const std::string &customer, std::uint32_t wanted)
+std::uint32_t DeploymentMember::takeCredit(const std::string &customer, const CreditWish &wish)
 {
     this->refreshConfiguration();
     if (!this->leads() || this->configuration == nullptr) {
@@ -373,7 +374,7 @@
     const auto rule = std::find_if(customers.begin(), customers.end(), [&customer](const CustomerRule &one) {
         return one.name == customer;
     });
-    return rule == customers.end() ? 0 : this->credits.take(this->loop.timers().now(), *rule, wanted);
+    return rule == customers.end() ? 0 : this->credits.take(this->loop.timers().now(), *rule, wish);
 }
 
 kj::Promise<LateResult<void>> DeploymentMember::putConfiguration(std::string document)
--- a/src/deployment/deployment_member_base.h
+++ b/src/deployment/deployment_member_base.h
@@ -74,7 +74,7 @@
     {
         return this->node.isLeader();
     }
-    [[nodiscard]] std::uint32_t takeCredit(const std::string &customer, std::uint32_t wanted);
+    [[nodiscard]] std::uint32_t takeCredit(const std::string &customer, const CreditWish &wish);
 
     ReplicaNode node; ///< The replicated log.
 
--- a/src/deployment/deployment_watcher_base.cpp
+++ b/src/deployment/deployment_watcher_base.cpp
@@ -79,6 +79,7 @@
                 logEvent(EventKind::PeerLost, {{"peer", this->target}, {"role", "control leader"}});
                 this->view.leader.clear();
             }
+            ++this->probes;
             this->tryNext();
             return this->loop.kjTimer().afterDelay(RetryDelay);
         })
@@ -113,7 +114,9 @@
         held.setInstances(this->instancesVersion);
         held.setQuarantine(this->quarantineVersion);
         held.setView(this->view.history.version);
-        request.setWaitMs(std::exchange(this->reportWanted, false) ? 0 : WatchWaitMs);
+        const bool waits = this->target == this->view.leader && !this->reportWanted;
+        this->reportWanted = false;
+        request.setWaitMs(waits ? WatchWaitMs : 0);
         return request.send();
     });
     auto pair = kj::newPromiseAndFulfiller<void>();
@@ -143,6 +146,7 @@
         logEvent(EventKind::PeerConnected,
             {{"peer", this->target}, {"role", "control leader"}, {"term", std::to_string(update.getTerm())}});
     }
+    this->probes = 0;
     this->view.term = update.getTerm();
     this->view.leader = this->target;
     this->answered = this->loop.timers().now();
@@ -185,7 +189,7 @@
 }
 
 kj::Promise<std::map<std::string, std::uint32_t>> DeploymentWatcher::askCredit(
-    const std::map<std::string, std::uint32_t> &wanted)
+    const std::map<std::string, CreditWish> &wanted)
 {
     KJ_REQUIRE(!this->view.leader.empty(), "no leader is known");
     auto called = this->linkTo(this->view.leader).services().then([this, wanted](OfferedServices &&services) {
@@ -193,9 +197,10 @@
         request.setInstance(wireText(this->describe().name));
         auto list = request.initWanted(static_cast<unsigned>(wanted.size()));
         unsigned at = 0;
-        for (const auto &[customer, requests] : wanted) {
+        for (const auto &[customer, wish] : wanted) {
             list[at].setCustomer(wireText(customer));
-            list[at++].setRequests(requests);
+            list[at].setRequests(wish.requests);
+            list[at++].setAhead(wish.ahead);
         }
         return request.send();
     });
--- a/src/deployment/deployment_watcher_base.h
+++ b/src/deployment/deployment_watcher_base.h
@@ -11,6 +11,7 @@
 
 #include "core/timer_base.h"
 #include "deployment/configuration_type.h"
+#include "deployment/credit_pool_base.h"
 #include "deployment/endpoint_list_type.h"
 #include "deployment/history_view_type.h"
 #include "deployment/instance_board_base.h"
@@ -60,7 +61,7 @@
 
     /** Calls credit at the leader. The promise fails where it doesn't answer or no longer leads. */
     [[nodiscard]] kj::Promise<std::map<std::string, std::uint32_t>> askCredit(
-        const std::map<std::string, std::uint32_t> &wanted);
+        const std::map<std::string, CreditWish> &wanted);
 
     /** Since when no leader has answered; empty while one does. */
     [[nodiscard]] bool isInTouch() const;
@@ -75,10 +76,14 @@
 
 private:
     /** Longest time that the leader may hold a watch. */
-    static constexpr unsigned WatchWaitMs = 300;
+    static constexpr unsigned WatchWaitMs = 200;
     /** For the answer to a watch, in all. */
-    static constexpr auto WatchTimeout = 800 * kj::MILLISECONDS;
-    static constexpr auto RetryDelay = 40 * kj::MILLISECONDS;
+    static constexpr auto WatchTimeout = 700 * kj::MILLISECONDS;
+    /** For the answer of a member that isn't known to lead. It may be down while others are up; each further one gets
+     * more time, since all may be slow. */
+    static constexpr auto ProbeTimeout = 100 * kj::MILLISECONDS;
+    static constexpr auto ProbeTimeoutStep = 50 * kj::MILLISECONDS;
+    static constexpr auto RetryDelay = 20 * kj::MILLISECONDS;
     static constexpr auto CreditTimeout = 300 * kj::MILLISECONDS;
     /** Without an answer for this long the leader counts as out of touch. */
     static constexpr Duration OutOfTouchAfter = std::chrono::milliseconds(1000);
@@ -100,6 +105,7 @@
     Instant answered{0}; ///< When a leader answered last.
     kj::Own<kj::PromiseFulfiller<void>> interrupt; ///< Ends the watch under way.
     bool reportWanted = false; ///< A report is due at once.
+    unsigned probes = 0; ///< Members asked in vain since a leader answered.
 };
 
 } // namespace Chestnuthook
--- a/src/deployment/instance_board_base.h
+++ b/src/deployment/instance_board_base.h
@@ -30,7 +30,7 @@
 {
 public:
     /** A daemon that hasn't been heard for this long is left out of the directory. */
-    static constexpr Duration SilentAfter = std::chrono::milliseconds(1000);
+    static constexpr Duration SilentAfter = std::chrono::milliseconds(600);
     /** A member of a group that hasn't been heard for this long is replaced where another stands by; longer than the
      * restart of a process takes. */
     static constexpr Duration LostAfter = std::chrono::milliseconds(2500);
--- a/src/gateway/call_dialect_type.h
+++ b/src/gateway/call_dialect_type.h
@@ -25,6 +25,7 @@
     std::optional<std::uint64_t> programTokens; ///< That all turns of the program may generate.
     std::uint32_t promptTokens = 0; ///< Of the prompt.
     std::uint32_t outputTokens = 0; ///< The most that the turn generates.
+    std::uint32_t promptParts = 0; ///< Parts of the prompt that may be cached each by itself.
     std::string previousTurn; ///< Request id of the turn that it continues; empty for none.
     std::string lastEventId; ///< Last event that the caller holds of a resumed stream.
 };
--- a/src/gateway/credit_share_base.cpp
+++ b/src/gateway/credit_share_base.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace Chestnuthook
 {
@@ -19,7 +20,8 @@
     }
 }
 
-CreditAnswer CreditShare::take(Instant now, const CustomerRule &customer, bool inTouch, std::size_t gateways)
+CreditAnswer CreditShare::take(
+    Instant now, const CustomerRule &customer, bool isNewProgram, bool inTouch, std::size_t gateways)
 {
     if (customer.ratePerSecond <= 0) {
         return CreditAnswer::Admitted;
@@ -29,15 +31,19 @@
     if (now - account.granted > CreditLife) {
         account.credit = 0;
     }
+    const bool isFresh = now - account.refusedAt < RefusalLife;
+    if (inTouch && isNewProgram && account.scarce && isFresh) {
+        return CreditAnswer::Refused;
+    }
     if (account.credit > 0) {
         --account.credit;
         return CreditAnswer::Admitted;
     }
     if (inTouch) {
-        if (account.refused && now - account.refusedAt < RefusalLife) {
+        if (account.refused && isFresh) {
             return CreditAnswer::Refused;
         }
-        ++account.waiting;
+        ++(isNewProgram ? account.waiting.ahead : account.waiting.requests);
         return CreditAnswer::Wait;
     }
     const double share = customer.ratePerSecond / static_cast<double>(std::max<std::size_t>(gateways, 1));
@@ -52,45 +58,49 @@
     return CreditAnswer::Admitted;
 }
 
-std::map<std::string, std::uint32_t> CreditShare::wanted(Instant now)
+std::map<std::string, CreditWish> CreditShare::wanted(Instant now)
 {
-    std::map<std::string, std::uint32_t> list;
+    std::map<std::string, CreditWish> list;
     for (auto &[name, account] : this->accounts) {
+        if (account.asked) {
+            continue;
+        }
         if (now - account.granted > CreditLife) {
             account.credit = 0;
         }
         const auto ahead = static_cast<std::uint32_t>(std::ceil(account.perSecond * AheadSeconds));
-        const std::uint32_t target = account.waiting + ahead;
-        const std::uint32_t held = account.credit + account.asked;
-        const bool isLow = account.waiting > 0 || held * 2 < ahead;
-        if (account.asked == 0 && isLow && target > held) {
-            account.asked = target - held;
-            account.waiting = 0;
-            list[name] = account.asked;
+        const bool isLow = account.credit * 2 < ahead;
+        if (account.waiting.sum() == 0 && !isLow) {
+            continue;
         }
+        CreditWish wish = std::exchange(account.waiting, {});
+        wish.ahead += ahead > account.credit ? ahead - account.credit : 0;
+        account.asked = true;
+        list[name] = wish;
     }
     return list;
 }
 
-void CreditShare::grant(
-    Instant now, const std::map<std::string, std::uint32_t> &asked, const std::map<std::string, std::uint32_t> &granted)
+void CreditShare::grant(Instant now, const std::map<std::string, CreditWish> &asked,
+    const std::map<std::string, std::uint32_t> &granted)
 {
-    for (const auto &[name, requests] : asked) {
+    for (const auto &[name, wish] : asked) {
         Account &account = this->accounts[name];
         const auto entry = granted.find(name);
         const std::uint32_t got = entry == granted.end() ? 0 : entry->second;
-        account.asked = 0;
+        account.asked = false;
         account.credit += got;
         account.granted = now;
-        account.refused = got < requests;
+        account.scarce = got < wish.sum();
+        account.refused = wish.requests > 0 && got < wish.requests;
         account.refusedAt = now;
     }
 }
 
-void CreditShare::lost(const std::map<std::string, std::uint32_t> &asked)
+void CreditShare::lost(const std::map<std::string, CreditWish> &asked)
 {
-    for (const auto &[name, requests] : asked) {
-        this->accounts[name].asked = 0;
+    for (const auto &[name, wish] : asked) {
+        this->accounts[name].asked = false;
     }
 }
 
--- a/src/gateway/credit_share_base.h
+++ b/src/gateway/credit_share_base.h
@@ -8,6 +8,7 @@
 
 #include "core/timer_type.h"
 #include "deployment/configuration_type.h"
+#include "deployment/credit_pool_base.h"
 
 namespace Chestnuthook
 {
@@ -23,18 +24,19 @@
 public:
     /** Takes credit for one request. While @p inTouch is false, this gateway's part of the rate counts, as one of
      * @p gateways. */
-    [[nodiscard]] CreditAnswer take(Instant now, const CustomerRule &customer, bool inTouch, std::size_t gateways);
+    [[nodiscard]] CreditAnswer take(
+        Instant now, const CustomerRule &customer, bool isNewProgram, bool inTouch, std::size_t gateways);
 
     /** What to ask the leader for now, by customer; empty where all have enough. */
-    [[nodiscard]] std::map<std::string, std::uint32_t> wanted(Instant now);
+    [[nodiscard]] std::map<std::string, CreditWish> wanted(Instant now);
     /** Takes the leader's answer to @p asked. */
-    void grant(Instant now, const std::map<std::string, std::uint32_t> &asked,
+    void grant(Instant now, const std::map<std::string, CreditWish> &asked,
         const std::map<std::string, std::uint32_t> &granted);
     /** The question was lost. */
-    void lost(const std::map<std::string, std::uint32_t> &asked);
+    void lost(const std::map<std::string, CreditWish> &asked);
 
     /** When to come back after a refusal, in seconds. */
-    static constexpr double RetryAfterSeconds = 0.3;
+    static constexpr double RetryAfterSeconds = 0.5;
 
 private:
     /** Credit that isn't used in this time is dropped, so that all gateways together stay close to the rate. */
@@ -53,10 +55,11 @@
     {
         std::uint32_t credit = 0; ///< Requests that may be admitted.
         Instant granted{0}; ///< When credit came last.
-        std::uint32_t waiting = 0; ///< Requests that asked and were told to wait, since the last question.
-        std::uint32_t asked = 0; ///< Under way.
+        CreditWish waiting; ///< Requests that asked and were told to wait, since the last question.
+        bool asked = false; ///< A question is under way.
         Instant refusedAt{0}; ///< When the leader had none left.
-        bool refused = false; ///< The last answer gave less than was asked.
+        bool scarce = false; ///< The last answer gave less than was asked: no program may begin.
+        bool refused = false; ///< It gave nothing to programs under way.
         double perSecond = 0; ///< Estimate of the demand here.
         std::uint32_t seen = 0; ///< Requests since `seenFrom`.
         Instant seenFrom{0}; ///< Start of the current sample.
--- a/src/gateway/endpoint_link_base.cpp
+++ b/src/gateway/endpoint_link_base.cpp
@@ -22,14 +22,14 @@
     });
 }
 
-std::unique_ptr<EndpointConnection> EndpointLinks::takeKept(const std::string &address, Duration freshFor)
+std::unique_ptr<EndpointConnection> EndpointLinks::takeKept(const std::string &address)
 {
     const auto list = this->idle.find(address);
     if (list == this->idle.end()) {
         return nullptr;
     }
     this->dropSpoilt(list->second);
-    if (list->second.empty() || this->loop.timers().now() - list->second.back()->idleSince > freshFor) {
+    if (list->second.empty()) {
         return nullptr;
     }
     auto connection = std::move(list->second.back());
--- a/src/gateway/endpoint_link_base.h
+++ b/src/gateway/endpoint_link_base.h
@@ -43,8 +43,8 @@
 public:
     EndpointLinks(ControlLoop &loop);
 
-    /** A kept connection that was used within @p freshFor, or null. */
-    [[nodiscard]] std::unique_ptr<EndpointConnection> takeKept(const std::string &address, Duration freshFor);
+    /** A kept connection, or null. */
+    [[nodiscard]] std::unique_ptr<EndpointConnection> takeKept(const std::string &address);
     /** A new connection; null where that fails or takes longer than @p limit. */
     [[nodiscard]] std::unique_ptr<EndpointConnection> connect(
         kj::WaitScope &scope, const std::string &address, Duration limit);
--- a/src/gateway/gateway_base.cpp
+++ b/src/gateway/gateway_base.cpp
@@ -15,15 +15,18 @@
 namespace
 {
 
+/** A gateway that has just started waits this long for a configuration before it refuses a request. */
+constexpr Duration ConfigurationWait = std::chrono::milliseconds(700);
 constexpr double SoonSeconds = 0.2; ///< Retry-After where a gateway or member is expected back at once.
 constexpr double QuarantineSeconds = 10; ///< Retry-After of a request that crashes endpoints.
 /** An answer about credit is awaited this long before the gateway counts as out of touch with the leader. */
 constexpr auto CreditWait = 250 * kj::MILLISECONDS;
 /** After a question about credit was lost, the gateway goes on with its own share for this long. */
 constexpr Duration CreditPause = std::chrono::milliseconds(100);
-/** Out of touch, a request waits this long for its gateway's share of the rate before it is refused. */
+/** Requests of programs under way wait this long for the rate before they are refused; out of touch with the leader,
+ * all do. */
 constexpr Duration ShareWait = std::chrono::milliseconds(500);
-constexpr auto ShareLook = 20 * kj::MILLISECONDS;
+constexpr auto LookDelay = 20 * kj::MILLISECONDS;
 /** History members are asked for this long at most before a turn is refused. */
 constexpr Duration HistoryWait = std::chrono::milliseconds(1200);
 /** Claims of tokens are kept this much longer than the turns of their route. */
@@ -120,9 +123,12 @@
 void Gateway::answer(kj::WaitScope &scope, HttpExchange &exchange)
 {
     Call call(exchange);
+    while (this->configuration == nullptr && this->now() - exchange.received < ConfigurationWait) {
+        this->loop.kjTimer().afterDelay(LookDelay).wait(scope);
+    }
     call.configuration = this->configuration;
     exchange.closeAfter = exchange.closeAfter || this->draining;
-    if (this->admit(scope, call) && this->admitRate(scope, call) && this->beginTurn(scope, call)) {
+    if (this->admit(scope, call) && this->beginTurn(scope, call) && this->admitRate(scope, call)) {
         this->run(scope, call);
     }
 }
@@ -170,6 +176,14 @@
     call.until =
         call.exchange.received + std::min(call.facts.timeLeft.value_or(call.route->timeout), call.route->timeout);
     const std::string customer = call.customer == nullptr ? std::string() : call.customer->name;
+    logEvent(EventKind::CallAccepted,
+        {{"request", call.facts.requestId}, {"route", call.route->name}, {"customer", customer},
+            {"program", call.facts.program}, {"session", call.facts.session}, {"previous", call.facts.previousTurn},
+            {"prompt_tokens", std::to_string(call.facts.promptTokens)},
+            {"output_tokens", std::to_string(call.facts.outputTokens)},
+            {"prompt_parts", std::to_string(call.facts.promptParts)},
+            {"program_ms", std::to_string(call.facts.programTimeLeft.value_or(Milliseconds(0)).count())},
+            {"configuration", std::to_string(call.configuration->version)}});
     call.fingerprint = hash64(call.exchange.body, hash64(call.exchange.head.target, hash64(customer)));
     if (this->watcher.view.quarantine.contains(call.fingerprint)) {
         this->refuse(scope, call, Status::Unavailable, "the request crashes endpoints", QuarantineSeconds);
@@ -216,13 +230,14 @@
     }
     while (true) {
         const bool inTouch = this->watcher.isInTouch() && this->now() >= this->creditPausedUntil;
-        switch (this->credit.take(this->now(), *call.customer, inTouch, this->gatewayCount())) {
+        switch (this->credit.take(this->now(), *call.customer, call.isNewProgram, inTouch, this->gatewayCount())) {
         case CreditAnswer::Admitted:
             this->startCreditFetch();
             return true;
         case CreditAnswer::Refused:
-            if (!inTouch && this->now() < std::min(call.exchange.received + ShareWait, call.until)) {
-                this->loop.kjTimer().afterDelay(ShareLook).wait(scope);
+            if ((!inTouch || !call.isNewProgram)
+                && this->now() < std::min(call.exchange.received + ShareWait, call.until)) {
+                this->loop.kjTimer().afterDelay(LookDelay).wait(scope);
                 continue;
             }
             this->refuse(scope, call, Status::TooManyRequests,
@@ -232,7 +247,7 @@
             break;
         }
         this->startCreditFetch();
-        kj::Promise<void> fetched = this->loop.kjTimer().afterDelay(ShareLook);
+        kj::Promise<void> fetched = this->loop.kjTimer().afterDelay(LookDelay);
         KJ_IF_MAYBE (fetch, this->creditFetch) {
             fetched = fetch->addBranch().exclusiveJoin(this->loop.kjTimer().afterDelay(CreditWait).then([this]() {
                 this->creditPausedUntil = this->now() + CreditPause;
@@ -271,7 +286,8 @@
             scope, call, status, errorText(begun.error()), begun.error().kind == ErrorKind::NotReady ? SoonSeconds : 0);
         return false;
     }
-    for (const auto &turn : *begun) {
+    call.isNewProgram = begun->isFirst && start.previous.empty();
+    for (const auto &turn : begun->chain) {
         call.prefix += turn->input;
         call.prefix += turn->output;
     }
--- a/src/gateway/gateway_call_internal.h
+++ b/src/gateway/gateway_call_internal.h
@@ -35,6 +35,7 @@
     const CustomerRule *customer = nullptr; ///< In `configuration`; null on open routes without a key.
     Instant until{0}; ///< When a final answer is due.
     std::uint64_t fingerprint = 0; ///< Of customer, target and body.
+    bool isNewProgram = false; ///< The first turn of its program.
     std::string prefix; ///< Inputs and outputs of the turns that it continues.
     std::uint64_t retentionMs = 0; ///< How long its turn is kept.
     std::unique_ptr<TokenSettlement> settlement; ///< Of its tokens; null where it has no budget.
--- a/src/gateway/gateway_run.cpp
+++ b/src/gateway/gateway_run.cpp
@@ -19,10 +19,6 @@
 constexpr double BusySeconds = 0.25; ///< Retry-After where all endpoints refused.
 /** Time for a new connection; endpoints that don't accept in it are down or cut off. */
 constexpr Duration ConnectLimit = std::chrono::milliseconds(400);
-/** A kept connection may have been closed by the endpoint without our knowing; what mustn't run twice goes on one only
- * where it was used this lately. */
-constexpr Duration FreshForUnsafe = std::chrono::milliseconds(700);
-constexpr Duration FreshForSafe = std::chrono::seconds(60);
 /** Time for the writing of a turn to the history after its stream has ended. */
 constexpr Duration KeepWait = std::chrono::milliseconds(1500);
 /** Least time in which an endpoint can still be of use. */
@@ -35,6 +31,18 @@
     return status >= 200 && status < 300;
 }
 
+/** Reads what is left of a body. @return whether it is whole. */
+bool readRest(kj::WaitScope &scope, HttpResponseReader &reader)
+{
+    std::string part;
+    do {
+        if (reader.readPart(scope, part) != HttpRead::Done) {
+            return false;
+        }
+    } while (!part.empty());
+    return true;
+}
+
 Milliseconds toMs(Duration duration)
 {
     return std::chrono::duration_cast<Milliseconds>(duration);
@@ -131,8 +139,7 @@
 
 Gateway::AttemptEnd Gateway::attempt(kj::WaitScope &scope, Call &call, const DeployedEndpoint &endpoint)
 {
-    const bool mayRepeat = call.route->kind == RouteKind::Safe;
-    auto connection = this->links.takeKept(endpoint.address, mayRepeat ? FreshForSafe : FreshForUnsafe);
+    auto connection = this->links.takeKept(endpoint.address);
     const bool kept = connection != nullptr;
     if (!kept) {
         connection = this->links.connect(scope, endpoint.address, std::min(ConnectLimit, call.until - this->now()));
@@ -200,12 +207,8 @@
         }
         const bool isOurs = facts.requestId == call.facts.requestId;
         if (!isOurs && !facts.notRun && head.status != MisdirectedStatus) {
-            std::string skipped; // A late answer to an earlier request.
-            HttpRead part = HttpRead::Done;
-            do {
-                part = reader.readPart(scope, skipped);
-            } while (part == HttpRead::Done && !skipped.empty());
-            if (part != HttpRead::Done || !head.keepAlive) {
+            // A late answer to an earlier request.
+            if (!readRest(scope, reader) || !head.keepAlive) {
                 return connection.input.hasTimedOut() ? AttemptEnd::TimedOut : AttemptEnd::Failed;
             }
             continue;
@@ -219,7 +222,10 @@
             logEvent(EventKind::AttemptFailed,
                 {{"request", call.facts.requestId}, {"endpoint", endpoint.id}, {"reason", "not run"},
                     {"status", std::to_string(head.status)}});
-            return AttemptEnd::NotRun; // The connection isn't kept: its body is unread.
+            if (readRest(scope, reader) && head.keepAlive) {
+                connection.idleLimit = EndpointLinks::idleLimitOf(head.fields);
+            }
+            return AttemptEnd::NotRun;
         }
         if (!facts.isSigned || head.fields.find("Content-Encoding") != nullptr) {
             return AttemptEnd::Failed;
--- a/src/history/history_client_base.cpp
+++ b/src/history/history_client_base.cpp
@@ -135,9 +135,9 @@
     return true;
 }
 
-Result<std::vector<std::shared_ptr<const KeptTurn>>> HistoryClient::begin(
-    kj::WaitScope &scope, const TurnStart &start, Instant until)
+Result<TurnBegun> HistoryClient::begin(kj::WaitScope &scope, const TurnStart &start, Instant until)
 {
+    TurnBegun begun;
     const auto shared = std::make_shared<const TurnStart>(start); // Calls go on when this fiber has ended.
     do {
         auto round = std::make_shared<Round>();
@@ -205,6 +205,7 @@
             }
             const TokenClaim &own = start.claim.claim;
             const std::uint64_t others = claimedTokens(answers, own.turn);
+            begun.isFirst = others == 0;
             if (others + own.tokens > start.budget) {
                 ProgramClaim release = start.claim;
                 release.claim = TokenClaim{own.turn, 0, true};
@@ -214,12 +215,17 @@
             }
         }
         if (start.previous.empty()) {
-            return std::vector<std::shared_ptr<const KeptTurn>>();
+            return begun;
         }
         if (round->chain.turns.empty()) {
             round->chain.missing = start.previous;
         }
-        return this->readChain(scope, start, std::move(round->chain), until);
+        auto chain = this->readChain(scope, start, std::move(round->chain), until);
+        if (!chain) {
+            return tl::unexpected(chain.error());
+        }
+        begun.chain = std::move(*chain);
+        return begun;
     } while (this->pauseBeforeRetry(scope, until));
     return fail(ErrorKind::NotReady, "no quorum of the history members answered");
 }
--- a/src/history/history_client_base.h
+++ b/src/history/history_client_base.h
@@ -26,16 +26,22 @@
     std::string customer; ///< Whose it is.
 };
 
+/** What was found at the start of a turn. */
+struct TurnBegun
+{
+    std::vector<std::shared_ptr<const KeptTurn>> chain; ///< The turns that it continues, oldest first.
+    bool isFirst = false; ///< No other turn of its program has claimed tokens.
+};
+
 /** For the fibers of the control thread. */
 class HistoryClient
 {
 public:
     HistoryClient(ControlLoop &loop, DeploymentWatcher &watcher, std::string dataCentre);
 
-    /** Claims the tokens of a turn and reads the chain that it continues, oldest first.
+    /** Claims the tokens of a turn and reads the chain that it continues.
      * Errors: BudgetSpent; NotFound where no such turn exists; NotReady where that can't be known until @p until. */
-    [[nodiscard]] Result<std::vector<std::shared_ptr<const KeptTurn>>> begin(
-        kj::WaitScope &scope, const TurnStart &start, Instant until);
+    [[nodiscard]] Result<TurnBegun> begin(kj::WaitScope &scope, const TurnStart &start, Instant until);
 
     /** Writes @p records with a quorum, until @p until. Errors: NotReady. */
     [[nodiscard]] Result<void> write(kj::WaitScope &scope, const std::vector<HistoryRecord> &records, Instant until);
@@ -50,6 +56,7 @@
     [[nodiscard]] std::vector<HistoryMember> nearestFirst() const;
     void sendWrite(const Calls &round, const HistoryView &view, const std::vector<HistoryRecord> &records);
     void addCall(const Calls &round, const HistoryMember &member, kj::Promise<Wire::HistoryStatus> call);
+    /** Reads what is missing of @p chain. @return it whole, oldest first. */
     Result<std::vector<std::shared_ptr<const KeptTurn>>> readChain(
         kj::WaitScope &scope, const TurnStart &start, TurnChain chain, Instant until);
     [[nodiscard]] bool waitRound(kj::WaitScope &scope, const Calls &round, Instant until);
--- a/src/rpc/deployment.capnp
+++ b/src/rpc/deployment.capnp
@@ -78,7 +78,8 @@
 
 struct CustomerCredit {
     customer @0 :Text;
-    requests @1 :UInt32;
+    requests @1 :UInt32;    # Wanted: for programs under way. Granted: for all.
+    ahead @2 :UInt32;       # Wanted for new programs and ahead of need; given only out of a good supply.
 }
 
 interface Deployment {
--- a/src/rpc/deployment.capnp.c++
+++ b/src/rpc/deployment.capnp.c++
@@ -952,7 +952,7 @@
   4, 10, i_c13b0a5b0008f3a7, nullptr, nullptr, { &s_c13b0a5b0008f3a7, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<50> b_b864d6dbbb6a7e3f = {
+static const ::capnp::_::AlignedData<65> b_b864d6dbbb6a7e3f = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      63, 126, 106, 187, 219, 214, 100, 184,
      17,   0,   0,   0,   1,   0,   1,   0,
@@ -962,7 +962,7 @@
      21,   0,   0,   0,   2,   1,   0,   0,
      33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0, 119,   0,   0,   0,
+     29,   0,   0,   0, 175,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     100, 101, 112, 108, 111, 121, 109, 101,
@@ -970,21 +970,28 @@
      58,  67, 117, 115, 116, 111, 109, 101,
     114,  67, 114, 101, 100, 105, 116,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-      8,   0,   0,   0,   3,   0,   4,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     41,   0,   0,   0,  74,   0,   0,   0,
+     69,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     40,   0,   0,   0,   3,   0,   1,   0,
-     52,   0,   0,   0,   2,   0,   1,   0,
+     68,   0,   0,   0,   3,   0,   1,   0,
+     80,   0,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     49,   0,   0,   0,  74,   0,   0,   0,
+     77,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     48,   0,   0,   0,   3,   0,   1,   0,
-     60,   0,   0,   0,   2,   0,   1,   0,
+     76,   0,   0,   0,   3,   0,   1,   0,
+     88,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     85,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     80,   0,   0,   0,   3,   0,   1,   0,
+     92,   0,   0,   0,   2,   0,   1,   0,
      99, 117, 115, 116, 111, 109, 101, 114,
       0,   0,   0,   0,   0,   0,   0,   0,
      12,   0,   0,   0,   0,   0,   0,   0,
@@ -996,6 +1003,14 @@
       0,   0,   0,   0,   0,   0,   0,   0,
     114, 101, 113, 117, 101, 115, 116, 115,
       0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97, 104, 101,  97, 100,   0,   0,   0,
       8,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -1006,11 +1021,11 @@
 };
 ::capnp::word const* const bp_b864d6dbbb6a7e3f = b_b864d6dbbb6a7e3f.words;
 #if !CAPNP_LITE
-static const uint16_t m_b864d6dbbb6a7e3f[] = {0, 1};
-static const uint16_t i_b864d6dbbb6a7e3f[] = {0, 1};
+static const uint16_t m_b864d6dbbb6a7e3f[] = {2, 0, 1};
+static const uint16_t i_b864d6dbbb6a7e3f[] = {0, 1, 2};
 const ::capnp::_::RawSchema s_b864d6dbbb6a7e3f = {
-  0xb864d6dbbb6a7e3f, b_b864d6dbbb6a7e3f.words, 50, nullptr, m_b864d6dbbb6a7e3f,
-  0, 2, i_b864d6dbbb6a7e3f, nullptr, nullptr, { &s_b864d6dbbb6a7e3f, nullptr, nullptr, 0, 0, nullptr }
+  0xb864d6dbbb6a7e3f, b_b864d6dbbb6a7e3f.words, 65, nullptr, m_b864d6dbbb6a7e3f,
+  0, 3, i_b864d6dbbb6a7e3f, nullptr, nullptr, { &s_b864d6dbbb6a7e3f, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<39> b_d63bb588485acf0c = {
--- a/src/rpc/deployment.capnp.h
+++ b/src/rpc/deployment.capnp.h
@@ -1173,6 +1173,8 @@
 
   inline  ::uint32_t getRequests() const;
 
+  inline  ::uint32_t getAhead() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1211,6 +1213,9 @@
   inline  ::uint32_t getRequests();
   inline void setRequests( ::uint32_t value);
 
+  inline  ::uint32_t getAhead();
+  inline void setAhead( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3141,6 +3146,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t CustomerCredit::Reader::getAhead() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CustomerCredit::Builder::getAhead() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CustomerCredit::Builder::setAhead( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Deployment::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
