Sockets to other daemons are opened anew after 150 ms; a reset socket no longer ends a gateway

Cause 2: an opening packet sent to a machine about to start is lost and sent again after a second; gateways had the configuration 0.4 s after a leader stood. Change: the read is made inside a promise; sockets get 150 ms, the whole connection with its proofs 700 ms as before.

--- a/src/gateway/gateway_run.cpp
+++ b/src/gateway/gateway_run.cpp
@@ -18,7 +18,7 @@
 constexpr unsigned MostOffers = 4;
 constexpr double BusySeconds = 0.25; ///< Retry-After where all endpoints refused.
 /** Time for a new connection; endpoints that don't accept in it are down or cut off. */
-constexpr Duration ConnectLimit = std::chrono::milliseconds(400);
+constexpr Duration ConnectLimit = std::chrono::milliseconds(150);
 /** Time for the writing of a turn to the history after its stream has ended. */
 constexpr Duration KeepWait = std::chrono::milliseconds(1500);
 /** Least time in which an endpoint can still be of use. */
--- a/src/http/http_reader_base.cpp
+++ b/src/http/http_reader_base.cpp
@@ -79,7 +79,10 @@
     if (this->chunk == nullptr) {
         this->chunk = std::make_unique<char[]>(ReadBytes);
     }
-    auto read = this->stream.tryRead(this->chunk.get(), 1, ReadBytes);
+    // A socket that was reset throws at once; inside a promise that is an end like any other.
+    auto read = kj::evalNow([this]() {
+        return this->stream.tryRead(this->chunk.get(), 1, ReadBytes);
+    });
     auto done = read.then(
         [this](std::size_t count) {
             if (this->start == this->buffer.size()) {
--- a/src/http/http_server_base.cpp
+++ b/src/http/http_server_base.cpp
@@ -158,13 +158,14 @@
     exchange.closeAfter = this->draining || !exchange.head.keepAlive;
     ++this->busy;
     KJ_DEFER(--this->busy);
+    auto gone = input.whenClosed().then([]() {
+        return false;
+    });
+    // Nothing may throw between the start of this fiber and its end: one that unwinds can't cancel another.
     auto answered = this->fibers.startFiber([this, &exchange](kj::WaitScope &inner) {
         this->handler(inner, exchange);
         return true;
     });
-    auto gone = input.whenClosed().then([]() {
-        return false;
-    });
     const bool stays = answered.exclusiveJoin(kj::mv(gone)).wait(scope);
     return stays && exchange.isWhole() && !exchange.closeAfter;
 }
--- a/src/rpc/rpc_link_base.cpp
+++ b/src/rpc/rpc_link_base.cpp
@@ -9,7 +9,11 @@
 namespace
 {
 
+/** For a connection with its proofs of identity. */
 constexpr auto ConnectTimeout = 700 * kj::MILLISECONDS;
+/** For the socket alone, which the other machine's kernel answers. An opening packet that was lost, for instance because
+ * the machine was about to start, is sent again only after a second; a new socket is quicker. */
+constexpr auto SocketTimeout = 150 * kj::MILLISECONDS;
 constexpr auto HandshakeTimeout = 3 * kj::SECONDS;
 
 /** Limits of one message from another process; a peer is authenticated, but may be broken. */
@@ -139,11 +143,22 @@
     });
 }
 
+kj::Promise<kj::Own<kj::AsyncIoStream>> RpcLink::connectSocket(kj::NetworkAddress &target)
+{
+    return this->context.timer.timeoutAfter(SocketTimeout, target.connect())
+        .catch_([this, &target](kj::Exception &&exception) -> kj::Promise<kj::Own<kj::AsyncIoStream>> {
+            if (exception.getType() == kj::Exception::Type::OVERLOADED) { // Timed out.
+                return this->connectSocket(target);
+            }
+            return kj::mv(exception);
+        });
+}
+
 kj::Promise<void> RpcLink::connect()
 {
     return this->context.network.parseAddress(this->address)
-        .then([](kj::Own<kj::NetworkAddress> &&parsed) {
-            auto connected = parsed->connect();
+        .then([this](kj::Own<kj::NetworkAddress> &&parsed) {
+            auto connected = this->connectSocket(*parsed);
             return connected.attach(kj::mv(parsed));
         })
         .then([this](kj::Own<kj::AsyncIoStream> &&stream) {
--- a/src/rpc/rpc_link_base.h
+++ b/src/rpc/rpc_link_base.h
@@ -53,6 +53,7 @@
     };
 
     kj::Promise<SecuredStream> secure(kj::Own<kj::AsyncIoStream> stream);
+    kj::Promise<kj::Own<kj::AsyncIoStream>> connectSocket(kj::NetworkAddress &target);
     kj::Promise<void> connect();
 
     RpcContext &context; ///< Outlives the link.
