--- a/src/gateway/endpoint_board_base.cpp
+++ b/src/gateway/endpoint_board_base.cpp
@@ -95,6 +95,18 @@
     return &best->state->listed;
 }
 
+std::string EndpointBoard::describeLoad(Instant now, const std::string &id) const
+{
+    const auto found = this->states.find(id);
+    if (found == this->states.end()) {
+        return "unknown";
+    }
+    const State &state = found->second;
+    const std::int64_t age = state.loadTold.us == 0 ? -1 : (now - state.loadTold).count() / 1000;
+    return std::to_string(state.inFlight) + "," + std::to_string(state.load.running) + ","
+        + std::to_string(state.load.waiting) + "," + std::to_string(state.load.slots) + "," + std::to_string(age);
+}
+
 void EndpointBoard::noteSent(const std::string &id)
 {
     ++this->states[id].inFlight;
--- a/src/gateway/gateway_run.cpp
+++ b/src/gateway/gateway_run.cpp
@@ -150,6 +150,10 @@
             {{"request", call.facts.requestId}, {"endpoint", endpoint.id}, {"reason", "no connection"}});
         return AttemptEnd::NotRun;
     }
+    logEvent(EventKind::CallDispatched,
+        {{"request", call.facts.requestId}, {"endpoint", endpoint.id}, {"kept", kept ? "yes" : "no"},
+            {"load", this->board.describeLoad(this->now(), endpoint.id)},
+            {"ms", std::to_string((this->now() - call.exchange.received).count() / 1000)}});
     this->board.noteSent(endpoint.id);
     KJ_DEFER(this->board.noteEnded(endpoint.id));
     const AttemptEnd end = this->exchangeWith(scope, call, endpoint, *connection);
@@ -273,6 +277,9 @@
         std::string ready = part.empty() ? splitter.rest() : splitter.take(part, events);
         if (!ready.empty() || part.empty()) {
             if (!call.exchange.hasBegun()) {
+                logEvent(EventKind::CallFirstToken,
+                    {{"request", call.facts.requestId},
+                        {"ms", std::to_string((this->now() - call.exchange.received).count() / 1000)}});
                 call.exchange.beginStream(scope, this->dialect.answerHead(head));
             }
         }
