Programs stay at the endpoint that caches their prompts until 1.8 times its slots are taken

Cause: under bursts programs were spread by load at 0.75 of the slots, so that whole histories were read again, which slows all others at the endpoint (decoding 300 ms a turn in place of 170).

--- a/src/gateway/endpoint_board_base.h
+++ b/src/gateway/endpoint_board_base.h
@@ -56,8 +56,9 @@
     static constexpr unsigned MostDoublings = 3;
     /** An endpoint that refused is avoided for this long. */
     static constexpr Duration FullAvoidance = std::chrono::milliseconds(60);
-    /** The endpoint with the affinity is passed over when this part of its slots is taken. */
-    static constexpr double AffinityFill = 0.75;
+    /** The endpoint with the affinity is passed over when running and waiting requests are this many times its slots.
+     * Waiting a little costs less than reading a program's prompts again, which delays all others there. */
+    static constexpr double AffinityFill = 1.8;
 
     struct State
     {
