--- a/src/deployment/deployment_watcher_base.cpp
+++ b/src/deployment/deployment_watcher_base.cpp
@@ -74,12 +74,13 @@
     }
     return this->watchOnce()
         .catch_([this](kj::Exception && /*exception*/) {
+            this->unansweredSince = Instant(0);
             this->linkTo(this->target).reset();
             if (this->view.leader == this->target) {
                 logEvent(EventKind::PeerLost, {{"peer", this->target}, {"role", "control leader"}});
                 this->view.leader.clear();
             }
-            ++this->probes;
+            this->probes = std::min(this->probes + 1, MostProbeSteps);
             this->tryNext();
             return this->loop.kjTimer().afterDelay(RetryDelay);
         })
@@ -121,9 +122,18 @@
     });
     auto pair = kj::newPromiseAndFulfiller<void>();
     this->interrupt = kj::mv(pair.fulfiller);
+    const Instant now = this->loop.timers().now();
+    if (this->unansweredSince.us == 0) {
+        this->unansweredSince = now;
+    }
+    const bool isProbe = this->target != this->view.leader;
+    const Duration limit = isProbe ? std::min(ProbeTimeout + this->probes * ProbeTimeoutStep, WatchTimeout) : WatchTimeout;
+    // A report that interrupts the watch doesn't give a silent leader more time.
+    const Duration left = std::max(this->unansweredSince + limit - now, Duration(0));
     auto answered = this->loop.kjTimer()
-                        .timeoutAfter(WatchTimeout, kj::mv(called))
+                        .timeoutAfter(left.count() * kj::MICROSECONDS, kj::mv(called))
                         .then([this](auto &&response) -> kj::Promise<void> {
+                            this->unansweredSince = Instant(0);
                             const auto update = response.getUpdate();
                             if (update.getTerm() != 0 && update.getTerm() >= this->view.term) {
                                 this->take(update);
--- a/src/deployment/deployment_watcher_base.h
+++ b/src/deployment/deployment_watcher_base.h
@@ -77,14 +77,15 @@
 private:
     /** Longest time that the leader may hold a watch. */
     static constexpr unsigned WatchWaitMs = 200;
-    /** For the answer to a watch, in all. */
-    static constexpr auto WatchTimeout = 700 * kj::MILLISECONDS;
+    /** For the answer to a watch, counted from the first one that was not answered. */
+    static constexpr Duration WatchTimeout = std::chrono::milliseconds(450);
     /** For the answer of a member that isn't known to lead. It may be down while others are up; each further one gets
      * more time, since all may be slow. */
-    static constexpr auto ProbeTimeout = 100 * kj::MILLISECONDS;
-    static constexpr auto ProbeTimeoutStep = 50 * kj::MILLISECONDS;
+    static constexpr Duration ProbeTimeout = std::chrono::milliseconds(100);
+    static constexpr Duration ProbeTimeoutStep = std::chrono::milliseconds(50);
+    static constexpr unsigned MostProbeSteps = 8;
     static constexpr auto RetryDelay = 20 * kj::MILLISECONDS;
-    static constexpr auto CreditTimeout = 300 * kj::MILLISECONDS;
+    static constexpr auto CreditTimeout = 150 * kj::MILLISECONDS;
     /** Without an answer for this long the leader counts as out of touch. */
     static constexpr Duration OutOfTouchAfter = std::chrono::milliseconds(1000);
 
@@ -105,6 +106,7 @@
     Instant answered{0}; ///< When a leader answered last.
     kj::Own<kj::PromiseFulfiller<void>> interrupt; ///< Ends the watch under way.
     bool reportWanted = false; ///< A report is due at once.
+    Instant unansweredSince{0}; ///< When the first watch that was not answered left; 0 where all were.
     unsigned probes = 0; ///< Members asked in vain since a leader answered.
 };
 
--- a/src/gateway/gateway_base.cpp
+++ b/src/gateway/gateway_base.cpp
@@ -20,7 +20,7 @@
 constexpr double SoonSeconds = 0.2; ///< Retry-After where a gateway or member is expected back at once.
 constexpr double QuarantineSeconds = 10; ///< Retry-After of a request that crashes endpoints.
 /** An answer about credit is awaited this long before the gateway counts as out of touch with the leader. */
-constexpr auto CreditWait = 250 * kj::MILLISECONDS;
+constexpr auto CreditWait = 80 * kj::MILLISECONDS;
 /** After a question about credit was lost, the gateway goes on with its own share for this long. */
 constexpr Duration CreditPause = std::chrono::milliseconds(100);
 /** Requests of programs under way wait this long for the rate before they are refused; out of touch with the leader,
