--- /dev/null
+++ b/tests/unit/history_table_test.cpp
@@ -0,0 +1,194 @@
+/** @file history_table_test.cpp  Kept turns, token claims, their log, and what a torn or damaged log gives. */
+#define BOOST_TEST_MODULE history_table
+#include <boost/test/unit_test.hpp>
+
+#include <filesystem>
+#include <fstream>
+
+#include <unistd.h>
+
+#include "history/history_log_base.h"
+#include "history/history_table_base.h"
+
+using namespace Chestnuthook;
+
+namespace
+{
+
+KeptTurn turn(const std::string &id, const std::string &previous, const std::string &customer = "glue")
+{
+    return {id, previous, customer, "in-" + id, "out-" + id + "\n", 1000};
+}
+
+ProgramClaim claim(const std::string &id, std::uint32_t tokens, bool settled)
+{
+    return {"glue/p", TokenClaim{id, tokens, settled}, 1000};
+}
+
+class Folder
+{
+public:
+    Folder()
+        : path(std::filesystem::temp_directory_path() / ("history-test-" + std::to_string(::getpid())))
+    {
+        std::filesystem::remove_all(this->path);
+    }
+    ~Folder()
+    {
+        std::filesystem::remove_all(this->path);
+    }
+    Folder(const Folder &) = delete;
+    Folder &operator=(const Folder &) = delete;
+
+    const std::filesystem::path path; ///< Removed at the end.
+};
+
+std::vector<HistoryRecord> readAll(const std::string &folder, Result<void> &outcome)
+{
+    std::vector<HistoryRecord> records;
+    HistoryLog log;
+    outcome = log.open(folder, [&records](std::string_view bytes) {
+        records.push_back(recordOf(bytes));
+        return std::uint64_t(1000);
+    });
+    return records;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_chain_is_read_back_to_its_start)
+{
+    HistoryTable table;
+    table.apply(turn("1", ""));
+    table.apply(turn("2", "1"));
+    table.apply(turn("3", "1"));
+    const TurnChain chain = table.chain("3", "glue");
+    BOOST_TEST(chain.missing.empty());
+    BOOST_REQUIRE(chain.turns.size() == 2U);
+    BOOST_TEST(chain.turns[0]->id == "3");
+    BOOST_TEST(chain.turns[1]->id == "1");
+}
+
+BOOST_AUTO_TEST_CASE(a_turn_of_another_customer_is_missing)
+{
+    HistoryTable table;
+    table.apply(turn("1", "", "other"));
+    const TurnChain chain = table.chain("1", "glue");
+    BOOST_TEST(chain.turns.empty());
+    BOOST_TEST(chain.missing == "1");
+}
+
+BOOST_AUTO_TEST_CASE(a_member_that_missed_a_turn_tells_where_the_chain_breaks)
+{
+    HistoryTable table;
+    table.apply(turn("1", ""));
+    table.apply(turn("3", "2"));
+    const TurnChain chain = table.chain("3", "glue");
+    BOOST_TEST(chain.turns.size() == 1U);
+    BOOST_TEST(chain.missing == "2");
+}
+
+BOOST_AUTO_TEST_CASE(a_settled_claim_never_goes_back)
+{
+    HistoryTable table;
+    table.apply(claim("t", 30, true));
+    table.apply(claim("t", 288, false));
+    BOOST_TEST(table.claimsOf("glue/p").front().tokens == 30U);
+    BOOST_TEST(claimedTokens({{{"t", 288, false}}, {{"t", 30, true}, {"u", 288, false}}}, "") == 318U);
+    BOOST_TEST(claimedTokens({{{"t", 288, false}, {"u", 10, true}}}, "t") == 10U);
+}
+
+BOOST_AUTO_TEST_CASE(a_copy_holds_all_records)
+{
+    HistoryTable table;
+    for (int i = 0; i < 50; ++i) {
+        table.apply(turn(std::to_string(i), ""));
+        table.apply(claim(std::to_string(i), 5, i % 2 == 0));
+    }
+    HistoryTable copy;
+    std::uint64_t position = 0;
+    for (auto records = table.copyFrom(position, 500); !records.empty(); records = table.copyFrom(position, 500)) {
+        for (const HistoryRecord &record : records) {
+            copy.apply(record);
+        }
+    }
+    BOOST_TEST(copy.turnCount() == 50U);
+    BOOST_TEST((copy.claimsOf("glue/p") == table.claimsOf("glue/p")));
+}
+
+BOOST_AUTO_TEST_CASE(what_has_expired_is_dropped)
+{
+    HistoryTable table;
+    table.apply(turn("1", ""));
+    table.apply(claim("1", 5, true));
+    table.expire(999);
+    BOOST_TEST(table.turnCount() == 1U);
+    table.expire(1001);
+    BOOST_TEST(table.turnCount() == 0U);
+    BOOST_TEST(table.claimsOf("glue/p").empty());
+}
+
+BOOST_AUTO_TEST_CASE(the_log_gives_back_what_was_synced_and_cuts_a_torn_end)
+{
+    const Folder folder;
+    {
+        HistoryLog log;
+        BOOST_REQUIRE(log.open(folder.path, [](std::string_view) {
+            return std::uint64_t(0);
+        }));
+        log.append(recordBytes(turn("1", "")), 1000);
+        log.append(recordBytes(claim("1", 5, true)), 1000);
+        log.append(recordBytes(SeenView{7}), 1000);
+        BOOST_REQUIRE(log.sync());
+    }
+    std::ofstream(folder.path / "history-1", std::ios::app | std::ios::binary) << "torn";
+    Result<void> outcome;
+    const auto records = readAll(folder.path, outcome);
+    BOOST_REQUIRE(outcome.has_value());
+    BOOST_REQUIRE(records.size() == 3U);
+    BOOST_TEST((std::get<KeptTurn>(records[0]) == turn("1", "")));
+    BOOST_TEST(std::get<SeenView>(records[2]).version == 7U);
+    BOOST_TEST(readAll(folder.path, outcome).size() == 3U);
+    BOOST_TEST(outcome.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(damage_in_a_closed_segment_is_an_error)
+{
+    const Folder folder;
+    for (int i = 0; i < 2; ++i) {
+        HistoryLog log;
+        BOOST_REQUIRE(log.open(folder.path, [](std::string_view) {
+            return std::uint64_t(0);
+        }));
+        log.append(recordBytes(turn("1", "")), 1000);
+        BOOST_REQUIRE(log.sync());
+    }
+    std::fstream file(folder.path / "history-1", std::ios::in | std::ios::out | std::ios::binary);
+    file.seekp(40);
+    file.put('\x7f');
+    file.close();
+    Result<void> outcome;
+    static_cast<void>(readAll(folder.path, outcome));
+    BOOST_REQUIRE(!outcome.has_value());
+    BOOST_TEST((outcome.error().kind == ErrorKind::StorageCorrupt));
+}
+
+BOOST_AUTO_TEST_CASE(closed_segments_go_when_all_of_them_has_expired)
+{
+    const Folder folder;
+    HistoryLog log;
+    const auto open = [](std::string_view) {
+        return std::uint64_t(0);
+    };
+    BOOST_REQUIRE(log.open(folder.path, open));
+    const std::string large(HistoryLog::SegmentBytes, 'x');
+    KeptTurn big = turn("1", "");
+    big.input = large;
+    log.append(recordBytes(big), 1000);
+    BOOST_REQUIRE(log.sync());
+    BOOST_TEST(std::filesystem::exists(folder.path / "history-1"));
+    BOOST_REQUIRE(log.removeExpired(1000));
+    BOOST_TEST(std::filesystem::exists(folder.path / "history-1"));
+    BOOST_REQUIRE(log.removeExpired(1001));
+    BOOST_TEST(!std::filesystem::exists(folder.path / "history-1"));
+}
