--- a/src/deployment/credit_pool_base.cpp
+++ b/src/deployment/credit_pool_base.cpp
@@ -14,12 +14,16 @@
  * rate. */
 constexpr double FirstFillSeconds = 0.2;
 
+/** Part of the rate by which isolated gateways and the leader may exceed it together; most silent gateways are down and
+ * use nothing. */
+constexpr double IsolatedMargin = 0.2;
+
 } // namespace
 
 void CreditPool::setGateways(std::size_t gateways, std::size_t silent)
 {
-    this->heardShare =
-        gateways == 0 ? 1 : 1 - static_cast<double>(silent) / static_cast<double>(std::max(gateways, silent));
+    const double silentPart = gateways == 0 ? 0 : static_cast<double>(silent) / static_cast<double>(gateways);
+    this->heardShare = std::clamp(1 + IsolatedMargin - silentPart, 0.0, 1.0);
 }
 
 std::uint32_t CreditPool::take(Instant now, const CustomerRule &customer, const CreditWish &wish)
--- a/src/gateway/endpoint_board_base.cpp
+++ b/src/gateway/endpoint_board_base.cpp
@@ -69,8 +69,8 @@
     for (const std::string &id : ids->second) {
         if (!tried.contains(id)) {
             const State &state = this->states.at(id);
-            candidates.push_back({&state, state.avoidUntil > now, fillOf(now, state),
-                hash64(id, wish.affinity ^ 0x9e3779b97f4a7c15ULL)});
+            const bool avoided = std::max(state.avoidUntil, state.ejectedUntil) > now;
+            candidates.push_back({&state, avoided, fillOf(now, state), hash64(id, wish.affinity)});
         }
     }
     if (candidates.empty()) {
@@ -131,11 +131,41 @@
     State &state = this->states[id];
     state.avoidUntil = now + FirstAvoidance * (1U << std::min(state.failures, MostDoublings));
     ++state.failures;
+    this->judge(now, id, 1);
 }
 
-void EndpointBoard::noteSuccess(const std::string &id)
+void EndpointBoard::noteSuccess(Instant now, const std::string &id)
 {
     this->states[id].failures = 0;
+    this->judge(now, id, 0);
+}
+
+void EndpointBoard::noteError(Instant now, const std::string &id)
+{
+    this->judge(now, id, 1);
+}
+
+void EndpointBoard::judge(Instant now, const std::string &id, double failed)
+{
+    State &state = this->states[id];
+    state.errors += ErrorWeight * (failed - state.errors);
+    const auto ids = this->idsByService.find(state.listed.service);
+    if (failed == 0 || state.errors < EjectAbove || state.ejectedUntil > now || ids == this->idsByService.end()) {
+        return;
+    }
+    std::vector<double> errors;
+    std::size_t ejected = 0;
+    for (const std::string &other : ids->second) {
+        errors.push_back(this->states.at(other).errors);
+        ejected += this->states.at(other).ejectedUntil > now ? 1 : 0;
+    }
+    const auto middle = errors.begin() + static_cast<std::ptrdiff_t>(errors.size() / 2);
+    std::nth_element(errors.begin(), middle, errors.end());
+    const bool mayEject = static_cast<double>(ejected + 1) <= MostEjected * static_cast<double>(errors.size());
+    if (mayEject && state.errors > OutlierRatio * *middle) {
+        state.ejectedUntil = now + EjectTime;
+        state.errors = EjectAbove / 2; // On return a few failures eject it again.
+    }
 }
 
 void EndpointBoard::noteFull(Instant now, const std::string &id)
--- a/src/gateway/endpoint_board_base.h
+++ b/src/gateway/endpoint_board_base.h
@@ -44,7 +44,10 @@
     void noteLoad(Instant now, const std::string &id, const EndpointLoad &load);
     /** A connection or an answer failed; the endpoint is avoided for a while. */
     void noteFailure(Instant now, const std::string &id);
-    void noteSuccess(const std::string &id);
+    void noteSuccess(Instant now, const std::string &id);
+    /** The endpoint answered that it failed by itself, or not in time. It is avoided only where that happens far more
+     * often than at the others of its service. */
+    void noteError(Instant now, const std::string &id);
     /** The endpoint refused a request for lack of room. */
     void noteFull(Instant now, const std::string &id);
 
@@ -60,6 +63,15 @@
      * Waiting a little costs less than reading a program's prompts again, which delays all others there. */
     static constexpr double AffinityFill = 1.8;
 
+    /** Weight of the latest answer in an endpoint's part of failures. */
+    static constexpr double ErrorWeight = 0.12;
+    /** An endpoint is ejected when its part of failures is above this and above OutlierRatio times that of the median
+     * endpoint; never more than MostEjected of a service. */
+    static constexpr double EjectAbove = 0.2;
+    static constexpr double OutlierRatio = 3;
+    static constexpr double MostEjected = 0.34;
+    static constexpr Duration EjectTime = std::chrono::milliseconds(2500);
+
     struct State
     {
         DeployedEndpoint listed; ///< From the platform.
@@ -69,8 +81,12 @@
         unsigned inFlightThen = 0; ///< `inFlight` when the load was told.
         unsigned failures = 0; ///< In a row.
         Instant avoidUntil{0}; ///< Not chosen before, where there is another.
+        double errors = 0; ///< Part of its answers that are failures, the latest counting most.
+        Instant ejectedUntil{0}; ///< Judged sick up to then.
     };
 
+    void judge(Instant now, const std::string &id, double failed);
+
     /** Part of the slots that is taken, over 1 where requests wait. */
     [[nodiscard]] static double fillOf(Instant now, const State &state);
 
--- a/src/gateway/gateway_base.cpp
+++ b/src/gateway/gateway_base.cpp
@@ -28,7 +28,7 @@
 constexpr Duration ShareWait = std::chrono::milliseconds(500);
 constexpr auto LookDelay = 20 * kj::MILLISECONDS;
 /** History members are asked for this long at most before a turn is refused. */
-constexpr Duration HistoryWait = std::chrono::milliseconds(1200);
+constexpr Duration HistoryWait = std::chrono::milliseconds(1600);
 /** Claims of tokens are kept this much longer than the turns of their route. */
 constexpr std::uint64_t ClaimExtraMs = 60000;
 
--- a/src/gateway/gateway_run.cpp
+++ b/src/gateway/gateway_run.cpp
@@ -25,6 +25,10 @@
 constexpr Duration LeastUsefulTime = std::chrono::milliseconds(5);
 
 constexpr unsigned MisdirectedStatus = 421;
+constexpr unsigned FirstServerError = 500;
+/** A request that may run again is given up at one endpoint after this many times its target latency. */
+constexpr int TryTargets = 3;
+constexpr Duration LeastTry = std::chrono::milliseconds(200);
 
 bool isSuccess(unsigned status)
 {
@@ -117,7 +121,7 @@
             continue;
         }
         ++call.runs;
-        if (last == AttemptEnd::TimedOut || !repeatable || call.runs >= route.maxAttempts) {
+        if (!repeatable || call.runs >= route.maxAttempts) {
             break;
         }
     }
@@ -163,6 +167,9 @@
         }
         return end;
     }
+    if (end == AttemptEnd::TimedOut && call.events == 0) {
+        this->board.noteError(this->now(), endpoint.id);
+    }
     if (end == AttemptEnd::Failed) {
         this->board.noteFailure(this->now(), endpoint.id);
         if (!kept) {
@@ -181,7 +188,12 @@
 {
     const std::string bytes = this->forwardBytes(call, endpoint);
     kj::Timer &timer = this->loop.kjTimer();
-    const kj::TimePoint end = timer.now() + (call.until - this->now()).count() * kj::MICROSECONDS;
+    Duration limit = call.until - this->now();
+    if (call.route->kind == RouteKind::Safe && call.runs + 1 < call.route->maxAttempts) {
+        const Duration tryLimit = std::max<Duration>(call.route->targetLatency * TryTargets, LeastTry);
+        limit = std::min(limit, std::max(tryLimit, limit / 2));
+    }
+    const kj::TimePoint end = timer.now() + limit.count() * kj::MICROSECONDS;
     connection.input.setDeadline(timer, end);
     const bool written = connection.stream->write(bytes.data(), bytes.size())
                              .then(
@@ -196,7 +208,7 @@
                              }))
                              .wait(scope);
     if (!written) {
-        return this->now() >= call.until ? AttemptEnd::TimedOut : AttemptEnd::Failed;
+        return timer.now() >= end ? AttemptEnd::TimedOut : AttemptEnd::Failed;
     }
     while (true) {
         HttpResponseReader reader(connection.input, call.exchange.head.method == "HEAD");
@@ -238,7 +250,11 @@
         const AttemptEnd delivered =
             streams ? this->deliverStream(scope, call, reader, head) : this->deliverWhole(scope, call, reader, head);
         if (delivered == AttemptEnd::Delivered) {
-            this->board.noteSuccess(endpoint.id);
+            if (head.status >= FirstServerError) {
+                this->board.noteError(this->now(), endpoint.id);
+            } else {
+                this->board.noteSuccess(this->now(), endpoint.id);
+            }
             connection.idleLimit = head.keepAlive ? EndpointLinks::idleLimitOf(head.fields) : Duration(0);
         }
         return delivered == AttemptEnd::Failed && connection.input.hasTimedOut() ? AttemptEnd::TimedOut : delivered;
--- a/tests/unit/gateway_decision_test.cpp
+++ b/tests/unit/gateway_decision_test.cpp
@@ -81,6 +81,47 @@
     BOOST_TEST(board.choose(Instant(300001), wish, {other})->id == home);
 }
 
+BOOST_AUTO_TEST_CASE(an_endpoint_that_fails_more_often_than_its_peers_is_ejected_and_returns)
+{
+    EndpointBoard board;
+    board.setList(endpoints(9));
+    Instant now(1);
+    const PlacementWish wish{"model", 7, "x"};
+    const std::string sick = board.choose(now, wish, {})->id;
+    for (int i = 0; i < 30; ++i) {
+        i % 5 < 2 ? board.noteError(now, sick) : board.noteSuccess(now, sick);
+    }
+    BOOST_TEST(board.choose(now, wish, {})->id != sick);
+    now += std::chrono::seconds(3);
+    BOOST_TEST(board.choose(now, wish, {})->id == sick);
+}
+
+BOOST_AUTO_TEST_CASE(where_all_fail_alike_none_is_ejected_and_never_more_than_a_third)
+{
+    EndpointBoard alike;
+    alike.setList(endpoints(9));
+    const PlacementWish wish{"model", 7, "x"};
+    const std::string home = alike.choose(Instant(1), wish, {})->id;
+    for (int i = 0; i < 30; ++i) {
+        for (int e = 0; e < 9; ++e) {
+            alike.noteError(Instant(1), "e" + std::to_string(e));
+        }
+    }
+    BOOST_TEST(alike.choose(Instant(1), wish, {})->id == home);
+    EndpointBoard many;
+    many.setList(endpoints(9));
+    for (int i = 0; i < 30; ++i) {
+        for (int e = 0; e < 4; ++e) {
+            many.noteError(Instant(1), "e" + std::to_string(e));
+        }
+    }
+    std::set<std::string> used;
+    for (std::uint64_t program = 1; program < 1000; ++program) {
+        used.insert(many.choose(Instant(1), {"model", program, "x"}, {})->id);
+    }
+    BOOST_TEST(used.size() == 6U);
+}
+
 BOOST_AUTO_TEST_CASE(calls_without_affinity_go_where_least_is_under_way)
 {
     EndpointBoard board;
