A new leader no longer takes history members that it knows by hearsay for wiped ones

Ruled out: a wiped folder (no process had started). Change: the list carries identities; instances without one are no candidates. Test fails first: deployment_test.

--- a/src/deployment/deployment_member_base.cpp
+++ b/src/deployment/deployment_member_base.cpp
@@ -350,6 +350,7 @@
             list[i].setCallerAddress(wireText(alive[i].callerAddress));
             list[i].setRpcAddress(wireText(alive[i].rpcAddress));
             list[i].setReady(alive[i].ready);
+            list[i].setIdentity(wireText(alive[i].identity));
         }
     }
     if (hasPart(parts, UpdatePart::Quarantine)) {
--- a/src/deployment/deployment_watcher_base.cpp
+++ b/src/deployment/deployment_watcher_base.cpp
@@ -181,7 +181,7 @@
         this->view.instances.clear();
         for (const auto entry : update.getInstances()) {
             this->view.instances.push_back({textOf(entry.getName()), entry.getRole(), textOf(entry.getDataCentre()),
-                textOf(entry.getCallerAddress()), textOf(entry.getRpcAddress()), {}, entry.getReady()});
+                textOf(entry.getCallerAddress()), textOf(entry.getRpcAddress()), textOf(entry.getIdentity()), entry.getReady()});
         }
     }
     if (hasPart(parts, UpdatePart::Quarantine)) {
--- a/src/deployment/instance_board_base.cpp
+++ b/src/deployment/instance_board_base.cpp
@@ -66,8 +66,8 @@
 {
     std::vector<HistoryCandidate> list;
     for (const auto &[name, entry] : this->known) {
-        if (entry.facts.role != Wire::InstanceRole::HISTORY) {
-            continue;
+        if (entry.facts.role != Wire::InstanceRole::HISTORY || entry.facts.identity.empty()) {
+            continue; // Without an identity it can't be told from a member whose folder is lost.
         }
         HistoryCandidate one;
         one.member = {entry.facts.identity, name, entry.facts.rpcAddress};
--- a/src/rpc/deployment.capnp
+++ b/src/rpc/deployment.capnp
@@ -51,6 +51,7 @@
     callerAddress @3 :Text;
     rpcAddress @4 :Text;
     ready @5 :Bool;
+    identity @6 :Text;          # Of the data folder.
 }
 
 # Versions that the caller holds; a part whose version is the same is left out of the update.
--- a/src/rpc/deployment.capnp.h
+++ b/src/rpc/deployment.capnp.h
@@ -119,7 +119,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dc8556d1c357b99f, 1, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(dc8556d1c357b99f, 1, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -803,6 +803,9 @@
 
   inline bool getReady() const;
 
+  inline bool hasIdentity() const;
+  inline  ::capnp::Text::Reader getIdentity() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -865,6 +868,13 @@
   inline bool getReady();
   inline void setReady(bool value);
 
+  inline bool hasIdentity();
+  inline  ::capnp::Text::Builder getIdentity();
+  inline void setIdentity( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initIdentity(unsigned int size);
+  inline void adoptIdentity(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownIdentity();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2720,6 +2730,40 @@
       ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool InstanceEntry::Reader::hasIdentity() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool InstanceEntry::Builder::hasIdentity() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader InstanceEntry::Reader::getIdentity() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder InstanceEntry::Builder::getIdentity() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void InstanceEntry::Builder::setIdentity( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder InstanceEntry::Builder::initIdentity(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void InstanceEntry::Builder::adoptIdentity(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> InstanceEntry::Builder::disownIdentity() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t HeldVersions::Reader::getConfiguration() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/tests/unit/deployment_test.cpp
+++ b/tests/unit/deployment_test.cpp
@@ -84,6 +84,19 @@
     BOOST_TEST(board.historyCandidates(later, view, {}, since).front().lost);
 }
 
+/** Incident of 2026-12-04 on kortagatt: each new leader proposed to replace all history members. */
+BOOST_AUTO_TEST_CASE(a_new_leader_that_knows_a_member_by_hearsay_does_not_replace_it)
+{
+    InstanceBoard board;
+    const HistoryView view{3, {{"a.1", "a", "x"}, {"b.1", "b", "y"}, {"c.1", "c", "z"}}, {}};
+    const Instant now(1);
+    board.adopt(now,
+        {{"a", Wire::InstanceRole::HISTORY, "x", {}, "x", {}, true},
+            {"b", Wire::InstanceRole::HISTORY, "y", {}, "y", "b.1", true},
+            {"c", Wire::InstanceRole::HISTORY, "z", {}, "z", "c.1", true}});
+    BOOST_TEST(!planHistoryView(view, board.historyCandidates(now, view, {}, now), 3).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(control_instances_join_one_after_the_other)
 {
     const std::vector<GroupMemberState> three = {voter("a"), voter("b"), voter("c")};
