--- a/src/control/main.cpp
+++ b/src/control/main.cpp
@@ -24,7 +24,7 @@
 DEFINE_uint64(snapshot_entries, 10000, "Log entries between snapshots.");
 DEFINE_bool(test_hooks, false, "Serve the hooks that tests use to drop this member's traffic.");
 DEFINE_string(secret_file, "", "File with the fleet's secret; else CHESTNUTHOOK_SECRET.");
-DEFINE_string(log_file, "", "File that gets the log lines besides standard error.");
+DEFINE_string(log_file, "", "File that gets the log lines besides standard output.");
 DEFINE_string(log_level, "info", "Lowest level of events that are logged: debug, info, warning or error.");
 
 namespace
--- a/src/deployment/deployment_member_base.cpp
+++ b/src/deployment/deployment_member_base.cpp
@@ -19,8 +19,6 @@
 constexpr Duration LookPeriod = std::chrono::milliseconds(200);
 /** Each read of the platform's list is charged; a leaving endpoint must get no work some seconds after it shows. */
 constexpr Duration EndpointReadPeriod = std::chrono::milliseconds(700);
-/** Broken connections after which a request is refused everywhere. */
-constexpr unsigned QuarantineStrikes = 3;
 
 template<typename T>
 LateResult<T> late(Result<T> result)
@@ -167,6 +165,10 @@
         ++this->instancesVersion;
         this->notifyWatchers();
     }
+    if (this->strikes.expire(now)) {
+        ++this->quarantineVersion;
+        this->notifyWatchers();
+    }
     const auto [gateways, silent] = this->board.gatewaysAndSilent();
     this->credits.setGateways(gateways, silent);
     this->refreshConfiguration();
@@ -258,12 +260,12 @@
 
 void DeploymentMember::noteStrikes(Wire::InstanceReport::Reader report)
 {
-    for (const std::uint64_t fingerprint : report.getStrikes()) {
-        const unsigned count = ++this->strikeCounts[fingerprint];
+    for (const auto entry : report.getStrikes()) {
+        const EndpointStrike strike{entry.getFingerprint(), textOf(entry.getEndpoint())};
         logEvent(EventKind::StrikeRecorded,
-            {{"fingerprint", std::to_string(fingerprint)}, {"count", std::to_string(count)}});
-        if (count >= QuarantineStrikes && this->quarantine.insert(fingerprint).second) {
-            logEvent(EventKind::RequestQuarantined, {{"fingerprint", std::to_string(fingerprint)}});
+            {{"fingerprint", std::to_string(strike.fingerprint)}, {"endpoint", strike.endpoint}});
+        if (this->strikes.note(this->loop.timers().now(), strike)) {
+            logEvent(EventKind::RequestQuarantined, {{"fingerprint", std::to_string(strike.fingerprint)}});
             ++this->quarantineVersion;
             this->notifyWatchers();
         }
@@ -354,9 +356,10 @@
         }
     }
     if (hasPart(parts, UpdatePart::Quarantine)) {
-        auto list = update.initQuarantine(static_cast<unsigned>(this->quarantine.size()));
+        const auto refused = this->strikes.refused();
+        auto list = update.initQuarantine(static_cast<unsigned>(refused.size()));
         unsigned at = 0;
-        for (const std::uint64_t fingerprint : this->quarantine) {
+        for (const std::uint64_t fingerprint : refused) {
             list.set(at++, fingerprint);
         }
     }
--- a/src/deployment/deployment_member_base.h
+++ b/src/deployment/deployment_member_base.h
@@ -16,6 +16,7 @@
 #include "deployment/deployment_watcher_base.h"
 #include "deployment/endpoint_list_type.h"
 #include "deployment/instance_board_base.h"
+#include "deployment/strike_board_base.h"
 
 namespace Chestnuthook
 {
@@ -105,9 +106,8 @@
     std::uint64_t endpointsVersion = 0; ///< 0 until one was read in this term.
     Instant endpointsRead{0}; ///< When the list was asked for.
     bool readingEndpoints = false; ///< A read is under way.
-    std::map<std::uint64_t, unsigned> strikeCounts; ///< Endpoints' connections broken by each fingerprint.
-    std::set<std::uint64_t> quarantine; ///< Fingerprints that are refused.
-    std::uint64_t quarantineVersion = 0; ///< Of `quarantine`.
+    StrikeBoard strikes; ///< Requests that bring endpoints down.
+    std::uint64_t quarantineVersion = 0; ///< Of what `strikes` refuses.
     CreditPool credits; ///< Rates of the customers.
     bool changingGroup = false; ///< A change of the control members is under way.
     bool changingView = false; ///< A change of the history view is under way.
--- a/src/deployment/deployment_watcher_base.cpp
+++ b/src/deployment/deployment_watcher_base.cpp
@@ -103,10 +103,11 @@
         report.setIdentity(wireText(facts.identity));
         report.setReady(facts.ready);
         report.setCopiedView(this->copiedView ? this->copiedView() : 0);
-        const auto strikes = this->takeStrikes ? this->takeStrikes() : std::vector<std::uint64_t>();
+        const auto strikes = this->takeStrikes ? this->takeStrikes() : std::vector<EndpointStrike>();
         auto list = report.initStrikes(static_cast<unsigned>(strikes.size()));
         for (unsigned i = 0; i < strikes.size(); ++i) {
-            list.set(i, strikes[i]);
+            list[i].setFingerprint(strikes[i].fingerprint);
+            list[i].setEndpoint(wireText(strikes[i].endpoint));
         }
         auto held = request.initHeld();
         held.setTerm(this->view.term);
--- a/src/deployment/deployment_watcher_base.h
+++ b/src/deployment/deployment_watcher_base.h
@@ -15,6 +15,7 @@
 #include "deployment/endpoint_list_type.h"
 #include "deployment/history_view_type.h"
 #include "deployment/instance_board_base.h"
+#include "deployment/strike_board_base.h"
 #include "rpc/control_loop_base.h"
 
 namespace Chestnuthook
@@ -68,7 +69,7 @@
 
     std::function<InstanceFacts()> describe; ///< This daemon as it is now; set before `start`.
     std::function<std::uint64_t()> copiedView; ///< May be empty.
-    std::function<std::vector<std::uint64_t>()> takeStrikes; ///< May be empty.
+    std::function<std::vector<EndpointStrike>()> takeStrikes; ///< May be empty.
     std::function<bool()> isPaused; ///< While true nothing is watched: this daemon leads. May be empty.
     std::function<void(std::uint32_t)> onUpdate; ///< Called with the parts that changed. May be empty.
 
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -25,7 +25,7 @@
 DEFINE_int64(max_connections_per_caller, 512, "Open connections from one address.");
 DEFINE_int64(max_header_bytes, 32768, "Bytes of a request's header.");
 DEFINE_int64(request_send_ms, 10000, "Time in which a caller must send a whole request, in milliseconds.");
-DEFINE_string(log_file, "", "File that gets the log lines besides standard error.");
+DEFINE_string(log_file, "", "File that gets the log lines besides standard output.");
 DEFINE_string(log_level, "info", "Lowest level of events that are logged: debug, info, warning or error.");
 
 namespace
--- a/src/gateway/gateway_base.cpp
+++ b/src/gateway/gateway_base.cpp
@@ -107,7 +107,7 @@
     return limits;
 }
 
-std::vector<std::uint64_t> Gateway::takeStrikes()
+std::vector<EndpointStrike> Gateway::takeStrikes()
 {
     return std::exchange(this->strikes, {});
 }
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -71,8 +71,8 @@
     {
         this->draining = true;
     }
-    /** Fingerprints of requests that broke an endpoint's connection since the last call. */
-    [[nodiscard]] std::vector<std::uint64_t> takeStrikes();
+    /** Requests that were under way at endpoints that went down since the last call. */
+    [[nodiscard]] std::vector<EndpointStrike> takeStrikes();
 
 private:
     /** One request on its way. */
@@ -101,6 +101,8 @@
     [[nodiscard]] std::optional<Milliseconds> programTimeLeft(const Call &call) const;
     [[nodiscard]] std::string forwardBytes(const Call &call, const DeployedEndpoint &endpoint) const;
 
+    /** Notes a strike where the endpoint doesn't accept connections any more. */
+    void noteStrikeIfDown(std::uint64_t fingerprint, const DeployedEndpoint &endpoint);
     void refuse(kj::WaitScope &scope, Call &call, unsigned status, std::string_view reason, double retryAfterSeconds);
     void startCreditFetch();
     [[nodiscard]] std::size_t gatewayCount() const;
@@ -121,7 +123,7 @@
     CreditShare credit; ///< Rates of the customers.
     kj::Maybe<kj::ForkedPromise<void>> creditFetch; ///< The question to the leader that is under way.
     Instant creditPausedUntil{0}; ///< The leader didn't answer; it isn't asked before.
-    std::vector<std::uint64_t> strikes; ///< To be reported.
+    std::vector<EndpointStrike> strikes; ///< To be reported.
     bool draining = false; ///< See `drain`.
 };
 
--- a/src/gateway/gateway_run.cpp
+++ b/src/gateway/gateway_run.cpp
@@ -24,6 +24,7 @@
 /** Least time in which an endpoint can still be of use. */
 constexpr Duration LeastUsefulTime = std::chrono::milliseconds(5);
 
+constexpr std::size_t ProbeStackBytes = 128U << 10U; ///< Of a fiber that only connects.
 constexpr unsigned MisdirectedStatus = 421;
 constexpr unsigned FirstServerError = 500;
 /** A request that may run again is given up at one endpoint after this many times its target latency. */
@@ -172,9 +173,7 @@
     }
     if (end == AttemptEnd::Failed) {
         this->board.noteFailure(this->now(), endpoint.id);
-        if (!kept) {
-            this->strikes.push_back(call.fingerprint);
-        }
+        this->noteStrikeIfDown(call.fingerprint, endpoint);
     }
     logEvent(EventKind::AttemptFailed,
         {{"request", call.facts.requestId}, {"endpoint", endpoint.id},
@@ -183,6 +182,18 @@
     return end;
 }
 
+void Gateway::noteStrikeIfDown(std::uint64_t fingerprint, const DeployedEndpoint &endpoint)
+{
+    this->loop.detach(kj::startFiber(ProbeStackBytes, [this, fingerprint, endpoint](kj::WaitScope &scope) {
+        auto connection = this->links.connect(scope, endpoint.address, ConnectLimit);
+        if (connection == nullptr) {
+            this->strikes.push_back({fingerprint, endpoint.id});
+            return;
+        }
+        this->links.keep(endpoint.address, std::move(connection), EndpointLinks::idleLimitOf(HttpFields()));
+    }));
+}
+
 Gateway::AttemptEnd Gateway::exchangeWith(
     kj::WaitScope &scope, Call &call, const DeployedEndpoint &endpoint, EndpointConnection &connection)
 {
--- a/src/rpc/deployment.capnp
+++ b/src/rpc/deployment.capnp
@@ -9,6 +9,12 @@
     control @2;
 }
 
+# A request that was under way at an endpoint that went down.
+struct EndpointStrike {
+    fingerprint @0 :UInt64;     # Of customer, target and body.
+    endpoint @1 :Text;
+}
+
 # One daemon as it describes itself in each watch.
 struct InstanceReport {
     name @0 :Text;
@@ -19,7 +25,7 @@
     identity @5 :Text;          # Of the data folder; empty at a gateway.
     ready @6 :Bool;             # A gateway that takes callers.
     copiedView @7 :UInt64;      # History: view for which the copy of all turns is complete; 0 for none.
-    strikes @8 :List(UInt64);   # Fingerprints of requests that broke an endpoint's connection since the last report.
+    strikes @8 :List(EndpointStrike);   # Since the last report.
 }
 
 struct EndpointEntry {
--- a/src/rpc/deployment.capnp.c++
+++ b/src/rpc/deployment.capnp.c++
@@ -46,6 +46,67 @@
 };
 #endif  // !CAPNP_LITE
 CAPNP_DEFINE_ENUM(InstanceRole_ae400e4c13b12258, ae400e4c13b12258);
+static const ::capnp::_::AlignedData<50> b_ab0a8bf874f8a530 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     48, 165, 248, 116, 248, 139,  10, 171,
+     17,   0,   0,   0,   1,   0,   1,   0,
+     69, 185, 226, 134,  10, 127,  28, 211,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,   2,   1,   0,   0,
+     33,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100, 101, 112, 108, 111, 121, 109, 101,
+    110, 116,  46,  99,  97, 112, 110, 112,
+     58,  69, 110, 100, 112, 111, 105, 110,
+    116,  83, 116, 114, 105, 107, 101,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  98,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     49,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     48,   0,   0,   0,   3,   0,   1,   0,
+     60,   0,   0,   0,   2,   0,   1,   0,
+    102, 105, 110, 103, 101, 114, 112, 114,
+    105, 110, 116,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    101, 110, 100, 112, 111, 105, 110, 116,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_ab0a8bf874f8a530 = b_ab0a8bf874f8a530.words;
+#if !CAPNP_LITE
+static const uint16_t m_ab0a8bf874f8a530[] = {1, 0};
+static const uint16_t i_ab0a8bf874f8a530[] = {0, 1};
+const ::capnp::_::RawSchema s_ab0a8bf874f8a530 = {
+  0xab0a8bf874f8a530, b_ab0a8bf874f8a530.words, 50, nullptr, m_ab0a8bf874f8a530,
+  0, 2, i_ab0a8bf874f8a530, nullptr, nullptr, { &s_ab0a8bf874f8a530, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<162> b_988c8277f7c3d5aa = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     170, 213, 195, 247, 119, 130, 140, 152,
@@ -202,8 +263,8 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   3,   0,   1,   0,
-      9,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+     48, 165, 248, 116, 248, 139,  10, 171,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
@@ -213,13 +274,14 @@
 ::capnp::word const* const bp_988c8277f7c3d5aa = b_988c8277f7c3d5aa.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_988c8277f7c3d5aa[] = {
+  &s_ab0a8bf874f8a530,
   &s_ae400e4c13b12258,
 };
 static const uint16_t m_988c8277f7c3d5aa[] = {3, 7, 2, 5, 0, 6, 1, 4, 8};
 static const uint16_t i_988c8277f7c3d5aa[] = {0, 1, 2, 3, 4, 5, 6, 7, 8};
 const ::capnp::_::RawSchema s_988c8277f7c3d5aa = {
   0x988c8277f7c3d5aa, b_988c8277f7c3d5aa.words, 162, d_988c8277f7c3d5aa, m_988c8277f7c3d5aa,
-  1, 9, i_988c8277f7c3d5aa, nullptr, nullptr, { &s_988c8277f7c3d5aa, nullptr, nullptr, 0, 0, nullptr }
+  2, 9, i_988c8277f7c3d5aa, nullptr, nullptr, { &s_988c8277f7c3d5aa, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<109> b_8e42e09f00ae2656 = {
@@ -1608,6 +1670,14 @@
 namespace Chestnuthook {
 namespace Wire {
 
+// EndpointStrike
+constexpr uint16_t EndpointStrike::_capnpPrivate::dataWordSize;
+constexpr uint16_t EndpointStrike::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind EndpointStrike::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* EndpointStrike::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // InstanceReport
 constexpr uint16_t InstanceReport::_capnpPrivate::dataWordSize;
 constexpr uint16_t InstanceReport::_capnpPrivate::pointerCount;
--- a/src/rpc/deployment.capnp.h
+++ b/src/rpc/deployment.capnp.h
@@ -26,6 +26,7 @@
   CONTROL,
 };
 CAPNP_DECLARE_ENUM(InstanceRole, ae400e4c13b12258);
+CAPNP_DECLARE_SCHEMA(ab0a8bf874f8a530);
 CAPNP_DECLARE_SCHEMA(988c8277f7c3d5aa);
 CAPNP_DECLARE_SCHEMA(8e42e09f00ae2656);
 CAPNP_DECLARE_SCHEMA(ceec0766d89afdd2);
@@ -51,6 +52,21 @@
 
 typedef ::capnp::schemas::InstanceRole_ae400e4c13b12258 InstanceRole;
 
+struct EndpointStrike {
+  EndpointStrike() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ab0a8bf874f8a530, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct InstanceReport {
   InstanceReport() = delete;
 
@@ -305,6 +321,92 @@
 
 // =======================================================================================
 
+class EndpointStrike::Reader {
+public:
+  typedef EndpointStrike Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getFingerprint() const;
+
+  inline bool hasEndpoint() const;
+  inline  ::capnp::Text::Reader getEndpoint() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EndpointStrike::Builder {
+public:
+  typedef EndpointStrike Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getFingerprint();
+  inline void setFingerprint( ::uint64_t value);
+
+  inline bool hasEndpoint();
+  inline  ::capnp::Text::Builder getEndpoint();
+  inline void setEndpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
+  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EndpointStrike::Pipeline {
+public:
+  typedef EndpointStrike Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class InstanceReport::Reader {
 public:
   typedef InstanceReport Reads;
@@ -344,7 +446,7 @@
   inline  ::uint64_t getCopiedView() const;
 
   inline bool hasStrikes() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getStrikes() const;
+  inline  ::capnp::List< ::Chestnuthook::Wire::EndpointStrike,  ::capnp::Kind::STRUCT>::Reader getStrikes() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -419,12 +521,11 @@
   inline void setCopiedView( ::uint64_t value);
 
   inline bool hasStrikes();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getStrikes();
-  inline void setStrikes( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setStrikes(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initStrikes(unsigned int size);
-  inline void adoptStrikes(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownStrikes();
+  inline  ::capnp::List< ::Chestnuthook::Wire::EndpointStrike,  ::capnp::Kind::STRUCT>::Builder getStrikes();
+  inline void setStrikes( ::capnp::List< ::Chestnuthook::Wire::EndpointStrike,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Chestnuthook::Wire::EndpointStrike,  ::capnp::Kind::STRUCT>::Builder initStrikes(unsigned int size);
+  inline void adoptStrikes(::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::EndpointStrike,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::EndpointStrike,  ::capnp::Kind::STRUCT>> disownStrikes();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1968,6 +2069,54 @@
 
 // =======================================================================================
 
+inline  ::uint64_t EndpointStrike::Reader::getFingerprint() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t EndpointStrike::Builder::getFingerprint() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EndpointStrike::Builder::setFingerprint( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool EndpointStrike::Reader::hasEndpoint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EndpointStrike::Builder::hasEndpoint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader EndpointStrike::Reader::getEndpoint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder EndpointStrike::Builder::getEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EndpointStrike::Builder::setEndpoint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder EndpointStrike::Builder::initEndpoint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void EndpointStrike::Builder::adoptEndpoint(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> EndpointStrike::Builder::disownEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool InstanceReport::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2188,33 +2337,29 @@
   return !_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader InstanceReport::Reader::getStrikes() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::Chestnuthook::Wire::EndpointStrike,  ::capnp::Kind::STRUCT>::Reader InstanceReport::Reader::getStrikes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::EndpointStrike,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder InstanceReport::Builder::getStrikes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::Chestnuthook::Wire::EndpointStrike,  ::capnp::Kind::STRUCT>::Builder InstanceReport::Builder::getStrikes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::EndpointStrike,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void InstanceReport::Builder::setStrikes( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
-}
-inline void InstanceReport::Builder::setStrikes(::kj::ArrayPtr<const  ::uint64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+inline void InstanceReport::Builder::setStrikes( ::capnp::List< ::Chestnuthook::Wire::EndpointStrike,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::EndpointStrike,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder InstanceReport::Builder::initStrikes(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::Chestnuthook::Wire::EndpointStrike,  ::capnp::Kind::STRUCT>::Builder InstanceReport::Builder::initStrikes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::EndpointStrike,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
 inline void InstanceReport::Builder::adoptStrikes(
-    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::EndpointStrike,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::EndpointStrike,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> InstanceReport::Builder::disownStrikes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::EndpointStrike,  ::capnp::Kind::STRUCT>> InstanceReport::Builder::disownStrikes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::EndpointStrike,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
--- a/tests/unit/deployment_test.cpp
+++ b/tests/unit/deployment_test.cpp
@@ -5,6 +5,7 @@
 #include "deployment/deployment_state_base.h"
 #include "deployment/group_plan_func.h"
 #include "deployment/instance_board_base.h"
+#include "deployment/strike_board_base.h"
 
 using namespace Chestnuthook;
 
@@ -97,6 +98,21 @@
     BOOST_TEST(!planHistoryView(view, board.historyCandidates(now, view, {}, now), 3).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(a_request_that_brings_down_three_endpoints_is_refused_for_a_while)
+{
+    StrikeBoard board;
+    const Instant now(1);
+    BOOST_TEST(!board.note(now, {7, "a"}));
+    BOOST_TEST(!board.note(now, {7, "a"})); // One crash hits all that were there.
+    BOOST_TEST(!board.note(now, {7, "b"}));
+    BOOST_TEST(board.refused().empty());
+    BOOST_TEST(board.note(now, {7, "c"}));
+    BOOST_TEST(!board.note(now, {8, "c"}));
+    BOOST_TEST((board.refused() == std::set<std::uint64_t>{7}));
+    BOOST_TEST(board.expire(now + StrikeBoard::StrikeLife + Duration(1)));
+    BOOST_TEST(board.refused().empty());
+}
+
 BOOST_AUTO_TEST_CASE(control_instances_join_one_after_the_other)
 {
     const std::vector<GroupMemberState> three = {voter("a"), voter("b"), voter("c")};
