--- a/src/gateway/gateway_run.cpp
+++ b/src/gateway/gateway_run.cpp
@@ -163,8 +163,9 @@
     KJ_DEFER(this->board.noteEnded(endpoint.id));
     const AttemptEnd end = this->exchangeWith(scope, call, endpoint, *connection);
     if (end == AttemptEnd::Delivered || end == AttemptEnd::NotRun) {
-        if (connection->idleLimit.count() > 0) {
-            this->links.keep(endpoint.address, std::move(connection), connection->idleLimit);
+        const Duration idleLimit = connection->idleLimit;
+        if (idleLimit.count() > 0) {
+            this->links.keep(endpoint.address, std::move(connection), idleLimit);
         }
         return end;
     }
