A silent nearest history member holds a turn up for 60 ms at most; the start of a turn in short functions

Cause, found by reading: where the nearest member didn't answer, the round waited 0.6 s for its chain though a quorum had answered, and began anew. Change: the chain is awaited 60 ms, then asked of the others.

--- a/src/history/history_client_base.cpp
+++ b/src/history/history_client_base.cpp
@@ -18,6 +18,8 @@
 constexpr auto CallTimeout = 500 * kj::MILLISECONDS;
 /** A chain is asked of the next member after this long. */
 constexpr auto ChainTimeout = 150 * kj::MILLISECONDS;
+/** The chain of the nearest member is awaited this long; others have it too. */
+constexpr Duration ChainWait = std::chrono::milliseconds(60);
 constexpr Duration RoundTimeout = std::chrono::milliseconds(600);
 constexpr auto RetryDelay = 30 * kj::MILLISECONDS;
 
@@ -135,83 +137,94 @@
     return true;
 }
 
+void HistoryClient::sendBegin(
+    const Calls &round, const HistoryMember &member, const std::shared_ptr<const TurnStart> &start, bool withChain)
+{
+    auto call = this->storeAt(member).then(
+        [start, member, withChain, view = round->view.version](Wire::HistoryStore::Client store) {
+            auto request = store.beginRequest();
+            request.setIdentity(wireText(member.identity));
+            request.setView(view);
+            if (!start->claim.program.empty()) {
+                writeRecord(request.initClaim(), start->claim);
+            }
+            request.setPrevious(wireText(start->previous));
+            request.setCustomer(wireText(start->customer));
+            request.setWithChain(withChain);
+            return request.send();
+        });
+    auto read = call.then([round, member, withChain](capnp::Response<Wire::HistoryStore::BeginResults> &&response) {
+        round->chainAwaited = round->chainAwaited && !withChain;
+        if (response.getStatus() != Wire::HistoryStatus::OK) {
+            return response.getStatus();
+        }
+        if (round->view.isCurrent(member.identity)) {
+            auto &claims = round->claims[member.identity];
+            for (const auto claim : response.getClaims()) {
+                claims.push_back({textOf(claim.getTurn()), claim.getTokens(), claim.getSettled()});
+            }
+        }
+        if (withChain) {
+            for (const auto turn : response.getChain()) {
+                round->chain.turns.push_back(std::make_shared<KeptTurn>(readTurn(turn)));
+            }
+            round->chain.missing = textOf(response.getMissing());
+        }
+        return Wire::HistoryStatus::OK;
+    });
+    this->addCall(round, member, kj::mv(read));
+}
+
+bool HistoryClient::beginRound(kj::WaitScope &scope, const Calls &round, const TurnStart &start, Instant until)
+{
+    const auto shared = std::make_shared<const TurnStart>(start); // Calls go on when this fiber has ended.
+    const bool claims = !start.claim.program.empty();
+    round->view = this->watcher.view.history;
+    round->needsWrite = claims;
+    round->chainAwaited = !start.previous.empty();
+    bool withChain = round->chainAwaited;
+    for (const HistoryMember &member : this->nearestFirst()) {
+        if (!withChain && !claims) {
+            break;
+        }
+        this->sendBegin(round, member, shared, withChain);
+        withChain = false;
+    }
+    if (round->chainAwaited) { // A silent nearest member holds nobody up: the others are asked for the chain then.
+        this->waitRound(scope, round, std::min(until, this->loop.timers().now() + ChainWait));
+        round->chainAwaited = false;
+    }
+    return !claims || this->waitRound(scope, round, until);
+}
+
+Result<void> HistoryClient::checkBudget(const Round &round, const TurnStart &start, TurnBegun &begun)
+{
+    std::vector<std::vector<TokenClaim>> answers;
+    for (const auto &[identity, claims] : round.claims) {
+        answers.push_back(claims);
+    }
+    const TokenClaim &own = start.claim.claim;
+    const std::uint64_t others = claimedTokens(answers, own.turn);
+    begun.isFirst = others == 0;
+    if (others + own.tokens <= start.budget) {
+        return {};
+    }
+    return fail(
+        ErrorKind::BudgetSpent, std::to_string(others) + " of " + std::to_string(start.budget) + " tokens are claimed");
+}
+
 Result<TurnBegun> HistoryClient::begin(kj::WaitScope &scope, const TurnStart &start, Instant until)
 {
     TurnBegun begun;
-    const auto shared = std::make_shared<const TurnStart>(start); // Calls go on when this fiber has ended.
     do {
-        auto round = std::make_shared<Round>();
-        round->view = this->watcher.view.history;
-        round->needsWrite = !start.claim.program.empty();
-        bool first = true;
-        for (const HistoryMember &member : this->nearestFirst()) {
-            const bool withChain = first && !start.previous.empty();
-            first = false;
-            if (!withChain && start.claim.program.empty()) {
-                break;
-            }
-            round->chainAwaited = round->chainAwaited || withChain;
-            auto call = this->storeAt(member).then(
-                [shared, member, withChain, view = round->view.version](Wire::HistoryStore::Client store) {
-                    auto request = store.beginRequest();
-                    request.setIdentity(wireText(member.identity));
-                    request.setView(view);
-                    if (!shared->claim.program.empty()) {
-                        writeRecord(request.initClaim(), shared->claim);
-                    }
-                    request.setPrevious(wireText(shared->previous));
-                    request.setCustomer(wireText(shared->customer));
-                    request.setWithChain(withChain);
-                    return request.send();
-                });
-            this->addCall(round, member,
-                call.then(
-                    [round, member, withChain](capnp::Response<Wire::HistoryStore::BeginResults> &&response) {
-                        if (withChain) {
-                            round->chainAwaited = false;
-                        }
-                        if (response.getStatus() != Wire::HistoryStatus::OK) {
-                            return response.getStatus();
-                        }
-                        if (round->view.isCurrent(member.identity)) {
-                            auto &claims = round->claims[member.identity];
-                            for (const auto claim : response.getClaims()) {
-                                claims.push_back({textOf(claim.getTurn()), claim.getTokens(), claim.getSettled()});
-                            }
-                        }
-                        if (withChain) {
-                            for (const auto turn : response.getChain()) {
-                                round->chain.turns.push_back(std::make_shared<KeptTurn>(readTurn(turn)));
-                            }
-                            round->chain.missing = textOf(response.getMissing());
-                        }
-                        return Wire::HistoryStatus::OK;
-                    },
-                    [round, withChain](kj::Exception &&exception) -> Wire::HistoryStatus {
-                        if (withChain) {
-                            round->chainAwaited = false;
-                        }
-                        kj::throwFatalException(kj::mv(exception));
-                    }));
-        }
-        const bool enough = this->waitRound(scope, round, until);
-        if (!enough && !start.claim.program.empty()) {
+        const auto round = std::make_shared<Round>();
+        if (!this->beginRound(scope, round, start, until)) {
             continue;
         }
         if (!start.claim.program.empty()) {
-            std::vector<std::vector<TokenClaim>> answers;
-            for (const auto &[identity, claims] : round->claims) {
-                answers.push_back(claims);
-            }
-            const TokenClaim &own = start.claim.claim;
-            const std::uint64_t others = claimedTokens(answers, own.turn);
-            begun.isFirst = others == 0;
-            if (others + own.tokens > start.budget) {
-                ProgramClaim release = start.claim;
-                release.claim = TokenClaim{own.turn, 0, true};
-                this->writeLater({release});
-                return fail(ErrorKind::BudgetSpent,
-                    std::to_string(others) + " of " + std::to_string(start.budget) + " tokens are claimed");
+            const Result<void> held = checkBudget(*round, start, begun);
+            if (!held) {
+                return tl::unexpected(held.error());
             }
         }
         if (start.previous.empty()) {
--- a/src/history/history_client_base.h
+++ b/src/history/history_client_base.h
@@ -54,12 +54,18 @@
 
     kj::Promise<Wire::HistoryStore::Client> storeAt(const HistoryMember &member);
     [[nodiscard]] std::vector<HistoryMember> nearestFirst() const;
+    void sendBegin(
+        const Calls &round, const HistoryMember &member, const std::shared_ptr<const TurnStart> &start, bool withChain);
+    /** @return whether the claim lasts and the claims of the others are known. */
+    [[nodiscard]] bool beginRound(kj::WaitScope &scope, const Calls &round, const TurnStart &start, Instant until);
+    /** Errors: BudgetSpent. The claim is left to the settlement of the turn. */
+    [[nodiscard]] static Result<void> checkBudget(const Round &round, const TurnStart &start, TurnBegun &begun);
     void sendWrite(const Calls &round, const HistoryView &view, const std::vector<HistoryRecord> &records);
     void addCall(const Calls &round, const HistoryMember &member, kj::Promise<Wire::HistoryStatus> call);
     /** Reads what is missing of @p chain. @return it whole, oldest first. */
     Result<std::vector<std::shared_ptr<const KeptTurn>>> readChain(
         kj::WaitScope &scope, const TurnStart &start, TurnChain chain, Instant until);
-    [[nodiscard]] bool waitRound(kj::WaitScope &scope, const Calls &round, Instant until);
+    bool waitRound(kj::WaitScope &scope, const Calls &round, Instant until);
     [[nodiscard]] bool pauseBeforeRetry(kj::WaitScope &scope, Instant until);
 
     struct IgnoreFailures final : kj::TaskSet::ErrorHandler
