One copy of file errors, late results, whole bodies, sends and durations; facts that nothing reads are gone

Read again as a whole: failErrno and syncFolder stood in two storages, late() in two files, loops over the parts of a body in three, the write of a request with its outcome in two, lower-casing of hosts in two, the conversion to kj's durations in seven places. They are core/file_func, replica_node_base.h, HttpResponseReader::readBody, EndpointConnection::send, Poco::toLower and kjDuration now. The order and number of gateways in an answer of the directory, and when a planned stop may end, are decisions: they moved from platform/ to the product. Behaviour is meant to be as before.

--- a/src/consensus/raft_storage_base.cpp
+++ b/src/consensus/raft_storage_base.cpp
@@ -1,8 +1,6 @@
 /** @file raft_storage_base.cpp  Files of a member: `identity`, `log` and `snapshot`. */
 #include "consensus/raft_storage_base.h"
 
-#include <cerrno>
-#include <cstring>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
@@ -11,6 +9,7 @@
 #include <unistd.h>
 
 #include "consensus/log_record_internal.h"
+#include "core/file_func.h"
 #include "core/hash_func.h"
 
 namespace Chestnuthook
@@ -19,18 +18,12 @@
 namespace
 {
 
-constexpr int FileMode = 0600;
 constexpr std::size_t IdentityBytes = 4;
 constexpr std::size_t BaseRecordBytes = RecordHeaderBytes + 25;
 
 /** First bytes of our files; the number grows when the form of records changes. */
 constexpr std::string_view FileHead = "CHESTNUT0001\n";
 
-tl::unexpected<Error> failErrno(const std::string &doing)
-{
-    return fail(ErrorKind::StorageFailed, doing + ": " + std::strerror(errno));
-}
-
 Result<std::string> readWhole(const std::string &path)
 {
     std::ifstream stream(path, std::ios::binary);
@@ -246,7 +239,7 @@
 {
     const std::string path = this->folder + "/" + name;
     const std::string temporary = path + ".new";
-    const int file = ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, FileMode);
+    const int file = ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, DataFileMode);
     if (file < 0) {
         return failErrno("opening " + temporary);
     }
@@ -264,17 +257,7 @@
         this->failed = true;
         return failErrno("writing " + path);
     }
-    return this->syncFolder();
-}
-
-Result<void> RaftStorage::syncFolder()
-{
-    const int opened = ::open(this->folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-    const bool synced = opened >= 0 && ::fsync(opened) == 0;
-    if (opened >= 0) {
-        ::close(opened);
-    }
-    return synced ? Result<void>() : Result<void>(failErrno("syncing " + this->folder));
+    return syncFolder(this->folder);
 }
 
 } // namespace Chestnuthook
--- a/src/consensus/raft_storage_base.h
+++ b/src/consensus/raft_storage_base.h
@@ -57,7 +57,6 @@
     Result<void> openLog();
     Result<void> replaceLog(const RaftCompaction &compaction);
     Result<void> replaceFile(const std::string &name, const std::string &bytes);
-    Result<void> syncFolder();
     Result<void> writeBytes(const std::string &bytes);
 
     std::string folder; ///< The data folder.
--- a/src/consensus/replica_membership.cpp
+++ b/src/consensus/replica_membership.cpp
@@ -143,11 +143,9 @@
         if (triesLeft == 0) {
             return Result<void>(fail(ErrorKind::NoQuorum, identity + " has not caught up yet"));
         }
-        return this->loop.kjTimer()
-            .afterDelay(CatchUpLook.count() * kj::MICROSECONDS)
-            .then([this, identity, triesLeft]() {
-                return this->promote(identity, triesLeft - 1);
-            });
+        return this->loop.kjTimer().afterDelay(kjDuration(CatchUpLook)).then([this, identity, triesLeft]() {
+            return this->promote(identity, triesLeft - 1);
+        });
     }
     RaftMembership next = members;
     next[identity].voter = true;
@@ -168,11 +166,9 @@
     if (triesLeft == 0 || !this->isLeader()) {
         return Result<void>(fail(ErrorKind::NoQuorum, identity + " does not hold all that is committed yet"));
     }
-    return this->loop.kjTimer()
-        .afterDelay(CatchUpLook.count() * kj::MICROSECONDS)
-        .then([this, identity, index, triesLeft]() {
-            return this->awaitMatch(identity, index, triesLeft - 1);
-        });
+    return this->loop.kjTimer().afterDelay(kjDuration(CatchUpLook)).then([this, identity, index, triesLeft]() {
+        return this->awaitMatch(identity, index, triesLeft - 1);
+    });
 }
 
 kj::Promise<Result<void>> ReplicaNode::removeMember(std::string name)
--- a/src/consensus/replica_node_base.cpp
+++ b/src/consensus/replica_node_base.cpp
@@ -50,12 +50,6 @@
     ReplicaNode &node; ///< Outlives this.
 };
 
-template<typename T>
-LateResult<T> late(Result<T> result)
-{
-    return std::make_unique<Result<T>>(std::move(result));
-}
-
 std::string proposalBytes(std::uint8_t tag, const std::string &command, const std::string &requestId)
 {
     capnp::MallocMessageBuilder message;
--- a/src/consensus/replica_node_base.h
+++ b/src/consensus/replica_node_base.h
@@ -58,6 +58,12 @@
 template<typename T>
 using LateResult = std::unique_ptr<Result<T>>;
 
+template<typename T>
+[[nodiscard]] LateResult<T> late(Result<T> result)
+{
+    return std::make_unique<Result<T>>(std::move(result));
+}
+
 /** For the control thread. */
 class ReplicaNode
 {
--- a/src/deployment/configuration_type.cpp
+++ b/src/deployment/configuration_type.cpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <set>
 
+#include <Poco/String.h>
+
 namespace Chestnuthook
 {
 
@@ -73,10 +75,7 @@
 
 const RouteRule *Configuration::findRoute(std::string_view host, std::string_view path) const
 {
-    std::string name(host.substr(0, host.find(':')));
-    std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) {
-        return static_cast<char>(std::tolower(c));
-    });
+    const std::string name = Poco::toLower(std::string(host.substr(0, host.find(':'))));
     const auto indexes = this->routesByHost.find(name);
     if (indexes == this->routesByHost.end()) {
         return nullptr;
--- a/src/deployment/configuration_type.h
+++ b/src/deployment/configuration_type.h
@@ -64,14 +64,11 @@
 struct EngineFacts
 {
     unsigned tokensPerEvent = 1; ///< Tokens in each event of a stream.
-    std::uint64_t cacheTokens = 0; ///< Memory for running requests and cached parts.
 };
 
 struct ServiceRule
 {
     std::string name; ///< Unique.
-    std::string healthPath; ///< Of its endpoints.
-    unsigned maxConnections = 0; ///< Per endpoint, from all callers together; 0 for no bound.
     std::optional<EngineFacts> engine; ///< Set where it is a model service.
 };
 
--- a/src/deployment/deployment_member_base.cpp
+++ b/src/deployment/deployment_member_base.cpp
@@ -20,12 +20,6 @@
 /** Each read of the platform's list is charged; a leaving endpoint must get no work some seconds after it shows. */
 constexpr Duration EndpointReadPeriod = std::chrono::milliseconds(700);
 
-template<typename T>
-LateResult<T> late(Result<T> result)
-{
-    return std::make_unique<Result<T>>(std::move(result));
-}
-
 class DeploymentServer final : public Wire::Deployment::Server
 {
 public:
@@ -242,14 +236,12 @@
         return;
     }
     this->readingEndpoints = true;
-    const Instant asked = this->loop.timers().now();
-    this->loop.detach(this->endpointSource.read().then([this, asked](EndpointListResult &&list) {
+    this->loop.detach(this->endpointSource.read().then([this](EndpointListResult &&list) {
         this->readingEndpoints = false;
         if (!*list) {
             logEvent(EventKind::FreshnessLost, {{"what", "endpoint list"}, {"error", errorText(list->error())}});
             return;
         }
-        this->endpointsRead = asked;
         if (this->endpointsVersion == 0 || this->endpoints != **list) {
             this->endpoints = std::move(**list);
             ++this->endpointsVersion;
@@ -325,8 +317,6 @@
     versions.setInstances(this->instancesVersion);
     versions.setQuarantine(this->quarantineVersion);
     versions.setView(this->group.machine.view.version);
-    const Duration age = this->loop.timers().now() - this->endpointsRead;
-    update.setEndpointsAgeMs(static_cast<std::uint32_t>(std::chrono::duration_cast<Milliseconds>(age).count()));
     if (hasPart(parts, UpdatePart::Configuration)) {
         update.setConfiguration(dataOf(this->group.machine.document));
     }
@@ -470,12 +460,16 @@
     return {};
 }
 
-std::vector<InstanceFacts> DeploymentMember::readyGateways() const
+std::vector<InstanceFacts> DeploymentMember::gatewaysFor(const std::string &dataCentre) const
 {
     std::vector<InstanceFacts> list = this->leads() ? this->board.alive() : this->watcher.view.instances;
     std::erase_if(list, [](const InstanceFacts &one) {
         return one.role != Wire::InstanceRole::GATEWAY || !one.ready;
     });
+    std::stable_partition(list.begin(), list.end(), [&dataCentre](const InstanceFacts &one) {
+        return one.dataCentre == dataCentre;
+    });
+    list.resize(std::min(list.size(), MostGateways));
     return list;
 }
 
--- a/src/deployment/deployment_member_base.h
+++ b/src/deployment/deployment_member_base.h
@@ -61,8 +61,9 @@
 
     /** Address for operators of the leading member; empty where unknown or this one. */
     [[nodiscard]] std::string leaderForOperators() const;
-    /** Gateways that take callers, as far as known here. */
-    [[nodiscard]] std::vector<InstanceFacts> readyGateways() const;
+    /** Gateways that callers in @p dataCentre should use, as far as known here: nearest first, at most MostGateways. */
+    [[nodiscard]] std::vector<InstanceFacts> gatewaysFor(const std::string &dataCentre) const;
+    static constexpr std::size_t MostGateways = 64; ///< In one answer of the directory.
 
     /** The capability for other daemons. */
     [[nodiscard]] Wire::Deployment::Client makeService();
@@ -104,7 +105,6 @@
     std::uint64_t instancesVersion = 0; ///< Of `board`.
     std::vector<DeployedEndpoint> endpoints; ///< Last list.
     std::uint64_t endpointsVersion = 0; ///< 0 until one was read in this term.
-    Instant endpointsRead{0}; ///< When the list was asked for.
     bool readingEndpoints = false; ///< A read is under way.
     StrikeBoard strikes; ///< Requests that bring endpoints down.
     std::uint64_t quarantineVersion = 0; ///< Of what `strikes` refuses.
--- a/src/deployment/deployment_watcher_base.cpp
+++ b/src/deployment/deployment_watcher_base.cpp
@@ -133,7 +133,7 @@
     // A report that interrupts the watch doesn't give a silent leader more time.
     const Duration left = std::max(this->unansweredSince + limit - now, Duration(0));
     auto answered = this->loop.kjTimer()
-                        .timeoutAfter(left.count() * kj::MICROSECONDS, kj::mv(called))
+                        .timeoutAfter(kjDuration(left), kj::mv(called))
                         .then([this](auto &&response) -> kj::Promise<void> {
                             this->unansweredSince = Instant(0);
                             const auto update = response.getUpdate();
@@ -178,7 +178,6 @@
                 textOf(entry.getAddress()), textOf(entry.getDataCentre()), entry.getSlots(), entry.getLeaving()});
         }
     }
-    this->view.endpointsRead = this->answered - std::chrono::milliseconds(update.getEndpointsAgeMs());
     if (hasPart(parts, UpdatePart::Instances)) {
         this->view.instances.clear();
         for (const auto entry : update.getInstances()) {
--- a/src/deployment/deployment_watcher_base.h
+++ b/src/deployment/deployment_watcher_base.h
@@ -29,7 +29,6 @@
     std::uint64_t configurationVersion = 0; ///< Never falls.
     std::string document; ///< Configuration of that version.
     std::vector<DeployedEndpoint> endpoints; ///< Last list that was told.
-    Instant endpointsRead{0}; ///< When the platform gave that list.
     std::vector<InstanceFacts> instances; ///< Those that live.
     std::set<std::uint64_t> quarantine; ///< Fingerprints of requests that crash endpoints.
     HistoryView history; ///< Its version never falls.
--- a/src/gateway/call_urgency_func.h
+++ b/src/gateway/call_urgency_func.h
@@ -19,7 +19,6 @@
     int priority = 0; ///< Of the customer or the route; 0 is the most urgent.
     bool isTurn = false; ///< A turn of a program, at a model.
     std::optional<Milliseconds> programTimeLeft; ///< Below 0 where the program is late.
-    Milliseconds targetLatency{0}; ///< Of the route.
 };
 
 constexpr unsigned LeastUrgent = 9; ///< What endpoints take last; 0 comes first.
--- a/src/gateway/endpoint_link_base.cpp
+++ b/src/gateway/endpoint_link_base.cpp
@@ -9,6 +9,23 @@
 namespace Chestnuthook
 {
 
+bool EndpointConnection::send(kj::WaitScope &scope, kj::Timer &timer, std::string_view bytes, kj::TimePoint deadline)
+{
+    this->input.setDeadline(timer, deadline);
+    auto written = this->stream->write(bytes.data(), bytes.size())
+                       .then(
+                           []() {
+                               return true;
+                           },
+                           [](kj::Exception && /*exception*/) {
+                               return false;
+                           });
+    auto late = timer.atTime(deadline).then([]() {
+        return false;
+    });
+    return written.exclusiveJoin(kj::mv(late)).wait(scope);
+}
+
 EndpointLinks::EndpointLinks(ControlLoop &loop)
     : loop(loop)
 {
@@ -47,7 +64,7 @@
         return connected.attach(kj::mv(parsed));
     });
     return this->loop.kjTimer()
-        .timeoutAfter(std::max(limit, Duration(0)).count() * kj::MICROSECONDS, kj::mv(connecting))
+        .timeoutAfter(kjDuration(std::max(limit, Duration(0))), kj::mv(connecting))
         .then(
             [](kj::Own<kj::AsyncIoStream> &&stream) {
                 return std::make_unique<EndpointConnection>(kj::mv(stream));
@@ -65,7 +82,6 @@
     if (!connection->input.bytes().empty() || list.size() >= MostKept) {
         return;
     }
-    connection->used = true;
     connection->idleSince = this->loop.timers().now();
     connection->idleLimit = idleLimit;
     connection->input.clearDeadline();
--- a/src/gateway/endpoint_link_base.h
+++ b/src/gateway/endpoint_link_base.h
@@ -28,11 +28,13 @@
     {
     }
 
+    /** Sends a request; that and all reads of its answer end at @p deadline. @return whether it was sent whole. */
+    [[nodiscard]] bool send(kj::WaitScope &scope, kj::Timer &timer, std::string_view bytes, kj::TimePoint deadline);
+
     kj::Own<kj::AsyncIoStream> stream; ///< The socket.
     HttpInput input; ///< What comes from the endpoint.
     Instant idleSince{0}; ///< When its last answer ended.
     Duration idleLimit{0}; ///< How long it may be kept.
-    bool used = false; ///< Has carried a request before.
     kj::Maybe<kj::Promise<void>> watching; ///< While it is idle: sees the endpoint close it, or send what it mustn't.
     bool spoilt = false; ///< Closed by the endpoint, or holds bytes of no answer.
 };
--- a/src/gateway/gateway_base.cpp
+++ b/src/gateway/gateway_base.cpp
@@ -29,6 +29,10 @@
 constexpr auto LookDelay = 20 * kj::MILLISECONDS;
 /** History members are asked for this long at most before a turn is refused. */
 constexpr Duration HistoryWait = std::chrono::milliseconds(1600);
+/** After a planned stop has begun, callers still come until their answers of the directory have run out. */
+constexpr Duration LeastStopTime = std::chrono::milliseconds(3200);
+/** Left of the grace before the kill when a stop ends with requests under way. */
+constexpr Duration StopReserve = std::chrono::milliseconds(600);
 /** Claims of tokens are kept this much longer than the turns of their route. */
 constexpr std::uint64_t ClaimExtraMs = 60000;
 
@@ -107,6 +111,11 @@
     return limits;
 }
 
+bool Gateway::isStopDone(Duration since, std::size_t underWay, Duration grace)
+{
+    return (since >= LeastStopTime && underWay == 0) || since >= grace - StopReserve;
+}
+
 std::vector<EndpointStrike> Gateway::takeStrikes()
 {
     return std::exchange(this->strikes, {});
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -66,6 +66,9 @@
         return this->configuration != nullptr && !this->draining;
     }
     [[nodiscard]] HttpLimits limits() const;
+    /** Whether a planned stop that began @p since ago may end: no request is under way any more and callers have had
+     * time to learn of it, or the @p grace before the process is killed is nearly over. */
+    [[nodiscard]] static bool isStopDone(Duration since, std::size_t underWay, Duration grace);
     /** Takes no new callers from now on; those that come are served. */
     void drain()
     {
--- a/src/gateway/gateway_run.cpp
+++ b/src/gateway/gateway_run.cpp
@@ -36,16 +36,11 @@
     return status >= 200 && status < 300;
 }
 
-/** Reads what is left of a body. @return whether it is whole. */
-bool readRest(kj::WaitScope &scope, HttpResponseReader &reader)
+/** Reads what is left of a body that nobody wants. @return whether it was whole. */
+bool skipBody(kj::WaitScope &scope, HttpResponseReader &reader)
 {
-    std::string part;
-    do {
-        if (reader.readPart(scope, part) != HttpRead::Done) {
-            return false;
-        }
-    } while (!part.empty());
-    return true;
+    std::string skipped;
+    return reader.readBody(scope, skipped) == HttpRead::Done;
 }
 
 Milliseconds toMs(Duration duration)
@@ -72,8 +67,7 @@
     facts.lastEventId = call.lastEventId.empty() ? call.facts.lastEventId : call.lastEventId;
     const bool hasOwnPriority = call.customer != nullptr && call.customer->priority >= 0;
     const int priority = hasOwnPriority ? call.customer->priority : call.route->priority;
-    facts.urgency = callUrgency(
-        {priority, call.route->kind == RouteKind::Stream, this->programTimeLeft(call), call.route->targetLatency});
+    facts.urgency = callUrgency({priority, call.route->kind == RouteKind::Stream, this->programTimeLeft(call)});
     facts.bodyBytes = call.prefix.size() + call.exchange.body.size();
     facts.hasBody = facts.bodyBytes != 0 || call.exchange.head.fields.find("Content-Length") != nullptr;
     return formatHead(this->dialect.forwardHead(call.exchange.head, facts)) + call.prefix + call.exchange.body;
@@ -205,21 +199,8 @@
         const Duration tryLimit = std::max<Duration>(call.route->targetLatency * TryTargets, LeastTry);
         limit = std::min(limit, std::max(tryLimit, limit / 2));
     }
-    const kj::TimePoint end = timer.now() + limit.count() * kj::MICROSECONDS;
-    connection.input.setDeadline(timer, end);
-    const bool written = connection.stream->write(bytes.data(), bytes.size())
-                             .then(
-                                 []() {
-                                     return true;
-                                 },
-                                 [](kj::Exception && /*exception*/) {
-                                     return false;
-                                 })
-                             .exclusiveJoin(timer.atTime(end).then([]() {
-                                 return false;
-                             }))
-                             .wait(scope);
-    if (!written) {
+    const kj::TimePoint end = timer.now() + kjDuration(limit);
+    if (!connection.send(scope, timer, bytes, end)) {
         return timer.now() >= end ? AttemptEnd::TimedOut : AttemptEnd::Failed;
     }
     while (true) {
@@ -236,7 +217,7 @@
         const bool isOurs = facts.requestId == call.facts.requestId;
         if (!isOurs && !facts.notRun && head.status != MisdirectedStatus) {
             // A late answer to an earlier request.
-            if (!readRest(scope, reader) || !head.keepAlive) {
+            if (!skipBody(scope, reader) || !head.keepAlive) {
                 return connection.input.hasTimedOut() ? AttemptEnd::TimedOut : AttemptEnd::Failed;
             }
             continue;
@@ -250,7 +231,7 @@
             logEvent(EventKind::AttemptFailed,
                 {{"request", call.facts.requestId}, {"endpoint", endpoint.id}, {"reason", "not run"},
                     {"status", std::to_string(head.status)}});
-            if (readRest(scope, reader) && head.keepAlive) {
+            if (skipBody(scope, reader) && head.keepAlive) {
                 connection.idleLimit = EndpointLinks::idleLimitOf(head.fields);
             }
             return AttemptEnd::NotRun;
@@ -280,15 +261,8 @@
     kj::WaitScope &scope, Call &call, HttpResponseReader &reader, const ResponseHead &head)
 {
     std::string content;
-    while (true) {
-        std::string part;
-        if (reader.readPart(scope, part) != HttpRead::Done) {
-            return AttemptEnd::Failed;
-        }
-        if (part.empty()) {
-            break;
-        }
-        content += part;
+    if (reader.readBody(scope, content) != HttpRead::Done) {
+        return AttemptEnd::Failed;
     }
     call.exchange.respond(scope, this->dialect.answerHead(head), content);
     logEvent(EventKind::CallEnded, {{"request", call.facts.requestId}, {"status", std::to_string(head.status)}});
--- a/src/history/history_client_base.cpp
+++ b/src/history/history_client_base.cpp
@@ -31,7 +31,6 @@
     HistoryView view; ///< Under which it was sent.
     std::set<std::string> done; ///< Members that have done it.
     unsigned open = 0; ///< Calls without an outcome.
-    bool stale = false; ///< A member knows a newer view.
     bool needsWrite = false; ///< Done once a write quorum has answered; else a read quorum.
     std::map<std::string, std::vector<TokenClaim>> claims; ///< Answers of `begin`, by member.
     TurnChain chain; ///< Of the member that was asked for it.
@@ -106,7 +105,6 @@
                                 if (status == Wire::HistoryStatus::OK) {
                                     round->done.insert(identity);
                                 }
-                                round->stale = round->stale || status == Wire::HistoryStatus::STALE_VIEW;
                                 round->note();
                             },
                             [this, round, address = member.address](kj::Exception && /*exception*/) {
@@ -122,7 +120,7 @@
         auto pair = kj::newPromiseAndFulfiller<void>();
         round->fulfiller = kj::mv(pair.fulfiller);
         const Duration left = std::clamp(until - this->loop.timers().now(), Duration(0), RoundTimeout);
-        pair.promise.exclusiveJoin(this->loop.kjTimer().afterDelay(left.count() * kj::MICROSECONDS)).wait(scope);
+        pair.promise.exclusiveJoin(this->loop.kjTimer().afterDelay(kjDuration(left))).wait(scope);
     }
     return round->isEnough();
 }
--- a/src/history/history_log_base.cpp
+++ b/src/history/history_log_base.cpp
@@ -2,8 +2,6 @@
 #include "history/history_log_base.h"
 
 #include <algorithm>
-#include <cerrno>
-#include <cstring>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
@@ -13,6 +11,7 @@
 #include <unistd.h>
 
 #include "consensus/log_record_internal.h"
+#include "core/file_func.h"
 
 namespace Chestnuthook
 {
@@ -20,14 +19,8 @@
 namespace
 {
 
-constexpr int FileMode = 0600;
 constexpr std::string_view NamePrefix = "history-";
 
-tl::unexpected<Error> failErrno(const std::string &doing)
-{
-    return fail(ErrorKind::StorageFailed, doing + ": " + std::strerror(errno));
-}
-
 } // namespace
 
 HistoryLog::~HistoryLog()
@@ -105,13 +98,13 @@
     }
     const std::uint64_t number = this->segments.empty() ? 1 : this->segments.back().number + 1;
     const std::string path = this->pathOf(number);
-    this->descriptor = ::open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, FileMode);
+    this->descriptor = ::open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, DataFileMode);
     if (this->descriptor < 0) {
         return failErrno("opening " + path);
     }
     this->segments.push_back(Segment{number, 0});
     this->size = 0;
-    return this->syncFolder();
+    return syncFolder(this->folder);
 }
 
 void HistoryLog::append(std::string_view record, std::uint64_t expiresMs)
@@ -152,17 +145,7 @@
         this->segments.pop_front();
         removed = true;
     }
-    return removed ? this->syncFolder() : Result<void>();
-}
-
-Result<void> HistoryLog::syncFolder()
-{
-    const int opened = ::open(this->folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-    const bool synced = opened >= 0 && ::fsync(opened) == 0;
-    if (opened >= 0) {
-        ::close(opened);
-    }
-    return synced ? Result<void>() : Result<void>(failErrno("syncing " + this->folder));
+    return removed ? syncFolder(this->folder) : Result<void>();
 }
 
 } // namespace Chestnuthook
--- a/src/history/history_log_base.h
+++ b/src/history/history_log_base.h
@@ -51,7 +51,6 @@
     Result<void> readSegment(
         Segment &segment, bool isLast, const std::function<std::uint64_t(std::string_view)> &onRecord);
     Result<void> startSegment();
-    Result<void> syncFolder();
 
     std::string folder; ///< The data folder.
     std::deque<Segment> segments; ///< Oldest first; the last is written to.
--- a/src/http/http_reader_base.cpp
+++ b/src/http/http_reader_base.cpp
@@ -240,4 +240,15 @@
     return read == HttpRead::Closed ? HttpRead::Broken : read;
 }
 
+HttpRead HttpResponseReader::readBody(kj::WaitScope &scope, std::string &body)
+{
+    std::string part;
+    HttpRead read = HttpRead::Done;
+    do {
+        read = this->readPart(scope, part);
+        body += part;
+    } while (read == HttpRead::Done && !part.empty());
+    return read;
+}
+
 } // namespace Chestnuthook
--- a/src/http/http_reader_base.h
+++ b/src/http/http_reader_base.h
@@ -102,6 +102,8 @@
     [[nodiscard]] HttpRead readHead(kj::WaitScope &scope, ResponseHead &head);
     /** The next bytes of the body; Done with an empty part at its end. */
     [[nodiscard]] HttpRead readPart(kj::WaitScope &scope, std::string &part);
+    /** All that is left of the body. */
+    [[nodiscard]] HttpRead readBody(kj::WaitScope &scope, std::string &body);
 
 private:
     struct Parser;
--- a/src/http/http_server_base.cpp
+++ b/src/http/http_server_base.cpp
@@ -14,11 +14,6 @@
 constexpr unsigned HeaderTooLargeStatus = 431;
 constexpr unsigned RequestTimeoutStatus = 408;
 
-kj::Duration kjDuration(Duration duration)
-{
-    return duration.count() * kj::MICROSECONDS;
-}
-
 } // namespace
 
 void HttpExchange::write(kj::WaitScope &scope, std::string_view bytes)
--- a/src/rpc/control_loop_base.h
+++ b/src/rpc/control_loop_base.h
@@ -14,6 +14,11 @@
 namespace Chestnuthook
 {
 
+[[nodiscard]] inline kj::Duration kjDuration(Duration duration)
+{
+    return duration.count() * kj::MICROSECONDS;
+}
+
 /** Made and run on one thread, the control thread. */
 class ControlLoop
 {
--- a/src/rpc/deployment.capnp
+++ b/src/rpc/deployment.capnp
@@ -76,11 +76,10 @@
     versions @2 :HeldVersions;
     configuration @3 :Data;     # As the operator sent it.
     endpoints @4 :List(EndpointEntry);
-    endpointsAgeMs @5 :UInt32;  # Since the platform's list was read.
-    instances @6 :List(InstanceEntry);
-    quarantine @7 :List(UInt64);
-    view @8 :HistoryView;
-    has @9 :UInt32;             # Bit per part: 1 configuration, 2 endpoints, 4 instances, 8 quarantine, 16 view.
+    instances @5 :List(InstanceEntry);
+    quarantine @6 :List(UInt64);
+    view @7 :HistoryView;
+    has @8 :UInt32;             # Bit per part: 1 configuration, 2 endpoints, 4 instances, 8 quarantine, 16 view.
 }
 
 struct CustomerCredit {
--- a/src/rpc/deployment.capnp.h
+++ b/src/rpc/deployment.capnp.h
@@ -1134,8 +1134,6 @@
   inline bool hasEndpoints() const;
   inline  ::capnp::List< ::Chestnuthook::Wire::EndpointEntry,  ::capnp::Kind::STRUCT>::Reader getEndpoints() const;
 
-  inline  ::uint32_t getEndpointsAgeMs() const;
-
   inline bool hasInstances() const;
   inline  ::capnp::List< ::Chestnuthook::Wire::InstanceEntry,  ::capnp::Kind::STRUCT>::Reader getInstances() const;
 
@@ -1206,9 +1204,6 @@
   inline void adoptEndpoints(::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::EndpointEntry,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::EndpointEntry,  ::capnp::Kind::STRUCT>> disownEndpoints();
 
-  inline  ::uint32_t getEndpointsAgeMs();
-  inline void setEndpointsAgeMs( ::uint32_t value);
-
   inline bool hasInstances();
   inline  ::capnp::List< ::Chestnuthook::Wire::InstanceEntry,  ::capnp::Kind::STRUCT>::Builder getInstances();
   inline void setInstances( ::capnp::List< ::Chestnuthook::Wire::InstanceEntry,  ::capnp::Kind::STRUCT>::Reader value);
@@ -3148,20 +3143,6 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Update::Reader::getEndpointsAgeMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t Update::Builder::getEndpointsAgeMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void Update::Builder::setEndpointsAgeMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
 inline bool Update::Reader::hasInstances() const {
   return !_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
@@ -3275,16 +3256,16 @@
 
 inline  ::uint32_t Update::Reader::getHas() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
 inline  ::uint32_t Update::Builder::getHas() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 inline void Update::Builder::setHas( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool CustomerCredit::Reader::hasCustomer() const {
--- a/tests/unit/gateway_decision_test.cpp
+++ b/tests/unit/gateway_decision_test.cpp
@@ -5,6 +5,7 @@
 #include "gateway/call_urgency_func.h"
 #include "gateway/endpoint_board_base.h"
 #include "gateway/event_split_func.h"
+#include "gateway/gateway_base.h"
 
 using namespace Chestnuthook;
 
@@ -23,7 +24,7 @@
 
 unsigned urgencyAt(std::int64_t msLeft)
 {
-    return callUrgency({1, true, Milliseconds(msLeft), Milliseconds(200)});
+    return callUrgency({1, true, Milliseconds(msLeft)});
 }
 
 } // namespace
@@ -195,6 +196,15 @@
     BOOST_TEST(play(true) > play(false));
 }
 
+BOOST_AUTO_TEST_CASE(a_planned_stop_waits_for_callers_and_requests_within_its_grace)
+{
+    constexpr Duration Grace = std::chrono::seconds(8);
+    BOOST_TEST(!Gateway::isStopDone(std::chrono::seconds(3), 0, Grace));
+    BOOST_TEST(Gateway::isStopDone(std::chrono::seconds(4), 0, Grace));
+    BOOST_TEST(!Gateway::isStopDone(std::chrono::seconds(4), 1, Grace));
+    BOOST_TEST(Gateway::isStopDone(std::chrono::milliseconds(7500), 1, Grace));
+}
+
 BOOST_AUTO_TEST_CASE(only_whole_events_are_passed_on)
 {
     EventSplitter splitter;
