A write to an endpoint's socket that was reset counts as a failed attempt

Cause, found by reading: such a write throws at once, which ended the caller's fiber: its connection closed without an answer, and requests that may be repeated were not tried elsewhere. Test, failing without the change: http_test a_request_on_a_socket_that_was_reset_is_not_sent_and_ends_no_fiber.

--- a/src/gateway/endpoint_link_base.cpp
+++ b/src/gateway/endpoint_link_base.cpp
@@ -12,18 +12,21 @@
 bool EndpointConnection::send(kj::WaitScope &scope, kj::Timer &timer, std::string_view bytes, kj::TimePoint deadline)
 {
     this->input.setDeadline(timer, deadline);
-    auto written = this->stream->write(bytes.data(), bytes.size())
-                       .then(
-                           []() {
-                               return true;
-                           },
-                           [](kj::Exception && /*exception*/) {
-                               return false;
-                           });
+    // A socket that was reset throws at once; inside a promise that is a failure like any other.
+    auto written = kj::evalNow([&]() {
+        return this->stream->write(bytes.data(), bytes.size());
+    });
+    auto outcome = written.then(
+        []() {
+            return true;
+        },
+        [](kj::Exception && /*exception*/) {
+            return false;
+        });
     auto late = timer.atTime(deadline).then([]() {
         return false;
     });
-    return written.exclusiveJoin(kj::mv(late)).wait(scope);
+    return outcome.exclusiveJoin(kj::mv(late)).wait(scope);
 }
 
 EndpointLinks::EndpointLinks(ControlLoop &loop)
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -2,6 +2,7 @@
 #define BOOST_TEST_MODULE http
 #include <boost/test/unit_test.hpp>
 
+#include "gateway/endpoint_link_base.h"
 #include "http/http_reader_base.h"
 #include "http/http_server_base.h"
 
@@ -34,7 +35,7 @@
     kj::WaitScope &scope; ///< Of the test.
 };
 
-/** A socket whose peer has reset it: reads throw at once, as the system call does. */
+/** A socket whose peer has reset it: reads and writes throw at once, as the system calls do. */
 class ResetStream final : public kj::AsyncIoStream
 {
 public:
@@ -44,7 +45,7 @@
     }
     kj::Promise<void> write(const void * /*buffer*/, std::size_t /*size*/) override
     {
-        return kj::READY_NOW;
+        kj::throwFatalException(KJ_EXCEPTION(DISCONNECTED, "broken pipe"));
     }
     kj::Promise<void> write(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> /*pieces*/) override
     {
@@ -141,6 +142,14 @@
     input.whenClosed().wait(io.waitScope);
 }
 
+BOOST_AUTO_TEST_CASE(a_request_on_a_socket_that_was_reset_is_not_sent_and_ends_no_fiber)
+{
+    auto io = kj::setupAsyncIo();
+    EndpointConnection connection(kj::heap<ResetStream>());
+    kj::Timer &timer = io.provider->getTimer();
+    BOOST_TEST(!connection.send(io.waitScope, timer, "GET / HTTP/1.1\r\n\r\n", timer.now() + 1 * kj::SECONDS));
+}
+
 BOOST_AUTO_TEST_CASE(requests_that_could_hide_another_are_refused)
 {
     for (const char *bytes : {"POST / HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello!",
