Ports that tests set aside stay theirs until the test ends

Cause: freshness_test failed once at its start on a quiet machine (entry not ready for 15 s), logs lost. freeAddresses() let go of its ports before the programs bound them; they lie in the range that the kernel hands to outgoing connections and to binds of port 0, and platform_test, new in that run, makes many of both at the same time. A program that loses its port ends with address_in_use, which looks like what was seen. Not proved for the run that failed: the message now carries the ends of the logs. Change: the ports stay bound (SO_REUSEADDR, not listening) in the test process; platform_test takes its ports the same way.

--- a/tests/process/platform_test.cpp
+++ b/tests/process/platform_test.cpp
@@ -204,11 +204,6 @@
     RawServer server; ///< Its port.
 };
 
-unsigned short freePort(const std::string &ip)
-{
-    return Poco::Net::ServerSocket(Poco::Net::SocketAddress(ip, 0)).address().port();
-}
-
 /** One process of each program on loopback addresses of its own. */
 class Deployment
 {
@@ -225,11 +220,11 @@
             return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(list.size()) + "\r\n\r\n" + list;
         })
     {
-        this->inner = freePort("127.0.0.2");
-        this->callers = "127.0.0.4:" + std::to_string(freePort("127.0.0.4"));
-        this->ready = "127.0.0.4:" + std::to_string(freePort("127.0.0.4"));
-        this->operators = "127.0.0.2:" + std::to_string(freePort("127.0.0.2"));
-        this->directory = "127.0.0.2:" + std::to_string(freePort("127.0.0.2"));
+        this->inner = Poco::Net::SocketAddress(heldAddress("127.0.0.2")).port();
+        this->callers = heldAddress("127.0.0.4");
+        this->ready = heldAddress("127.0.0.4");
+        this->operators = heldAddress("127.0.0.2");
+        this->directory = heldAddress("127.0.0.2");
         this->start(true);
     }
     ~Deployment() = default;
--- a/tests/support/process_fleet.cpp
+++ b/tests/support/process_fleet.cpp
@@ -21,6 +21,7 @@
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/SocketImpl.h>
 
 namespace Chestnuthook::Testing
 {
@@ -193,14 +194,22 @@
     return result;
 }
 
+std::string heldAddress(const std::string &ip)
+{
+    // Bound until the test ends: neither a bind to port 0 nor an outgoing connection of another process then gets the port,
+    // while a program that listens with SO_REUSEADDR can.
+    static std::vector<Poco::Net::ServerSocket> held;
+    held.emplace_back();
+    held.back().bind(Poco::Net::SocketAddress(ip, 0), true, false);
+    ::fcntl(held.back().impl()->sockfd(), F_SETFD, FD_CLOEXEC);
+    return held.back().address().toString();
+}
+
 std::vector<std::string> freeAddresses(int count)
 {
-    std::vector<Poco::Net::ServerSocket> held;
     std::vector<std::string> addresses;
     for (int i = 0; i < count; ++i) {
-        held.emplace_back();
-        held.back().bind(Poco::Net::SocketAddress("127.0.0.1:0"));
-        addresses.push_back(held.back().address().toString());
+        addresses.push_back(heldAddress("127.0.0.1"));
     }
     return addresses;
 }
@@ -278,11 +287,13 @@
         this->startEntry(i);
     }
     this->key = this->issueKey(this->tenant);
-    for (const std::string &address : this->entryAddresses) {
+    for (std::size_t i = 0; i < this->entryAddresses.size(); ++i) {
+        const std::string &address = this->entryAddresses[i];
         if (!waitUntil([&]() {
                 return http(address, "GET", "/readyz").status == 200;
             })) {
-            throw std::runtime_error("entry " + address + " is not ready");
+            throw std::runtime_error("entry " + address + " is not ready; its output ends:\n"
+                + this->outputEnd("entry-" + std::to_string(i)) + "and that of control-0:\n" + this->outputEnd("control-0"));
         }
     }
     // All entries must hold the key before a test begins.
@@ -302,6 +313,13 @@
     }
 }
 
+std::string ProcessFleet::outputEnd(const std::string &name) const
+{
+    constexpr std::size_t Shown = 3000;
+    const std::string output = readFile(this->folder + "/" + name + ".log");
+    return output.substr(output.size() - std::min(output.size(), Shown));
+}
+
 void ProcessFleet::start(const std::string &name, const std::string &binary, std::vector<std::string> arguments)
 {
     this->processes.erase(name);
--- a/tests/support/process_fleet.h
+++ b/tests/support/process_fleet.h
@@ -129,6 +129,8 @@
 
 private:
     void start(const std::string &name, const std::string &binary, std::vector<std::string> arguments);
+    /** Last lines of what the process @p name wrote; for messages. */
+    [[nodiscard]] std::string outputEnd(const std::string &name) const;
 };
 
 /** Waits until @p condition holds, looking each 20 ms. @return false where it didn't within @p patience. */
@@ -138,7 +140,10 @@
 CommandResult runCommand(
     const std::string &binary, std::vector<std::string> arguments, const std::vector<std::string> &environment = {});
 
-/** @p count free loopback ports as ip:port. */
+/** @return ip:port of a port at @p ip that nobody else is given while the test runs; only a listener with SO_REUSEADDR gets it. */
+std::string heldAddress(const std::string &ip);
+
+/** @p count loopback ports as ip:port, held like one of heldAddress(). */
 std::vector<std::string> freeAddresses(int count);
 
 /** A folder that is removed with the object. */
