Callers ask seldom, and of more members, which gateway to use

Ruled out: endpoints (durations of calls equal in a run without the stall), admission (4 ms at the median). Change: history members answer too, while they are in touch with a leader; lists are kept for a quarter of the grace of a stop, 2 s at most, and a gateway that stops serves three times that.

--- a/src/deployment/deployment_member_base.cpp
+++ b/src/deployment/deployment_member_base.cpp
@@ -45,8 +45,8 @@
         auto granted = results.initGranted(wanted.size());
         for (unsigned i = 0; i < wanted.size(); ++i) {
             granted[i].setCustomer(wanted[i].getCustomer());
-            granted[i].setRequests(this->member.takeCredit(
-                textOf(wanted[i].getCustomer()), CreditWish{wanted[i].getRequests(), wanted[i].getAhead()}));
+            granted[i].setRequests(this->member.takeCredit(textOf(wanted[i].getCustomer()),
+                CreditWish{wanted[i].getRequests(), wanted[i].getAhead(), wanted[i].getLate()}));
         }
         return kj::READY_NOW;
     }
@@ -460,17 +460,9 @@
     return {};
 }
 
-std::vector<InstanceFacts> DeploymentMember::gatewaysFor(const std::string &dataCentre) const
+std::vector<InstanceFacts> DeploymentMember::instances() const
 {
-    std::vector<InstanceFacts> list = this->leads() ? this->board.alive() : this->watcher.view.instances;
-    std::erase_if(list, [](const InstanceFacts &one) {
-        return one.role != Wire::InstanceRole::GATEWAY || !one.ready;
-    });
-    std::stable_partition(list.begin(), list.end(), [&dataCentre](const InstanceFacts &one) {
-        return one.dataCentre == dataCentre;
-    });
-    list.resize(std::min(list.size(), MostGateways));
-    return list;
+    return this->leads() ? this->board.alive() : this->watcher.view.instances;
 }
 
 Wire::Deployment::Client DeploymentMember::makeService()
--- a/src/deployment/deployment_member_base.h
+++ b/src/deployment/deployment_member_base.h
@@ -61,9 +61,8 @@
 
     /** Address for operators of the leading member; empty where unknown or this one. */
     [[nodiscard]] std::string leaderForOperators() const;
-    /** Gateways that callers in @p dataCentre should use, as far as known here: nearest first, at most MostGateways. */
-    [[nodiscard]] std::vector<InstanceFacts> gatewaysFor(const std::string &dataCentre) const;
-    static constexpr std::size_t MostGateways = 64; ///< In one answer of the directory.
+    /** Daemons that live, as far as known here. */
+    [[nodiscard]] std::vector<InstanceFacts> instances() const;
 
     /** The capability for other daemons. */
     [[nodiscard]] Wire::Deployment::Client makeService();
--- a/src/deployment/instance_board_base.cpp
+++ b/src/deployment/instance_board_base.cpp
@@ -7,6 +7,25 @@
 namespace Chestnuthook
 {
 
+std::vector<InstanceFacts> gatewaysFor(std::vector<InstanceFacts> instances, const std::string &dataCentre)
+{
+    std::erase_if(instances, [](const InstanceFacts &one) {
+        return one.role != Wire::InstanceRole::GATEWAY || !one.ready;
+    });
+    std::stable_partition(instances.begin(), instances.end(), [&dataCentre](const InstanceFacts &one) {
+        return one.dataCentre == dataCentre;
+    });
+    instances.resize(std::min(instances.size(), MostGateways));
+    return instances;
+}
+
+Duration gatewayListLife(Duration stopGrace)
+{
+    constexpr Duration Most = std::chrono::seconds(2); // A new gateway should not wait longer for its callers.
+    constexpr int StopParts = 4; // ListLifeOverrun of them for callers, one to finish in.
+    return std::min(Most, Duration(stopGrace / StopParts));
+}
+
 bool InstanceBoard::note(Instant now, const InstanceFacts &facts, std::uint64_t copiedView)
 {
     Known &entry = this->known[facts.name];
--- a/src/deployment/instance_board_base.h
+++ b/src/deployment/instance_board_base.h
@@ -25,6 +25,17 @@
     bool operator==(const InstanceFacts &) const = default;
 };
 
+/** Gateways among @p instances that callers in @p dataCentre should use: nearest first, at most MostGateways. */
+[[nodiscard]] std::vector<InstanceFacts> gatewaysFor(
+    std::vector<InstanceFacts> instances, const std::string &dataCentre);
+inline constexpr std::size_t MostGateways = 64; ///< In one answer to a caller.
+/** How long callers are told to keep such a list, where a planned stop is given @p stopGrace. A caller that asks a
+ * member that stands still loses a second, so they should ask seldom; but a gateway that stops has to serve until the
+ * last caller has asked again. */
+[[nodiscard]] Duration gatewayListLife(Duration stopGrace);
+/** Some callers keep a list this many times as long as they are told. */
+inline constexpr int ListLifeOverrun = 3;
+
 /** For the control thread of the leader. */
 class InstanceBoard
 {
--- a/tests/process/platform_test.cpp
+++ b/tests/process/platform_test.cpp
@@ -225,6 +225,7 @@
         this->ready = heldAddress("127.0.0.4");
         this->operators = heldAddress("127.0.0.2");
         this->directory = heldAddress("127.0.0.2");
+        this->otherDirectory = heldAddress("127.0.0.3");
         this->start(true);
     }
     ~Deployment() = default;
@@ -235,7 +236,7 @@
     {
         this->startOne("deployment", "127.0.0.2",
             R"("control":")" + this->operators + R"(","directory":")" + this->directory + "\"", first);
-        this->startOne("history", "127.0.0.3", "", first);
+        this->startOne("history", "127.0.0.3", R"("directory":")" + this->otherDirectory + "\"", first);
         this->startOne(
             "gateway", "127.0.0.4", R"("front":")" + this->callers + R"(","ready":")" + this->ready + "\"", first);
     }
@@ -301,6 +302,7 @@
     std::string ready; ///< Of the gateway.
     std::string operators; ///< Of the control member.
     std::string directory; ///< Of the control member.
+    std::string otherDirectory; ///< Of the history member.
     std::map<std::string, std::unique_ptr<ChildProcess>> processes; ///< By program.
 
 private:
@@ -416,6 +418,21 @@
     BOOST_TEST(spent == 3U);
 }
 
+BOOST_FIXTURE_TEST_CASE(a_history_member_names_gateways_until_what_it_knows_is_old, Fixture)
+{
+    const auto ask = [this]() {
+        return http(this->deployment.otherDirectory, "GET", "/-/resolve?name=h.example&region=r&zone=z");
+    };
+    this->deployment.processes["deployment"]->signal(SIGSTOP);
+    const HttpAnswer answer = ask();
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.body.find(this->deployment.callers) != std::string::npos);
+    BOOST_TEST(waitUntil([&]() {
+        return ask().status == 503;
+    }));
+    this->deployment.processes["deployment"]->signal(SIGCONT);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_planned_stop_is_announced_and_ends_by_itself, Fixture)
 {
     const auto ready = [this]() {
--- a/tests/support/process_fleet.cpp
+++ b/tests/support/process_fleet.cpp
@@ -196,8 +196,8 @@
 
 std::string heldAddress(const std::string &ip)
 {
-    // Bound until the test ends: neither a bind to port 0 nor an outgoing connection of another process then gets the port,
-    // while a program that listens with SO_REUSEADDR can.
+    // Bound until the test ends: neither a bind to port 0 nor an outgoing connection of another process then gets the
+    // port, while a program that listens with SO_REUSEADDR can.
     static std::vector<Poco::Net::ServerSocket> held;
     held.emplace_back();
     held.back().bind(Poco::Net::SocketAddress(ip, 0), true, false);
@@ -293,7 +293,7 @@
                 return http(address, "GET", "/readyz").status == 200;
             })) {
             throw std::runtime_error("entry " + address + " is not ready; its output ends:\n"
-                + this->outputEnd("entry-" + std::to_string(i)) + "and that of control-0:\n" + this->outputEnd("control-0"));
+                + this->outputEnd("entry-" + std::to_string(i)) + this->endedProcesses());
         }
     }
     // All entries must hold the key before a test begins.
@@ -320,6 +320,17 @@
     return output.substr(output.size() - std::min(output.size(), Shown));
 }
 
+std::string ProcessFleet::endedProcesses()
+{
+    std::string text;
+    for (const auto &[name, process] : this->processes) {
+        if (!process->isRunning()) {
+            text += name + " has ended by itself; its output ends:\n" + this->outputEnd(name);
+        }
+    }
+    return text;
+}
+
 void ProcessFleet::start(const std::string &name, const std::string &binary, std::vector<std::string> arguments)
 {
     this->processes.erase(name);
--- a/tests/support/process_fleet.h
+++ b/tests/support/process_fleet.h
@@ -131,6 +131,8 @@
     void start(const std::string &name, const std::string &binary, std::vector<std::string> arguments);
     /** Last lines of what the process @p name wrote; for messages. */
     [[nodiscard]] std::string outputEnd(const std::string &name) const;
+    /** The processes that ended by themselves, with the last lines of each; for messages. */
+    [[nodiscard]] std::string endedProcesses();
 };
 
 /** Waits until @p condition holds, looking each 20 ms. @return false where it didn't within @p patience. */
@@ -140,7 +142,8 @@
 CommandResult runCommand(
     const std::string &binary, std::vector<std::string> arguments, const std::vector<std::string> &environment = {});
 
-/** @return ip:port of a port at @p ip that nobody else is given while the test runs; only a listener with SO_REUSEADDR gets it. */
+/** @return ip:port of a port at @p ip that nobody else is given while the test runs; only a listener with SO_REUSEADDR
+ * gets it. */
 std::string heldAddress(const std::string &ip);
 
 /** @p count loopback ports as ip:port, held like one of heldAddress(). */
