--- a/tests/process/soak_test.cpp
+++ b/tests/process/soak_test.cpp
@@ -13,6 +13,7 @@
 #include <filesystem>
 #include <functional>
 #include <iostream>
+#include <map>
 #include <mutex>
 #include <set>
 #include <sstream>
@@ -37,6 +38,7 @@
 constexpr auto BackWithin = 10s; ///< After the last fault is over, everything is served.
 constexpr auto AnswerPatience = 4s; ///< Beyond the deadline of each request.
 constexpr auto RunTime = 20ms; ///< Of a request at an endpoint.
+constexpr std::size_t LostOneIn = 40; ///< One answer in so many is lost by its endpoint.
 constexpr int Callers = 6;
 constexpr int MostFaults = 9;
 constexpr unsigned EventTokens = 10; ///< Of each event, by the configuration.
@@ -45,6 +47,9 @@
 
 enum class FaultKind : std::uint8_t { Kill, Pause, Terminate, KillAll, Link, Configure };
 
+constexpr std::array FaultNames = {"kill", "pause", "terminate", "kill all", "link", "configure"};
+constexpr std::array LinkFaultNames = {"none", "delay", "silence", "answers held", "reset", "answers reset"};
+
 /** One entry of a schedule. */
 struct Fault
 {
@@ -75,7 +80,7 @@
         fault.lasts = std::chrono::milliseconds(draw(random, 50, static_cast<int>(LongestFault.count())));
         const std::size_t targets = fault.kind == FaultKind::Link ? links : processes;
         fault.target = static_cast<std::size_t>(draw(random, 0, static_cast<int>(targets) - 1));
-        fault.link = static_cast<LinkFault>(draw(random, 1, 4));
+        fault.link = static_cast<LinkFault>(draw(random, 1, static_cast<int>(LinkFault::AnswersReset)));
     }
     return schedule;
 }
@@ -109,6 +114,9 @@
             this->runs[id].push_back(body);
         }
         std::this_thread::sleep_for(RunTime);
+        if (std::hash<std::string>()(id) % LostOneIn == 0) {
+            return std::string(CloseMark); // It has run; nobody is told.
+        }
         if (head.find(" /turn/") == std::string::npos) {
             return answerBytes(head, "ran " + id);
         }
@@ -281,6 +289,12 @@
     {
         const auto schedule = scheduleOf(this->seed, this->deployment.processes.size(),
             this->deployment.endpoints.size() + this->deployment.callerLinks.size());
+        for (const Fault &fault : schedule) {
+            std::cout << "  " << fault.at.count() << " to " << (fault.at + fault.lasts).count()
+                      << " ms: " << FaultNames.at(static_cast<std::size_t>(fault.kind)) << ' ' << fault.target << ' '
+                      << (fault.kind == FaultKind::Link ? LinkFaultNames.at(static_cast<std::size_t>(fault.link)) : "")
+                      << '\n';
+        }
         const Clock::time_point begun = Clock::now();
         std::vector<std::thread> threads;
         for (int caller = 0; caller < Callers; ++caller) {
@@ -306,12 +320,13 @@
         }
         this->awaitService();
         this->checkAfterwards();
-        if (this->broken.empty()) {
+        if (this->broken.empty() && std::getenv("CHESTNUTHOOK_SOAK_KEEP") == nullptr) {
             std::filesystem::remove_all(this->deployment.folder);
         }
     }
 
     std::vector<std::string> broken; ///< Promises, with the request.
+    std::map<int, unsigned> answers; ///< How many had which status; 0 for no answer.
 
 private:
     void say(const std::string &promise, const std::string &id)
@@ -414,6 +429,7 @@
         try {
             return parseAnswer(rawExchange(this->deployment.callerLinks[gateway].address, request, AnswerPatience));
         } catch (const Poco::Exception &) {
+            std::this_thread::sleep_for(RunTime); // Nobody listens there now.
             return {}; // No answer; what may have run is checked at the endpoints.
         }
     }
@@ -423,16 +439,13 @@
         Random random(this->seed * 100 + static_cast<unsigned>(caller));
         while (Clock::now() < end) {
             const auto gateway = static_cast<std::size_t>(draw(random, 0, 1));
-            switch (draw(random, 0, 2)) {
-            case 0:
+            const int choice = draw(random, 0, 9); // A program is many requests, a safe one is seldom of interest.
+            if (choice < 2) {
                 this->callOnce(gateway, "safe");
-                break;
-            case 1:
+            } else if (choice < 8) {
                 this->callOnce(gateway, "unsafe");
-                break;
-            default:
+            } else {
                 this->callProgram(random, end);
-                break;
             }
         }
     }
@@ -495,6 +508,7 @@
         const std::lock_guard lock(this->mutex);
         const bool notRun = answer.status == 402 || answer.status == 429 || answer.status == 503;
         this->calls.push_back({id, notRun ? 0 : mostRuns, std::move(body)});
+        ++this->answers[answer.status];
     }
 
     void checkAfterwards()
@@ -590,6 +604,10 @@
         for (const std::string &broken : soak.broken) {
             BOOST_ERROR("seed " << seed << ": " << broken << "; logs in " << soak.folder());
         }
-        std::cout << "seed " << seed << (soak.broken.empty() ? " kept all promises" : " failed") << std::endl;
+        std::cout << "seed " << seed << (soak.broken.empty() ? " kept all promises; answers" : " failed; answers");
+        for (const auto &[status, count] : soak.answers) {
+            std::cout << ' ' << status << ": " << count;
+        }
+        std::cout << std::endl;
     }
 }
--- a/tests/support/faulty_link.cpp
+++ b/tests/support/faulty_link.cpp
@@ -90,6 +90,11 @@
         }
         for (const Poco::Net::Socket &one : readable) {
             const bool fromCaller = one == caller;
+            if (!fromCaller && now == LinkFault::AnswersReset) {
+                caller.setLinger(true, 0);
+                callee.setLinger(true, 0);
+                return;
+            }
             if (!passOn(fromCaller ? caller : callee, fromCaller ? callee : caller)) {
                 return;
             }
--- a/tests/support/faulty_link.h
+++ b/tests/support/faulty_link.h
@@ -19,6 +19,7 @@
     Silence, ///< Nothing passes; connections stay open.
     AnswersHeld, ///< Bytes pass towards the target only, answers when the fault is over.
     Reset, ///< Connections are reset, old and new ones.
+    AnswersReset, ///< Connections are reset when the target answers.
 };
 
 class FaultyLink
--- a/tests/support/process_fleet.cpp
+++ b/tests/support/process_fleet.cpp
@@ -78,6 +78,8 @@
     posix_spawn_file_actions_addopen(&actions, STDIN_FILENO, "/dev/null", O_RDONLY, 0);
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // Connections of the test must end when the test closes them, not when the program ends.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     pid_t pid = -1;
     const int error =
         posix_spawn(&pid, path.c_str(), &actions, nullptr, pointersTo(arguments).data(), pointersTo(variables).data());
@@ -201,7 +203,6 @@
     static std::vector<Poco::Net::ServerSocket> held;
     held.emplace_back();
     held.back().bind(Poco::Net::SocketAddress(ip, port), true, false);
-    ::fcntl(held.back().impl()->sockfd(), F_SETFD, FD_CLOEXEC);
     return held.back().address().toString();
 }
 
