--- a/tests/process/soak_test.cpp
+++ b/tests/process/soak_test.cpp
@@ -17,6 +17,7 @@
 #include <mutex>
 #include <set>
 #include <sstream>
+#include <thread>
 
 #include <boost/random/mersenne_twister.hpp>
 #include <boost/random/uniform_int_distribution.hpp>
@@ -296,7 +297,8 @@
                       << '\n';
         }
         const Clock::time_point begun = Clock::now();
-        std::vector<std::thread> threads;
+        std::vector<std::jthread> threads; // Joined also where a step throws.
+        threads.reserve(Callers);
         for (int caller = 0; caller < Callers; ++caller) {
             threads.emplace_back([this, caller, begun]() {
                 this->callUntil(caller, begun + LoadTime);
@@ -315,7 +317,7 @@
             std::this_thread::sleep_until(begun + at);
             step();
         }
-        for (std::thread &one : threads) {
+        for (std::jthread &one : threads) {
             one.join();
         }
         this->awaitService();
@@ -477,7 +479,8 @@
                 this->call(static_cast<std::size_t>(draw(random, 0, 1)), "/turn/x", id, "always", fields, input);
             this->note(id, answer, 1, chain + input);
             const std::string first = "id: 1\ndata: a " + id + "\n\n";
-            const std::string whole = first + "id: 2\ndata: b " + id + "\n\n";
+            std::string whole = first;
+            whole.append("id: 2\ndata: b ").append(id).append("\n\n");
             if (answer.status == 200 && !whole.starts_with(answer.body)) {
                 this->say("events come in order and once", id);
             }
@@ -497,7 +500,7 @@
                     this->say("a stream that ends as complete has all events", id);
                 }
                 previous = id;
-                chain += input + "a " + id + "\nb " + id + "\n";
+                chain.append(input).append("a ").append(id).append("\nb ").append(id).append("\n");
             }
         }
     }
--- a/tests/support/process_fleet.cpp
+++ b/tests/support/process_fleet.cpp
@@ -208,9 +208,9 @@
 
 std::vector<std::string> freeAddresses(int count)
 {
-    std::vector<std::string> addresses;
-    for (int i = 0; i < count; ++i) {
-        addresses.push_back(heldAddress("127.0.0.1"));
+    std::vector<std::string> addresses(static_cast<std::size_t>(count));
+    for (std::string &address : addresses) {
+        address = heldAddress("127.0.0.1");
     }
     return addresses;
 }
