--- a/tests/process/platform_test.cpp
+++ b/tests/process/platform_test.cpp
@@ -296,6 +296,9 @@
     const auto ask = [this]() {
         return http(this->deployment.otherDirectory, "GET", "/-/resolve?name=h.example&region=r&zone=z");
     };
+    BOOST_REQUIRE(waitUntil([&]() {
+        return ask().body.find(this->deployment.callers) != std::string::npos;
+    }));
     this->deployment.processes["deployment"]->signal(SIGSTOP);
     const HttpAnswer answer = ask();
     BOOST_TEST(answer.status == 200);
