After reading the change again: one copy of what stood twice, decisions out of platform/

Found by reading the diff and the list of repeated places: - status codes stood in four tables (HTTP server, gateway twice, platform): one HttpStatus beside the heads; - three ports gave the standard limits by a lambda each: a constructor of HttpServer does it; - the four calls of the history service repeated the check of identity and view: isServed; - platform/ decided when to join a group, election times, how many history members there are and whether a list is too old to be told: these are in DeploymentMember and DeploymentWatcher now, platform/ passes facts only; - gateways counted the list of instances for each request of a customer: counted when the list changes; - the stand-in server and the faulty link each had the same port with threads: ConnectionServer; the soak made its own temporary folder and wrote the restart of ended processes twice. Behaviour and assertions are as before.

--- a/src/deployment/deployment_member_base.cpp
+++ b/src/deployment/deployment_member_base.cpp
@@ -20,6 +20,27 @@
 /** Each read of the platform's list is charged; a leaving endpoint must get no work some seconds after it shows. */
 constexpr Duration EndpointReadPeriod = std::chrono::milliseconds(700);
 
+/** Ticks of 25 ms. Data centres are a few milliseconds apart, so a silent leader is replaced after 200 to 400 ms. */
+constexpr unsigned ElectionTicks = 8;
+constexpr unsigned HeartbeatTicks = 2;
+
+ReplicaSettings replicaSettings(const DeploymentMemberSettings &settings)
+{
+    const auto &seeds = settings.seeds;
+    const std::string &address = settings.self.rpcAddress;
+    const bool isSeed = std::find(seeds.begin(), seeds.end(), address) != seeds.end();
+    ReplicaSettings replica;
+    replica.name = address;
+    replica.address = address;
+    replica.raft.electionTicks = ElectionTicks;
+    replica.raft.heartbeatTicks = HeartbeatTicks;
+    replica.join = !settings.isFirstStart || !isSeed;
+    for (const std::string &seed : seeds) {
+        replica.initialMembers[seed] = seed;
+    }
+    return replica;
+}
+
 class DeploymentServer final : public Wire::Deployment::Server
 {
 public:
@@ -66,7 +87,7 @@
 
 DeploymentMember::DeploymentMember(ControlLoop &loop, DeploymentMemberSettings settings,
     ConfigurationReader readConfiguration, EndpointSource &endpointSource)
-    : node(loop, settings.replica)
+    : node(loop, replicaSettings(settings))
     , loop(loop)
     , settings(std::move(settings))
     , readDocument(std::move(readConfiguration))
@@ -175,7 +196,8 @@
     const DeploymentState &state = this->group.machine;
     const Instant now = this->loop.timers().now();
     const auto candidates = this->board.historyCandidates(now, state.view, state.retiring, this->leadingSince);
-    auto plan = planHistoryView(state.view, candidates, this->settings.historySize);
+    const std::size_t wanted = 2U * this->settings.lossesToBear + 1; // A majority of them outlives the losses.
+    auto plan = planHistoryView(state.view, candidates, wanted);
     if (!plan || this->changingView) {
         return;
     }
--- a/src/deployment/deployment_member_base.h
+++ b/src/deployment/deployment_member_base.h
@@ -25,10 +25,10 @@
 
 struct DeploymentMemberSettings
 {
-    ReplicaSettings replica; ///< Of the replicated log.
     InstanceFacts self; ///< This daemon; its identity is filled in when the folder is open.
     std::vector<std::string> seeds; ///< RPC addresses of control members.
-    std::size_t historySize = 3; ///< Members that hold the history of turns: twice the losses to bear and one.
+    unsigned lossesToBear = 1; ///< Instances with a disk that may be lost at once.
+    bool isFirstStart = false; ///< The whole deployment starts for the first time: its seeds found the group.
 };
 
 /** State of a history instance that is to be emptied. */
--- a/src/deployment/deployment_watcher_base.cpp
+++ b/src/deployment/deployment_watcher_base.cpp
@@ -37,6 +37,11 @@
     return this->view.term != 0 && this->loop.timers().now() - this->answered < OutOfTouchAfter;
 }
 
+std::vector<InstanceFacts> DeploymentWatcher::currentInstances() const
+{
+    return this->isInTouch() ? this->view.instances : std::vector<InstanceFacts>();
+}
+
 RpcLink &DeploymentWatcher::linkTo(const std::string &address)
 {
     auto &link = this->links[address];
--- a/src/deployment/deployment_watcher_base.h
+++ b/src/deployment/deployment_watcher_base.h
@@ -63,8 +63,10 @@
     [[nodiscard]] kj::Promise<std::map<std::string, std::uint32_t>> askCredit(
         const std::map<std::string, CreditWish> &wanted);
 
-    /** Since when no leader has answered; empty while one does. */
+    /** Whether a leader has answered lately. */
     [[nodiscard]] bool isInTouch() const;
+    /** Daemons that live; none while out of touch, since an old list names some that are down. */
+    [[nodiscard]] std::vector<InstanceFacts> currentInstances() const;
 
     std::function<InstanceFacts()> describe; ///< This daemon as it is now; set before `start`.
     std::function<std::uint64_t()> copiedView; ///< May be empty.
--- a/src/gateway/gateway_base.cpp
+++ b/src/gateway/gateway_base.cpp
@@ -98,6 +98,12 @@
     if (hasPart(parts, UpdatePart::Endpoints)) {
         this->board.setList(view.endpoints);
     }
+    if (hasPart(parts, UpdatePart::Instances)) {
+        this->gateways = static_cast<std::size_t>(
+            std::count_if(view.instances.begin(), view.instances.end(), [](const InstanceFacts &one) {
+                return one.role == Wire::InstanceRole::GATEWAY;
+            }));
+    }
 }
 
 HttpLimits Gateway::limits() const
@@ -124,14 +130,6 @@
     return std::exchange(this->strikes, {});
 }
 
-std::size_t Gateway::gatewayCount() const
-{
-    const auto &instances = this->watcher.view.instances;
-    return static_cast<std::size_t>(std::count_if(instances.begin(), instances.end(), [](const InstanceFacts &one) {
-        return one.role == Wire::InstanceRole::GATEWAY;
-    }));
-}
-
 void Gateway::answer(kj::WaitScope &scope, HttpExchange &exchange)
 {
     Call call(exchange);
@@ -164,25 +162,25 @@
 bool Gateway::admit(kj::WaitScope &scope, Call &call)
 {
     if (call.configuration == nullptr) {
-        this->refuse(scope, call, Status::Unavailable, "no configuration is known yet", SoonSeconds);
+        this->refuse(scope, call, HttpStatus::Unavailable, "no configuration is known yet", SoonSeconds);
         return false;
     }
     Result<CallFacts> facts = this->dialect.readCall(call.exchange.head);
     if (!facts) {
-        this->refuse(scope, call, Status::BadRequest, facts.error().what, 0);
+        this->refuse(scope, call, HttpStatus::BadRequest, facts.error().what, 0);
         return false;
     }
     call.facts = std::move(*facts);
     const std::string *host = call.exchange.head.fields.find("Host");
     call.route = host == nullptr ? nullptr : call.configuration->findRoute(*host, call.exchange.head.path());
     if (call.route == nullptr) {
-        this->refuse(scope, call, Status::NotFound, "no route", 0);
+        this->refuse(scope, call, HttpStatus::NotFound, "no route", 0);
         return false;
     }
     if (!call.configuration->customers.empty()) {
         call.customer = call.configuration->findCustomer(call.facts.key);
         if (call.customer == nullptr && !call.route->isOpen) {
-            this->refuse(scope, call, Status::Unauthorized, "unknown key", 0);
+            this->refuse(scope, call, HttpStatus::Unauthorized, "unknown key", 0);
             return false;
         }
     }
@@ -199,7 +197,7 @@
             {"configuration", std::to_string(call.configuration->version)}});
     call.fingerprint = hash64(call.exchange.body, hash64(call.exchange.head.target, hash64(customer)));
     if (this->watcher.view.quarantine.contains(call.fingerprint)) {
-        this->refuse(scope, call, Status::Unavailable, "the request crashes endpoints", QuarantineSeconds);
+        this->refuse(scope, call, HttpStatus::Unavailable, "the request crashes endpoints", QuarantineSeconds);
         return false;
     }
     return true;
@@ -249,7 +247,7 @@
     }
     while (true) {
         const bool inTouch = this->watcher.isInTouch() && this->now() >= this->creditPausedUntil;
-        switch (this->credit.take(this->now(), *call.customer, use, inTouch, this->gatewayCount())) {
+        switch (this->credit.take(this->now(), *call.customer, use, inTouch, this->gateways)) {
         case CreditAnswer::Admitted:
             this->startCreditFetch();
             return true;
@@ -259,7 +257,7 @@
                 this->loop.kjTimer().afterDelay(LookDelay).wait(scope);
                 continue;
             }
-            this->refuse(scope, call, Status::TooManyRequests,
+            this->refuse(scope, call, HttpStatus::TooManyRequests,
                 inTouch ? "over the rate" : "over the rate, out of touch",
                 CreditShare::retryAfterSeconds(*call.customer));
             return false;
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -108,7 +108,6 @@
     void noteStrikeIfDown(std::uint64_t fingerprint, const DeployedEndpoint &endpoint);
     void refuse(kj::WaitScope &scope, Call &call, unsigned status, std::string_view reason, double retryAfterSeconds);
     void startCreditFetch();
-    [[nodiscard]] std::size_t gatewayCount() const;
     [[nodiscard]] Instant now() const
     {
         return this->loop.timers().now();
@@ -124,6 +123,7 @@
     EndpointLinks links; ///< Connections to endpoints.
     HistoryClient history; ///< Kept turns and budgets.
     CreditShare credit; ///< Rates of the customers.
+    std::size_t gateways = 0; ///< That live, this one with them; 0 before it is known.
     kj::Maybe<kj::ForkedPromise<void>> creditFetch; ///< The question to the leader that is under way.
     Instant creditPausedUntil{0}; ///< The leader didn't answer; it isn't asked before.
     std::vector<EndpointStrike> strikes; ///< To be reported.
--- a/src/gateway/gateway_call_internal.h
+++ b/src/gateway/gateway_call_internal.h
@@ -9,18 +9,6 @@
 namespace Chestnuthook
 {
 
-/** Statuses that a gateway gives by itself. */
-namespace Status
-{
-constexpr unsigned BadRequest = 400;
-constexpr unsigned Unauthorized = 401;
-constexpr unsigned NotFound = 404;
-constexpr unsigned TooManyRequests = 429;
-constexpr unsigned BadGateway = 502;
-constexpr unsigned Unavailable = 503;
-constexpr unsigned GatewayTimeout = 504;
-} // namespace Status
-
 struct Gateway::Call
 {
     explicit Call(HttpExchange &exchange)
--- a/src/gateway/gateway_run.cpp
+++ b/src/gateway/gateway_run.cpp
@@ -25,8 +25,6 @@
 constexpr Duration LeastUsefulTime = std::chrono::milliseconds(5);
 
 constexpr std::size_t ProbeStackBytes = 128U << 10U; ///< Of a fiber that only connects.
-constexpr unsigned MisdirectedStatus = 421;
-constexpr unsigned FirstServerError = 500;
 /** A request that may run again is given up at one endpoint after this many times its target latency. */
 constexpr int TryTargets = 3;
 constexpr Duration LeastTry = std::chrono::milliseconds(200);
@@ -127,12 +125,12 @@
     }
     if (call.runs == 0) {
         const bool late = call.until - this->now() <= LeastUsefulTime;
-        this->refuse(scope, call, Status::Unavailable, late ? "no time is left" : "no endpoint has room",
+        this->refuse(scope, call, HttpStatus::Unavailable, late ? "no time is left" : "no endpoint has room",
             late ? 0 : BusySeconds);
         return;
     }
     const bool late = last == AttemptEnd::TimedOut;
-    this->refuse(scope, call, late ? Status::GatewayTimeout : Status::BadGateway,
+    this->refuse(scope, call, late ? HttpStatus::GatewayTimeout : HttpStatus::BadGateway,
         late ? "the endpoint didn't answer in time" : "the endpoint failed", 0);
 }
 
@@ -215,15 +213,15 @@
             this->board.noteLoad(this->now(), endpoint.id, *facts.load);
         }
         const bool isOurs = facts.requestId == call.facts.requestId;
-        if (!isOurs && !facts.notRun && head.status != MisdirectedStatus) {
+        if (!isOurs && !facts.notRun && head.status != HttpStatus::Misdirected) {
             // A late answer to an earlier request.
             if (!skipBody(scope, reader) || !head.keepAlive) {
                 return connection.input.hasTimedOut() ? AttemptEnd::TimedOut : AttemptEnd::Failed;
             }
             continue;
         }
-        if (facts.notRun || head.status == MisdirectedStatus) {
-            if (head.status == MisdirectedStatus) {
+        if (facts.notRun || head.status == HttpStatus::Misdirected) {
+            if (head.status == HttpStatus::Misdirected) {
                 this->board.noteFailure(this->now(), endpoint.id);
             } else {
                 this->board.noteFull(this->now(), endpoint.id);
@@ -246,7 +244,7 @@
         const AttemptEnd delivered =
             streams ? this->deliverStream(scope, call, reader, head) : this->deliverWhole(scope, call, reader, head);
         if (delivered == AttemptEnd::Delivered) {
-            if (head.status >= FirstServerError) {
+            if (head.status >= HttpStatus::FirstServerError) {
                 this->board.noteError(this->now(), endpoint.id);
             } else {
                 this->board.noteSuccess(this->now(), endpoint.id);
--- a/src/history/history_member_base.cpp
+++ b/src/history/history_member_base.cpp
@@ -44,10 +44,8 @@
     kj::Promise<void> begin(BeginContext context) override
     {
         const auto params = context.getParams();
-        const auto status = this->member.check(textOf(params.getIdentity()), params.getView());
         auto results = context.getResults();
-        results.setStatus(status);
-        if (status != Wire::HistoryStatus::OK) {
+        if (!this->isServed(params, results)) {
             return kj::READY_NOW;
         }
         const HistoryRecord record = readRecord(params.getClaim());
@@ -72,9 +70,8 @@
     kj::Promise<void> write(WriteContext context) override
     {
         const auto params = context.getParams();
-        const auto status = this->member.check(textOf(params.getIdentity()), params.getView());
-        context.getResults().setStatus(status);
-        if (status != Wire::HistoryStatus::OK) {
+        auto results = context.getResults();
+        if (!this->isServed(params, results)) {
             return kj::READY_NOW;
         }
         for (const auto record : params.getRecords()) {
@@ -86,10 +83,8 @@
     kj::Promise<void> copy(CopyContext context) override
     {
         const auto params = context.getParams();
-        const auto status = this->member.check(textOf(params.getIdentity()), params.getView());
         auto results = context.getResults();
-        results.setStatus(status);
-        if (status != Wire::HistoryStatus::OK) {
+        if (!this->isServed(params, results)) {
             return kj::READY_NOW;
         }
         std::uint64_t position = params.getPosition();
@@ -106,16 +101,23 @@
     kj::Promise<void> chain(ChainContext context) override
     {
         const auto params = context.getParams();
-        const auto status = this->member.check(textOf(params.getIdentity()), params.getView());
         auto results = context.getResults();
-        results.setStatus(status);
-        if (status == Wire::HistoryStatus::OK) {
+        if (this->isServed(params, results)) {
             writeChain(results, this->member.table.chain(textOf(params.getTurn()), textOf(params.getCustomer())));
         }
         return kj::READY_NOW;
     }
 
 private:
+    /** Tells the caller whether its call is for this member under the view that it names. @return the same. */
+    template<typename Params, typename Results>
+    bool isServed(const Params &params, Results &results)
+    {
+        const auto status = this->member.check(textOf(params.getIdentity()), params.getView());
+        results.setStatus(status);
+        return status == Wire::HistoryStatus::OK;
+    }
+
     template<typename Results>
     static void writeChain(Results &results, const TurnChain &chain)
     {
--- a/src/http/http_message_type.h
+++ b/src/http/http_message_type.h
@@ -10,6 +10,26 @@
 namespace Chestnuthook
 {
 
+/** Statuses that our programs give by themselves or tell apart. */
+namespace HttpStatus
+{
+constexpr unsigned Ok = 200;
+constexpr unsigned TemporaryRedirect = 307;
+constexpr unsigned BadRequest = 400;
+constexpr unsigned Unauthorized = 401;
+constexpr unsigned NotFound = 404;
+constexpr unsigned RequestTimeout = 408;
+constexpr unsigned Conflict = 409;
+constexpr unsigned BodyTooLarge = 413;
+constexpr unsigned Misdirected = 421;
+constexpr unsigned TooManyRequests = 429;
+constexpr unsigned HeaderTooLarge = 431;
+constexpr unsigned FirstServerError = 500;
+constexpr unsigned BadGateway = 502;
+constexpr unsigned Unavailable = 503;
+constexpr unsigned GatewayTimeout = 504;
+} // namespace HttpStatus
+
 /** Whether two field names are the same; case doesn't count. */
 [[nodiscard]] bool isSameFieldName(std::string_view left, std::string_view right);
 
--- a/src/http/http_server_base.cpp
+++ b/src/http/http_server_base.cpp
@@ -9,11 +9,6 @@
 namespace
 {
 
-constexpr unsigned BadRequestStatus = 400;
-constexpr unsigned BodyTooLargeStatus = 413;
-constexpr unsigned HeaderTooLargeStatus = 431;
-constexpr unsigned RequestTimeoutStatus = 408;
-
 } // namespace
 
 void HttpExchange::write(kj::WaitScope &scope, std::string_view bytes)
@@ -81,6 +76,16 @@
 {
 }
 
+HttpServer::HttpServer(ControlLoop &loop, Handler handler)
+    : HttpServer(
+        loop,
+        []() {
+            return HttpLimits();
+        },
+        std::move(handler))
+{
+}
+
 kj::Promise<void> HttpServer::listen(const std::string &address)
 {
     return this->loop.rpc().network.parseAddress(address).then([this](kj::Own<kj::NetworkAddress> &&parsed) {
@@ -134,18 +139,18 @@
         read = reader.readBody(scope, exchange.body);
         if (read == HttpRead::TooLarge) {
             exchange.closeAfter = true;
-            exchange.respond(scope, BodyTooLargeStatus);
+            exchange.respond(scope, HttpStatus::BodyTooLarge);
             return false;
         }
     }
     if (read != HttpRead::Done) {
         exchange.closeAfter = true;
         if (input.hasTimedOut()) {
-            exchange.respond(scope, RequestTimeoutStatus);
+            exchange.respond(scope, HttpStatus::RequestTimeout);
         } else if (read == HttpRead::TooLarge) {
-            exchange.respond(scope, HeaderTooLargeStatus);
+            exchange.respond(scope, HttpStatus::HeaderTooLarge);
         } else if (read == HttpRead::Malformed) {
-            exchange.respond(scope, BadRequestStatus);
+            exchange.respond(scope, HttpStatus::BadRequest);
         }
         return false;
     }
--- a/src/http/http_server_base.h
+++ b/src/http/http_server_base.h
@@ -76,6 +76,8 @@
     using Handler = std::function<void(kj::WaitScope &, HttpExchange &)>;
 
     HttpServer(ControlLoop &loop, std::function<HttpLimits()> limits, Handler handler);
+    /** With the standard limits. */
+    HttpServer(ControlLoop &loop, Handler handler);
 
     /** Runs the port; fails where it can't be bound. */
     [[nodiscard]] kj::Promise<void> listen(const std::string &address);
--- a/tests/process/soak_test.cpp
+++ b/tests/process/soak_test.cpp
@@ -187,7 +187,16 @@
     void start(std::size_t process, bool isFirstStart = false)
     {
         this->instances[process].isFirstStart = isFirstStart;
-        this->processes[process] = startInstance(this->instances[process], this->folder);
+        this->processes[process] = startInstance(this->instances[process], this->folder.path);
+    }
+
+    void startEnded()
+    {
+        for (std::size_t i = 0; i < this->processes.size(); ++i) {
+            if (!this->processes[i]->isRunning()) {
+                this->start(i);
+            }
+        }
     }
 
     /** @return whether version @p version of the configuration was acknowledged. @p key may call. */
@@ -218,7 +227,7 @@
         return false;
     }
 
-    std::string folder = temporaryFolder(); ///< Settings, logs and data; kept after a failure.
+    TemporaryFolder folder; ///< Settings, logs and data; kept after a failure.
     std::deque<SoakEndpoint> endpoints{3}; ///< All of one service.
     RawServer platform; ///< The platform's list.
     std::vector<PlatformInstance> instances; ///< What each process is told.
@@ -226,14 +235,6 @@
     std::vector<std::string> operators; ///< Of the control members.
     std::vector<std::string> gateways; ///< Their ports for callers.
     std::deque<FaultyLink> callerLinks; ///< In the order of `gateways`.
-
-private:
-    static std::string temporaryFolder()
-    {
-        std::string pattern = "/tmp/chestnuthook-soak-XXXXXX";
-        BOOST_REQUIRE(::mkdtemp(pattern.data()) != nullptr);
-        return pattern;
-    }
 };
 
 /** What a caller saw of one request. */
@@ -279,10 +280,11 @@
     explicit Soak(unsigned seed)
         : seed(seed)
     {
+        this->deployment.folder.isKept = true; // Until it is known that all went well.
         BOOST_REQUIRE_MESSAGE(waitUntil([this]() {
             return this->deployment.putConfiguration(1, "key-1");
         }),
-            "no configuration is acknowledged; logs in " + this->deployment.folder);
+            "no configuration is acknowledged; logs in " + this->folder());
         this->awaitService();
     }
 
@@ -322,9 +324,13 @@
         }
         this->awaitService();
         this->checkAfterwards();
-        if (this->broken.empty() && std::getenv("CHESTNUTHOOK_SOAK_KEEP") == nullptr) {
-            std::filesystem::remove_all(this->deployment.folder);
-        }
+        this->deployment.folder.isKept = !this->broken.empty() || std::getenv("CHESTNUTHOOK_SOAK_KEEP") != nullptr;
+    }
+
+    /** Where the logs are; gone with this where all promises were kept. */
+    [[nodiscard]] const std::string &folder() const
+    {
+        return this->deployment.folder.path;
     }
 
     std::vector<std::string> broken; ///< Promises, with the request.
@@ -379,15 +385,10 @@
         if (fault.kind == FaultKind::Link) {
             this->linkOf(fault.target).setFault(LinkFault::None);
         }
-        // Also those that other faults of the schedule have ended in the meantime.
-        for (std::size_t i = 0; i < this->deployment.processes.size(); ++i) {
-            if (fault.kind == FaultKind::Pause && i == fault.target) {
-                this->deployment.processes[i]->signal(SIGCONT);
-            }
-            if (!this->deployment.processes[i]->isRunning()) {
-                this->deployment.start(i);
-            }
+        if (fault.kind == FaultKind::Pause) {
+            this->deployment.processes[fault.target]->signal(SIGCONT);
         }
+        this->deployment.startEnded(); // Also those that other faults of the schedule have ended in the meantime.
     }
 
     /** Waits until each gateway serves, and each kind of request. */
@@ -398,11 +399,7 @@
             for (const char *path : {"/safe/x", "/turn/x"}) {
                 const bool back = waitUntil(
                     [&]() {
-                        for (std::size_t i = 0; i < this->deployment.processes.size(); ++i) {
-                            if (!this->deployment.processes[i]->isRunning()) {
-                                this->deployment.start(i);
-                            }
-                        }
+                        this->deployment.startEnded();
                         return this->call(gateway, path, this->newId("back"), "always").status == 200;
                     },
                     std::max<std::chrono::milliseconds>(
@@ -569,12 +566,6 @@
     unsigned acknowledged = 1; ///< Highest version that was acknowledged.
     std::mutex mutex; ///< Guards `broken` and `calls`.
     std::vector<Call> calls; ///< All that were made.
-
-public:
-    [[nodiscard]] const std::string &folder() const
-    {
-        return this->deployment.folder;
-    }
 };
 
 /** Seeds that CI plays: two ordinary ones and each that ever failed (docs/SOAK.md). */
--- a/tests/support/faulty_link.cpp
+++ b/tests/support/faulty_link.cpp
@@ -1,10 +1,9 @@
-/** @file faulty_link.cpp  One thread a connection passes bytes both ways. */
+/** @file faulty_link.cpp  Passes bytes both ways, as the fault in force says. */
 #include "support/faulty_link.h"
 
+#include <thread>
 #include <utility>
 
-#include <Poco/Exception.h>
-
 namespace Chestnuthook::Testing
 {
 
@@ -24,52 +23,34 @@
     return count > 0;
 }
 
-} // namespace
-
-FaultyLink::FaultyLink(std::string target)
-    : target(std::move(target))
-    , socket(Poco::Net::SocketAddress("127.0.0.1", 0))
-    , address(this->socket.address().toString())
-    , accepting([this]() {
-        this->accept();
-    })
+/** Both ends see a reset when the sockets are closed. */
+void reset(Poco::Net::StreamSocket &caller, Poco::Net::StreamSocket &callee)
 {
+    caller.setLinger(true, 0);
+    callee.setLinger(true, 0);
 }
 
-FaultyLink::~FaultyLink()
-{
-    this->ending = true;
-    this->accepting.join();
-    for (std::thread &one : this->connections) {
-        one.join();
-    }
-}
+} // namespace
 
-void FaultyLink::accept()
+FaultyLink::FaultyLink(std::string target)
+    : target(std::move(target))
+    , server("127.0.0.1",
+          [this](Poco::Net::StreamSocket &caller, const std::atomic<bool> &ending) {
+              this->pass(caller, ending);
+          })
+    , address(this->server.address)
 {
-    while (!this->ending) {
-        if (this->socket.poll(LookTime, Poco::Net::Socket::SELECT_READ)) {
-            this->connections.emplace_back([this, caller = this->socket.acceptConnection()]() mutable {
-                try {
-                    this->pass(caller);
-                } catch (const Poco::Exception &) {
-                    // One side is gone; the other sees its connection end.
-                }
-            });
-        }
-    }
 }
 
-void FaultyLink::pass(Poco::Net::StreamSocket &caller)
+void FaultyLink::pass(Poco::Net::StreamSocket &caller, const std::atomic<bool> &ending) const
 {
     Poco::Net::StreamSocket callee{Poco::Net::SocketAddress(this->target)};
     caller.setNoDelay(true);
     callee.setNoDelay(true);
-    while (!this->ending) {
+    while (!ending) {
         const LinkFault now = this->fault;
         if (now == LinkFault::Reset) {
-            caller.setLinger(true, 0);
-            callee.setLinger(true, 0);
+            reset(caller, callee);
             return;
         }
         if (now == LinkFault::Silence) {
@@ -91,8 +72,7 @@
         for (const Poco::Net::Socket &one : readable) {
             const bool fromCaller = one == caller;
             if (!fromCaller && now == LinkFault::AnswersReset) {
-                caller.setLinger(true, 0);
-                callee.setLinger(true, 0);
+                reset(caller, callee);
                 return;
             }
             if (!passOn(fromCaller ? caller : callee, fromCaller ? callee : caller)) {
--- a/tests/support/faulty_link.h
+++ b/tests/support/faulty_link.h
@@ -2,13 +2,11 @@
 #pragma once
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
-#include <list>
 #include <string>
-#include <thread>
 
-#include <Poco/Net/ServerSocket.h>
-#include <Poco/Net/StreamSocket.h>
+#include "support/connection_server.h"
 
 namespace Chestnuthook::Testing
 {
@@ -27,9 +25,6 @@
 public:
     /** Passes connections to @p target (ip:port) on. */
     explicit FaultyLink(std::string target);
-    ~FaultyLink();
-    FaultyLink(const FaultyLink &) = delete;
-    FaultyLink &operator=(const FaultyLink &) = delete;
 
     void setFault(LinkFault wanted)
     {
@@ -39,20 +34,14 @@
     static constexpr auto DelayTime = std::chrono::milliseconds(80);
 
 private:
-    void accept();
-    void pass(Poco::Net::StreamSocket &caller);
+    void pass(Poco::Net::StreamSocket &caller, const std::atomic<bool> &ending) const;
 
     const std::string target; ///< ip:port.
-    Poco::Net::ServerSocket socket; ///< Listens.
+    std::atomic<LinkFault> fault{LinkFault::None}; ///< In force.
+    ConnectionServer server; ///< Last, so that it starts when the rest stands.
 
 public:
     const std::string address; ///< ip:port of this end.
-
-private:
-    std::atomic<LinkFault> fault{LinkFault::None}; ///< In force.
-    std::atomic<bool> ending{false}; ///< Ends all threads.
-    std::list<std::thread> connections; ///< One each.
-    std::thread accepting; ///< Last, so that it starts when the rest stands.
 };
 
 } // namespace Chestnuthook::Testing
--- a/tests/support/process_fleet.cpp
+++ b/tests/support/process_fleet.cpp
@@ -226,6 +226,9 @@
 
 TemporaryFolder::~TemporaryFolder()
 {
+    if (this->isKept) {
+        return;
+    }
     std::error_code error;
     std::filesystem::remove_all(this->path, error);
 }
--- a/tests/support/process_fleet.h
+++ b/tests/support/process_fleet.h
@@ -149,7 +149,7 @@
 /** @p count loopback ports as ip:port, held like one of heldAddress(). */
 std::vector<std::string> freeAddresses(int count);
 
-/** A folder that is removed with the object. */
+/** A folder that is removed with the object, unless it is to be kept. */
 struct TemporaryFolder
 {
     TemporaryFolder();
@@ -157,6 +157,7 @@
     TemporaryFolder(const TemporaryFolder &) = delete;
     TemporaryFolder &operator=(const TemporaryFolder &) = delete;
     std::string path; ///< Where it is.
+    bool isKept = false; ///< Stays after the object; set where a failure is to be looked into.
 };
 
 /** The whole of a file; empty where it can't be read. */
--- a/tests/support/raw_server.cpp
+++ b/tests/support/raw_server.cpp
@@ -1,10 +1,8 @@
-/** @file raw_server.cpp  Threads and framing of the stand-in server. */
+/** @file raw_server.cpp  Framing of the stand-in server. */
 #include "support/raw_server.h"
 
 #include <utility>
 
-#include <Poco/Exception.h>
-
 namespace Chestnuthook::Testing
 {
 
@@ -20,43 +18,19 @@
 } // namespace
 
 RawServer::RawServer(const std::string &ip, Handler handler)
-    : socket(Poco::Net::SocketAddress(ip, 0))
-    , address(this->socket.address().toString())
-    , handler(std::move(handler))
-    , accepting([this]() {
-        this->accept();
-    })
-{
-}
-
-RawServer::~RawServer()
-{
-    this->ending = true;
-    this->accepting.join();
-    for (std::thread &one : this->connections) {
-        one.join();
-    }
-}
-
-void RawServer::accept()
+    : handler(std::move(handler))
+    , server(ip,
+          [this](Poco::Net::StreamSocket &connection, const std::atomic<bool> &ending) {
+              this->answer(connection, ending);
+          })
+    , address(this->server.address)
 {
-    while (!this->ending) {
-        if (this->socket.poll(Poco::Timespan(0, 20000), Poco::Net::Socket::SELECT_READ)) {
-            this->connections.emplace_back([this, connection = this->socket.acceptConnection()]() mutable {
-                try {
-                    this->serve(connection);
-                } catch (const Poco::Exception &) {
-                    // The other side has closed the connection.
-                }
-            });
-        }
-    }
 }
 
-void RawServer::serve(Poco::Net::StreamSocket &connection)
+void RawServer::answer(Poco::Net::StreamSocket &connection, const std::atomic<bool> &ending) const
 {
     std::string bytes;
-    while (!this->ending) {
+    while (!ending) {
         const std::size_t end = bytes.find("\r\n\r\n");
         const std::size_t length = end == std::string::npos ? 0 : lengthOf(bytes.substr(0, end));
         if (end != std::string::npos && bytes.size() >= end + 4 + length) {
@@ -94,7 +68,6 @@
         + extra + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-/** @p answer without its last @p bytes, and then the end of the connection. */
 std::string cutShort(const std::string &answer, std::size_t bytes)
 {
     return answer.substr(0, answer.size() - bytes) + std::string(CloseMark);
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -4,13 +4,10 @@
 #include <atomic>
 #include <chrono>
 #include <functional>
-#include <list>
 #include <string>
 #include <string_view>
-#include <thread>
 
-#include <Poco/Net/ServerSocket.h>
-#include <Poco/Net/StreamSocket.h>
+#include "support/connection_server.h"
 
 namespace Chestnuthook::Testing
 {
@@ -26,24 +23,15 @@
 
     /** Listens on a free port of @p ip; @p handler runs on the connections' threads. */
     RawServer(const std::string &ip, Handler handler);
-    ~RawServer();
-    RawServer(const RawServer &) = delete;
-    RawServer &operator=(const RawServer &) = delete;
 
 private:
-    void accept();
-    void serve(Poco::Net::StreamSocket &connection);
+    void answer(Poco::Net::StreamSocket &connection, const std::atomic<bool> &ending) const;
 
-    Poco::Net::ServerSocket socket; ///< Listens.
+    Handler handler; ///< As given.
+    ConnectionServer server; ///< Last, so that it starts when the handler stands.
 
 public:
     const std::string address; ///< ip:port.
-
-private:
-    Handler handler; ///< As given.
-    std::atomic<bool> ending{false}; ///< Ends all threads.
-    std::list<std::thread> connections; ///< One each.
-    std::thread accepting; ///< Last, so that it starts when the rest stands.
 };
 
 /** The field @p name of @p head; empty where it is missing. */
