Log the requests that a stopping gateway cuts, and when its last one came

The log of a planned stop had only the number of active requests at the end. It could not tell a gateway that accepts requests until it ends (hypothesis 1 of the LOST postmortem) from one that loses early ones (2). Now each request that is active at the end is a line with its arrival and deadline relative to SIGTERM, and drain_finished has the number of arrivals after SIGTERM and the time of the last one.

--- a/src/gateway/gateway_base.cpp
+++ b/src/gateway/gateway_base.cpp
@@ -127,6 +127,29 @@
     return (elapsed >= arrivalPeriod && activeRequests == 0) || elapsed >= grace - StopKillMargin;
 }
 
+void Gateway::drain()
+{
+    this->draining = true;
+    this->drainStartedAt = this->now();
+}
+
+void Gateway::logShutdown() const
+{
+    const auto sinceDrain = [this](Instant time) {
+        return std::to_string((time - this->drainStartedAt).count() / 1000);
+    };
+    for (const Call *call : this->activeCalls) {
+        logEvent(EventKind::CallAborted,
+            {{"request", call->metadata.requestId}, {"reason", "the process ends"},
+                {"arrived_ms", sinceDrain(call->exchange.received)}, {"deadline_ms", sinceDrain(call->deadline)},
+                {"events", std::to_string(call->deliveredEvents)}});
+    }
+    logEvent(EventKind::DrainFinished,
+        {{"left", std::to_string(this->activeCalls.size())}, {"arrivals", std::to_string(this->drainArrivals)},
+            {"last_arrival_ms", this->drainArrivals == 0 ? "none" : sinceDrain(this->lastDrainArrival)},
+            {"ms", sinceDrain(this->now())}});
+}
+
 std::vector<EndpointStrike> Gateway::takeStrikes()
 {
     return std::exchange(this->strikes, {});
@@ -135,6 +158,12 @@
 void Gateway::handleRequest(kj::WaitScope &scope, HttpExchange &exchange)
 {
     Call call(exchange);
+    this->activeCalls.insert(&call);
+    KJ_DEFER(this->activeCalls.erase(&call));
+    if (this->draining) {
+        ++this->drainArrivals;
+        this->lastDrainArrival = exchange.received;
+    }
     while (this->configuration == nullptr && this->now() - exchange.received < ConfigurationWait) {
         this->loop.kjTimer().afterDelay(PollInterval).wait(scope);
     }
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -71,10 +71,9 @@
      * had time to notice it, or the @p grace period, after which the process is killed, is nearly over. */
     [[nodiscard]] static bool isShutdownDone(Duration elapsed, std::size_t activeRequests, Duration grace);
     /** Reports this gateway as not ready from now on. Requests that still arrive are served. */
-    void drain()
-    {
-        this->draining = true;
-    }
+    void drain();
+    /** Logs the requests that are active when the process ends, and when the last one was accepted. */
+    void logShutdown() const;
     /** Returns the strikes since the last call. A strike names a request that was in flight at an endpoint when the
      * endpoint went down. */
     [[nodiscard]] std::vector<EndpointStrike> takeStrikes();
@@ -129,7 +128,11 @@
     kj::Maybe<kj::ForkedPromise<void>> pendingCreditRequest; ///< Credit request to the leader that is in flight.
     Instant creditRetryAt{0}; ///< After a failed credit request, the leader is considered unreachable until then.
     std::vector<EndpointStrike> strikes; ///< Not reported yet.
+    std::set<const Call *> activeCalls; ///< Calls that are being handled.
     bool draining = false; ///< See `drain`.
+    Instant drainStartedAt{0}; ///< When `drain` was called.
+    Instant lastDrainArrival{0}; ///< When the last request arrived while draining; 0 for none.
+    unsigned drainArrivals = 0; ///< Number of requests that arrived while draining.
 };
 
 } // namespace Chestnuthook
--- a/src/table/event_table.cpp
+++ b/src/table/event_table.cpp
@@ -39,6 +39,7 @@
     {EventKind::CallEnded, EventLevel::Debug},
     {EventKind::CallResent, EventLevel::Warning},
     {EventKind::CallRefused, EventLevel::Info},
+    {EventKind::CallAborted, EventLevel::Warning},
     {EventKind::AttemptFailed, EventLevel::Warning},
     {EventKind::EndpointUp, EventLevel::Info},
     {EventKind::EndpointDown, EventLevel::Warning},
