Failing test: a request taken late in a planned stop is cut

80 clients, half on connections opened before SIGTERM, send a request each in the course of a stop of 5 s to an endpoint that takes 1 s.

--- a/tests/process/platform_test.cpp
+++ b/tests/process/platform_test.cpp
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <fstream>
 #include <mutex>
+#include <thread>
 
 #include <Poco/Net/StreamSocket.h>
 
@@ -20,6 +21,9 @@
 namespace
 {
 
+constexpr auto SlowExecutionTime = 1s; ///< Time that the fake endpoints take for paths that end in /slow.
+constexpr unsigned GracePeriodSeconds = 5; ///< Longer than the timeout of each route.
+
 /** A fake endpoint whose behaviour depends on the path. It records the requests that it ran. */
 class Endpoint
 {
@@ -62,6 +66,9 @@
             this->bodies[id] = body;
             this->heads[id] = head;
         }
+        if (path.ends_with("/slow")) {
+            std::this_thread::sleep_for(SlowExecutionTime);
+        }
         if (path.ends_with("/lost")) {
             return std::string(CloseMark);
         }
@@ -189,6 +196,7 @@
         instance.rpcPort = this->rpcPort;
         instance.seeds = {"127.0.0.2:1"};
         instance.platformAddress = this->platform.address;
+        instance.gracePeriodSeconds = GracePeriodSeconds;
         instance.isBootstrap = isBootstrap;
         this->processes[name] = startInstance(instance, this->folder.path);
     }
@@ -327,3 +335,46 @@
     BOOST_TEST(this->deployment.call("GET", "/safe/x", "r1").status == 200);
     BOOST_TEST(this->deployment.processes["gateway"]->wait() == 0);
 }
+
+BOOST_FIXTURE_TEST_CASE(request_taken_late_in_a_planned_stop_is_not_cut, Fixture)
+{
+    constexpr std::size_t RequestsPerKind = 40;
+    constexpr auto RequestInterval = std::chrono::milliseconds(GracePeriodSeconds * 1000 / RequestsPerKind);
+    const Poco::Net::SocketAddress gateway(this->deployment.clientAddress);
+    std::vector<Poco::Net::StreamSocket> connections(2 * RequestsPerKind);
+    for (std::size_t i = 0; i < RequestsPerKind; ++i) {
+        connections[i].connect(gateway); // The first half are kept open from before the stop.
+    }
+    this->deployment.processes["gateway"]->signal(SIGTERM);
+    const auto stopStart = std::chrono::steady_clock::now();
+    std::vector<std::string> responses(connections.size());
+    std::vector<std::jthread> clients;
+    for (std::size_t i = 0; i < connections.size(); ++i) {
+        clients.emplace_back([&, i]() {
+            std::this_thread::sleep_until(stopStart + i % RequestsPerKind * RequestInterval);
+            try {
+                if (i >= RequestsPerKind) {
+                    connections[i].connect(gateway);
+                }
+                const std::string request = "POST /unsafe/slow HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: s"
+                    + std::to_string(i) + "\r\nAuthorization: Bearer key\r\nContent-Length: 1\r\n\r\nx";
+                connections[i].sendBytes(request.data(), static_cast<int>(request.size()));
+                responses[i] = readUntilIdle(connections[i], 4s);
+            } catch (const Poco::Exception &) {
+                // The gateway refuses connections or has closed this one.
+            }
+        });
+    }
+    clients.clear();
+    unsigned served = 0;
+    for (std::size_t i = 0; i < connections.size(); ++i) {
+        const std::string id = "s" + std::to_string(i);
+        if (this->deployment.endpoint.runsOf(id) != 0) {
+            const bool isWhole = responses[i].starts_with("HTTP/1.1 200") && responses[i].ends_with("ok");
+            BOOST_TEST(isWhole, id + " ran, and its response is: " + responses[i]);
+            ++served;
+        }
+    }
+    BOOST_TEST(served > 0U);
+    BOOST_TEST(this->deployment.processes["gateway"]->wait() == 0);
+}
--- a/tests/support/raw_server.cpp
+++ b/tests/support/raw_server.cpp
@@ -73,13 +73,9 @@
     return response.substr(0, response.size() - bytes) + std::string(CloseMark);
 }
 
-std::string sendRawRequest(
-    const std::string &address, const std::string &request, std::chrono::milliseconds idleTimeout)
+std::string readUntilIdle(Poco::Net::StreamSocket &connection, std::chrono::milliseconds idleTimeout)
 {
     const auto wait = Poco::Timespan(std::chrono::duration_cast<std::chrono::microseconds>(idleTimeout).count());
-    Poco::Net::StreamSocket connection;
-    connection.connect(Poco::Net::SocketAddress(address), wait);
-    connection.sendBytes(request.data(), static_cast<int>(request.size()));
     std::string bytes;
     char buffer[4096];
     while (connection.poll(wait, Poco::Net::Socket::SELECT_READ)) {
@@ -92,4 +88,14 @@
     return bytes;
 }
 
+std::string sendRawRequest(
+    const std::string &address, const std::string &request, std::chrono::milliseconds idleTimeout)
+{
+    const auto wait = Poco::Timespan(std::chrono::duration_cast<std::chrono::microseconds>(idleTimeout).count());
+    Poco::Net::StreamSocket connection;
+    connection.connect(Poco::Net::SocketAddress(address), wait);
+    connection.sendBytes(request.data(), static_cast<int>(request.size()));
+    return readUntilIdle(connection, idleTimeout);
+}
+
 } // namespace Chestnuthook::Testing
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -43,6 +43,9 @@
 /** @p response without its last @p bytes, followed by the close of the connection. */
 std::string truncateAndClose(const std::string &response, std::size_t bytes);
 
+/** Reads from @p connection until it closes or stays idle for @p idleTimeout. @throws Poco::Exception if it fails. */
+std::string readUntilIdle(Poco::Net::StreamSocket &connection, std::chrono::milliseconds idleTimeout);
+
 /** Sends @p request to @p address on a new connection. @return all bytes received until the connection closes or stays
  * idle for @p idleTimeout. @throws Poco::Exception if the connection fails. */
 std::string sendRawRequest(
