A stopping gateway accepts only requests that it can finish

Streams that a gateway took 7 s after SIGTERM, on new and on kept connections, were cut when it ended 0.6 s before the end of its grace period.

Cause: the stop had one time limit. Until it the gateway accepted connections and requests with their full deadlines; at the limit the process ended, whatever was active. Class: a process that goes on accepting work for which it has no time left.

Evidence: `call_aborted ... arrived_ms=4249 deadline_ms=7249` and `drain_finished left=16 ... last_arrival_ms=4374 ms=4405` in the failing test. Hypothesis 2 (clients keep coming since no other gateway is listed) is true too, but no cause: a client may use a list for 6 s and a connection for longer.

Change: a ShutdownSchedule. Requests are accepted only while the longest timeout of a route ends before the process does. Then the ports and idle connections are closed, so that clients go elsewhere at once, and what was being read is rejected with 503, which says that it has not run. In the last 2 s of acceptance the process ends as soon as it is idle: it is back sooner, and its port is never closed while it finishes requests.

The unit test of the old rule expected the process to wait for three lives of a client's list even when idle. That wait was what made it accept work late. Its replacement checks each bound of the schedule, for more grace periods and timeouts; one life of a list is still waited for.

--- a/src/deployment/instance_registry_base.h
+++ b/src/deployment/instance_registry_base.h
@@ -31,8 +31,8 @@
     std::vector<InstanceInfo> instances, const std::string &dataCentre);
 inline constexpr std::size_t MaxListedGateways = 64; ///< Gateways in one response to a client.
 /** Time for which clients are told to cache a gateway list, if a planned stop may take @p stopGrace. A client that asks
- * an unresponsive member loses a second, so clients should ask rarely. But a stopping gateway has to serve until the
- * last client has asked again. */
+ * an unresponsive member loses a second, so clients should ask rarely. But a stopping gateway has to serve until most
+ * clients have asked again. */
 [[nodiscard]] Duration gatewayListTtl(Duration stopGrace);
 /** Some clients cache a gateway list for up to this many times its TTL. */
 inline constexpr int MaxTtlOverrunFactor = 3;
--- a/src/gateway/gateway_base.cpp
+++ b/src/gateway/gateway_base.cpp
@@ -18,7 +18,8 @@
 
 /** A gateway that has just started waits this long for a configuration before it rejects a request. */
 constexpr Duration ConfigurationWait = std::chrono::milliseconds(700);
-constexpr double ShortRetryAfterSeconds = 0.2; ///< Used if a gateway or history member is expected to be ready soon.
+constexpr double ShortRetryAfterSeconds =
+    0.2; ///< Used if another gateway or history member can serve the request soon.
 constexpr double QuarantineRetryAfterSeconds = 10; ///< Used for quarantined requests, which crash endpoints.
 /** After this long without a reply to a credit request the leader is considered unreachable. */
 constexpr auto CreditReplyTimeout = 80 * kj::MILLISECONDS;
@@ -33,10 +34,6 @@
 constexpr auto PollInterval = 20 * kj::MILLISECONDS;
 /** A turn is rejected if the history members don't reply within this time. */
 constexpr Duration HistoryTimeout = std::chrono::milliseconds(1600);
-/** Allows for the transmission of requests that clients send just before their list of gateways expires. */
-constexpr Duration StopArrivalMargin = std::chrono::milliseconds(200);
-/** A graceful shutdown with active requests ends this long before the grace period does. */
-constexpr Duration StopKillMargin = std::chrono::milliseconds(600);
 /** Token claims are stored this much longer than the turns of their route. */
 constexpr std::uint64_t ClaimExtraRetentionMs = 60000;
 
@@ -121,10 +118,15 @@
     return limits;
 }
 
-bool Gateway::isShutdownDone(Duration elapsed, std::size_t activeRequests, Duration grace)
+ShutdownSchedule Gateway::shutdownSchedule(Duration grace) const
 {
-    const Duration arrivalPeriod = gatewayListTtl(grace) * MaxTtlOverrunFactor + StopArrivalMargin;
-    return (elapsed >= arrivalPeriod && activeRequests == 0) || elapsed >= grace - StopKillMargin;
+    Duration longestRequest(0);
+    if (this->configuration != nullptr) {
+        for (const RouteConfig &route : this->configuration->routes) {
+            longestRequest = std::max<Duration>(longestRequest, route.timeout);
+        }
+    }
+    return Chestnuthook::shutdownSchedule(grace, longestRequest);
 }
 
 void Gateway::drain()
@@ -202,6 +204,10 @@
         return false;
     }
     call.metadata = std::move(*metadata);
+    if (!this->accepting) {
+        this->reject(scope, call, HttpStatus::Unavailable, "the gateway is stopping", ShortRetryAfterSeconds);
+        return false;
+    }
     const std::string *host = call.exchange.head.fields.find("Host");
     call.route = host == nullptr ? nullptr : call.configuration->findRoute(*host, call.exchange.head.path());
     if (call.route == nullptr) {
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -16,6 +16,7 @@
 #include "gateway/header_codec_type.h"
 #include "gateway/load_balancer_base.h"
 #include "gateway/rate_limiter_base.h"
+#include "gateway/shutdown_schedule_func.h"
 #include "history/history_client_base.h"
 #include "http/http_server_base.h"
 
@@ -67,11 +68,15 @@
         return this->configuration != nullptr && !this->draining;
     }
     [[nodiscard]] HttpLimits limits() const;
-    /** Whether a graceful shutdown that started @p elapsed ago may finish: either no request is active and clients have
-     * had time to notice it, or the @p grace period, after which the process is killed, is nearly over. */
-    [[nodiscard]] static bool isShutdownDone(Duration elapsed, std::size_t activeRequests, Duration grace);
+    /** Schedule of a stop with the configuration in force. */
+    [[nodiscard]] ShutdownSchedule shutdownSchedule(Duration grace) const;
     /** Reports this gateway as not ready from now on. Requests that still arrive are served. */
     void drain();
+    /** Rejects requests that arrive from now on; those that are active go on. */
+    void stopAccepting()
+    {
+        this->accepting = false;
+    }
     /** Logs the requests that are active when the process ends, and when the last one was accepted. */
     void logShutdown() const;
     /** Returns the strikes since the last call. A strike names a request that was in flight at an endpoint when the
@@ -130,6 +135,7 @@
     std::vector<EndpointStrike> strikes; ///< Not reported yet.
     std::set<const Call *> activeCalls; ///< Calls that are being handled.
     bool draining = false; ///< See `drain`.
+    bool accepting = true; ///< See `stopAccepting`.
     Instant drainStartedAt{0}; ///< When `drain` was called.
     Instant lastDrainArrival{0}; ///< When the last request arrived while draining; 0 for none.
     unsigned drainArrivals = 0; ///< Number of requests that arrived while draining.
--- a/src/http/http_server_base.cpp
+++ b/src/http/http_server_base.cpp
@@ -72,8 +72,12 @@
     , limits(std::move(limits))
     , handler(std::move(handler))
     , fibers(StackBytes)
+    , stopped(nullptr)
     , tasks(*this)
 {
+    auto pair = kj::newPromiseAndFulfiller<void>();
+    this->stopFulfiller = kj::mv(pair.fulfiller);
+    this->stopped = pair.promise.fork();
 }
 
 HttpServer::HttpServer(ControlLoop &loop, Handler handler)
@@ -90,8 +94,8 @@
 {
     return this->loop.rpc().network.parseAddress(address).then([this](kj::Own<kj::NetworkAddress> &&parsed) {
         auto receiver = parsed->listen();
-        auto accepting = this->acceptLoop(*receiver);
-        return accepting.attach(kj::mv(receiver), kj::mv(parsed));
+        auto acceptsUntilStopped = this->acceptLoop(*receiver).exclusiveJoin(this->stopped.addBranch());
+        return acceptsUntilStopped.attach(kj::mv(receiver), kj::mv(parsed));
     });
 }
 
@@ -114,8 +118,14 @@
     kj::Timer &timer = this->loop.kjTimer();
     while (true) {
         if (input.unreadBytes().empty()) {
+            if (!this->accepting) {
+                return;
+            }
             input.setDeadline(timer, timer.now() + kjDuration(this->limits().idleTimeout));
-            if (!input.readMore().wait(scope)) {
+            auto stop = this->stopped.addBranch().then([]() {
+                return false;
+            });
+            if (!input.readMore().exclusiveJoin(kj::mv(stop)).wait(scope)) {
                 return;
             }
         }
--- a/src/http/http_server_base.h
+++ b/src/http/http_server_base.h
@@ -81,7 +81,8 @@
     /** Uses the default limits. */
     HttpServer(ControlLoop &loop, Handler handler);
 
-    /** Accepts connections at @p address. The promise never resolves; it is rejected if the address can't be bound. */
+    /** Accepts connections at @p address. The promise resolves when `stopAccepting` is called; it is rejected if the
+     * address can't be bound. */
     [[nodiscard]] kj::Promise<void> listen(const std::string &address);
 
     /** Closes each connection after its next response from now on. */
@@ -89,6 +90,12 @@
     {
         this->draining = true;
     }
+    /** Closes the ports and all connections without an active request. */
+    void stopAccepting()
+    {
+        this->accepting = false;
+        this->stopFulfiller->fulfill();
+    }
     /** Number of requests whose handlers are running. */
     [[nodiscard]] std::size_t activeRequestCount() const
     {
@@ -110,6 +117,9 @@
     Handler handler;
     kj::FiberPool fibers; ///< Reuses the stacks of finished fibers.
     bool draining = false; ///< See `drain`.
+    bool accepting = true; ///< See `stopAccepting`.
+    kj::Own<kj::PromiseFulfiller<void>> stopFulfiller; ///< Resolves `stopped`.
+    kj::ForkedPromise<void> stopped; ///< Resolves when `stopAccepting` is called.
     std::size_t activeRequests = 0; ///< See `activeRequestCount`.
     kj::TaskSet tasks; ///< One task per connection. Declared last, so that the tasks are cancelled first.
 };
--- a/tests/unit/gateway_decision_test.cpp
+++ b/tests/unit/gateway_decision_test.cpp
@@ -198,14 +198,35 @@
     BOOST_TEST(simulate(true) > simulate(false));
 }
 
+BOOST_AUTO_TEST_CASE(stopping_gateway_accepts_no_request_that_it_could_not_finish)
+{
+    for (const int graceSeconds : {1, 2, 4, 5, 8, 30}) {
+        for (const int requestMs : {100, 500, 1200, 3000, 4000, 20000}) {
+            const Duration grace = std::chrono::seconds(graceSeconds);
+            const Duration longest = std::chrono::milliseconds(requestMs);
+            const ShutdownSchedule schedule = shutdownSchedule(grace, longest);
+            BOOST_TEST((schedule.endIdleAfter <= schedule.acceptFor && schedule.acceptFor <= schedule.endAfter));
+            BOOST_TEST((schedule.endAfter < grace));
+            // One life of a list of gateways has to pass before the port is closed, however long requests may take.
+            const bool finishes = schedule.acceptFor + longest < schedule.endAfter;
+            BOOST_TEST((finishes || schedule.acceptFor <= gatewayListTtl(grace) + std::chrono::milliseconds(200)));
+            BOOST_TEST((schedule.endIdleAfter >= std::min(gatewayListTtl(grace), schedule.endAfter)));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(graceful_shutdown_waits_for_clients_and_requests_within_the_grace_period)
 {
-    constexpr Duration Grace = std::chrono::seconds(8);
-    const Duration arrivalPeriod = gatewayListTtl(Grace) * MaxTtlOverrunFactor;
-    BOOST_TEST(!Gateway::isShutdownDone(arrivalPeriod, 0, Grace));
-    BOOST_TEST(Gateway::isShutdownDone(arrivalPeriod + std::chrono::seconds(1), 0, Grace));
-    BOOST_TEST(!Gateway::isShutdownDone(arrivalPeriod + std::chrono::seconds(1), 1, Grace));
-    BOOST_TEST(Gateway::isShutdownDone(std::chrono::milliseconds(7500), 1, Grace));
+    for (const int requestMs : {100, 1000, 3000, 20000}) {
+        const Duration grace = std::chrono::seconds(8);
+        const ShutdownSchedule schedule = shutdownSchedule(grace, std::chrono::milliseconds(requestMs));
+        BOOST_TEST(!schedule.isDone(gatewayListTtl(grace), 0));
+        BOOST_TEST(!schedule.isDone(schedule.endIdleAfter - Duration(1), 0));
+        BOOST_TEST(schedule.isDone(schedule.endIdleAfter, 0));
+        BOOST_TEST(!schedule.isDone(schedule.acceptFor, 1));
+        BOOST_TEST(!schedule.isDone(schedule.endAfter - Duration(1), 1));
+        BOOST_TEST(schedule.isDone(schedule.endAfter, 1));
+    }
 }
 
 BOOST_AUTO_TEST_CASE(clients_drop_a_stopping_gateway_before_its_grace_period_ends)
