Log the software version of endpoints, and which requests take up a stream

The list's `version` and the request field `Resumes` are now decoded and carried along; call_dispatched has the version, and a line stream_resumed says who takes a stream up (client or gateway), at which endpoint and version. Nothing is decided by it yet.

--- a/src/deployment/deployment_member_base.cpp
+++ b/src/deployment/deployment_member_base.cpp
@@ -354,6 +354,7 @@
             list[i].setDataCentre(wireText(endpoint.dataCentre));
             list[i].setSlots(endpoint.slots);
             list[i].setLeaving(endpoint.leaving);
+            list[i].setVersion(wireText(endpoint.version));
         }
     }
     if (hasPart(parts, UpdatePart::Instances)) {
--- a/src/deployment/deployment_watcher_base.cpp
+++ b/src/deployment/deployment_watcher_base.cpp
@@ -179,8 +179,9 @@
     if (hasPart(parts, UpdatePart::Endpoints)) {
         this->view.endpoints.clear();
         for (const auto entry : update.getEndpoints()) {
-            this->view.endpoints.push_back({textOf(entry.getId()), textOf(entry.getService()),
-                textOf(entry.getAddress()), textOf(entry.getDataCentre()), entry.getSlots(), entry.getLeaving()});
+            this->view.endpoints.push_back(
+                {textOf(entry.getId()), textOf(entry.getService()), textOf(entry.getAddress()),
+                    textOf(entry.getDataCentre()), entry.getSlots(), entry.getLeaving(), textOf(entry.getVersion())});
         }
     }
     if (hasPart(parts, UpdatePart::Instances)) {
--- a/src/gateway/gateway_run.cpp
+++ b/src/gateway/gateway_run.cpp
@@ -152,9 +152,15 @@
         return AttemptResult::NotExecuted;
     }
     logEvent(EventKind::CallDispatched,
-        {{"request", call.metadata.requestId}, {"endpoint", endpoint.id}, {"kept", reused ? "yes" : "no"},
-            {"load", this->loadBalancer.describeLoad(this->now(), endpoint.id)},
+        {{"request", call.metadata.requestId}, {"endpoint", endpoint.id}, {"version", endpoint.version},
+            {"kept", reused ? "yes" : "no"}, {"load", this->loadBalancer.describeLoad(this->now(), endpoint.id)},
             {"ms", std::to_string((this->now() - call.exchange.received).count() / 1000)}});
+    if (!call.metadata.lastEventId.empty() || call.exchange.hasStarted()) {
+        logEvent(EventKind::StreamResumed,
+            {{"request", call.metadata.requestId}, {"resumes", call.metadata.resumedRequest},
+                {"by", call.exchange.hasStarted() ? "gateway" : "client"}, {"endpoint", endpoint.id},
+                {"version", endpoint.version}});
+    }
     this->loadBalancer.recordRequestStart(endpoint.id);
     KJ_DEFER(this->loadBalancer.recordRequestEnd(endpoint.id));
     const AttemptResult result = this->sendAndReceive(scope, call, endpoint, *connection);
--- a/src/gateway/header_codec_type.h
+++ b/src/gateway/header_codec_type.h
@@ -28,6 +28,7 @@
     std::uint32_t promptParts = 0; ///< Number of parts of the prompt that can be cached separately.
     std::string previousTurn; ///< Request id of the turn that the request continues; empty for none.
     std::string lastEventId; ///< Last event that the client received of a stream that it resumes.
+    std::string resumedRequest; ///< Request id of the attempt that received the first event of that stream.
 };
 
 /** Metadata that the gateway adds to an attempt at an endpoint. */
--- a/src/rpc/deployment.capnp
+++ b/src/rpc/deployment.capnp
@@ -35,6 +35,7 @@
     dataCentre @3 :Text;
     slots @4 :UInt32;
     leaving @5 :Bool;
+    version @6 :Text;           # Of its software; empty where the list doesn't say.
 }
 
 struct HistoryMember {
--- a/src/rpc/deployment.capnp.h
+++ b/src/rpc/deployment.capnp.h
@@ -90,7 +90,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8e42e09f00ae2656, 1, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(8e42e09f00ae2656, 1, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -586,6 +586,9 @@
 
   inline bool getLeaving() const;
 
+  inline bool hasVersion() const;
+  inline  ::capnp::Text::Reader getVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -648,6 +651,13 @@
   inline bool getLeaving();
   inline void setLeaving(bool value);
 
+  inline bool hasVersion();
+  inline  ::capnp::Text::Builder getVersion();
+  inline void setVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVersion(unsigned int size);
+  inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVersion();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2527,6 +2537,40 @@
       ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool EndpointEntry::Reader::hasVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool EndpointEntry::Builder::hasVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader EndpointEntry::Reader::getVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder EndpointEntry::Builder::getVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void EndpointEntry::Builder::setVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder EndpointEntry::Builder::initVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void EndpointEntry::Builder::adoptVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> EndpointEntry::Builder::disownVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline bool HistoryMember::Reader::hasIdentity() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/table/event_table.cpp
+++ b/src/table/event_table.cpp
@@ -38,6 +38,7 @@
     {EventKind::CallFirstToken, EventLevel::Debug},
     {EventKind::CallEnded, EventLevel::Debug},
     {EventKind::CallResent, EventLevel::Warning},
+    {EventKind::StreamResumed, EventLevel::Info},
     {EventKind::CallRefused, EventLevel::Info},
     {EventKind::CallAborted, EventLevel::Warning},
     {EventKind::AttemptFailed, EventLevel::Warning},
--- a/tests/unit/platform_decode_test.cpp
+++ b/tests/unit/platform_decode_test.cpp
@@ -122,7 +122,7 @@
 {
     const auto page = readEndpointPage(R"({"instances":[
         {"id":"i1","service":"s","addr":"1.2.3.4:5","zone":"z","slots":8,"state":"ready"},
-        {"id":"i2","service":"s","addr":"1.2.3.4:6","zone":"z","slots":8,"state":"draining","born":1},
+        {"id":"i2","service":"s","addr":"1.2.3.4:6","zone":"z","slots":8,"state":"draining","born":1,"version":"v1.2"},
         {"id":"i3","service":"s","addr":"1.2.3.4:7","zone":"z","slots":8,"state":"odd"},
         {"id":5,"service":"s","addr":"1.2.3.4:7","zone":"z","slots":8,"state":"ready"},
         {"service":"s"}, 7, "x", null],"nextToken":"p-50"})");
@@ -130,6 +130,8 @@
     BOOST_REQUIRE(page->endpoints.size() == 2U);
     BOOST_TEST(!page->endpoints[0].leaving);
     BOOST_TEST(page->endpoints[1].leaving);
+    BOOST_TEST(page->endpoints[0].version.empty());
+    BOOST_TEST(page->endpoints[1].version == "v1.2");
     BOOST_TEST(page->nextPage == "p-50");
     BOOST_TEST(readEndpointPage(R"({"instances":[],"nextToken":null})")->nextPage.empty());
     BOOST_TEST(!readEndpointPage("{}").has_value());
@@ -139,10 +141,10 @@
 BOOST_AUTO_TEST_CASE(request_metadata_is_decoded)
 {
     const PlatformHeaderCodec headerCodec;
-    const auto metadata =
-        headerCodec.readRequestMetadata(requestHead({{"x-request-id", "r1"}, {"X-Deadline-Ms", "3000"},
-            {"Authorization", "Bearer key"}, {"X-Program-Id", "p"}, {"X-Finish-Ms", "-5"}, {"X-Token-Budget", "2304"},
-            {"X-Token-Count", "1840,288"}, {"X-Previous-Turn", "r0"}, {"X-Prompt-Prefix", "a:1,b:2"}}));
+    const auto metadata = headerCodec.readRequestMetadata(
+        requestHead({{"x-request-id", "r1"}, {"X-Deadline-Ms", "3000"}, {"Authorization", "Bearer key"},
+            {"X-Program-Id", "p"}, {"X-Finish-Ms", "-5"}, {"X-Token-Budget", "2304"}, {"X-Token-Count", "1840,288"},
+            {"X-Previous-Turn", "r0"}, {"X-Prompt-Prefix", "a:1,b:2"}, {"Last-Event-Id", "7"}, {"Resumes", "r00"}}));
     BOOST_REQUIRE(metadata.has_value());
     BOOST_TEST(metadata->requestId == "r1");
     BOOST_TEST(metadata->key == "key");
@@ -151,6 +153,8 @@
     BOOST_TEST(*metadata->programTokens == 2304U);
     BOOST_TEST(metadata->outputTokens == 288U);
     BOOST_TEST(metadata->promptParts == 2U);
+    BOOST_TEST(metadata->lastEventId == "7");
+    BOOST_TEST(metadata->resumedRequest == "r00");
     BOOST_TEST(!headerCodec.readRequestMetadata(requestHead({{"X-Deadline-Ms", "soon"}})).has_value());
     BOOST_TEST(!headerCodec.readRequestMetadata(requestHead({{"X-Token-Count", "5"}})).has_value());
 }
