An entry that stops answers the requests that it took meanwhile

The entry was idle when it began to stop its HTTP server, but requests that arrived in the up to 250 ms until the accepting thread ended were passed on and then cut. Change: EntryServer::stop lets requests in progress end, unless the drain has timed out; then they are cut as before.

--- a/src/entry/entry_daemon_base.cpp
+++ b/src/entry/entry_daemon_base.cpp
@@ -232,7 +232,7 @@
         });
         idle = calls == 0 && this->context.openRequests == 0;
     }
-    this->server.stop();
+    this->server.stop(!idle); // Requests may have arrived since the entry was found idle.
     this->context.workers.join();
     logEvent(EventKind::DrainFinished, {});
     this->loop.call([this]() {
--- a/src/entry/http_server_base.cpp
+++ b/src/entry/http_server_base.cpp
@@ -52,10 +52,10 @@
     return {};
 }
 
-void EntryServer::stop()
+void EntryServer::stop(bool cutRequests)
 {
     if (this->server != nullptr) {
-        this->server->stopAll(true);
+        this->server->stopAll(cutRequests);
         this->threads->stopAll();
         this->server.reset();
     }
--- a/src/entry/http_server_base.h
+++ b/src/entry/http_server_base.h
@@ -30,9 +30,9 @@
     /** Listens on @p address. Errors: AddressInUse; BadSetting if the certificate can't be loaded. */
     Result<void> start(const std::string &address, const ClientPortSettings &clientPort);
 
-    /** Closes open connections and joins the threads. Must not be called on the control thread, as a traffic thread may
-     * be waiting for it. */
-    void stop();
+    /** Closes open connections and joins the threads. Requests in progress are answered first unless @p cutRequests is
+     * set. Must not be called on the control thread, as a traffic thread may be waiting for it. */
+    void stop(bool cutRequests);
 
 private:
     EntryContext &context; ///< Shared state of the entry.
