Test for an entry whose shutdown doesn't end under steady load

Cause: an entry that got SIGTERM goes on taking new client requests with their full deadlines until a check finds it idle. Clients that keep using its address (no directory, a fixed list) can hold that off until MaxDrainTime (120 s), when all requests are cut, also those taken just before. The comment there says that only work that hangs is cut off.

--- a/tests/process/drain_test.cpp
+++ b/tests/process/drain_test.cpp
@@ -191,3 +191,31 @@
     }
     BOOST_TEST(entry.wait() == 0);
 }
+
+/** Clients that use an address for longer than the directory allows must neither prolong the shutdown nor be cut. */
+BOOST_AUTO_TEST_CASE(shutdown_ends_while_clients_go_on_sending)
+{
+    constexpr int Clients = 3;
+    ProcessFleet fleet({.entries = 2});
+    raiseRateLimits(fleet);
+    const std::string path = "/v1/services/" + fleet.service + "/stock?request=";
+    std::atomic<bool> done = false;
+    std::atomic<int> answered = 0;
+    std::vector<std::thread> clients;
+    for (int i = 0; i < Clients; ++i) {
+        clients.emplace_back([&, i]() {
+            for (int number = 0; !done; ++number) {
+                const std::string name = std::to_string(i) + "-" + std::to_string(number);
+                answered += fleet.ask(0, "GET", path + name + "&delay_ms=300").status == 200 ? 1 : 0;
+            }
+        });
+    }
+    ChildProcess &entry = *fleet.processes.at("entry-0");
+    entry.signal(SIGTERM);
+    BOOST_TEST(entry.wait(30s) == 0);
+    done = true;
+    for (std::thread &client : clients) {
+        client.join();
+    }
+    BOOST_TEST(ledgerOf(fleet.serviceAddresses[0]).size() == static_cast<std::size_t>(answered));
+}
