An entry that shuts down takes no new work once the directory has expired

Change: DirectoryMaxAge (2.5 s) after the shutdown began, new client requests get 503 not_ready with ran "no" and Retry-After. openRequests is counted before the check, so a request that isn't refused is waited for. Health, metrics, events and requests that other entries forward are served as before.

--- a/src/entry/entry_context_type.h
+++ b/src/entry/entry_context_type.h
@@ -47,6 +47,7 @@
     EntryId self; ///< Id of this process.
     DataCentreId dataCentre; ///< Data centre of this instance.
     std::atomic<bool> draining = false; ///< A graceful shutdown has started.
+    std::atomic<bool> refusing = false; ///< New client requests are refused, so that a graceful shutdown can end.
     std::atomic<int> openRequests = 0; ///< Requests in progress, including those forwarded by other entries.
 };
 
--- a/src/entry/entry_daemon_base.cpp
+++ b/src/entry/entry_daemon_base.cpp
@@ -223,6 +223,7 @@
 void EntryDaemon::drain()
 {
     std::this_thread::sleep_for(DirectoryMaxAge);
+    this->context.refusing = true;
     const auto end = std::chrono::steady_clock::now() + MaxDrainTime;
     bool idle = false;
     while (!idle && std::chrono::steady_clock::now() < end) {
--- a/src/entry/request_handler_base.cpp
+++ b/src/entry/request_handler_base.cpp
@@ -26,6 +26,7 @@
 constexpr std::streamsize MaxDrainedBodyBytes = 8L * 1024 * 1024;
 constexpr std::size_t MaxEvents = 1000;
 constexpr int DirectoryTtlMs = 2000;
+constexpr std::int64_t ShutdownRetryAfterMs = 1000;
 constexpr std::string_view BearerPrefix = "Bearer ";
 
 Result<std::string> readBody(Poco::Net::HTTPServerRequest &request)
@@ -224,6 +225,10 @@
         replyError(writer, body.error());
         return;
     }
+    if (this->context.refusing) {
+        replyError(writer, Error{ErrorKind::NotReady, "the entry is shutting down", Ran::No, ShutdownRetryAfterMs});
+        return;
+    }
     ClientRequest clientRequest;
     clientRequest.method = request.getMethod();
     clientRequest.uri = request.getURI();
