--- a/src/entry/entry_daemon_base.cpp
+++ b/src/entry/entry_daemon_base.cpp
@@ -223,6 +223,7 @@
 void EntryDaemon::drain()
 {
     std::this_thread::sleep_for(DirectoryMaxAge);
+    this->context.refusing = true;
     const auto end = std::chrono::steady_clock::now() + MaxDrainTime;
     bool idle = false;
     while (!idle && std::chrono::steady_clock::now() < end) {
@@ -232,7 +233,7 @@
         });
         idle = calls == 0 && this->context.openRequests == 0;
     }
-    this->server.stop();
+    this->server.stop(!idle); // Requests may have arrived since the entry was found idle.
     this->context.workers.join();
     logEvent(EventKind::DrainFinished, {});
     this->loop.call([this]() {
