--- a/tests/process/soak_test.cpp
+++ b/tests/process/soak_test.cpp
@@ -238,42 +238,6 @@
     std::deque<FaultyLink> clientLinks; ///< Proxies from the clients to each of `clientAddresses`.
 };
 
-/** Response to one request, as the client received it. */
-struct Response
-{
-    int status = 0; ///< HTTP status; 0 if there was no response.
-    bool complete = false; ///< The body ended as HTTP requires.
-    std::string body; ///< Body without chunk framing.
-};
-
-Response parseResponse(const std::string &bytes)
-{
-    Response response;
-    const std::size_t end = bytes.find("\r\n\r\n");
-    if (!bytes.starts_with("HTTP/1.1 ") || end == std::string::npos) {
-        return response;
-    }
-    response.status = std::stoi(bytes.substr(9, 3));
-    const std::string head = bytes.substr(0, end + 2);
-    std::string rest = bytes.substr(end + 4);
-    if (head.find("chunked") == std::string::npos) {
-        const std::string length = fieldOf(head, "Content-Length");
-        response.complete = length.empty() || rest.size() == std::stoul(length);
-        response.body = rest;
-        return response;
-    }
-    for (std::size_t at = rest.find("\r\n"); at != std::string::npos; at = rest.find("\r\n")) {
-        const std::size_t size = std::stoul(rest.substr(0, at), nullptr, 16);
-        if (size == 0 || rest.size() < at + 2 + size + 2) {
-            response.complete = size == 0 && rest.size() == at + 4;
-            break;
-        }
-        response.body += rest.substr(at + 2, size);
-        rest.erase(0, at + 2 + size + 2);
-    }
-    return response;
-}
-
 /** Runs the schedule and the clients of one seed, and collects violated guarantees. */
 class Soak
 {
@@ -419,7 +383,7 @@
         return kind + "-" + std::to_string(this->seed) + "-" + std::to_string(this->ids++);
     }
 
-    Response call(std::size_t gateway, const std::string &path, const std::string &id, const std::string &key,
+    RawResponse call(std::size_t gateway, const std::string &path, const std::string &id, const std::string &key,
         const std::string &fields = "", const std::string &body = "x")
     {
         const std::string request = "POST " + path
@@ -427,7 +391,7 @@
             + "\r\nX-Deadline-Ms: 2000\r\nAuthorization: Bearer " + key + "\r\n" + fields
             + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
         try {
-            return parseResponse(
+            return parseRawResponse(
                 sendRawRequest(this->deployment.clientLinks[gateway].address, request, ResponseTimeout));
         } catch (const Poco::Exception &) {
             std::this_thread::sleep_for(ExecutionTime); // Nothing is listening there at the moment.
@@ -455,7 +419,7 @@
     void sendRequest(std::size_t gateway, const std::string &kind)
     {
         const std::string id = this->newId(kind);
-        const Response response = this->call(gateway, "/" + kind + "/x", id, "always");
+        const RawResponse response = this->call(gateway, "/" + kind + "/x", id, "always");
         this->recordCall(id, response, kind == "safe" ? 2 : 1);
         if (response.status == 200 && response.complete && response.body != "ran " + id) {
             this->recordViolation("a response is complete and belongs to its request", id);
@@ -475,7 +439,7 @@
             std::string fields = "X-Program-Id: " + program + "\r\nX-Token-Budget: "
                 + std::to_string(ProgramTokenBudget) + "\r\nX-Token-Count: 5," + std::to_string(MaxTurnTokens) + "\r\n";
             fields += previous.empty() ? "" : "X-Previous-Turn: " + previous + "\r\n";
-            const Response response =
+            const RawResponse response =
                 this->call(static_cast<std::size_t>(randomInt(random, 0, 1)), "/turn/x", id, "always", fields, input);
             this->recordCall(id, response, 1, chain + input);
             const std::string first = "id: 1\ndata: a " + id + "\n\n";
@@ -506,7 +470,7 @@
     }
 
     /** Records a call, which `checkGuarantees` compares with the runs at the endpoints. */
-    void recordCall(const std::string &id, const Response &response, unsigned maxRuns, std::string body = {})
+    void recordCall(const std::string &id, const RawResponse &response, unsigned maxRuns, std::string body = {})
     {
         const std::lock_guard lock(this->mutex);
         const bool notRun = response.status == 402 || response.status == 429 || response.status == 503;
--- a/tests/support/raw_server.cpp
+++ b/tests/support/raw_server.cpp
@@ -92,4 +92,32 @@
     return bytes;
 }
 
+RawResponse parseRawResponse(const std::string &bytes)
+{
+    RawResponse response;
+    const std::size_t end = bytes.find("\r\n\r\n");
+    if (!bytes.starts_with("HTTP/1.1 ") || end == std::string::npos) {
+        return response;
+    }
+    response.status = std::stoi(bytes.substr(9, 3));
+    response.head = bytes.substr(0, end + 2);
+    std::string rest = bytes.substr(end + 4);
+    if (response.head.find("chunked") == std::string::npos) {
+        const std::string length = fieldOf(response.head, "Content-Length");
+        response.complete = length.empty() || rest.size() == std::stoul(length);
+        response.body = rest;
+        return response;
+    }
+    for (std::size_t at = rest.find("\r\n"); at != std::string::npos; at = rest.find("\r\n")) {
+        const std::size_t size = std::stoul(rest.substr(0, at), nullptr, 16);
+        if (size == 0 || rest.size() < at + 2 + size + 2) {
+            response.complete = size == 0 && rest.size() == at + 4;
+            break;
+        }
+        response.body += rest.substr(at + 2, size);
+        rest.erase(0, at + 2 + size + 2);
+    }
+    return response;
+}
+
 } // namespace Chestnuthook::Testing
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -48,4 +48,16 @@
 std::string sendRawRequest(
     const std::string &address, const std::string &request, std::chrono::milliseconds idleTimeout);
 
+/** Response to one request, as the client received it. */
+struct RawResponse
+{
+    int status = 0; ///< HTTP status; 0 if there was no response.
+    bool complete = false; ///< The body ended as HTTP requires.
+    std::string head; ///< Status line and header fields.
+    std::string body; ///< Body without chunk framing.
+};
+
+/** Parses the bytes of a response. A chunk that didn't arrive whole is left out of the body. */
+RawResponse parseRawResponse(const std::string &bytes);
+
 } // namespace Chestnuthook::Testing
