Endpoint list of platform_test gives each entry a version

The platform's list has a `version` in each entry; the test's list lacked it. failed_resume_is_not_appended_to_a_started_stream expects an attempt to resume at the second endpoint, which requires that both have the same version once gateways compare versions. No check changes; process/platform_test passes on the present code, which ignores the field.

--- a/tests/process/platform_test.cpp
+++ b/tests/process/platform_test.cpp
@@ -102,7 +102,7 @@
         : platform("127.0.0.1", [this](const std::string & /*head*/, const std::string & /*body*/) {
             const auto entry = [](const std::string &id, const std::string &service, const Endpoint &target) {
                 return R"({"id":")" + id + R"(","service":")" + service + R"(","addr":")" + target.server.address
-                    + R"(","zone":"z","slots":8,"state":"ready"},)";
+                    + R"(","zone":"z","version":"v1","slots":8,"state":"ready"},)";
             };
             const std::string list = R"({"instances":[)" + entry("i-1", "app", this->endpoint)
                 + entry("p-1", "pair", this->endpoint) + entry("p-2", "pair", this->secondEndpoint)
