--- a/tests/support/http_connection.cpp
+++ b/tests/support/http_connection.cpp
@@ -24,7 +24,8 @@
         return response;
     }
     response.status = std::stoi(bytes.substr(9, 3));
-    const std::string head = bytes.substr(0, end + 2);
+    response.head = bytes.substr(0, end + 2);
+    const std::string &head = response.head;
     std::string rest = bytes.substr(end + 4);
     if (head.find("chunked") == std::string::npos) {
         const std::string length = fieldOf(head, "Content-Length");
--- a/tests/support/http_connection.h
+++ b/tests/support/http_connection.h
@@ -16,7 +16,8 @@
     int status = 0; ///< HTTP status; 0 if there was no response.
     bool complete = false; ///< The body ended as HTTP requires.
     bool keepsConnection = false; ///< Complete, and the server doesn't announce that it closes the connection.
-    std::string body; ///< Body without chunk framing.
+    std::string head; ///< Status line and header fields.
+    std::string body; ///< Body without chunk framing. A chunk that didn't arrive whole is left out.
 };
 
 /** Parses the bytes received for one request, which may be incomplete. */
