--- a/src/deployment/endpoint_list_type.h
+++ b/src/deployment/endpoint_list_type.h
@@ -20,7 +20,7 @@
     std::string dataCentre; ///< Data centre of the endpoint.
     unsigned slots = 1; ///< Requests that it can run concurrently.
     bool leaving = false; ///< Shuts down soon and accepts no new requests.
-    std::string version; ///< Version of its software; empty if the list doesn't say.
+    std::string version = {}; ///< Version of its software; empty if the list doesn't say.
     bool operator==(const DeployedEndpoint &) const = default;
 };
 
--- a/src/gateway/gateway_base.cpp
+++ b/src/gateway/gateway_base.cpp
@@ -32,6 +32,8 @@
  */
 constexpr int MinTargetLatenciesLeft = 2;
 constexpr auto PollInterval = 20 * kj::MILLISECONDS;
+/** A resumed stream is rejected if no history member knows where it began within this time. */
+constexpr Duration OriginSearchTimeout = std::chrono::milliseconds(150);
 /** A turn is rejected if the history members don't reply within this time. */
 constexpr Duration HistoryTimeout = std::chrono::milliseconds(1600);
 /** Token claims are stored this much longer than the turns of their route. */
@@ -171,7 +173,8 @@
     }
     call.configuration = this->configuration;
     exchange.closeAfterResponse = exchange.closeAfterResponse || this->draining;
-    if (this->admit(scope, call) && this->beginTurn(scope, call) && this->applyRateLimit(scope, call)) {
+    if (this->admit(scope, call) && this->selectOrigin(scope, call) && this->beginTurn(scope, call)
+        && this->applyRateLimit(scope, call)) {
         this->runAtEndpoints(scope, call);
     }
 }
@@ -241,6 +244,55 @@
     return true;
 }
 
+bool Gateway::selectOrigin(kj::WaitScope &scope, Call &call)
+{
+    const std::vector<RouteTarget> &targets = call.route->targets;
+    std::uint64_t totalWeight = 0;
+    for (const RouteTarget &target : targets) {
+        totalWeight += target.weight;
+    }
+    std::uint64_t weightOffset = hash64(call.metadata.requestId) % totalWeight;
+    for (const RouteTarget &target : targets) {
+        if (weightOffset < target.weight) {
+            call.service = target.service;
+            break;
+        }
+        weightOffset -= target.weight;
+    }
+    const bool isResumption = !call.metadata.lastEventId.empty() || !call.metadata.resumedRequest.empty();
+    if (call.route->kind != RouteKind::Stream || !isResumption) {
+        return true;
+    }
+    if (call.metadata.resumedRequest.empty()) { // The client doesn't say which stream it resumes.
+        call.version = this->loadBalancer.commonVersion(call.service);
+        if (call.version->empty()) {
+            this->reject(scope, call, HttpStatus::Unavailable, "the version that began the stream is not stated",
+                ShortRetryAfterSeconds);
+            return false;
+        }
+        return true;
+    }
+    const StreamKey stream = call.streamKey(call.metadata.resumedRequest);
+    std::optional<StreamOrigin> origin = this->streamOrigins.find(this->now(), stream);
+    if (!origin) {
+        origin =
+            this->history.findStreamOrigin(scope, stream, std::min(call.deadline, this->now() + OriginSearchTimeout));
+    }
+    const bool isTarget = origin && std::any_of(targets.begin(), targets.end(), [&origin](const RouteTarget &target) {
+        return target.weight != 0 && target.service == origin->service;
+    });
+    if (!isTarget) {
+        this->reject(scope, call, HttpStatus::Unavailable,
+            origin ? "the service that began the stream left the route"
+                   : "the version that began the stream is unknown",
+            ShortRetryAfterSeconds);
+        return false;
+    }
+    call.service = origin->service;
+    call.version = origin->version;
+    return true;
+}
+
 void Gateway::startCreditRequest()
 {
     if (this->pendingCreditRequest != nullptr || !this->watcher.hasLeaderContact()) {
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -96,6 +96,8 @@
     };
 
     [[nodiscard]] bool admit(kj::WaitScope &scope, Call &call);
+    /** Selects the service of the request, and for a resumed stream the version at which it may go on. */
+    [[nodiscard]] bool selectOrigin(kj::WaitScope &scope, Call &call);
     [[nodiscard]] bool applyRateLimit(kj::WaitScope &scope, Call &call);
     [[nodiscard]] bool beginTurn(kj::WaitScope &scope, Call &call);
     void runAtEndpoints(kj::WaitScope &scope, Call &call);
@@ -104,8 +106,10 @@
         kj::WaitScope &scope, Call &call, const DeployedEndpoint &endpoint, EndpointConnection &connection);
     [[nodiscard]] AttemptResult relayResponse(
         kj::WaitScope &scope, Call &call, HttpResponseReader &reader, const ResponseHead &head);
-    [[nodiscard]] AttemptResult relayStream(
-        kj::WaitScope &scope, Call &call, HttpResponseReader &reader, const ResponseHead &head);
+    [[nodiscard]] AttemptResult relayStream(kj::WaitScope &scope, Call &call, const DeployedEndpoint &endpoint,
+        HttpResponseReader &reader, const ResponseHead &head);
+    /** Begins the response to the client. The stream may go on only at the version of @p endpoint from then on. */
+    void beginStream(kj::WaitScope &scope, Call &call, const DeployedEndpoint &endpoint, const ResponseHead &head);
     void finishStream(kj::WaitScope &scope, Call &call);
     [[nodiscard]] std::optional<Milliseconds> programTimeLeft(const Call &call) const;
     [[nodiscard]] std::string serializeRequest(const Call &call, const DeployedEndpoint &endpoint) const;
@@ -128,6 +132,7 @@
     LoadBalancer loadBalancer; ///< Selects endpoints.
     ConnectionPool connections; ///< Connections to endpoints.
     HistoryClient history; ///< Stored turns and token budgets.
+    StreamOriginTable streamOrigins; ///< Streams that began at this gateway; history members hold those of all.
     RateLimiter rateLimiter; ///< Enforces the customers' rates.
     std::size_t gatewayCount = 0; ///< Number of live gateways including this one; 0 if not known yet.
     kj::Maybe<kj::ForkedPromise<void>> pendingCreditRequest; ///< Credit request to the leader that is in flight.
--- a/src/gateway/gateway_call_internal.h
+++ b/src/gateway/gateway_call_internal.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "gateway/gateway_base.h"
@@ -16,12 +17,20 @@
     {
     }
 
+    /** Key of the stream of this call's customer whose first event @p request received. */
+    [[nodiscard]] StreamKey streamKey(const std::string &request) const
+    {
+        return {request, this->customer == nullptr ? std::string() : this->customer->name};
+    }
+
     HttpExchange &exchange; ///< The HTTP request and response.
     ConfigurationPtr configuration; ///< Configuration in force when the request arrived; used until the end.
     RequestMetadata metadata; ///< Decoded header fields of the request.
     const RouteConfig *route = nullptr; ///< Points into `configuration`.
     const CustomerConfig *customer = nullptr; ///< Points into `configuration`; null on open routes without a key.
     Instant deadline{0}; ///< When the response is due.
+    std::string service; ///< Service that runs the request.
+    std::optional<std::string> version; ///< Software version at which the stream began; empty before it has begun.
     std::uint64_t fingerprint = 0; ///< Hash of customer, target and body.
     bool isNewProgram = false; ///< This is the first turn of its program.
     std::string historyPrefix; ///< Inputs and outputs of the turns that the request continues.
--- a/src/gateway/gateway_run.cpp
+++ b/src/gateway/gateway_run.cpp
@@ -21,6 +21,8 @@
 constexpr Duration ConnectTimeout = std::chrono::milliseconds(150);
 /** Maximum time for writing a turn to the history after its stream has ended. */
 constexpr Duration HistoryWriteTimeout = std::chrono::milliseconds(1500);
+/** Clients resume a stream at the latest this long after its timeout. */
+constexpr Duration ResumptionPeriod = std::chrono::seconds(30);
 /** Requests with less time left are not sent to an endpoint. */
 constexpr Duration MinUsefulTime = std::chrono::milliseconds(5);
 
@@ -76,18 +78,7 @@
 {
     const RouteConfig &route = *call.route;
     SelectionCriteria criteria;
-    std::uint64_t totalWeight = 0;
-    for (const RouteTarget &target : route.targets) {
-        totalWeight += target.weight;
-    }
-    std::uint64_t weightOffset = hash64(call.metadata.requestId) % totalWeight;
-    for (const RouteTarget &target : route.targets) {
-        if (weightOffset < target.weight) {
-            criteria.service = target.service;
-            break;
-        }
-        weightOffset -= target.weight;
-    }
+    criteria.service = call.service;
     const ServiceConfig &service = call.configuration->services.at(criteria.service);
     if (service.engine) {
         call.tokensPerEvent = service.engine->tokensPerEvent;
@@ -101,6 +92,7 @@
     unsigned endpointTries = 0;
     AttemptResult lastResult = AttemptResult::NotExecuted;
     while (call.deadline - this->now() > MinUsefulTime && endpointTries < MaxEndpointTries) {
+        criteria.version = call.version;
         const DeployedEndpoint *chosen = this->loadBalancer.choose(this->now(), criteria, tried);
         if (chosen == nullptr) {
             break;
@@ -128,8 +120,10 @@
     }
     if (call.executedAttempts == 0) {
         const bool late = call.deadline - this->now() <= MinUsefulTime;
-        this->reject(scope, call, HttpStatus::Unavailable, late ? "no time is left" : "no endpoint has room",
-            late ? 0 : BusyRetryAfterSeconds);
+        const std::string_view reason =
+            call.version ? "no endpoint of the stream's version has room" : "no endpoint has room";
+        this->reject(
+            scope, call, HttpStatus::Unavailable, late ? "no time is left" : reason, late ? 0 : BusyRetryAfterSeconds);
         return;
     }
     const bool late = lastResult == AttemptResult::TimedOut;
@@ -253,8 +247,8 @@
         if (!isStream && call.exchange.hasStarted()) {
             return AttemptResult::Failed; // Part of a stream has been sent, so no other response can be sent instead.
         }
-        const AttemptResult result =
-            isStream ? this->relayStream(scope, call, reader, head) : this->relayResponse(scope, call, reader, head);
+        const AttemptResult result = isStream ? this->relayStream(scope, call, endpoint, reader, head)
+                                              : this->relayResponse(scope, call, reader, head);
         if (result == AttemptResult::Delivered) {
             if (head.status >= HttpStatus::FirstServerError) {
                 this->loadBalancer.recordError(this->now(), endpoint.id);
@@ -279,8 +273,25 @@
     return AttemptResult::Delivered;
 }
 
-Gateway::AttemptResult Gateway::relayStream(
-    kj::WaitScope &scope, Call &call, HttpResponseReader &reader, const ResponseHead &head)
+void Gateway::beginStream(kj::WaitScope &scope, Call &call, const DeployedEndpoint &endpoint, const ResponseHead &head)
+{
+    logEvent(EventKind::CallFirstToken,
+        {{"request", call.metadata.requestId},
+            {"ms", std::to_string((this->now() - call.exchange.received).count() / 1000)}});
+    const bool isResumed = call.version.has_value();
+    call.version = endpoint.version;
+    if (call.route->resumable && !isResumed && !endpoint.version.empty()) {
+        const StreamKey stream = call.streamKey(call.metadata.requestId);
+        const StreamOrigin origin{call.service, endpoint.version};
+        const Duration ttl = call.route->timeout + ResumptionPeriod;
+        this->streamOrigins.add(this->now(), stream, origin, ttl);
+        this->history.addStreamOrigin(stream, origin, ttl);
+    }
+    call.exchange.beginStream(scope, this->headerCodec.clientResponseHead(head));
+}
+
+Gateway::AttemptResult Gateway::relayStream(kj::WaitScope &scope, Call &call, const DeployedEndpoint &endpoint,
+    HttpResponseReader &reader, const ResponseHead &head)
 {
     EventSplitter splitter;
     while (true) {
@@ -292,10 +303,7 @@
         std::string ready = part.empty() ? splitter.remainder() : splitter.append(part, events);
         if (!ready.empty() || part.empty()) {
             if (!call.exchange.hasStarted()) {
-                logEvent(EventKind::CallFirstToken,
-                    {{"request", call.metadata.requestId},
-                        {"ms", std::to_string((this->now() - call.exchange.received).count() / 1000)}});
-                call.exchange.beginStream(scope, this->headerCodec.clientResponseHead(head));
+                this->beginStream(scope, call, endpoint, head);
             }
         }
         for (const StreamEvent &event : events) {
--- a/src/gateway/load_balancer_base.cpp
+++ b/src/gateway/load_balancer_base.cpp
@@ -29,6 +29,17 @@
     });
 }
 
+std::string LoadBalancer::commonVersion(const std::string &service) const
+{
+    std::set<std::string> versions;
+    for (const auto &[id, state] : this->states) {
+        if (state.endpoint.service == service) {
+            versions.insert(state.endpoint.version);
+        }
+    }
+    return versions.size() == 1 ? *versions.begin() : std::string();
+}
+
 bool LoadBalancer::isUsable(const std::string &id) const
 {
     const auto state = this->states.find(id);
@@ -68,8 +79,10 @@
     };
     std::vector<Candidate> candidates;
     for (const std::string &id : ids->second) {
-        if (!tried.contains(id)) {
-            const State &state = this->states.at(id);
+        const State &state = this->states.at(id);
+        const bool hasVersion =
+            !criteria.version || (!criteria.version->empty() && state.endpoint.version == *criteria.version);
+        if (hasVersion && !tried.contains(id)) {
             const bool unhealthy = std::max(state.backoffUntil, state.ejectedUntil) > now;
             candidates.push_back({&state, unhealthy, utilization(now, state), hash64(id, criteria.affinity)});
         }
--- a/src/gateway/load_balancer_base.h
+++ b/src/gateway/load_balancer_base.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -21,6 +22,7 @@
     std::string service; ///< Only endpoints of this service are considered.
     std::uint64_t affinity = 0; ///< Requests with the same value share cached prompts; 0 for no affinity.
     std::string dataCentre; ///< Data centre of this gateway; preferred among equally loaded endpoints.
+    std::optional<std::string> version = {}; ///< If set, only endpoints of this software version; none if it is empty.
 };
 
 class LoadBalancer
@@ -32,6 +34,8 @@
     /** Selects an endpoint whose id isn't in @p tried. @return null if there is none. */
     [[nodiscard]] const DeployedEndpoint *choose(
         Instant now, const SelectionCriteria &criteria, const std::set<std::string> &tried) const;
+    /** Software version that all listed endpoints of @p service have; empty if they differ or one doesn't state it. */
+    [[nodiscard]] std::string commonVersion(const std::string &service) const;
     /** Whether @p id is listed and not being drained. */
     [[nodiscard]] bool isUsable(const std::string &id) const;
 
--- a/src/history/history_client_base.cpp
+++ b/src/history/history_client_base.cpp
@@ -345,4 +345,97 @@
     this->sendWrite(quorumCall, quorumCall->view, records);
 }
 
+/** A search for the origin of one stream at several members. */
+struct HistoryClient::OriginSearch
+{
+    StreamKey stream;
+    std::optional<StreamOrigin> origin; ///< Returned by the first member that knows it.
+    unsigned outstanding = 0; ///< Calls that have neither succeeded nor failed.
+    kj::Own<kj::PromiseFulfiller<void>> fulfiller; ///< Wakes the waiting fiber.
+
+    void callEnded()
+    {
+        --this->outstanding;
+        if (this->origin || this->outstanding == 0) {
+            this->fulfiller->fulfill();
+        }
+    }
+};
+
+void HistoryClient::resetAfterFailure(const std::string &address, const kj::Exception &exception)
+{
+    if (exception.getType() != kj::Exception::Type::UNIMPLEMENTED) {
+        this->links[address]->reset();
+    }
+}
+
+void HistoryClient::addStreamOrigin(const StreamKey &stream, const StreamOrigin &origin, Duration ttl)
+{
+    for (const HistoryMember &member : this->watcher.view.history.members()) {
+        auto call = this->storeAt(member).then([stream, origin, ttl](Wire::HistoryStore::Client store) {
+            auto request = store.addStreamOriginRequest();
+            request.setRequest(wireText(stream.request));
+            request.setCustomer(wireText(stream.customer));
+            request.setService(wireText(origin.service));
+            request.setVersion(wireText(origin.version));
+            request.setTtlMs(static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(ttl).count()));
+            return request.send().ignoreResult();
+        });
+        this->tasks.add(this->loop.kjTimer()
+                            .timeoutAfter(CallTimeout, kj::mv(call))
+                            .catch_([this, address = member.address](kj::Exception &&exception) {
+                                this->resetAfterFailure(address, exception);
+                            }));
+    }
+}
+
+void HistoryClient::askForOrigin(const std::shared_ptr<OriginSearch> &search, const HistoryMember &member)
+{
+    auto call = this->storeAt(member).then([search](Wire::HistoryStore::Client store) {
+        auto request = store.findStreamOriginRequest();
+        request.setRequest(wireText(search->stream.request));
+        request.setCustomer(wireText(search->stream.customer));
+        return request.send();
+    });
+    ++search->outstanding;
+    this->tasks.add(
+        this->loop.kjTimer()
+            .timeoutAfter(CallTimeout, kj::mv(call))
+            .then(
+                [search](auto &&response) {
+                    if (response.getKnown()) {
+                        search->origin = StreamOrigin{textOf(response.getService()), textOf(response.getVersion())};
+                    }
+                    search->callEnded();
+                },
+                [this, search, address = member.address](kj::Exception &&exception) {
+                    this->resetAfterFailure(address, exception);
+                    search->callEnded();
+                }));
+}
+
+std::optional<StreamOrigin> HistoryClient::findStreamOrigin(
+    kj::WaitScope &scope, const StreamKey &stream, Instant until)
+{
+    do {
+        const auto search = std::make_shared<OriginSearch>();
+        search->stream = stream;
+        auto pair = kj::newPromiseAndFulfiller<void>();
+        search->fulfiller = kj::mv(pair.fulfiller);
+        const HistoryView view = this->watcher.view.history;
+        for (const HistoryMember &member : view.members()) {
+            this->askForOrigin(search, member);
+        }
+        if (search->outstanding != 0) {
+            const Duration left = std::max(until - this->loop.timers().now(), Duration(0));
+            pair.promise.exclusiveJoin(this->loop.kjTimer().afterDelay(kjDuration(left))).wait(scope);
+        }
+        if (search->origin) {
+            return search->origin;
+        }
+        // The gateway that began the stream may have sent its origin just now.
+    } while (this->waitBeforeRetry(scope, until));
+    return std::nullopt;
+}
+
 } // namespace Chestnuthook
--- a/src/history/history_client_base.h
+++ b/src/history/history_client_base.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -13,6 +14,7 @@
 #include "core/error_type.h"
 #include "deployment/deployment_watcher_base.h"
 #include "history/history_table_base.h"
+#include "history/stream_origin_table_base.h"
 #include "rpc/control_loop_base.h"
 
 namespace Chestnuthook
@@ -49,8 +51,15 @@
     /** Sends @p records to all members without waiting for acks or retrying. */
     void writeInBackground(std::vector<HistoryRecord> records);
 
+    /** Sends the origin of a stream to all members without waiting for acks. */
+    void addStreamOrigin(const StreamKey &stream, const StreamOrigin &origin, Duration ttl);
+    /** Asks all members until one knows the origin, at most until @p until. */
+    [[nodiscard]] std::optional<StreamOrigin> findStreamOrigin(
+        kj::WaitScope &scope, const StreamKey &stream, Instant until);
+
 private:
     struct QuorumCall;
+    struct OriginSearch;
     using QuorumCallPtr = std::shared_ptr<QuorumCall>;
 
     kj::Promise<Wire::HistoryStore::Client> storeAt(const HistoryMember &member);
@@ -67,6 +76,9 @@
     [[nodiscard]] static Result<void> checkBudget(
         const QuorumCall &quorumCall, const TurnRequest &start, TurnContext &context);
     void sendWrite(const QuorumCallPtr &quorumCall, const HistoryView &view, const std::vector<HistoryRecord> &records);
+    void askForOrigin(const std::shared_ptr<OriginSearch> &search, const HistoryMember &member);
+    /** Resets the connection to the member at @p address, unless the member is older than the called method. */
+    void resetAfterFailure(const std::string &address, const kj::Exception &exception);
     void addCall(const QuorumCallPtr &quorumCall, const HistoryMember &member, kj::Promise<Wire::HistoryStatus> call);
     /** Reads the missing part of @p chain from other members. @return the complete chain, oldest first. */
     Result<std::vector<std::shared_ptr<const KeptTurn>>> readChain(
--- a/src/history/history_member_base.cpp
+++ b/src/history/history_member_base.cpp
@@ -108,6 +108,27 @@
         return kj::READY_NOW;
     }
 
+    kj::Promise<void> addStreamOrigin(AddStreamOriginContext context) override
+    {
+        const auto params = context.getParams();
+        this->member.addStreamOrigin({textOf(params.getRequest()), textOf(params.getCustomer())},
+            {textOf(params.getService()), textOf(params.getVersion())}, Milliseconds(params.getTtlMs()));
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> findStreamOrigin(FindStreamOriginContext context) override
+    {
+        const auto params = context.getParams();
+        const auto origin = this->member.findStreamOrigin({textOf(params.getRequest()), textOf(params.getCustomer())});
+        if (origin) {
+            auto results = context.getResults();
+            results.setKnown(true);
+            results.setService(wireText(origin->service));
+            results.setVersion(wireText(origin->version));
+        }
+        return kj::READY_NOW;
+    }
+
 private:
     /** Sets the response status: whether the call is for this member and its view version is current.
      * @return whether the call is to be served. */
@@ -190,6 +211,16 @@
     this->log.append(encodeRecord(record), expiryMsOf(record));
 }
 
+void HistoryMemberDaemon::addStreamOrigin(const StreamKey &stream, const StreamOrigin &origin, Duration ttl)
+{
+    this->streamOrigins.add(this->loop.timers().now(), stream, origin, ttl);
+}
+
+std::optional<StreamOrigin> HistoryMemberDaemon::findStreamOrigin(const StreamKey &stream) const
+{
+    return this->streamOrigins.find(this->loop.timers().now(), stream);
+}
+
 kj::Promise<void> HistoryMemberDaemon::whenSynced()
 {
     if (!this->log.hasUnsynced()) {
--- a/src/history/history_member_base.h
+++ b/src/history/history_member_base.h
@@ -13,6 +13,7 @@
 #include "deployment/deployment_watcher_base.h"
 #include "history/history_log_base.h"
 #include "history/history_table_base.h"
+#include "history/stream_origin_table_base.h"
 #include "rpc/control_loop_base.h"
 #include "rpc/history.capnp.h"
 
@@ -51,6 +52,8 @@
     void addRecord(const HistoryRecord &record);
     /** Resolves once all records added so far are durable. */
     [[nodiscard]] kj::Promise<void> whenSynced();
+    void addStreamOrigin(const StreamKey &stream, const StreamOrigin &origin, Duration ttl);
+    [[nodiscard]] std::optional<StreamOrigin> findStreamOrigin(const StreamKey &stream) const;
 
     HistoryTable table; ///< Records of this member; the log holds the same ones.
 
@@ -62,6 +65,7 @@
     ControlLoop &loop; ///< Must outlive this object.
     DeploymentWatcher &watcher; ///< Must outlive this object.
     std::string ownIdentity; ///< Identity of the data folder.
+    StreamOriginTable streamOrigins; ///< Not durable: clients resume a stream within seconds.
     HistoryLog log; ///< Durable copy of `table`.
     std::uint64_t copiedVersion = 0; ///< Version of the view for which the copy is complete.
     std::uint64_t copyingVersion = 0; ///< Version of the view for which a copy is running; 0 for none.
--- a/src/rpc/history.capnp
+++ b/src/rpc/history.capnp
@@ -50,4 +50,7 @@
     # The chain that ends at a turn, newest first.
     chain @3 (identity :Text, view :UInt64, turn :Text, customer :Text)
         -> (status :HistoryStatus, known :Bool, chain :List(KeptTurn), missing :Text);
+    # Keeps in memory at which service and software version a stream began. Valid under every view.
+    addStreamOrigin @4 (request :Text, customer :Text, service :Text, version :Text, ttlMs :UInt64) -> ();
+    findStreamOrigin @5 (request :Text, customer :Text) -> (known :Bool, service :Text, version :Text);
 }
--- a/src/rpc/history.capnp.c++
+++ b/src/rpc/history.capnp.c++
@@ -397,7 +397,7 @@
 };
 #endif  // !CAPNP_LITE
 CAPNP_DEFINE_ENUM(HistoryStatus_aa293cd94f8f7957, aa293cd94f8f7957);
-static const ::capnp::_::AlignedData<59> b_9207a5c12c1df486 = {
+static const ::capnp::_::AlignedData<82> b_9207a5c12c1df486 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     134, 244,  29,  44, 193, 165,   7, 146,
      14,   0,   0,   0,   3,   0,   0,   0,
@@ -407,47 +407,63 @@
      21,   0,   0,   0, 218,   0,   0,   0,
      33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0,   7,   1,   0,   0,
-    189,   0,   0,   0,   7,   0,   0,   0,
+     29,   0,   0,   0, 135,   1,   0,   0,
+     25,   1,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     104, 105, 115, 116, 111, 114, 121,  46,
      99,  97, 112, 110, 112,  58,  72, 105,
     115, 116, 111, 114, 121,  83, 116, 111,
     114, 101,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     16,   0,   0,   0,   3,   0,   5,   0,
+     24,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     118, 113, 235, 235, 155, 192,  68, 143,
      65, 215, 225, 224, 125, 157,  10, 202,
-    113,   0,   0,   0,  50,   0,   0,   0,
+    177,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    101,   0,   0,   0,   7,   0,   0,   0,
+    165,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     166, 255, 238, 156,  55, 212, 106, 233,
     238,  23,  59, 243, 184, 225, 178, 199,
-     89,   0,   0,   0,  50,   0,   0,   0,
+    153,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     77,   0,   0,   0,   7,   0,   0,   0,
+    141,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
      28,  17,  84, 164, 246, 176,  41, 192,
     182, 230,  52, 110,  68,  43, 199, 223,
-     65,   0,   0,   0,  42,   0,   0,   0,
+    129,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     53,   0,   0,   0,   7,   0,   0,   0,
+    117,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
       0, 153, 251, 148, 154, 255, 213, 253,
      29, 217,  30, 140,  20, 226, 178, 149,
-     41,   0,   0,   0,  50,   0,   0,   0,
+    105,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0,   7,   0,   0,   0,
+     93,   0,   0,   0,   7,   0,   0,   0,
+      4,   0,   0,   0,   0,   0,   0,   0,
+    158,  35, 150, 101, 150,  29, 115, 212,
+    252, 120, 131, 145,  20, 253, 210, 253,
+     81,   0,   0,   0, 130,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73,   0,   0,   0,   7,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+     43,  23, 139,  56, 152,  39, 177, 136,
+    244,  21, 153,  61, 114,  74, 138, 138,
+     61,   0,   0,   0, 138,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     57,   0,   0,   0,   7,   0,   0,   0,
      98, 101, 103, 105, 110,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
     119, 114, 105, 116, 101,   0,   0,   0,
@@ -456,24 +472,35 @@
       0,   0,   0,   0,   0,   0,   1,   0,
      99, 104,  97, 105, 110,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+     97, 100, 100,  83, 116, 114, 101,  97,
+    109,  79, 114, 105, 103, 105, 110,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
+    102, 105, 110, 100,  83, 116, 114, 101,
+     97, 109,  79, 114, 105, 103, 105, 110,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_9207a5c12c1df486 = b_9207a5c12c1df486.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_9207a5c12c1df486[] = {
+  &s_88b12798388b172b,
+  &s_8a8a4a723d9915f4,
   &s_8f44c09bebeb7176,
   &s_95b2e2148c1ed91d,
   &s_c029b0f6a454111c,
   &s_c7b2e1b8f33b17ee,
   &s_ca0a9d7de0e1d741,
+  &s_d4731d966596239e,
   &s_dfc72b446e34e6b6,
   &s_e96ad4379ceeffa6,
+  &s_fdd2fd14918378fc,
   &s_fdd5ff9a94fb9900,
 };
-static const uint16_t m_9207a5c12c1df486[] = {0, 3, 2, 1};
+static const uint16_t m_9207a5c12c1df486[] = {4, 0, 3, 2, 5, 1};
 const ::capnp::_::RawSchema s_9207a5c12c1df486 = {
-  0x9207a5c12c1df486, b_9207a5c12c1df486.words, 59, d_9207a5c12c1df486, m_9207a5c12c1df486,
-  8, 4, nullptr, nullptr, nullptr, { &s_9207a5c12c1df486, nullptr, nullptr, 0, 0, nullptr }
+  0x9207a5c12c1df486, b_9207a5c12c1df486.words, 82, d_9207a5c12c1df486, m_9207a5c12c1df486,
+  12, 6, nullptr, nullptr, nullptr, { &s_9207a5c12c1df486, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<112> b_8f44c09bebeb7176 = {
@@ -1212,6 +1239,279 @@
   2, 4, i_95b2e2148c1ed91d, nullptr, nullptr, { &s_95b2e2148c1ed91d, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<96> b_d4731d966596239e = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    158,  35, 150, 101, 150,  29, 115, 212,
+     27,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      4,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 146,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     37,   0,   0,   0,  31,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    104, 105, 115, 116, 111, 114, 121,  46,
+     99,  97, 112, 110, 112,  58,  72, 105,
+    115, 116, 111, 114, 121,  83, 116, 111,
+    114, 101,  46,  97, 100, 100,  83, 116,
+    114, 101,  97, 109,  79, 114, 105, 103,
+    105, 110,  36,  80,  97, 114,  97, 109,
+    115,   0,   0,   0,   0,   0,   0,   0,
+     20,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    125,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    120,   0,   0,   0,   3,   0,   1,   0,
+    132,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    129,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    128,   0,   0,   0,   3,   0,   1,   0,
+    140,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    137,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    132,   0,   0,   0,   3,   0,   1,   0,
+    144,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   3,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    141,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    136,   0,   0,   0,   3,   0,   1,   0,
+    148,   0,   0,   0,   2,   0,   1,   0,
+      4,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   4,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    145,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    140,   0,   0,   0,   3,   0,   1,   0,
+    152,   0,   0,   0,   2,   0,   1,   0,
+    114, 101, 113, 117, 101, 115, 116,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 117, 115, 116, 111, 109, 101, 114,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 101, 114, 118, 105,  99, 101,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    118, 101, 114, 115, 105, 111, 110,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    116, 116, 108,  77, 115,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_d4731d966596239e = b_d4731d966596239e.words;
+#if !CAPNP_LITE
+static const uint16_t m_d4731d966596239e[] = {1, 0, 2, 4, 3};
+static const uint16_t i_d4731d966596239e[] = {0, 1, 2, 3, 4};
+const ::capnp::_::RawSchema s_d4731d966596239e = {
+  0xd4731d966596239e, b_d4731d966596239e.words, 96, nullptr, m_d4731d966596239e,
+  0, 5, i_d4731d966596239e, nullptr, nullptr, { &s_d4731d966596239e, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<19> b_fdd2fd14918378fc = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    252, 120, 131, 145,  20, 253, 210, 253,
+     27,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 154,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    104, 105, 115, 116, 111, 114, 121,  46,
+     99,  97, 112, 110, 112,  58,  72, 105,
+    115, 116, 111, 114, 121,  83, 116, 111,
+    114, 101,  46,  97, 100, 100,  83, 116,
+    114, 101,  97, 109,  79, 114, 105, 103,
+    105, 110,  36,  82, 101, 115, 117, 108,
+    116, 115,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_fdd2fd14918378fc = b_fdd2fd14918378fc.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_fdd2fd14918378fc = {
+  0xfdd2fd14918378fc, b_fdd2fd14918378fc.words, 19, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_fdd2fd14918378fc, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<51> b_88b12798388b172b = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     43,  23, 139,  56, 152,  39, 177, 136,
+     27,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      2,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 154,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     37,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    104, 105, 115, 116, 111, 114, 121,  46,
+     99,  97, 112, 110, 112,  58,  72, 105,
+    115, 116, 111, 114, 121,  83, 116, 111,
+    114, 101,  46, 102, 105, 110, 100,  83,
+    116, 114, 101,  97, 109,  79, 114, 105,
+    103, 105, 110,  36,  80,  97, 114,  97,
+    109, 115,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     44,   0,   0,   0,   3,   0,   1,   0,
+     56,   0,   0,   0,   2,   0,   1,   0,
+    114, 101, 113, 117, 101, 115, 116,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 117, 115, 116, 111, 109, 101, 114,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_88b12798388b172b = b_88b12798388b172b.words;
+#if !CAPNP_LITE
+static const uint16_t m_88b12798388b172b[] = {1, 0};
+static const uint16_t i_88b12798388b172b[] = {0, 1};
+const ::capnp::_::RawSchema s_88b12798388b172b = {
+  0x88b12798388b172b, b_88b12798388b172b.words, 51, nullptr, m_88b12798388b172b,
+  0, 2, i_88b12798388b172b, nullptr, nullptr, { &s_88b12798388b172b, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<65> b_8a8a4a723d9915f4 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    244,  21, 153,  61, 114,  74, 138, 138,
+     27,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      2,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 162,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     37,   0,   0,   0, 175,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    104, 105, 115, 116, 111, 114, 121,  46,
+     99,  97, 112, 110, 112,  58,  72, 105,
+    115, 116, 111, 114, 121,  83, 116, 111,
+    114, 101,  46, 102, 105, 110, 100,  83,
+    116, 114, 101,  97, 109,  79, 114, 105,
+    103, 105, 110,  36,  82, 101, 115, 117,
+    108, 116, 115,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     68,   0,   0,   0,   3,   0,   1,   0,
+     80,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     77,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+     84,   0,   0,   0,   2,   0,   1,   0,
+    107, 110, 111, 119, 110,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 101, 114, 118, 105,  99, 101,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    118, 101, 114, 115, 105, 111, 110,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_8a8a4a723d9915f4 = b_8a8a4a723d9915f4.words;
+#if !CAPNP_LITE
+static const uint16_t m_8a8a4a723d9915f4[] = {0, 1, 2};
+static const uint16_t i_8a8a4a723d9915f4[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_8a8a4a723d9915f4 = {
+  0x8a8a4a723d9915f4, b_8a8a4a723d9915f4.words, 65, nullptr, m_8a8a4a723d9915f4,
+  0, 3, i_8a8a4a723d9915f4, nullptr, nullptr, { &s_8a8a4a723d9915f4, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -1293,6 +1593,26 @@
       "history.capnp:HistoryStore", "chain",
       0x9207a5c12c1df486ull, 3);
 }
+::capnp::Request< ::Chestnuthook::Wire::HistoryStore::AddStreamOriginParams,  ::Chestnuthook::Wire::HistoryStore::AddStreamOriginResults>
+HistoryStore::Client::addStreamOriginRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::Chestnuthook::Wire::HistoryStore::AddStreamOriginParams,  ::Chestnuthook::Wire::HistoryStore::AddStreamOriginResults>(
+      0x9207a5c12c1df486ull, 4, sizeHint);
+}
+::kj::Promise<void> HistoryStore::Server::addStreamOrigin(AddStreamOriginContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "history.capnp:HistoryStore", "addStreamOrigin",
+      0x9207a5c12c1df486ull, 4);
+}
+::capnp::Request< ::Chestnuthook::Wire::HistoryStore::FindStreamOriginParams,  ::Chestnuthook::Wire::HistoryStore::FindStreamOriginResults>
+HistoryStore::Client::findStreamOriginRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::Chestnuthook::Wire::HistoryStore::FindStreamOriginParams,  ::Chestnuthook::Wire::HistoryStore::FindStreamOriginResults>(
+      0x9207a5c12c1df486ull, 5, sizeHint);
+}
+::kj::Promise<void> HistoryStore::Server::findStreamOrigin(FindStreamOriginContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "history.capnp:HistoryStore", "findStreamOrigin",
+      0x9207a5c12c1df486ull, 5);
+}
 ::capnp::Capability::Server::DispatchCallResult HistoryStore::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -1331,6 +1651,18 @@
              ::Chestnuthook::Wire::HistoryStore::ChainParams,  ::Chestnuthook::Wire::HistoryStore::ChainResults>(context)),
         false
       };
+    case 4:
+      return {
+        addStreamOrigin(::capnp::Capability::Server::internalGetTypedContext<
+             ::Chestnuthook::Wire::HistoryStore::AddStreamOriginParams,  ::Chestnuthook::Wire::HistoryStore::AddStreamOriginResults>(context)),
+        false
+      };
+    case 5:
+      return {
+        findStreamOrigin(::capnp::Capability::Server::internalGetTypedContext<
+             ::Chestnuthook::Wire::HistoryStore::FindStreamOriginParams,  ::Chestnuthook::Wire::HistoryStore::FindStreamOriginResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -1410,6 +1742,38 @@
 constexpr ::capnp::_::RawSchema const* HistoryStore::ChainResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// HistoryStore::AddStreamOriginParams
+constexpr uint16_t HistoryStore::AddStreamOriginParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t HistoryStore::AddStreamOriginParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind HistoryStore::AddStreamOriginParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* HistoryStore::AddStreamOriginParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// HistoryStore::AddStreamOriginResults
+constexpr uint16_t HistoryStore::AddStreamOriginResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t HistoryStore::AddStreamOriginResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind HistoryStore::AddStreamOriginResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* HistoryStore::AddStreamOriginResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// HistoryStore::FindStreamOriginParams
+constexpr uint16_t HistoryStore::FindStreamOriginParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t HistoryStore::FindStreamOriginParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind HistoryStore::FindStreamOriginParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* HistoryStore::FindStreamOriginParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// HistoryStore::FindStreamOriginResults
+constexpr uint16_t HistoryStore::FindStreamOriginResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t HistoryStore::FindStreamOriginResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind HistoryStore::FindStreamOriginResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* HistoryStore::FindStreamOriginResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/src/rpc/history.capnp.h
+++ b/src/rpc/history.capnp.h
@@ -40,6 +40,10 @@
 CAPNP_DECLARE_SCHEMA(dfc72b446e34e6b6);
 CAPNP_DECLARE_SCHEMA(fdd5ff9a94fb9900);
 CAPNP_DECLARE_SCHEMA(95b2e2148c1ed91d);
+CAPNP_DECLARE_SCHEMA(d4731d966596239e);
+CAPNP_DECLARE_SCHEMA(fdd2fd14918378fc);
+CAPNP_DECLARE_SCHEMA(88b12798388b172b);
+CAPNP_DECLARE_SCHEMA(8a8a4a723d9915f4);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -131,6 +135,10 @@
   struct CopyResults;
   struct ChainParams;
   struct ChainResults;
+  struct AddStreamOriginParams;
+  struct AddStreamOriginResults;
+  struct FindStreamOriginParams;
+  struct FindStreamOriginResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -260,6 +268,66 @@
   };
 };
 
+struct HistoryStore::AddStreamOriginParams {
+  AddStreamOriginParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d4731d966596239e, 1, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct HistoryStore::AddStreamOriginResults {
+  AddStreamOriginResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fdd2fd14918378fc, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct HistoryStore::FindStreamOriginParams {
+  FindStreamOriginParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(88b12798388b172b, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct HistoryStore::FindStreamOriginResults {
+  FindStreamOriginResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8a8a4a723d9915f4, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class TokenClaim::Reader {
@@ -702,6 +770,10 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::Chestnuthook::Wire::HistoryStore::ChainParams,  ::Chestnuthook::Wire::HistoryStore::ChainResults> chainRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Chestnuthook::Wire::HistoryStore::AddStreamOriginParams,  ::Chestnuthook::Wire::HistoryStore::AddStreamOriginResults> addStreamOriginRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Chestnuthook::Wire::HistoryStore::FindStreamOriginParams,  ::Chestnuthook::Wire::HistoryStore::FindStreamOriginResults> findStreamOriginRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -734,6 +806,14 @@
   typedef  ::Chestnuthook::Wire::HistoryStore::ChainResults ChainResults;
   typedef ::capnp::CallContext<ChainParams, ChainResults> ChainContext;
   virtual ::kj::Promise<void> chain(ChainContext context);
+  typedef  ::Chestnuthook::Wire::HistoryStore::AddStreamOriginParams AddStreamOriginParams;
+  typedef  ::Chestnuthook::Wire::HistoryStore::AddStreamOriginResults AddStreamOriginResults;
+  typedef ::capnp::CallContext<AddStreamOriginParams, AddStreamOriginResults> AddStreamOriginContext;
+  virtual ::kj::Promise<void> addStreamOrigin(AddStreamOriginContext context);
+  typedef  ::Chestnuthook::Wire::HistoryStore::FindStreamOriginParams FindStreamOriginParams;
+  typedef  ::Chestnuthook::Wire::HistoryStore::FindStreamOriginResults FindStreamOriginResults;
+  typedef ::capnp::CallContext<FindStreamOriginParams, FindStreamOriginResults> FindStreamOriginContext;
+  virtual ::kj::Promise<void> findStreamOrigin(FindStreamOriginContext context);
 
   inline  ::Chestnuthook::Wire::HistoryStore::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -1545,208 +1625,582 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
-
-inline bool TokenClaim::Reader::hasTurn() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool TokenClaim::Builder::hasTurn() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader TokenClaim::Reader::getTurn() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder TokenClaim::Builder::getTurn() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void TokenClaim::Builder::setTurn( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder TokenClaim::Builder::initTurn(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void TokenClaim::Builder::adoptTurn(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> TokenClaim::Builder::disownTurn() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+class HistoryStore::AddStreamOriginParams::Reader {
+public:
+  typedef AddStreamOriginParams Reads;
 
-inline  ::uint32_t TokenClaim::Reader::getTokens() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline  ::uint32_t TokenClaim::Builder::getTokens() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void TokenClaim::Builder::setTokens( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline bool TokenClaim::Reader::getSettled() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
-}
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-inline bool TokenClaim::Builder::getSettled() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
-}
-inline void TokenClaim::Builder::setSettled(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
-}
+  inline bool hasRequest() const;
+  inline  ::capnp::Text::Reader getRequest() const;
 
-inline bool KeptTurn::Reader::hasId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool KeptTurn::Builder::hasId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader KeptTurn::Reader::getId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder KeptTurn::Builder::getId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void KeptTurn::Builder::setId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder KeptTurn::Builder::initId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void KeptTurn::Builder::adoptId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> KeptTurn::Builder::disownId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  inline bool hasCustomer() const;
+  inline  ::capnp::Text::Reader getCustomer() const;
 
-inline bool KeptTurn::Reader::hasPrevious() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool KeptTurn::Builder::hasPrevious() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader KeptTurn::Reader::getPrevious() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder KeptTurn::Builder::getPrevious() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void KeptTurn::Builder::setPrevious( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder KeptTurn::Builder::initPrevious(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void KeptTurn::Builder::adoptPrevious(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> KeptTurn::Builder::disownPrevious() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
-inline bool KeptTurn::Reader::hasCustomer() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool KeptTurn::Builder::hasCustomer() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader KeptTurn::Reader::getCustomer() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder KeptTurn::Builder::getCustomer() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void KeptTurn::Builder::setCustomer( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder KeptTurn::Builder::initCustomer(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void KeptTurn::Builder::adoptCustomer(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> KeptTurn::Builder::disownCustomer() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
+  inline bool hasVersion() const;
+  inline  ::capnp::Text::Reader getVersion() const;
 
-inline bool KeptTurn::Reader::hasInput() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline bool KeptTurn::Builder::hasInput() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Data::Reader KeptTurn::Reader::getInput() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Data::Builder KeptTurn::Builder::getInput() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void KeptTurn::Builder::setInput( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Data::Builder KeptTurn::Builder::initInput(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
-}
-inline void KeptTurn::Builder::adoptInput(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Data> KeptTurn::Builder::disownInput() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
+  inline  ::uint64_t getTtlMs() const;
 
-inline bool KeptTurn::Reader::hasOutput() const {
-  return !_reader.getPointerField(
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class HistoryStore::AddStreamOriginParams::Builder {
+public:
+  typedef AddStreamOriginParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequest();
+  inline  ::capnp::Text::Builder getRequest();
+  inline void setRequest( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequest(unsigned int size);
+  inline void adoptRequest(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequest();
+
+  inline bool hasCustomer();
+  inline  ::capnp::Text::Builder getCustomer();
+  inline void setCustomer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCustomer(unsigned int size);
+  inline void adoptCustomer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCustomer();
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasVersion();
+  inline  ::capnp::Text::Builder getVersion();
+  inline void setVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVersion(unsigned int size);
+  inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVersion();
+
+  inline  ::uint64_t getTtlMs();
+  inline void setTtlMs( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class HistoryStore::AddStreamOriginParams::Pipeline {
+public:
+  typedef AddStreamOriginParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class HistoryStore::AddStreamOriginResults::Reader {
+public:
+  typedef AddStreamOriginResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class HistoryStore::AddStreamOriginResults::Builder {
+public:
+  typedef AddStreamOriginResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class HistoryStore::AddStreamOriginResults::Pipeline {
+public:
+  typedef AddStreamOriginResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class HistoryStore::FindStreamOriginParams::Reader {
+public:
+  typedef FindStreamOriginParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequest() const;
+  inline  ::capnp::Text::Reader getRequest() const;
+
+  inline bool hasCustomer() const;
+  inline  ::capnp::Text::Reader getCustomer() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class HistoryStore::FindStreamOriginParams::Builder {
+public:
+  typedef FindStreamOriginParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequest();
+  inline  ::capnp::Text::Builder getRequest();
+  inline void setRequest( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequest(unsigned int size);
+  inline void adoptRequest(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequest();
+
+  inline bool hasCustomer();
+  inline  ::capnp::Text::Builder getCustomer();
+  inline void setCustomer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCustomer(unsigned int size);
+  inline void adoptCustomer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCustomer();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class HistoryStore::FindStreamOriginParams::Pipeline {
+public:
+  typedef FindStreamOriginParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class HistoryStore::FindStreamOriginResults::Reader {
+public:
+  typedef FindStreamOriginResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getKnown() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasVersion() const;
+  inline  ::capnp::Text::Reader getVersion() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class HistoryStore::FindStreamOriginResults::Builder {
+public:
+  typedef FindStreamOriginResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getKnown();
+  inline void setKnown(bool value);
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasVersion();
+  inline  ::capnp::Text::Builder getVersion();
+  inline void setVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVersion(unsigned int size);
+  inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVersion();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class HistoryStore::FindStreamOriginResults::Pipeline {
+public:
+  typedef FindStreamOriginResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool TokenClaim::Reader::hasTurn() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool TokenClaim::Builder::hasTurn() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader TokenClaim::Reader::getTurn() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder TokenClaim::Builder::getTurn() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TokenClaim::Builder::setTurn( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder TokenClaim::Builder::initTurn(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void TokenClaim::Builder::adoptTurn(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> TokenClaim::Builder::disownTurn() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t TokenClaim::Reader::getTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TokenClaim::Builder::getTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TokenClaim::Builder::setTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TokenClaim::Reader::getSettled() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool TokenClaim::Builder::getSettled() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void TokenClaim::Builder::setSettled(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool KeptTurn::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool KeptTurn::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader KeptTurn::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder KeptTurn::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void KeptTurn::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder KeptTurn::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void KeptTurn::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> KeptTurn::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool KeptTurn::Reader::hasPrevious() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool KeptTurn::Builder::hasPrevious() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader KeptTurn::Reader::getPrevious() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder KeptTurn::Builder::getPrevious() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void KeptTurn::Builder::setPrevious( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder KeptTurn::Builder::initPrevious(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void KeptTurn::Builder::adoptPrevious(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> KeptTurn::Builder::disownPrevious() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool KeptTurn::Reader::hasCustomer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool KeptTurn::Builder::hasCustomer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader KeptTurn::Reader::getCustomer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder KeptTurn::Builder::getCustomer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void KeptTurn::Builder::setCustomer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder KeptTurn::Builder::initCustomer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void KeptTurn::Builder::adoptCustomer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> KeptTurn::Builder::disownCustomer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool KeptTurn::Reader::hasInput() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool KeptTurn::Builder::hasInput() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader KeptTurn::Reader::getInput() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder KeptTurn::Builder::getInput() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void KeptTurn::Builder::setInput( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder KeptTurn::Builder::initInput(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void KeptTurn::Builder::adoptInput(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> KeptTurn::Builder::disownInput() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool KeptTurn::Reader::hasOutput() const {
+  return !_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline bool KeptTurn::Builder::hasOutput() {
@@ -2762,6 +3216,306 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool HistoryStore::AddStreamOriginParams::Reader::hasRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool HistoryStore::AddStreamOriginParams::Builder::hasRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader HistoryStore::AddStreamOriginParams::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder HistoryStore::AddStreamOriginParams::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void HistoryStore::AddStreamOriginParams::Builder::setRequest( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder HistoryStore::AddStreamOriginParams::Builder::initRequest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void HistoryStore::AddStreamOriginParams::Builder::adoptRequest(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> HistoryStore::AddStreamOriginParams::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool HistoryStore::AddStreamOriginParams::Reader::hasCustomer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool HistoryStore::AddStreamOriginParams::Builder::hasCustomer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader HistoryStore::AddStreamOriginParams::Reader::getCustomer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder HistoryStore::AddStreamOriginParams::Builder::getCustomer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void HistoryStore::AddStreamOriginParams::Builder::setCustomer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder HistoryStore::AddStreamOriginParams::Builder::initCustomer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void HistoryStore::AddStreamOriginParams::Builder::adoptCustomer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> HistoryStore::AddStreamOriginParams::Builder::disownCustomer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool HistoryStore::AddStreamOriginParams::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool HistoryStore::AddStreamOriginParams::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader HistoryStore::AddStreamOriginParams::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder HistoryStore::AddStreamOriginParams::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void HistoryStore::AddStreamOriginParams::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder HistoryStore::AddStreamOriginParams::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void HistoryStore::AddStreamOriginParams::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> HistoryStore::AddStreamOriginParams::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool HistoryStore::AddStreamOriginParams::Reader::hasVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool HistoryStore::AddStreamOriginParams::Builder::hasVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader HistoryStore::AddStreamOriginParams::Reader::getVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder HistoryStore::AddStreamOriginParams::Builder::getVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void HistoryStore::AddStreamOriginParams::Builder::setVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder HistoryStore::AddStreamOriginParams::Builder::initVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void HistoryStore::AddStreamOriginParams::Builder::adoptVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> HistoryStore::AddStreamOriginParams::Builder::disownVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t HistoryStore::AddStreamOriginParams::Reader::getTtlMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HistoryStore::AddStreamOriginParams::Builder::getTtlMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void HistoryStore::AddStreamOriginParams::Builder::setTtlMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HistoryStore::FindStreamOriginParams::Reader::hasRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool HistoryStore::FindStreamOriginParams::Builder::hasRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader HistoryStore::FindStreamOriginParams::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder HistoryStore::FindStreamOriginParams::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void HistoryStore::FindStreamOriginParams::Builder::setRequest( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder HistoryStore::FindStreamOriginParams::Builder::initRequest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void HistoryStore::FindStreamOriginParams::Builder::adoptRequest(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> HistoryStore::FindStreamOriginParams::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool HistoryStore::FindStreamOriginParams::Reader::hasCustomer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool HistoryStore::FindStreamOriginParams::Builder::hasCustomer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader HistoryStore::FindStreamOriginParams::Reader::getCustomer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder HistoryStore::FindStreamOriginParams::Builder::getCustomer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void HistoryStore::FindStreamOriginParams::Builder::setCustomer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder HistoryStore::FindStreamOriginParams::Builder::initCustomer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void HistoryStore::FindStreamOriginParams::Builder::adoptCustomer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> HistoryStore::FindStreamOriginParams::Builder::disownCustomer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool HistoryStore::FindStreamOriginResults::Reader::getKnown() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool HistoryStore::FindStreamOriginResults::Builder::getKnown() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void HistoryStore::FindStreamOriginResults::Builder::setKnown(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HistoryStore::FindStreamOriginResults::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool HistoryStore::FindStreamOriginResults::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader HistoryStore::FindStreamOriginResults::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder HistoryStore::FindStreamOriginResults::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void HistoryStore::FindStreamOriginResults::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder HistoryStore::FindStreamOriginResults::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void HistoryStore::FindStreamOriginResults::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> HistoryStore::FindStreamOriginResults::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool HistoryStore::FindStreamOriginResults::Reader::hasVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool HistoryStore::FindStreamOriginResults::Builder::hasVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader HistoryStore::FindStreamOriginResults::Reader::getVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder HistoryStore::FindStreamOriginResults::Builder::getVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void HistoryStore::FindStreamOriginResults::Builder::setVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder HistoryStore::FindStreamOriginResults::Builder::initVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void HistoryStore::FindStreamOriginResults::Builder::adoptVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> HistoryStore::FindStreamOriginResults::Builder::disownVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/tests/process/stream_resume_test.cpp
+++ b/tests/process/stream_resume_test.cpp
@@ -199,6 +199,7 @@
         this->waitForNewStreams([](const std::string & /*version*/) {
             return true;
         });
+        this->waitUntilStreamsResume();
         this->folder.isKept = false;
     }
 
@@ -322,6 +323,19 @@
         }
     }
 
+    /** Waits until streams that began at either gateway go on at the other one, that is until the history members have
+     * formed their group and both gateways know it. */
+    void waitUntilStreamsResume()
+    {
+        for (const std::size_t gateway : {GatewayA, GatewayB}) {
+            BOOST_REQUIRE(waitUntil([&]() {
+                const std::string stream = this->newId();
+                this->begin(gateway, {"/once/first", stream});
+                return this->send(1 - gateway, {"/once/first", this->newId(), stream, 1}).status == 200;
+            }));
+        }
+    }
+
     [[nodiscard]] bool putConfiguration() const
     {
         const auto route = [](const std::string &name, const std::string &attempts) {
@@ -609,7 +623,7 @@
 
 BOOST_FIXTURE_TEST_CASE(resumption_at_restarted_processes_never_goes_on_at_another_version, Fixture)
 {
-    const std::map<std::string, std::string> versions = this->beginStreams(SmallStreamCount);
+    const std::map<std::string, std::string> versions = this->beginStreams(StreamCount);
     this->deployment.killAll();
     this->deployment.startAll(false);
     BOOST_TEST(waitUntil([&]() {
--- a/tests/unit/gateway_decision_test.cpp
+++ b/tests/unit/gateway_decision_test.cpp
@@ -69,6 +69,42 @@
     BOOST_TEST(!balancer.isUsable("e0"));
 }
 
+BOOST_AUTO_TEST_CASE(stream_goes_on_only_at_the_version_that_began_it)
+{
+    auto list = endpoints(6);
+    for (std::size_t i = 0; i < list.size(); ++i) {
+        list[i].version = i == 5 ? "" : i % 2 == 0 ? "v1" : "v2";
+    }
+    LoadBalancer loadBalancer;
+    loadBalancer.setEndpoints(list);
+    BOOST_TEST(loadBalancer.commonVersion("model").empty());
+    for (std::uint64_t program = 0; program < 50; ++program) { // 0 stands for no affinity.
+        for (const std::string version : {"v1", "v2"}) {
+            std::set<std::string> tried;
+            SelectionCriteria criteria{"model", program, "x"};
+            criteria.version = version;
+            while (const DeployedEndpoint *chosen = loadBalancer.choose(Instant(1), criteria, tried)) {
+                BOOST_TEST(chosen->version == version);
+                tried.insert(chosen->id);
+                loadBalancer.recordFailure(Instant(1), chosen->id);
+            }
+            BOOST_TEST(tried.size() == (version == "v1" ? 3U : 2U));
+            for (const std::string &id : tried) {
+                loadBalancer.recordSuccess(Instant(1), id);
+            }
+        }
+    }
+    SelectionCriteria unknown{"model", 1, "x"};
+    unknown.version = "";
+    BOOST_TEST(loadBalancer.choose(Instant(1), unknown, {}) == nullptr);
+    for (DeployedEndpoint &endpoint : list) {
+        endpoint.version = "v2";
+    }
+    loadBalancer.setEndpoints(list);
+    BOOST_TEST(loadBalancer.commonVersion("model") == "v2");
+    BOOST_TEST(loadBalancer.commonVersion("other").empty());
+}
+
 BOOST_AUTO_TEST_CASE(failed_endpoint_is_avoided_unless_it_is_the_only_one)
 {
     LoadBalancer balancer;
