--- a/tests/process/soak_test.cpp
+++ b/tests/process/soak_test.cpp
@@ -132,8 +132,8 @@
     struct Disturbance
     {
         const Fault *fault = nullptr; ///< Entry of the schedule.
-        Clock::time_point start;
-        Clock::time_point end = Clock::time_point::max();
+        Clock::time_point start; ///< When it was injected.
+        Clock::time_point end = Clock::time_point::max(); ///< The maximum while it lasts.
     };
 
     /** Starts and ends the faults in time, and starts stopped gateways again as soon as they have ended. */
@@ -469,7 +469,7 @@
                 || (fault.kind == FaultKind::Link
                         ? fault.target == link || fault.target < this->deployment.endpoints.size()
                         : fault.target == process || (call.needsHistory && fault.target < gateways));
-            return concernsCall && disturbance.start <= call.ended && call.sent <= disturbance.end + UndisturbedTime;
+            return concernsCall && disturbance.start <= call.ended && call.sent - UndisturbedTime <= disturbance.end;
         });
     }
 
