Soak: endpoints of several software versions, releases, resumed streams

Change: scenario Releases with the kind Release (an endpoint of another version drains and ends; the new one has a new id and starts beside it or later at the same address, behind a link that resets the old connections), a resumable route, endpoints that put their version into each event, go on after Last-Event-Id, refuse requests meant for another id and break off one run in four, and clients that break off streams and resume them at the other gateway with Last-Event-Id and Resumes. Checks: one version a stream, in one response and over all attempts; events in order and once; of 12 or more streams resumed while two endpoints of their version are ready and nothing is disturbed, the share that goes on is at least half of that of new streams that begin.

--- a/tests/process/soak_test.cpp
+++ b/tests/process/soak_test.cpp
@@ -20,6 +20,7 @@
 #include "support/http_connection.h"
 #include "support/soak_deployment.h"
 #include "support/soak_schedule.h"
+#include "support/soak_stream.h"
 
 using namespace Chestnuthook::Testing;
 using namespace std::chrono_literals;
@@ -32,9 +33,12 @@
 constexpr auto RecoveryTimeout = 10s; ///< All requests must be served again within this time after the last fault.
 constexpr auto ResponseTimeout = 4s; ///< Time to wait for a response; exceeds the deadline of each request.
 constexpr auto RequestTimeout = 2s; ///< Deadline of each request, and the timeout of its route.
+constexpr auto StreamRetryDelay = 100ms; ///< Pause of a client after a stream that was refused.
+constexpr unsigned StreamAttempts = 3; ///< Most attempts of a request on the resumable route, as configured.
 constexpr auto RetryDelay = 20ms; ///< Pause of a client after a connection that failed.
 constexpr int ClientCount = 6;
 constexpr int KeptClientsPerGateway = 4; ///< Clients that use one connection as long as the gateway allows.
+constexpr int StreamClientCount = 10; ///< Clients that break off streams and resume them.
 constexpr unsigned TokensPerEvent = 10; ///< Tokens of each event, as configured.
 constexpr unsigned MaxTurnTokens = 30; ///< Most tokens of a turn, as declared by the client.
 constexpr unsigned ProgramTokenBudget = 120; ///< Token budget of each program.
@@ -45,11 +49,35 @@
 constexpr auto EarlyRequestTime = 3s; ///< Requests sent earlier than this after SIGTERM may outlast the stop.
 constexpr int LastGraceParts = 6; ///< A response may be cut if it would end in the last of these parts of the grace.
 
+// Bounds of the platform for streams that are resumed while endpoints of their version serve.
+constexpr std::size_t MinEndpointsOfVersion = 2;
+constexpr unsigned MinResumedStreams = 12; ///< Fewer are not judged.
+constexpr unsigned MinResumedShareDivisor = 2; ///< The share that goes on is at least this part of those that begin.
+
 enum class Scenario : std::uint8_t {
     Faults, ///< Disturbances of two gateways.
+    Releases, ///< Endpoints are replaced by ones of other versions while clients resume streams.
     Stops, ///< Planned stops, with few disturbances, of two gateways or of many.
 };
 
+EndpointVersions endpointVersionsOf(Scenario scenario)
+{
+    return scenario == Scenario::Releases ? EndpointVersions{{"v1.1", 3}, {"v1.2", 3}} : EndpointVersions{{"v1", 3}};
+}
+
+std::vector<Fault> scheduleOf(Scenario scenario, unsigned seed, const FaultTargets &targets)
+{
+    switch (scenario) {
+    case Scenario::Faults:
+        break;
+    case Scenario::Releases:
+        return scheduleReleases(seed, targets);
+    case Scenario::Stops:
+        return scheduleStops(seed, targets, SoakDeployment::GracePeriod);
+    }
+    return scheduleFaults(seed, targets);
+}
+
 std::size_t gatewayCountOf(Scenario scenario, unsigned seed)
 {
     constexpr std::size_t ManyGateways = 8;
@@ -64,7 +92,8 @@
     Soak(Scenario scenario, unsigned seed)
         : scenario(scenario)
         , seed(seed)
-        , deployment(gatewayCountOf(scenario, seed))
+        , deployment(gatewayCountOf(scenario, seed), endpointVersionsOf(scenario))
+        , endpointLinkCount(this->deployment.endpointLinks.size())
     {
         this->deployment.folder.isKept = true; // Reset if no guarantee was violated.
         BOOST_REQUIRE_MESSAGE(waitUntil([this]() {
@@ -77,11 +106,9 @@
     void run()
     {
         const std::size_t gateways = this->deployment.clientAddresses.size();
-        const FaultTargets targets = {this->deployment.processes.size(), gateways,
-            this->deployment.endpoints.size() + this->deployment.clientLinks.size()};
-        const bool hasStops = this->scenario == Scenario::Stops;
-        const std::vector<Fault> schedule = hasStops ? scheduleStops(this->seed, targets, SoakDeployment::GracePeriod)
-                                                     : scheduleFaults(this->seed, targets);
+        const FaultTargets targets = {
+            this->deployment.processes.size(), gateways, this->endpointLinkCount + this->deployment.clientLinks.size()};
+        const std::vector<Fault> schedule = scheduleOf(this->scenario, this->seed, targets);
         std::chrono::milliseconds load = LoadDuration;
         for (const Fault &fault : schedule) {
             std::cout << "  " << describe(fault) << '\n';
@@ -89,8 +116,9 @@
         }
         const Clock::time_point loadStart = Clock::now();
         std::vector<std::jthread> threads; // Joined even if a step throws.
-        const std::size_t keptClients = hasStops ? gateways * KeptClientsPerGateway : 0;
-        threads.reserve(ClientCount + keptClients);
+        const std::size_t keptClients = this->scenario == Scenario::Stops ? gateways * KeptClientsPerGateway : 0;
+        const int streamClients = this->scenario == Scenario::Releases ? StreamClientCount : 0;
+        threads.reserve(ClientCount + keptClients + static_cast<std::size_t>(streamClients));
         for (int client = 0; client < ClientCount; ++client) {
             threads.emplace_back([this, client, loadStart, load]() {
                 this->runClient(client, loadStart + load);
@@ -101,6 +129,11 @@
                 this->runKeptClient(ClientCount + static_cast<int>(i), i % gateways, loadStart + load);
             });
         }
+        for (int client = 0; client < streamClients; ++client) {
+            threads.emplace_back([this, client, loadStart, load]() {
+                this->runStreamClient(ClientCount + client, loadStart + load);
+            });
+        }
         this->playSchedule(schedule, loadStart);
         for (std::jthread &thread : threads) {
             thread.join();
@@ -136,6 +169,13 @@
         Clock::time_point end = Clock::time_point::max(); ///< The maximum while it lasts.
     };
 
+    /** Streams that began, or were resumed, while nothing excuses a failure. */
+    struct StreamCounts
+    {
+        unsigned all = 0; ///< All that are counted.
+        unsigned successful = 0; ///< Those that brought an event, or a further one.
+    };
+
     /** Starts and ends the faults in time, and starts stopped gateways again as soon as they have ended. */
     void playSchedule(const std::vector<Fault> &schedule, Clock::time_point loadStart)
     {
@@ -202,15 +242,15 @@
 
     FaultyLink &linkOf(std::size_t target)
     {
-        const std::size_t endpoints = this->deployment.endpoints.size();
-        return target < endpoints ? this->deployment.endpoints[target].link
-                                  : this->deployment.clientLinks[target - endpoints];
+        return target < this->endpointLinkCount ? this->deployment.endpointLinks[target]
+                                                : this->deployment.clientLinks[target - this->endpointLinkCount];
     }
 
     void injectFault(const Fault &fault)
     {
         auto &processes = this->deployment.processes;
         if (!isPlanned(fault.kind)) {
+            const std::lock_guard lock(this->mutex);
             this->disturbances.push_back({&fault, Clock::now()});
         }
         switch (fault.kind) {
@@ -237,6 +277,9 @@
                 this->acknowledged = this->version;
             }
             break;
+        case FaultKind::Release:
+            this->drainingEndpoints[&fault] = this->deployment.beginRelease(fault.version, fault.reusesAddress);
+            break;
         case FaultKind::Stop:
             this->stopGateway(fault.target);
             break;
@@ -251,10 +294,14 @@
         if (fault.kind == FaultKind::Pause) {
             this->deployment.processes[fault.target]->signal(SIGCONT);
         }
+        if (fault.kind == FaultKind::Release && !this->drainingEndpoints[&fault].empty()) {
+            this->deployment.endRelease(this->drainingEndpoints[&fault], fault.version, fault.reusesAddress);
+        }
         if (fault.kind == FaultKind::Stop) {
             this->killStopped(fault.target);
         }
         this->deployment.startEnded(); // Including processes that other faults ended meanwhile.
+        const std::lock_guard lock(this->mutex);
         for (Disturbance &disturbance : this->disturbances) {
             if (disturbance.fault == &fault) {
                 disturbance.end = Clock::now();
@@ -346,6 +393,97 @@
         }
     }
 
+    /** Whether an unplanned fault affects what happens from @p start to now. */
+    bool isDisturbedSince(Clock::time_point start)
+    {
+        const std::lock_guard lock(this->mutex);
+        return std::ranges::any_of(this->disturbances, [start](const Disturbance &disturbance) {
+            return start - UndisturbedTime <= disturbance.end;
+        });
+    }
+
+    bool isVersionServed(const std::string &version)
+    {
+        return this->deployment.readyEndpoints(version) >= MinEndpointsOfVersion;
+    }
+
+    /** Receives streams that break off, and resumes each until it is complete or too many attempts have failed. */
+    void runStreamClient(int client, Clock::time_point end)
+    {
+        Random random(this->seed * 100 + static_cast<unsigned>(client));
+        while (Clock::now() < end) {
+            const std::string id = this->newId("stream");
+            SoakStream stream(id, SoakEndpoint::resumableEvents(id));
+            this->receiveStream(random, stream, static_cast<std::size_t>(randomInt(random, 0, this->lastGateway())));
+        }
+    }
+
+    void receiveStream(Random &random, SoakStream &stream, std::size_t gateway)
+    {
+        constexpr int MaxAttempts = 5;
+        constexpr int KeptStreamInterval = 3; // The client doesn't break off one stream in so many.
+        const Clock::time_point begin = Clock::now();
+        Clock::time_point resumed = Clock::time_point::max();
+        std::size_t receivedFirst = 0; // Events before the stream was resumed.
+        bool wasServed = true; // Two endpoints of its version have been ready all the while.
+        std::size_t eventsWanted = randomInt(random, 1, KeptStreamInterval) == 1
+            ? stream.events
+            : static_cast<std::size_t>(randomInt(random, 1, static_cast<int>(stream.events) - 1));
+        for (int attempt = 0; attempt < MaxAttempts && stream.received < stream.events; ++attempt) {
+            if (stream.received > 0 && receivedFirst == 0) {
+                receivedFirst = stream.received;
+                resumed = Clock::now();
+            }
+            wasServed = wasServed && (stream.received == 0 || this->isVersionServed(stream.version));
+            const bool wasComplete =
+                this->attemptStream(stream, gateway, stream.id + "." + std::to_string(attempt), eventsWanted);
+            if (wasComplete && stream.received < stream.events) {
+                this->recordViolation("a complete stream has all events", stream.id);
+                return;
+            }
+            eventsWanted = stream.events;
+            gateway = (gateway + 1) % this->deployment.clientAddresses.size();
+        }
+        const bool isNewCounted = !this->isDisturbedSince(begin);
+        const bool isResumedCounted =
+            receivedFirst > 0 && wasServed && this->isVersionServed(stream.version) && !this->isDisturbedSince(resumed);
+        const std::lock_guard lock(this->mutex);
+        this->newStreams.all += isNewCounted ? 1 : 0;
+        this->newStreams.successful += isNewCounted && stream.received > 0 ? 1 : 0;
+        this->resumedStreams.all += isResumedCounted ? 1 : 0;
+        this->resumedStreams.successful += isResumedCounted && stream.received > receivedFirst ? 1 : 0;
+    }
+
+    /** Requests the rest of @p stream at @p gateway and closes the connection once @p eventsWanted events have come.
+     * @return whether the response was a complete stream. */
+    bool attemptStream(SoakStream &stream, std::size_t gateway, const std::string &id, std::size_t eventsWanted)
+    {
+        const Clock::time_point sent = Clock::now();
+        Response response;
+        try {
+            HttpConnection connection(this->deployment.clientLinks[gateway].address, 1s);
+            response = connection.exchange(
+                formatRequest("/resume/x", id, "always", stream.resumeFields() + "Connection: close\r\n", stream.id),
+                ResponseTimeout, [&](const Response &partial) {
+                    return partial.status == 200
+                        && stream.received + SoakStream::countEvents(partial.body) >= eventsWanted
+                        && eventsWanted < stream.events;
+                });
+        } catch (const Poco::Exception &) {
+            response = {}; // Nothing is listening there at the moment.
+        }
+        this->recordCall({id, gateway, sent, Clock::now(), response.complete, false, StreamAttempts}, response.status);
+        if (response.status != 200) {
+            std::this_thread::sleep_for(StreamRetryDelay);
+            return false;
+        }
+        const std::string violation = stream.addResponse(id, response.body);
+        if (!violation.empty()) {
+            this->recordViolation(violation, id);
+        }
+        return response.complete;
+    }
+
     void runClient(int client, Clock::time_point end)
     {
         Random random(this->seed * 100 + static_cast<unsigned>(client));
@@ -461,13 +599,13 @@
     [[nodiscard]] bool isDisturbed(const RecordedCall &call) const
     {
         const std::size_t process = this->deployment.processOfGateway(call.gateway);
-        const std::size_t link = this->deployment.endpoints.size() + call.gateway;
+        const std::size_t link = this->endpointLinkCount + call.gateway;
         const std::size_t gateways = this->deployment.processOfGateway(0);
         return std::ranges::any_of(this->disturbances, [&](const Disturbance &disturbance) {
             const Fault &fault = *disturbance.fault;
             const bool concernsCall = fault.kind == FaultKind::KillAll
                 || (fault.kind == FaultKind::Link
-                        ? fault.target == link || fault.target < this->deployment.endpoints.size()
+                        ? fault.target == link || fault.target < this->endpointLinkCount
                         : fault.target == process || (call.needsHistory && fault.target < gateways));
             return concernsCall && disturbance.start <= call.ended && call.sent - UndisturbedTime <= disturbance.end;
         });
@@ -502,6 +640,19 @@
         }
     }
 
+    /** Checks that streams go on where endpoints of their version serve. */
+    void checkResumedShare()
+    {
+        const auto [resumed, wentOn] = this->resumedStreams;
+        const auto [sent, began] = this->newStreams;
+        std::cout << "  resumed streams that go on: " << wentOn << " of " << resumed
+                  << ", new streams that begin: " << began << " of " << sent << '\n';
+        if (resumed >= MinResumedStreams && wentOn * sent * MinResumedShareDivisor < began * resumed) {
+            this->recordViolation("resumed streams go on where their version serves",
+                std::to_string(wentOn) + " of " + std::to_string(resumed));
+        }
+    }
+
     void checkGuarantees()
     {
         for (const RecordedCall &call : this->calls) {
@@ -521,6 +672,9 @@
                     call.id);
             }
         }
+        if (this->scenario == Scenario::Releases) {
+            this->checkResumedShare();
+        }
         unsigned read = 0;
         static_cast<void>(waitUntil([&]() {
             for (const std::string &address : this->deployment.operatorAddresses) {
@@ -548,17 +702,22 @@
     const Scenario scenario; ///< What the schedule consists of.
     const unsigned seed; ///< Seed of the schedule and the clients.
     SoakDeployment deployment; ///< The processes under test.
+    const std::size_t endpointLinkCount; ///< Number of endpoint links that faults can affect.
+    std::map<const Fault *, std::string> drainingEndpoints; ///< Ids of the endpoints that releases replace.
+    StreamCounts newStreams; ///< Streams that were sent for the first time, without a disturbance.
+    StreamCounts resumedStreams; ///< Streams that were resumed while endpoints of their version served.
     std::atomic<unsigned> ids{0}; ///< Counter for unique request ids.
     unsigned version = 1; ///< Configuration version that was sent last.
     unsigned acknowledged = 1; ///< Highest acknowledged configuration version.
     std::vector<Stop> stops; ///< All planned stops.
     std::vector<Disturbance> disturbances; ///< All unplanned faults, in the order of their starts.
-    std::mutex mutex; ///< Guards `violations`, `statusCounts` and `calls`.
+    std::mutex mutex; ///< Guards `violations`, `statusCounts`, `calls`, `disturbances` and the counts of streams.
     std::vector<RecordedCall> calls; ///< All calls of the clients.
 };
 
 /** Seeds that CI runs for each scenario: ordinary ones, and each one that ever failed (docs/SOAK.md). */
 const std::vector<unsigned> DefaultFaultSeeds = {1, 2};
+const std::vector<unsigned> DefaultReleaseSeeds = {1, 2};
 const std::vector<unsigned> DefaultStopSeeds = {1, 4};
 
 std::vector<unsigned> selectSeeds(const std::vector<unsigned> &defaultSeeds)
@@ -602,6 +761,11 @@
     runSeeds(Scenario::Faults, DefaultFaultSeeds);
 }
 
+BOOST_AUTO_TEST_CASE(streams_keep_their_version_while_endpoints_are_replaced)
+{
+    runSeeds(Scenario::Releases, DefaultReleaseSeeds);
+}
+
 BOOST_AUTO_TEST_CASE(requests_are_answered_while_gateways_stop_in_series)
 {
     runSeeds(Scenario::Stops, DefaultStopSeeds);
--- a/tests/support/faulty_link.cpp
+++ b/tests/support/faulty_link.cpp
@@ -42,14 +42,33 @@
 {
 }
 
-void FaultyLink::relay(Poco::Net::StreamSocket &client, const std::atomic<bool> &ending) const
+void FaultyLink::setTarget(std::string newTarget)
 {
-    Poco::Net::StreamSocket upstream{Poco::Net::SocketAddress(this->target)};
+    const std::lock_guard lock(this->mutex);
+    this->target = std::move(newTarget);
+    ++this->targetChanges;
+}
+
+std::string FaultyLink::currentTarget()
+{
+    const std::lock_guard lock(this->mutex);
+    return this->target;
+}
+
+void FaultyLink::relay(Poco::Net::StreamSocket &client, const std::atomic<bool> &ending)
+{
+    const unsigned changesAtStart = this->targetChanges;
+    const std::string address = this->currentTarget();
+    if (address.empty()) {
+        client.setLinger(true, 0);
+        return;
+    }
+    Poco::Net::StreamSocket upstream{Poco::Net::SocketAddress(address)};
     client.setNoDelay(true);
     upstream.setNoDelay(true);
     while (!ending) {
         const LinkFault currentFault = this->fault;
-        if (currentFault == LinkFault::Reset) {
+        if (currentFault == LinkFault::Reset || this->targetChanges != changesAtStart) {
             resetOnClose(client, upstream);
             return;
         }
--- a/tests/support/faulty_link.h
+++ b/tests/support/faulty_link.h
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstdint>
+#include <mutex>
 #include <string>
 
 #include "support/connection_server.h"
@@ -31,14 +32,20 @@
         this->fault = newFault;
     }
 
+    /** Forwards new connections to @p newTarget, or resets them if it is empty. Existing connections are reset. */
+    void setTarget(std::string newTarget);
+
     static constexpr auto DelayTime = std::chrono::milliseconds(80);
 
 private:
-    void relay(Poco::Net::StreamSocket &client, const std::atomic<bool> &ending) const;
+    void relay(Poco::Net::StreamSocket &client, const std::atomic<bool> &ending);
+    std::string currentTarget();
 
-    const std::string target; ///< Target as ip:port.
+    std::mutex mutex; ///< Guards `target`.
+    std::string target; ///< Target as ip:port; empty if nothing listens there.
+    std::atomic<unsigned> targetChanges{0}; ///< Number of calls of `setTarget`.
     std::atomic<LinkFault> fault{LinkFault::None}; ///< Current fault.
-    ConnectionServer server; ///< Declared after `target` and `fault`, which its threads use.
+    ConnectionServer server; ///< Declared after the members that its threads use.
 
 public:
     const std::string address; ///< Address of the proxy as ip:port.
--- a/tests/support/http_connection.cpp
+++ b/tests/support/http_connection.cpp
@@ -51,24 +51,29 @@
     this->socket.setNoDelay(true);
 }
 
-Response HttpConnection::exchange(const std::string &request, std::chrono::milliseconds idleTimeout)
+Response HttpConnection::exchange(const std::string &request, std::chrono::milliseconds idleTimeout,
+    const std::function<bool(const Response &)> &isEnough)
 {
     std::string bytes;
+    Response response;
     try {
         this->socket.sendBytes(request.data(), static_cast<int>(request.size()));
         char buffer[4096];
-        while (!parseResponse(bytes).complete
-            && this->socket.poll(toTimespan(idleTimeout), Poco::Net::Socket::SELECT_READ)) {
+        while (this->socket.poll(toTimespan(idleTimeout), Poco::Net::Socket::SELECT_READ)) {
             const int count = this->socket.receiveBytes(buffer, sizeof buffer);
             if (count <= 0) {
                 break;
             }
             bytes.append(buffer, static_cast<std::size_t>(count));
+            response = parseResponse(bytes);
+            if (response.complete || (isEnough && isEnough(response))) {
+                break;
+            }
         }
     } catch (const Poco::Exception &) {
         // The connection was reset; what has arrived is the response.
     }
-    return parseResponse(bytes);
+    return response;
 }
 
 } // namespace Chestnuthook::Testing
--- a/tests/support/http_connection.h
+++ b/tests/support/http_connection.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include <chrono>
-#include <memory>
+#include <functional>
 #include <string>
 
 #include <Poco/Net/StreamSocket.h>
@@ -29,9 +29,10 @@
     /** @throws Poco::Exception if the connection can't be opened within @p timeout. */
     HttpConnection(const std::string &address, std::chrono::milliseconds timeout);
 
-    /** Sends @p request and reads until the response is complete, the connection is closed, or no byte arrives for
-     * @p idleTimeout. */
-    [[nodiscard]] Response exchange(const std::string &request, std::chrono::milliseconds idleTimeout);
+    /** Sends @p request and reads until the response is complete or fulfils @p isEnough, the connection is closed, or
+     * no byte arrives for @p idleTimeout. */
+    [[nodiscard]] Response exchange(const std::string &request, std::chrono::milliseconds idleTimeout,
+        const std::function<bool(const Response &)> &isEnough = {});
 
 private:
     Poco::Net::StreamSocket socket; ///< Connection to the server.
--- a/tests/support/soak_deployment.cpp
+++ b/tests/support/soak_deployment.cpp
@@ -1,6 +1,7 @@
 /** @file soak_deployment.cpp  Starts the processes of the soak test and answers as its endpoints. */
 #include "support/soak_deployment.h"
 
+#include <algorithm>
 #include <functional>
 #include <thread>
 
@@ -13,6 +14,10 @@
 {
 
 constexpr std::size_t LostResponseInterval = 40; ///< One in this many responses is lost by the endpoint.
+constexpr std::size_t CutStreamInterval = 4; ///< One in this many runs of a resumable stream breaks off.
+constexpr std::size_t MinResumableEvents = 4;
+constexpr std::size_t MaxResumableEvents = 10;
+constexpr const char *EventStreamField = "Content-Type: text/event-stream\r\n";
 constexpr std::size_t MaxSlowEvents = 9; ///< Most events of a slow stream.
 constexpr std::size_t MaxPausesPerEvent = 4; ///< Most pauses between two events of a slow stream.
 
@@ -21,20 +26,27 @@
     return std::hash<std::string>()(id);
 }
 
-std::string eventOf(std::size_t number, const std::string &id)
+std::string eventOf(std::size_t number, const std::string &id, const std::string &version = "")
 {
     const auto letter = static_cast<char>('a' + number - 1);
-    return "id: " + std::to_string(number) + "\ndata: " + letter + " " + id + "\n\n";
+    return "id: " + std::to_string(number) + "\ndata: " + version + letter + " " + id + "\n\n";
+}
+
+bool isStreamPath(const std::string &path)
+{
+    return path.starts_with("/turn/") || path.starts_with("/slow/");
 }
 
 } // namespace
 
-SoakEndpoint::SoakEndpoint()
-    : server("127.0.0.1",
-        [this](const std::string &head, const std::string &body) {
-            return this->answer(head, body);
-        })
-    , link(this->server.address)
+SoakEndpoint::SoakEndpoint(std::string id, std::string version)
+    : id(std::move(id))
+    , version(std::move(version))
+    , server("127.0.0.1",
+          [this](const std::string &head, const std::string &body) {
+              return this->answer(head, body);
+          })
+    , address(this->server.address)
 {
 }
 
@@ -67,33 +79,66 @@
 
 std::string SoakEndpoint::answer(const std::string &head, const std::string &body)
 {
-    const std::string id = fieldOf(head, "X-Request-Id");
-    const std::size_t path = head.find(' ') + 1;
-    const std::string response = responseBody(head.substr(path, head.find(' ', path) - path), id);
-    const bool isLost = hashOf(id) % LostResponseInterval == 0;
+    const std::string requestId = fieldOf(head, "X-Request-Id");
+    if (fieldOf(head, "X-Expected-Instance") != this->id) {
+        return "HTTP/1.1 421 Misdirected Request\r\nX-Request-Id: " + requestId + "\r\nContent-Length: 0\r\n\r\n";
+    }
+    const std::size_t pathStart = head.find(' ') + 1;
+    const std::string path = head.substr(pathStart, head.find(' ', pathStart) - pathStart);
+    const bool isResumable = path.starts_with("/resume/");
+    std::string response = isResumable
+        ? this->resumableResponse(head, body)
+        : signedResponse(head, responseBody(path, requestId), isStreamPath(path) ? EventStreamField : "");
+    const bool isLost = hashOf(requestId) % LostResponseInterval == 0;
     const Clock::time_point start = Clock::now();
     {
         const std::lock_guard lock(this->mutex);
-        this->runs[id].push_back({body, start, start + ExecutionTime + pauseTimeOf(response), isLost});
+        this->runs[requestId].push_back({body, start, start + ExecutionTime + pauseTimeOf(response), isLost});
     }
     std::this_thread::sleep_for(ExecutionTime);
     if (isLost) {
         return std::string(CloseMark); // The request has run, but the response is lost.
     }
-    return signedResponse(head, response, response.starts_with("id: ") ? "Content-Type: text/event-stream\r\n" : "");
+    return response;
+}
+
+std::size_t SoakEndpoint::resumableEvents(const std::string &stream)
+{
+    return MinResumableEvents + hashOf(stream) % (MaxResumableEvents - MinResumableEvents + 1);
+}
+
+std::string SoakEndpoint::resumableResponse(const std::string &head, const std::string &stream) const
+{
+    const std::string last = fieldOf(head, "Last-Event-Id");
+    const std::size_t first = last.empty() ? 1 : std::stoul(last) + 1;
+    const std::size_t events = resumableEvents(stream);
+    const std::size_t hash = hashOf(fieldOf(head, "X-Request-Id") + last);
+    const bool breaksOff = hash % CutStreamInterval == 0 && first <= events;
+    const std::size_t lastNumber = breaksOff ? first + hash / CutStreamInterval % (events - first + 1) : 0;
+    std::string content;
+    std::size_t unsentBytes = 0;
+    for (std::size_t number = first; number <= events; ++number) {
+        const std::string event = eventOf(number, stream, this->version + " ");
+        content.append(PauseMark).append(event);
+        unsentBytes = number == lastNumber ? 1 + hash % event.size() : unsentBytes + PauseMark.size() + event.size();
+    }
+    const std::string response = signedResponse(head, content, EventStreamField);
+    return breaksOff ? truncateAndClose(response, unsentBytes) : response;
 }
 
-SoakDeployment::SoakDeployment(std::size_t gateways)
+SoakDeployment::SoakDeployment(std::size_t gateways, const EndpointVersions &versions)
     : platform("127.0.0.1", [this](const std::string & /*head*/, const std::string & /*body*/) {
-        std::string entries;
-        for (std::size_t i = 0; i < this->endpoints.size(); ++i) {
-            entries += (i == 0 ? "" : ",") + (R"({"id":"i-)" + std::to_string(i) + R"(","service":"app","addr":")")
-                + this->endpoints[i].link.address + R"(","zone":"z","slots":8,"state":"ready"})";
-        }
-        const std::string list = R"({"instances":[)" + entries + R"(],"nextToken":null})";
+        const std::string list = this->endpointList();
         return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(list.size()) + "\r\n\r\n" + list;
     })
 {
+    for (const auto &[version, count] : versions) {
+        for (std::size_t i = 0; i < count; ++i) {
+            SoakEndpoint &endpoint = this->addEndpoint(version);
+            const std::lock_guard lock(this->listMutex);
+            this->listed.push_back({&endpoint, &this->endpointLinks.emplace_back(endpoint.address)});
+        }
+    }
     const std::string first = reserveAddress("127.0.1.1");
     const auto rpcPort = static_cast<unsigned short>(std::stoul(first.substr(first.find(':') + 1)));
     const auto add = [&](const std::string &program, int host, const std::string &listen) {
@@ -132,6 +177,70 @@
     }
 }
 
+SoakEndpoint &SoakDeployment::addEndpoint(const std::string &version)
+{
+    return this->endpoints.emplace_back("i-" + std::to_string(this->endpoints.size()), version);
+}
+
+std::string SoakDeployment::endpointList()
+{
+    const std::lock_guard lock(this->listMutex);
+    std::string entries;
+    for (const ListedEndpoint &entry : this->listed) {
+        entries += (entries.empty() ? R"({"id":")" : R"(,{"id":")") + entry.endpoint->id
+            + R"(","service":"app","addr":")" + entry.link->address + R"(","zone":"z","version":")"
+            + entry.endpoint->version + R"(","slots":8,"state":")" + (entry.isDraining ? "draining" : "ready")
+            + R"("})";
+    }
+    return R"({"instances":[)" + entries + R"(],"nextToken":null})";
+}
+
+std::string SoakDeployment::beginRelease(const std::string &version, bool reusesAddress)
+{
+    std::string drainingId;
+    {
+        const std::lock_guard lock(this->listMutex);
+        const auto entry = std::ranges::find_if(this->listed, [&version](const ListedEndpoint &candidate) {
+            return !candidate.isDraining && candidate.endpoint->version != version;
+        });
+        if (entry == this->listed.end()) {
+            return drainingId;
+        }
+        entry->isDraining = true;
+        drainingId = entry->endpoint->id;
+    }
+    if (!reusesAddress) {
+        SoakEndpoint &endpoint = this->addEndpoint(version);
+        FaultyLink &link = this->endpointLinks.emplace_back(endpoint.address);
+        const std::lock_guard lock(this->listMutex);
+        this->listed.push_back({&endpoint, &link});
+    }
+    return drainingId;
+}
+
+void SoakDeployment::endRelease(const std::string &id, const std::string &version, bool reusesAddress)
+{
+    SoakEndpoint *successor = reusesAddress ? &this->addEndpoint(version) : nullptr;
+    const std::lock_guard lock(this->listMutex);
+    const auto entry = std::ranges::find_if(this->listed, [&id](const ListedEndpoint &candidate) {
+        return candidate.endpoint->id == id;
+    });
+    entry->link->setTarget(successor == nullptr ? std::string() : successor->address);
+    if (successor == nullptr) {
+        this->listed.erase(entry);
+    } else {
+        *entry = {successor, entry->link};
+    }
+}
+
+std::size_t SoakDeployment::readyEndpoints(const std::string &version)
+{
+    const std::lock_guard lock(this->listMutex);
+    return static_cast<std::size_t>(std::ranges::count_if(this->listed, [&version](const ListedEndpoint &entry) {
+        return !entry.isDraining && entry.endpoint->version == version;
+    }));
+}
+
 void SoakDeployment::start(std::size_t process, bool isBootstrap)
 {
     this->instances[process].isBootstrap = isBootstrap;
@@ -156,6 +265,7 @@
     const std::string document = R"({"version":)" + std::to_string(version) + R"(,"routes":[)"
         + route("safe", R"("safe","maxAttempts":2)") + "," + route("unsafe", R"("unsafe","maxAttempts":2)") + ","
         + route("slow", R"("stream","maxAttempts":1)") + ","
+        + route("resume", R"("stream","maxAttempts":3,"resumable":true)") + ","
         + route("turn", R"("stream","maxAttempts":1,"retain":true,"retentionS":60)")
         + R"(],"services":[{"name":"app","engine":{"stride":10}}],"tenants":[{"name":"glue","apiKeys":["always",")"
         + key + R"("],"ratePerS":2000,"burst":2000}]})";
--- a/tests/support/soak_deployment.h
+++ b/tests/support/soak_deployment.h
@@ -32,7 +32,7 @@
         bool isResponseLost = false; ///< The endpoint closes the connection instead of responding.
     };
 
-    SoakEndpoint();
+    SoakEndpoint(std::string id, std::string version);
 
     /** All runs of the request @p id. */
     std::vector<Run> runsOf(const std::string &id);
@@ -40,24 +40,39 @@
     /** Body of the response to the request @p id with path @p path, which contains pauses. */
     static std::string responseBody(const std::string &path, const std::string &id);
 
+    /** Number of events of the resumable stream @p stream. */
+    static std::size_t resumableEvents(const std::string &stream);
+
     static constexpr auto ExecutionTime = std::chrono::milliseconds(20); ///< Time until a request is answered.
 
 private:
     std::string answer(const std::string &head, const std::string &body);
+    /** Response to a request on the resumable route, whose body names the stream. It begins after the event that the
+     * request names and may break off in the middle. */
+    [[nodiscard]] std::string resumableResponse(const std::string &head, const std::string &stream) const;
 
     std::mutex mutex; ///< Guards `runs`.
     std::map<std::string, std::vector<Run>> runs; ///< All runs, by request id.
-    RawServer server; ///< Accepts the requests.
 
 public:
-    FaultyLink link; ///< Proxy through which gateways reach the endpoint.
+    const std::string id; ///< Id in the endpoint list; requests for another one aren't run.
+    const std::string version; ///< Software version.
+
+private:
+    RawServer server; ///< Accepts the requests. Declared after the members that its threads use.
+
+public:
+    const std::string address; ///< ip:port.
 };
 
+/** Number of endpoints of each version at the start, by version. */
+using EndpointVersions = std::map<std::string, std::size_t>;
+
 /** Three control members, three history members and a number of gateways, with endpoints and an endpoint list. */
 class SoakDeployment
 {
 public:
-    explicit SoakDeployment(std::size_t gateways);
+    SoakDeployment(std::size_t gateways, const EndpointVersions &versions);
 
     void start(std::size_t process, bool isBootstrap = false);
     void startEnded();
@@ -65,6 +80,15 @@
     /** Sends configuration @p version, in which @p key is a valid API key. @return whether it was acknowledged. */
     [[nodiscard]] bool putConfiguration(unsigned version, const std::string &key) const;
 
+    /** Starts to replace an endpoint by one of @p version: lists a ready endpoint of another version as draining and,
+     * unless its address is used again, the new one beside it. @return the id of the draining endpoint; empty if there
+     * is none. */
+    std::string beginRelease(const std::string &version, bool reusesAddress);
+    /** Ends the draining endpoint @p id, and lists the new one at the same address if that is used again. */
+    void endRelease(const std::string &id, const std::string &version, bool reusesAddress);
+    /** Number of endpoints of @p version that are listed as ready. */
+    std::size_t readyEndpoints(const std::string &version);
+
     /** Index in `processes` of @p gateway. */
     [[nodiscard]] std::size_t processOfGateway(std::size_t gateway) const
     {
@@ -73,8 +97,28 @@
 
     static constexpr auto GracePeriod = std::chrono::seconds(4); ///< From SIGTERM to SIGKILL of a planned stop.
 
+private:
+    /** An entry of the endpoint list. */
+    struct ListedEndpoint
+    {
+        SoakEndpoint *endpoint = nullptr; ///< Points into `endpoints`.
+        FaultyLink *link = nullptr; ///< Proxy at the listed address; points into `endpointLinks`.
+        bool isDraining = false; ///< Listed as draining instead of ready.
+    };
+
+    SoakEndpoint &addEndpoint(const std::string &version);
+    std::string endpointList();
+
+public:
     TemporaryFolder folder; ///< Settings, logs and data; kept if the test fails.
-    std::deque<SoakEndpoint> endpoints{3}; ///< All belong to one service.
+    std::deque<SoakEndpoint> endpoints; ///< Including those that have ended; all belong to one service.
+    std::deque<FaultyLink> endpointLinks; ///< Proxies through which gateways reach endpoints, one per address.
+
+private:
+    std::mutex listMutex; ///< Guards `listed`.
+    std::vector<ListedEndpoint> listed; ///< The endpoint list.
+
+public:
     RawServer platform; ///< Serves the platform's endpoint list.
     std::vector<PlatformInstance> instances; ///< Settings of each process.
     std::vector<std::unique_ptr<ChildProcess>> processes; ///< In the order of `instances`; gateways come last.
--- a/tests/support/soak_schedule.h
+++ b/tests/support/soak_schedule.h
@@ -26,6 +26,7 @@
     KillAll, ///< SIGKILL of all processes.
     Link, ///< A fault of a link.
     Configure, ///< A new version of the configuration.
+    Release, ///< Planned replacement of an endpoint by one of another software version.
     Stop, ///< Planned stop of a gateway: SIGTERM, SIGKILL at the end of the grace period, start.
 };
 
@@ -37,6 +38,8 @@
     std::chrono::milliseconds duration{0}; ///< Time until the fault ends; of a stop: the grace period.
     std::size_t target = 0; ///< Index of the process, gateway (Stop) or link.
     LinkFault link = LinkFault::None; ///< Fault of the link.
+    std::string version = {}; ///< Release: version of the new endpoint.
+    bool reusesAddress = false; ///< Release: the new endpoint starts at the address of the old one after its end.
 };
 
 /** Planned operations leave the service whole; all other faults are disturbances. */
@@ -53,9 +56,12 @@
     std::size_t links = 0; ///< Links of clients and endpoints.
 };
 
-/** Two to nine faults of any kind but Stop at any time of @p load. */
+/** Two to nine faults of any kind but Release and Stop at any time of @p load. */
 [[nodiscard]] std::vector<Fault> scheduleFaults(unsigned seed, const FaultTargets &targets);
 
+/** Roll-outs of endpoints in series, with kills of gateways and, for some seeds, a few other disturbances. */
+[[nodiscard]] std::vector<Fault> scheduleReleases(unsigned seed, const FaultTargets &targets);
+
 /** Two rounds in which all gateways are stopped at once or one after the other, with configuration changes and, for
  * every second seed or so, a few disturbances. */
 [[nodiscard]] std::vector<Fault> scheduleStops(
