An endpoint that states in a response that it leaves gets nothing new

New rule of the users (DRAIN): a request that was sent later than drainMs after an instance had passed on a response with `Server-Leaving: 1` must not reach that endpoint from that instance, in touch or not. Gateways knew of leaving endpoints only from the list, which may be late or out of reach.

Change: the header is decoded in platform/ and still passed on. The gateway that got it marks the endpoint by its id, from the head of the response on: all choices (first, retries, resumed streams, programs with their cache there) avoid it, whatever the list shows, until the list drops it. Streams that run go on. Where nothing else is left, a leaving endpoint is used in the first half of its drain period, if the gateway saw it ready before; later the request is 503 at once, with Retry-After. One line endpoint_leaving per mark, a counter, and the avoided endpoints in call_dispatched.

--- a/src/gateway/gateway_base.cpp
+++ b/src/gateway/gateway_base.cpp
@@ -76,6 +76,7 @@
     , headerCodec(headerCodec)
     , configurationReader(std::move(readConfiguration))
     , settings(std::move(settings))
+    , loadBalancer(this->settings.drainPeriod)
     , connections(loop)
     , history(loop, watcher, this->settings.dataCentre)
 {
@@ -97,7 +98,7 @@
         }
     }
     if (hasPart(parts, UpdatePart::Endpoints)) {
-        this->loadBalancer.setEndpoints(view.endpoints);
+        this->loadBalancer.setEndpoints(this->now(), view.endpoints);
     }
     if (hasPart(parts, UpdatePart::Instances)) {
         this->gatewayCount = static_cast<std::size_t>(
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -26,6 +26,7 @@
 struct GatewaySettings
 {
     std::string dataCentre; ///< Data centre of this instance.
+    Duration drainPeriod{0}; ///< Time after which an endpoint that is known to leave must get no request.
 };
 
 /** Settles the token claim of a turn, at the latest on destruction, with the number of tokens delivered to the client.
@@ -114,6 +115,8 @@
     [[nodiscard]] std::optional<Milliseconds> programTimeLeft(const Call &call) const;
     [[nodiscard]] std::string serializeRequest(const Call &call, const DeployedEndpoint &endpoint) const;
 
+    /** Records that @p endpoint has stated in the response to @p call that it leaves. */
+    void recordLeaving(const Call &call, const DeployedEndpoint &endpoint);
     /** Records a strike if the endpoint no longer accepts connections. */
     void recordStrikeIfDown(std::uint64_t fingerprint, const DeployedEndpoint &endpoint);
     void reject(kj::WaitScope &scope, Call &call, unsigned status, std::string_view reason, double retryAfterSeconds);
--- a/src/gateway/gateway_run.cpp
+++ b/src/gateway/gateway_run.cpp
@@ -7,6 +7,7 @@
 #include "gateway/gateway_call_internal.h"
 #include "gateway/request_priority_func.h"
 #include "observe/log_func.h"
+#include "observe/metrics_base.h"
 
 namespace Chestnuthook
 {
@@ -148,6 +149,7 @@
     logEvent(EventKind::CallDispatched,
         {{"request", call.metadata.requestId}, {"endpoint", endpoint.id}, {"version", endpoint.version},
             {"kept", reused ? "yes" : "no"}, {"load", this->loadBalancer.describeLoad(this->now(), endpoint.id)},
+            {"leaving", this->loadBalancer.describeLeaving(this->now(), endpoint.service)},
             {"ms", std::to_string((this->now() - call.exchange.received).count() / 1000)}});
     if (!call.metadata.lastEventId.empty() || call.exchange.hasStarted()) {
         logEvent(EventKind::StreamResumed,
@@ -179,6 +181,17 @@
     return result;
 }
 
+void Gateway::recordLeaving(const Call &call, const DeployedEndpoint &endpoint)
+{
+    if (this->loadBalancer.recordLeaving(this->now(), endpoint.id)) {
+        metrics().add(MetricKind::EndpointsLeaving);
+        logEvent(EventKind::EndpointLeaving,
+            {{"endpoint", endpoint.id}, {"address", endpoint.address}, {"cause", "response"},
+                {"request", call.metadata.requestId},
+                {"ms", std::to_string((this->now() - call.exchange.received).count() / 1000)}});
+    }
+}
+
 void Gateway::recordStrikeIfDown(std::uint64_t fingerprint, const DeployedEndpoint &endpoint)
 {
     this->loop.detach(kj::startFiber(ProbeStackBytes, [this, fingerprint, endpoint](kj::WaitScope &scope) {
@@ -218,6 +231,9 @@
         if (metadata.load) {
             this->loadBalancer.recordLoad(this->now(), endpoint.id, *metadata.load);
         }
+        if (metadata.isLeaving) {
+            this->recordLeaving(call, endpoint);
+        }
         const bool isOwnResponse = metadata.requestId == call.metadata.requestId;
         if (!isOwnResponse && !metadata.notExecuted && head.status != HttpStatus::Misdirected) {
             // A late response to an earlier request on this connection.
--- a/src/gateway/header_codec_type.h
+++ b/src/gateway/header_codec_type.h
@@ -58,6 +58,7 @@
     bool isSigned = false; ///< The response has a signature, which only an endpoint that handled the request adds.
     bool notExecuted = false; ///< The endpoint did not execute the request and never will.
     std::optional<EndpointLoad> load; ///< Empty if not reported.
+    bool isLeaving = false; ///< The endpoint shuts down soon.
 };
 
 /** Reads and writes the header fields of a platform. */
--- a/src/gateway/load_balancer_base.cpp
+++ b/src/gateway/load_balancer_base.cpp
@@ -9,7 +9,7 @@
 namespace Chestnuthook
 {
 
-void LoadBalancer::setEndpoints(const std::vector<DeployedEndpoint> &list)
+void LoadBalancer::setEndpoints(Instant now, const std::vector<DeployedEndpoint> &list)
 {
     this->idsByService.clear();
     std::set<std::string> listed;
@@ -17,18 +17,41 @@
         listed.insert(endpoint.id);
         State &state = this->states[endpoint.id];
         if (state.endpoint.address != endpoint.address) {
+            const bool hasStatedLeaving = state.hasStatedLeaving;
             state = State();
+            state.hasStatedLeaving = hasStatedLeaving;
         }
         state.endpoint = endpoint;
-        if (!endpoint.leaving) {
-            this->idsByService[endpoint.service].push_back(endpoint.id);
+        state.wasListedReady = state.wasListedReady || !endpoint.leaving;
+        if (!state.isLeaving()) {
+            state.leavingSince.reset();
+        } else if (!state.leavingSince) {
+            state.leavingSince = now;
         }
+        this->idsByService[endpoint.service].push_back(endpoint.id);
     }
     std::erase_if(this->states, [&listed](const auto &entry) {
         return !listed.contains(entry.first) && entry.second.inFlight == 0;
     });
 }
 
+bool LoadBalancer::recordLeaving(Instant now, const std::string &id)
+{
+    State &state = this->states[id];
+    if (state.hasStatedLeaving) {
+        return false;
+    }
+    state.hasStatedLeaving = true;
+    state.leavingSince = state.leavingSince.value_or(now);
+    return true;
+}
+
+bool LoadBalancer::isLastResort(Instant now, const State &state) const
+{
+    // The list is older than the drain period's start, so only half of the period is used.
+    return state.wasListedReady && state.leavingSince && now - *state.leavingSince < this->drainPeriod / 2;
+}
+
 std::string LoadBalancer::commonVersion(const std::string &service) const
 {
     std::set<std::string> versions;
@@ -47,7 +70,7 @@
         return false;
     }
     const auto ids = this->idsByService.find(state->second.endpoint.service);
-    return ids != this->idsByService.end()
+    return ids != this->idsByService.end() && !state->second.isLeaving()
         && std::find(ids->second.begin(), ids->second.end(), id) != ids->second.end();
 }
 
@@ -78,15 +101,25 @@
         std::uint64_t affinityHash = 0; ///< Rendezvous hash of endpoint and affinity; also breaks ties.
     };
     std::vector<Candidate> candidates;
+    std::vector<Candidate> lastResorts;
     for (const std::string &id : ids->second) {
         const State &state = this->states.at(id);
         const bool hasVersion =
             !criteria.version || (!criteria.version->empty() && state.endpoint.version == *criteria.version);
-        if (hasVersion && !tried.contains(id)) {
-            const bool unhealthy = std::max(state.backoffUntil, state.ejectedUntil) > now;
-            candidates.push_back({&state, unhealthy, utilization(now, state), hash64(id, criteria.affinity)});
+        if (!hasVersion || tried.contains(id)) {
+            continue;
+        }
+        const bool unhealthy = std::max(state.backoffUntil, state.ejectedUntil) > now;
+        const Candidate candidate{&state, unhealthy, utilization(now, state), hash64(id, criteria.affinity)};
+        if (!state.isLeaving()) {
+            candidates.push_back(candidate);
+        } else if (this->isLastResort(now, state)) {
+            lastResorts.push_back(candidate);
         }
     }
+    if (candidates.empty()) {
+        candidates = std::move(lastResorts);
+    }
     if (candidates.empty()) {
         return nullptr;
     }
@@ -122,6 +155,17 @@
         + std::to_string(state.load.waiting) + "," + std::to_string(state.load.slots) + "," + std::to_string(age);
 }
 
+std::string LoadBalancer::describeLeaving(Instant now, const std::string &service) const
+{
+    std::string text;
+    for (const auto &[id, state] : this->states) {
+        if (state.endpoint.service == service && state.isLeaving() && state.leavingSince) {
+            text += (text.empty() ? "" : ",") + id + ":" + std::to_string((now - *state.leavingSince).count() / 1000);
+        }
+    }
+    return text;
+}
+
 void LoadBalancer::recordRequestStart(const std::string &id)
 {
     ++this->states[id].inFlight;
@@ -172,8 +216,14 @@
     std::vector<double> errorRates;
     std::size_t ejected = 0;
     for (const std::string &other : ids->second) {
-        errorRates.push_back(this->states.at(other).errorRate);
-        ejected += this->states.at(other).ejectedUntil > now ? 1 : 0;
+        const State &otherState = this->states.at(other);
+        if (!otherState.isLeaving()) {
+            errorRates.push_back(otherState.errorRate);
+            ejected += otherState.ejectedUntil > now ? 1 : 0;
+        }
+    }
+    if (errorRates.empty()) {
+        return;
     }
     const auto median = errorRates.begin() + static_cast<std::ptrdiff_t>(errorRates.size() / 2);
     std::nth_element(errorRates.begin(), median, errorRates.end());
--- a/src/gateway/load_balancer_base.h
+++ b/src/gateway/load_balancer_base.h
@@ -28,21 +28,35 @@
 class LoadBalancer
 {
 public:
+    /** @param drainPeriod time after which an endpoint that is known to leave must get no request. */
+    explicit LoadBalancer(Duration drainPeriod = Duration(0))
+        : drainPeriod(drainPeriod)
+    {
+    }
+
     /** Replaces the list of endpoints by the platform's current one. */
-    void setEndpoints(const std::vector<DeployedEndpoint> &list);
+    void setEndpoints(Instant now, const std::vector<DeployedEndpoint> &list);
 
-    /** Selects an endpoint whose id isn't in @p tried. @return null if there is none. */
+    /** Selects an endpoint whose id isn't in @p tried. One that leaves is selected only if there is no other, and only
+     * in the first half of its drain period. @return null if there is none. */
     [[nodiscard]] const DeployedEndpoint *choose(
         Instant now, const SelectionCriteria &criteria, const std::set<std::string> &tried) const;
     /** Software version that all listed endpoints of @p service have; empty if they differ or one doesn't state it. */
     [[nodiscard]] std::string commonVersion(const std::string &service) const;
-    /** Whether @p id is listed and not being drained. */
+    /** Whether @p id is listed and isn't known to leave. */
     [[nodiscard]] bool isUsable(const std::string &id) const;
 
     /** Describes the load of @p id for the log: this gateway's requests in flight, then the running and waiting
      * requests and the slots that the endpoint reported, then the age of that report in milliseconds. */
     [[nodiscard]] std::string describeLoad(Instant now, const std::string &id) const;
 
+    /** Lists the endpoints of @p service that are known to leave for the log, each with the age of that in
+     * milliseconds. */
+    [[nodiscard]] std::string describeLeaving(Instant now, const std::string &service) const;
+
+    /** Records that the endpoint has stated itself that it leaves. That holds until it is no longer listed, whatever
+     * state the list shows. @return whether it wasn't known. */
+    [[nodiscard]] bool recordLeaving(Instant now, const std::string &id);
     void recordRequestStart(const std::string &id);
     void recordRequestEnd(const std::string &id);
     void recordLoad(Instant now, const std::string &id, const EndpointLoad &load);
@@ -88,6 +102,14 @@
         Instant backoffUntil{0}; ///< Avoided until then if there is an alternative.
         double errorRate = 0; ///< Exponential moving average of failed results, 0 to 1.
         Instant ejectedUntil{0}; ///< End of the ejection because of the error rate.
+        bool hasStatedLeaving = false; ///< See `recordLeaving`.
+        std::optional<Instant> leavingSince; ///< When it became known that the endpoint leaves; see `isLeaving`.
+        bool wasListedReady = false; ///< Known before it was leaving, so that `leavingSince` is when that began.
+
+        [[nodiscard]] bool isLeaving() const
+        {
+            return this->hasStatedLeaving || this->endpoint.leaving;
+        }
     };
 
     /** Adds a result, 1 for a failure and 0 for a success, to the error rate and ejects the endpoint if it is an
@@ -98,7 +120,11 @@
     [[nodiscard]] static double utilization(Instant now, const State &state);
 
     std::map<std::string, State> states; ///< By endpoint id.
-    std::map<std::string, std::vector<std::string>> idsByService; ///< Endpoints that aren't being drained.
+    /** Whether requests may be sent to the endpoint if there is no other. */
+    [[nodiscard]] bool isLastResort(Instant now, const State &state) const;
+
+    Duration drainPeriod; ///< See the constructor.
+    std::map<std::string, std::vector<std::string>> idsByService; ///< All listed endpoints.
 };
 
 } // namespace Chestnuthook
--- a/src/table/metric_table.cpp
+++ b/src/table/metric_table.cpp
@@ -50,6 +50,8 @@
     {MetricKind::LogSyncs, "chestnuthook_log_syncs_total", MetricType::Counter, "", "Syncs of replicated logs."},
     {MetricKind::StrikesTotal, "chestnuthook_strikes_total", MetricType::Counter, "tenant",
         "Strikes against requests that crash endpoints."},
+    {MetricKind::EndpointsLeaving, "chestnuthook_endpoints_leaving_total", MetricType::Counter, "",
+        "Endpoints that stated in a response that they leave."},
 });
 
 constexpr bool isTableComplete()
--- a/tests/process/platform_test.cpp
+++ b/tests/process/platform_test.cpp
@@ -22,6 +22,7 @@
 {
 
 constexpr auto SlowExecutionTime = 1s; ///< Time that the fake endpoints take for paths that end in /slow.
+constexpr auto DrainPeriod = 1000ms; ///< An endpoint that has stated that it leaves must get no request after that.
 constexpr unsigned GracePeriodSeconds = 5; ///< Longer than the timeout of each route.
 
 /** A fake endpoint whose behaviour depends on the path. It records the requests that it ran. */
@@ -89,7 +90,7 @@
             const std::string events = "id: 1\ndata: one\n\nid: 2\ndata: two\n\n";
             return signedResponse(head, events, "Content-Type: text/event-stream\r\n");
         }
-        return signedResponse(head, "ok");
+        return signedResponse(head, "ok", this->isLeaving ? "Server-Leaving: 1\r\n" : "");
     }
 
     std::mutex mutex; ///< Guards the members below.
@@ -98,6 +99,7 @@
     std::map<std::string, std::string> heads; ///< Last request header by request id.
 
 public:
+    std::atomic<bool> isLeaving = false; ///< States in responses that it leaves; the endpoint list doesn't show it.
     RawServer server; ///< Accepts the requests.
 };
 
@@ -168,6 +170,7 @@
         const std::string document = R"({"version":)" + std::to_string(version) + R"(,"routes":[)"
             + route("safe", "safe", R"("maxAttempts":2)") + "," + route("unsafe", "unsafe", R"("maxAttempts":2)") + ","
             + route("turn", "stream", R"("maxAttempts":1,"retain":true,"retentionS":60)") + ","
+            + route("pair", "safe", R"("maxAttempts":1)", "pair") + ","
             + route("resume", "stream", R"("maxAttempts":2,"resumable":true)", "pair")
             + R"(],"services":[{"name":"app","engine":{"stride":10}},{"name":"pair"}],"tenants":[{"name":"glue","apiKeys":["key"],)"
             + R"("ratePerS":1000,"burst":1000}]})";
@@ -197,6 +200,7 @@
         instance.seeds = {"127.0.0.2:1"};
         instance.platformAddress = this->platform.address;
         instance.gracePeriodSeconds = GracePeriodSeconds;
+        instance.drainPeriod = DrainPeriod;
         instance.isBootstrap = isBootstrap;
         this->processes[name] = startInstance(instance, this->folder.path);
     }
@@ -378,3 +382,36 @@
     BOOST_TEST(served > 0U);
     BOOST_TEST(this->deployment.processes["gateway"]->wait() == 0);
 }
+
+BOOST_FIXTURE_TEST_CASE(endpoint_that_states_that_it_leaves_is_avoided_out_of_touch_with_control, Fixture)
+{
+    Deployment &deployment = this->deployment;
+    deployment.processes["deployment"]->signal(SIGSTOP);
+    unsigned sent = 0;
+    const auto call = [&]() {
+        return deployment.call("GET", "/pair/x", "l" + std::to_string(sent++));
+    };
+    BOOST_REQUIRE(call().status == 200);
+    Endpoint &leaving = deployment.endpoint.runsOf("l0") != 0 ? deployment.endpoint : deployment.secondEndpoint;
+    leaving.isLeaving = true;
+    BOOST_TEST(call().headers.contains("Server-Leaving"));
+    std::this_thread::sleep_for(DrainPeriod);
+    const unsigned first = sent;
+    while (sent < first + 40) {
+        BOOST_TEST(call().status == 200);
+        BOOST_TEST(leaving.runsOf("l" + std::to_string(sent - 1)) == 0U);
+    }
+    deployment.processes["deployment"]->signal(SIGCONT);
+}
+
+BOOST_FIXTURE_TEST_CASE(request_is_refused_once_the_only_endpoint_has_left, Fixture)
+{
+    this->deployment.endpoint.isLeaving = true;
+    BOOST_TEST(this->deployment.call("GET", "/safe/x", "first").status == 200);
+    BOOST_TEST(this->deployment.call("GET", "/safe/x", "second").status == 200);
+    std::this_thread::sleep_for(DrainPeriod);
+    const HttpAnswer answer = this->deployment.call("POST", "/unsafe/x", "late");
+    BOOST_TEST(answer.status == 503);
+    BOOST_TEST(answer.headers.contains("Retry-After"));
+    BOOST_TEST(this->deployment.endpoint.runsOf("late") == 0U);
+}
--- a/tests/support/platform_process.cpp
+++ b/tests/support/platform_process.cpp
@@ -19,7 +19,8 @@
                                   << R"(,"listen":{)" << instance.listen << R"(},"dataDir":")" << base
                                   << R"(-data","cloud":{"addr":")" << instance.platformAddress
                                   << R"("},"faultTolerance":{"machines":)" << instance.toleratedFailures
-                                  << R"(},"bounds":{"graceS":)" << instance.gracePeriodSeconds << "}}";
+                                  << R"(},"bounds":{"graceS":)" << instance.gracePeriodSeconds << R"(,"drainMs":)"
+                                  << instance.drainPeriod.count() << "}}";
     return std::make_unique<ChildProcess>("chestnuthook-" + instance.program,
         std::vector<std::string>{"--settings=" + base + ".json"}, base + ".log",
         std::vector<std::string>{"CHESTNUTHOOK_SECRET=test"});
--- a/tests/support/platform_process.h
+++ b/tests/support/platform_process.h
@@ -1,6 +1,7 @@
 /** @file platform_process.h  Starts the programs of chestnuthook with settings files like those of the platform. */
 #pragma once
 
+#include <chrono>
 #include <memory>
 #include <string>
 #include <vector>
@@ -22,6 +23,7 @@
     std::string platformAddress; ///< Address of the platform's endpoint list.
     unsigned toleratedFailures = 0; ///< Number of instances with a disk whose simultaneous loss is tolerated.
     unsigned gracePeriodSeconds = 8; ///< Time between SIGTERM and SIGKILL that the platform grants.
+    std::chrono::milliseconds drainPeriod{3000}; ///< Time after which a leaving endpoint must get no request.
     bool isBootstrap = false; ///< The deployment starts for the first time.
 };
 
--- a/tests/unit/gateway_decision_test.cpp
+++ b/tests/unit/gateway_decision_test.cpp
@@ -34,10 +34,10 @@
 {
     LoadBalancer one;
     LoadBalancer other;
-    one.setEndpoints(endpoints(9));
+    one.setEndpoints(Instant(1), endpoints(9));
     auto reversed = endpoints(9);
     std::reverse(reversed.begin(), reversed.end());
-    other.setEndpoints(reversed);
+    other.setEndpoints(Instant(1), reversed);
     for (std::uint64_t program = 1; program < 100; ++program) {
         const SelectionCriteria criteria{"model", program, "x"};
         BOOST_TEST(one.choose(Instant(1), criteria, {})->id == other.choose(Instant(1), criteria, {})->id);
@@ -47,7 +47,7 @@
 BOOST_AUTO_TEST_CASE(affinity_holds_until_the_endpoint_is_overloaded)
 {
     LoadBalancer balancer;
-    balancer.setEndpoints(endpoints(3));
+    balancer.setEndpoints(Instant(1), endpoints(3));
     const SelectionCriteria criteria{"model", 42, "x"};
     const std::string preferred = balancer.choose(Instant(1), criteria, {})->id;
     balancer.recordLoad(Instant(1), preferred, EndpointLoad{8, 4, 8});
@@ -62,7 +62,7 @@
     LoadBalancer balancer;
     auto list = endpoints(3);
     list[0].leaving = true;
-    balancer.setEndpoints(list);
+    balancer.setEndpoints(Instant(1), list);
     const SelectionCriteria criteria{"model", 0, "x"};
     BOOST_TEST(balancer.choose(Instant(1), criteria, {"e1"})->id == "e2");
     BOOST_TEST(balancer.choose(Instant(1), criteria, {"e1", "e2"}) == nullptr);
@@ -76,7 +76,7 @@
         list[i].version = i == 5 ? "" : i % 2 == 0 ? "v1" : "v2";
     }
     LoadBalancer loadBalancer;
-    loadBalancer.setEndpoints(list);
+    loadBalancer.setEndpoints(Instant(1), list);
     BOOST_TEST(loadBalancer.commonVersion("model").empty());
     for (std::uint64_t program = 0; program < 50; ++program) { // 0 stands for no affinity.
         for (const std::string version : {"v1", "v2"}) {
@@ -100,15 +100,63 @@
     for (DeployedEndpoint &endpoint : list) {
         endpoint.version = "v2";
     }
-    loadBalancer.setEndpoints(list);
+    loadBalancer.setEndpoints(Instant(1), list);
     BOOST_TEST(loadBalancer.commonVersion("model") == "v2");
     BOOST_TEST(loadBalancer.commonVersion("other").empty());
 }
 
+BOOST_AUTO_TEST_CASE(endpoint_that_states_that_it_leaves_is_avoided_until_it_is_no_longer_listed)
+{
+    constexpr Duration DrainPeriod = std::chrono::seconds(3);
+    LoadBalancer loadBalancer(DrainPeriod);
+    const auto list = endpoints(3);
+    loadBalancer.setEndpoints(Instant(1), list);
+    BOOST_TEST(loadBalancer.recordLeaving(Instant(2), "e1"));
+    BOOST_TEST(!loadBalancer.recordLeaving(Instant(3), "e1"));
+    loadBalancer.setEndpoints(Instant(4), list); // An old list still shows it as ready.
+    BOOST_TEST(!loadBalancer.isUsable("e1"));
+    for (std::uint64_t program = 0; program < 50; ++program) {
+        std::set<std::string> tried;
+        while (const DeployedEndpoint *chosen = loadBalancer.choose(Instant(5), {"model", program, "x"}, tried)) {
+            tried.insert(chosen->id);
+            if (tried.size() < 3) {
+                BOOST_TEST(chosen->id != "e1"); // Last, as there is no other.
+            }
+        }
+    }
+    auto successor = list;
+    successor[1].id = "e9"; // Another incarnation at the same address.
+    loadBalancer.setEndpoints(Instant(6), successor);
+    BOOST_TEST(loadBalancer.isUsable("e9"));
+    loadBalancer.setEndpoints(Instant(7), list);
+    BOOST_TEST(loadBalancer.isUsable("e1"));
+}
+
+BOOST_AUTO_TEST_CASE(leaving_endpoint_without_alternative_is_used_only_early_in_its_drain_period)
+{
+    constexpr Duration DrainPeriod = std::chrono::seconds(3);
+    const SelectionCriteria criteria{"model", 7, "x"};
+    for (const bool isStated : {true, false}) {
+        LoadBalancer loadBalancer(DrainPeriod);
+        auto list = endpoints(1);
+        loadBalancer.setEndpoints(Instant(1), list);
+        list[0].leaving = !isStated;
+        loadBalancer.setEndpoints(Instant(1), list);
+        BOOST_TEST(loadBalancer.recordLeaving(Instant(1), "e0"));
+        BOOST_TEST(loadBalancer.choose(Instant(1) + DrainPeriod / 3, criteria, {}) != nullptr);
+        BOOST_TEST(loadBalancer.choose(Instant(1) + DrainPeriod * 2 / 3, criteria, {}) == nullptr);
+    }
+    LoadBalancer restarted(DrainPeriod); // It can't know for how long the endpoint has been leaving.
+    auto list = endpoints(1);
+    list[0].leaving = true;
+    restarted.setEndpoints(Instant(1), list);
+    BOOST_TEST(restarted.choose(Instant(2), criteria, {}) == nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(failed_endpoint_is_avoided_unless_it_is_the_only_one)
 {
     LoadBalancer balancer;
-    balancer.setEndpoints(endpoints(2));
+    balancer.setEndpoints(Instant(1), endpoints(2));
     const SelectionCriteria criteria{"model", 7, "x"};
     const std::string preferred = balancer.choose(Instant(1), criteria, {})->id;
     balancer.recordFailure(Instant(1), preferred);
@@ -122,7 +170,7 @@
 BOOST_AUTO_TEST_CASE(outlier_is_ejected_and_readmitted)
 {
     LoadBalancer balancer;
-    balancer.setEndpoints(endpoints(9));
+    balancer.setEndpoints(Instant(1), endpoints(9));
     Instant now(1);
     const SelectionCriteria criteria{"model", 7, "x"};
     const std::string outlier = balancer.choose(now, criteria, {})->id;
@@ -137,7 +185,7 @@
 BOOST_AUTO_TEST_CASE(ejection_requires_an_outlier_and_is_limited_to_a_third)
 {
     LoadBalancer alike;
-    alike.setEndpoints(endpoints(9));
+    alike.setEndpoints(Instant(1), endpoints(9));
     const SelectionCriteria criteria{"model", 7, "x"};
     const std::string preferred = alike.choose(Instant(1), criteria, {})->id;
     for (int i = 0; i < 30; ++i) {
@@ -147,7 +195,7 @@
     }
     BOOST_TEST(alike.choose(Instant(1), criteria, {})->id == preferred);
     LoadBalancer many;
-    many.setEndpoints(endpoints(9));
+    many.setEndpoints(Instant(1), endpoints(9));
     for (int i = 0; i < 30; ++i) {
         for (int e = 0; e < 4; ++e) {
             many.recordError(Instant(1), "e" + std::to_string(e));
@@ -163,7 +211,7 @@
 BOOST_AUTO_TEST_CASE(requests_without_affinity_go_to_the_least_loaded_endpoint)
 {
     LoadBalancer balancer;
-    balancer.setEndpoints(endpoints(2));
+    balancer.setEndpoints(Instant(1), endpoints(2));
     balancer.recordRequestStart("e0");
     BOOST_TEST(balancer.choose(Instant(1), {"model", 0, "x"}, {})->id == "e1");
     balancer.recordRequestStart("e1");
--- a/tests/unit/platform_decode_test.cpp
+++ b/tests/unit/platform_decode_test.cpp
@@ -195,7 +195,10 @@
     BOOST_TEST(metadata.isSigned);
     BOOST_TEST(!metadata.notExecuted);
     BOOST_TEST(metadata.load->waiting == 1U);
-    head.fields.entries = {{"X-Not-Executed", "1"}, {"X-Load", "3,x,8"}};
+    BOOST_TEST(!metadata.isLeaving);
+    head.fields.entries = {{"X-Not-Executed", "1"}, {"X-Load", "3,x,8"}, {"Server-Leaving", "1"}};
+    BOOST_TEST(headerCodec.readResponseMetadata(head).isLeaving);
+    BOOST_TEST(headerCodec.clientResponseHead(head).fields.find("Server-Leaving") != nullptr);
     BOOST_TEST(headerCodec.readResponseMetadata(head).notExecuted);
     BOOST_TEST(!headerCodec.readResponseMetadata(head).load.has_value());
 }
