A stopping gateway waits for requests whose bodies are still arriving

Cause: a request counted as active only once it was read whole, so the process took the time until then for idle.

Change: a request counts from its first byte.

--- a/src/http/http_server_base.cpp
+++ b/src/http/http_server_base.cpp
@@ -137,6 +137,8 @@
 
 bool HttpServer::serveRequest(kj::WaitScope &scope, kj::AsyncIoStream &stream, HttpInputStream &input)
 {
+    ++this->activeRequests;
+    KJ_DEFER(--this->activeRequests);
     const HttpLimits currentLimits = this->limits();
     kj::Timer &timer = this->loop.kjTimer();
     HttpRequestReader reader(input, currentLimits.maxHeaderBytes, currentLimits.maxBodyBytes);
@@ -166,8 +168,6 @@
     }
     input.clearDeadline();
     exchange.closeAfterResponse = this->draining || !exchange.head.keepAlive;
-    ++this->activeRequests;
-    KJ_DEFER(--this->activeRequests);
     auto clientClosed = input.whenClosed().then([]() {
         return false;
     });
--- a/src/http/http_server_base.h
+++ b/src/http/http_server_base.h
@@ -96,7 +96,7 @@
         this->accepting = false;
         this->stopFulfiller->fulfill();
     }
-    /** Number of requests whose handlers are running. */
+    /** Number of requests that are being read or handled. */
     [[nodiscard]] std::size_t activeRequestCount() const
     {
         return this->activeRequests;
