--- a/src/history/history_client_base.cpp
+++ b/src/history/history_client_base.cpp
@@ -417,7 +417,7 @@
 std::optional<StreamOrigin> HistoryClient::findStreamOrigin(
     kj::WaitScope &scope, const StreamKey &stream, Instant until)
 {
-    do {
+    while (this->loop.timers().now() < until) {
         const auto search = std::make_shared<OriginSearch>();
         search->stream = stream;
         auto pair = kj::newPromiseAndFulfiller<void>();
@@ -433,8 +433,10 @@
         if (search->origin) {
             return search->origin;
         }
-        // The gateway that began the stream may have sent its origin just now.
-    } while (this->waitBeforeRetry(scope, until));
+        // The gateway that began the stream may have sent its origin just now. An unknown origin is no sign that the
+        // view is outdated, so the control leader isn't asked for a newer one.
+        this->loop.kjTimer().afterDelay(RetryDelay).wait(scope);
+    }
     return std::nullopt;
 }
 
