A stream whose first request isn't named doesn't go on at a version that replaced its own

Change: the balancer remembers for 60 s which versions of a service were listed; there must have been only one.

What remains: a gateway that has just started knows no earlier list.

--- a/src/gateway/gateway_base.cpp
+++ b/src/gateway/gateway_base.cpp
@@ -265,7 +265,7 @@
         return true;
     }
     if (call.metadata.resumedRequest.empty()) { // The client doesn't say which stream it resumes.
-        call.version = this->loadBalancer.commonVersion(call.service);
+        call.version = this->loadBalancer.commonVersion(this->now(), call.service);
         if (call.version->empty()) {
             this->reject(scope, call, HttpStatus::Unavailable, "the version that began the stream is not stated",
                 ShortRetryAfterSeconds);
--- a/src/gateway/load_balancer_base.cpp
+++ b/src/gateway/load_balancer_base.cpp
@@ -11,6 +11,11 @@
 
 void LoadBalancer::setEndpoints(Instant now, const std::vector<DeployedEndpoint> &list)
 {
+    for (const auto &[service, ids] : this->idsByService) {
+        for (const std::string &id : ids) {
+            this->versions[service][this->states.at(id).endpoint.version] = now; // Listed until now.
+        }
+    }
     this->idsByService.clear();
     std::set<std::string> listed;
     for (const DeployedEndpoint &endpoint : list) {
@@ -29,7 +34,16 @@
             state.leavingSince = now;
         }
         this->idsByService[endpoint.service].push_back(endpoint.id);
+        this->versions[endpoint.service][endpoint.version] = now;
     }
+    for (auto &[service, times] : this->versions) {
+        std::erase_if(times, [now](const auto &entry) {
+            return now - entry.second > VersionMemory;
+        });
+    }
+    std::erase_if(this->versions, [](const auto &entry) {
+        return entry.second.empty();
+    });
     std::erase_if(this->states, [&listed](const auto &entry) {
         return !listed.contains(entry.first) && entry.second.inFlight == 0;
     });
@@ -52,15 +66,22 @@
     return state.wasListedReady && state.leavingSince && now - *state.leavingSince < this->drainPeriod / 2;
 }
 
-std::string LoadBalancer::commonVersion(const std::string &service) const
+std::string LoadBalancer::commonVersion(Instant now, const std::string &service) const
 {
-    std::set<std::string> versions;
-    for (const auto &[id, state] : this->states) {
-        if (state.endpoint.service == service) {
-            versions.insert(state.endpoint.version);
+    std::set<std::string> recent;
+    if (const auto times = this->versions.find(service); times != this->versions.end()) {
+        for (const auto &[version, lastListed] : times->second) {
+            if (now - lastListed <= VersionMemory) {
+                recent.insert(version);
+            }
+        }
+    }
+    if (const auto ids = this->idsByService.find(service); ids != this->idsByService.end()) {
+        for (const std::string &id : ids->second) {
+            recent.insert(this->states.at(id).endpoint.version);
         }
     }
-    return versions.size() == 1 ? *versions.begin() : std::string();
+    return recent.size() == 1 ? *recent.begin() : std::string();
 }
 
 bool LoadBalancer::isUsable(const std::string &id) const
--- a/src/gateway/load_balancer_base.h
+++ b/src/gateway/load_balancer_base.h
@@ -41,8 +41,9 @@
      * in the first half of its drain period. @return null if there is none. */
     [[nodiscard]] const DeployedEndpoint *choose(
         Instant now, const SelectionCriteria &criteria, const std::set<std::string> &tried) const;
-    /** Software version that all listed endpoints of @p service have; empty if they differ or one doesn't state it. */
-    [[nodiscard]] std::string commonVersion(const std::string &service) const;
+    /** Software version of all endpoints of @p service that are listed or were in the last VersionMemory; empty if they
+     * differ or one doesn't state it. */
+    [[nodiscard]] std::string commonVersion(Instant now, const std::string &service) const;
     /** Whether @p id is listed and isn't known to leave. */
     [[nodiscard]] bool isUsable(const std::string &id) const;
 
@@ -70,6 +71,8 @@
     void recordOverload(Instant now, const std::string &id);
 
 private:
+    /** Streams that began before are not resumed any more. */
+    static constexpr Duration VersionMemory = std::chrono::seconds(60);
     /** Load reports that are older than this are ignored. */
     static constexpr Duration LoadReportTtl = std::chrono::milliseconds(500);
     /** An endpoint that failed is avoided for this long, doubled with each further failure in a row. */
@@ -119,6 +122,8 @@
     /** Running and waiting requests divided by the number of slots; above 1 if requests are queued. */
     [[nodiscard]] static double utilization(Instant now, const State &state);
 
+    /** When endpoints of each service (outer key) and software version were last known to be listed. */
+    std::map<std::string, std::map<std::string, Instant>> versions;
     std::map<std::string, State> states; ///< By endpoint id.
     /** Whether requests may be sent to the endpoint if there is no other. */
     [[nodiscard]] bool isLastResort(Instant now, const State &state) const;
--- a/tests/unit/gateway_decision_test.cpp
+++ b/tests/unit/gateway_decision_test.cpp
@@ -77,7 +77,7 @@
     }
     LoadBalancer loadBalancer;
     loadBalancer.setEndpoints(Instant(1), list);
-    BOOST_TEST(loadBalancer.commonVersion("model").empty());
+    BOOST_TEST(loadBalancer.commonVersion(Instant(1), "model").empty());
     for (std::uint64_t program = 0; program < 50; ++program) { // 0 stands for no affinity.
         for (const std::string version : {"v1", "v2"}) {
             std::set<std::string> tried;
@@ -100,9 +100,11 @@
     for (DeployedEndpoint &endpoint : list) {
         endpoint.version = "v2";
     }
-    loadBalancer.setEndpoints(Instant(1), list);
-    BOOST_TEST(loadBalancer.commonVersion("model") == "v2");
-    BOOST_TEST(loadBalancer.commonVersion("other").empty());
+    const Instant released = Instant(1) + std::chrono::seconds(100);
+    loadBalancer.setEndpoints(released, list);
+    BOOST_TEST(loadBalancer.commonVersion(released + std::chrono::seconds(59), "model").empty());
+    BOOST_TEST(loadBalancer.commonVersion(released + std::chrono::seconds(61), "model") == "v2");
+    BOOST_TEST(loadBalancer.commonVersion(released, "other").empty());
 }
 
 BOOST_AUTO_TEST_CASE(endpoint_that_states_that_it_leaves_is_avoided_until_it_is_no_longer_listed)
