Origins of streams are bounded in bytes

Change: ids over 128 bytes, and empty ones, which identify nothing, aren't kept, so that their streams can't be resumed. A unit test covers it. What remains: a full table drops origins across customers.

--- a/src/history/stream_origin_table_base.cpp
+++ b/src/history/stream_origin_table_base.cpp
@@ -6,6 +6,9 @@
 
 void StreamOriginTable::add(Instant now, const StreamKey &stream, const StreamOrigin &origin, Duration ttl)
 {
+    if (stream.request.empty() || stream.request.size() > MaxRequestIdBytes) {
+        return;
+    }
     while (!this->expiries.empty() && (this->expiries.begin()->first <= now || this->entries.size() >= MaxEntries)) {
         this->entries.erase(this->expiries.begin()->second);
         this->expiries.erase(this->expiries.begin());
--- a/src/history/stream_origin_table_base.h
+++ b/src/history/stream_origin_table_base.h
@@ -34,8 +34,11 @@
 public:
     /** A full table drops the entry that expires first. */
     static constexpr std::size_t MaxEntries = 50000;
+    /** Bounds the memory of a full table; streams with longer request ids can't be resumed. */
+    static constexpr std::size_t MaxRequestIdBytes = 128;
 
-    /** @param ttl time after which the stream isn't resumed any more. */
+    /** Ignores an empty request id, which identifies no stream, and one that is too long.
+     * @param ttl time after which the stream isn't resumed any more. */
     void add(Instant now, const StreamKey &stream, const StreamOrigin &origin, Duration ttl);
     /** Empty if the origin isn't known, or if several were added for the stream. */
     [[nodiscard]] std::optional<StreamOrigin> find(Instant now, const StreamKey &stream) const;
--- a/tests/unit/stream_origin_table_test.cpp
+++ b/tests/unit/stream_origin_table_test.cpp
@@ -50,3 +50,11 @@
     table.add(Instant(1) + 60s, Stream, Origin, 10s);
     BOOST_TEST(table.size() == 1U);
 }
+
+BOOST_AUTO_TEST_CASE(request_id_that_is_empty_or_too_long_is_not_kept)
+{
+    StreamOriginTable table;
+    table.add(Instant(1), {"", "glue"}, Origin, 10s);
+    table.add(Instant(1), {std::string(StreamOriginTable::MaxRequestIdBytes + 1, 'r'), "glue"}, Origin, 10s);
+    BOOST_TEST(table.size() == 0U);
+}
