--- a/tests/process/drain_test.cpp
+++ b/tests/process/drain_test.cpp
@@ -202,6 +202,7 @@
     std::atomic<bool> done = false;
     std::atomic<int> answered = 0;
     std::vector<std::thread> clients;
+    clients.reserve(Clients);
     for (int i = 0; i < Clients; ++i) {
         clients.emplace_back([&, i]() {
             for (int number = 0; !done; ++number) {
