Failing test: a request whose body arrives during a planned stop gets no response

Cause: activeRequestCount counts a request once its body is complete, so the process takes the time from the first byte until then for an idle moment and ends. Neither a response nor the 503 of a stopping gateway is sent.

--- a/tests/process/platform_test.cpp
+++ b/tests/process/platform_test.cpp
@@ -378,3 +378,22 @@
     BOOST_TEST(served > 0U);
     BOOST_TEST(this->deployment.processes["gateway"]->wait() == 0);
 }
+
+BOOST_FIXTURE_TEST_CASE(request_whose_body_arrives_during_a_planned_stop_gets_a_response, Fixture)
+{
+    const std::string head = "POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: body1\r\n"
+                             "Authorization: Bearer key\r\nContent-Length: 2\r\n\r\nx";
+    Poco::Net::StreamSocket connection((Poco::Net::SocketAddress(this->deployment.clientAddress)));
+    connection.sendBytes(head.data(), static_cast<int>(head.size()));
+    std::this_thread::sleep_for(200ms);
+    this->deployment.processes["gateway"]->signal(SIGTERM);
+    std::this_thread::sleep_for(2s);
+    std::string response;
+    try {
+        connection.sendBytes("x", 1);
+        response = readUntilIdle(connection, 2s);
+    } catch (const Poco::Exception &) {
+        // The gateway has closed the connection.
+    }
+    BOOST_TEST(response.starts_with("HTTP/1.1 "));
+}
