An endpoint at another address keeps the time since which it leaves

The mark itself was kept, but its age began anew with the address, and with it the time for which the endpoint may still be used without an alternative. Read only; the unit and process tests of leaving endpoints pass.

--- a/src/gateway/load_balancer_base.cpp
+++ b/src/gateway/load_balancer_base.cpp
@@ -22,9 +22,10 @@
         listed.insert(endpoint.id);
         State &state = this->states[endpoint.id];
         if (state.endpoint.address != endpoint.address) {
-            const bool hasStatedLeaving = state.hasStatedLeaving;
-            state = State();
-            state.hasStatedLeaving = hasStatedLeaving;
+            State moved;
+            moved.hasStatedLeaving = state.hasStatedLeaving;
+            moved.leavingSince = state.leavingSince;
+            state = moved;
         }
         state.endpoint = endpoint;
         state.wasListedReady = state.wasListedReady || !endpoint.leaving;
