--- a/src/gateway/gateway_base.cpp
+++ b/src/gateway/gateway_base.cpp
@@ -18,8 +18,7 @@
 
 /** A gateway that has just started waits this long for a configuration before it rejects a request. */
 constexpr Duration ConfigurationWait = std::chrono::milliseconds(700);
-constexpr double ShortRetryAfterSeconds =
-    0.2; ///< Used if another gateway or history member can serve the request soon.
+constexpr double ShortRetryAfterSeconds = 0.2; ///< Used if another instance, or this one, can serve the request soon.
 constexpr double QuarantineRetryAfterSeconds = 10; ///< Used for quarantined requests, which crash endpoints.
 /** After this long without a reply to a credit request the leader is considered unreachable. */
 constexpr auto CreditReplyTimeout = 80 * kj::MILLISECONDS;
@@ -46,6 +45,29 @@
     return text.data();
 }
 
+/** Selects a target of @p route by weight, always the same one for the same request. */
+const std::string &selectService(const RouteConfig &route, const std::string &requestId)
+{
+    std::uint64_t totalWeight = 0;
+    for (const RouteTarget &target : route.targets) {
+        totalWeight += target.weight;
+    }
+    std::uint64_t weightOffset = hash64(requestId) % totalWeight;
+    auto target = route.targets.begin();
+    while (weightOffset >= target->weight) {
+        weightOffset -= target->weight;
+        ++target;
+    }
+    return target->service;
+}
+
+bool hasTarget(const RouteConfig &route, const std::string &service)
+{
+    return std::any_of(route.targets.begin(), route.targets.end(), [&service](const RouteTarget &target) {
+        return target.weight != 0 && target.service == service;
+    });
+}
+
 } // namespace
 
 TokenSettlement::TokenSettlement(HistoryClient &history, ProgramClaim claim)
@@ -247,19 +269,7 @@
 
 bool Gateway::selectOrigin(kj::WaitScope &scope, Call &call)
 {
-    const std::vector<RouteTarget> &targets = call.route->targets;
-    std::uint64_t totalWeight = 0;
-    for (const RouteTarget &target : targets) {
-        totalWeight += target.weight;
-    }
-    std::uint64_t weightOffset = hash64(call.metadata.requestId) % totalWeight;
-    for (const RouteTarget &target : targets) {
-        if (weightOffset < target.weight) {
-            call.service = target.service;
-            break;
-        }
-        weightOffset -= target.weight;
-    }
+    call.service = selectService(*call.route, call.metadata.requestId);
     const bool isResumption = !call.metadata.lastEventId.empty() || !call.metadata.resumedRequest.empty();
     if (call.route->kind != RouteKind::Stream || !isResumption) {
         return true;
@@ -279,10 +289,7 @@
         origin =
             this->history.findStreamOrigin(scope, stream, std::min(call.deadline, this->now() + OriginSearchTimeout));
     }
-    const bool isTarget = origin && std::any_of(targets.begin(), targets.end(), [&origin](const RouteTarget &target) {
-        return target.weight != 0 && target.service == origin->service;
-    });
-    if (!isTarget) {
+    if (!origin || !hasTarget(*call.route, origin->service)) {
         this->reject(scope, call, HttpStatus::Unavailable,
             origin ? "the service that began the stream left the route"
                    : "the version that began the stream is unknown",
