--- a/src/gateway/gateway_call_internal.h
+++ b/src/gateway/gateway_call_internal.h
@@ -36,6 +36,13 @@
         return {request, this->customer == nullptr ? std::string() : this->customer->name};
     }
 
+    /** Forgets what is recorded of the attempt before. */
+    void beginAttempt()
+    {
+        this->framing = BodyFraming::Length;
+        this->unfinishedBytes = 0;
+        this->failureReason = {};
+    }
     /** Frees `content` at the end of an attempt. */
     void releaseContent()
     {
@@ -73,6 +80,8 @@
     unsigned tokensPerEvent = 1; ///< Tokens in each event of the selected service.
     unsigned executedAttempts = 0; ///< Attempts that may have been executed by an endpoint.
     std::string abortReason = "the connection ended"; ///< Why there is no complete response, for the log.
+    BodyFraming framing = BodyFraming::Length; ///< Of the last response, for the log.
+    std::size_t unfinishedBytes = 0; ///< Bytes of the last stream after its last whole event, for the log.
     std::string_view failureReason; ///< Why the last attempt failed, for the log; empty if the connection broke.
     ResponseMemory::Share held; ///< Memory of `content` and `output`.
 };
--- a/src/gateway/gateway_run.cpp
+++ b/src/gateway/gateway_run.cpp
@@ -183,7 +183,7 @@
     }
     this->loadBalancer.recordRequestStart(endpoint.id);
     KJ_DEFER(this->loadBalancer.recordRequestEnd(endpoint.id));
-    call.noteFailure(HttpReadResult::Done);
+    call.beginAttempt();
     const AttemptResult result = this->sendAndReceive(scope, call, endpoint, *connection);
     call.releaseContent();
     if (result == AttemptResult::Delivered || result == AttemptResult::NotExecuted) {
@@ -206,7 +206,9 @@
     logEvent(EventKind::AttemptFailed,
         {{"request", call.metadata.requestId}, {"endpoint", endpoint.id},
             {"reason", std::string(result == AttemptResult::TimedOut ? "time-out" : failureReason)},
-            {"kept", reused ? "yes" : "no"}, {"events", std::to_string(call.deliveredEvents)}});
+            {"kept", reused ? "yes" : "no"}, {"events", std::to_string(call.deliveredEvents)},
+            {"framing", std::string(nameOf(call.framing))},
+            {"unfinished_bytes", std::to_string(call.unfinishedBytes)}});
     return result;
 }
 
@@ -301,6 +303,7 @@
         if (!metadata.isSigned || head.fields.find("Content-Encoding") != nullptr) {
             return AttemptResult::Failed;
         }
+        call.framing = head.framing;
         const bool isStream = call.route->kind == RouteKind::Stream && isSuccess(head.status);
         if (!isStream && call.exchange.hasStarted()) {
             return AttemptResult::Failed; // Part of a stream has been sent, so no other response can be sent instead.
@@ -336,7 +339,9 @@
     } while (!part.empty());
     call.held.pin();
     call.exchange.respond(scope, this->headerCodec.clientResponseHead(head), call.content);
-    logEvent(EventKind::CallEnded, {{"request", call.metadata.requestId}, {"status", std::to_string(head.status)}});
+    logEvent(EventKind::CallEnded,
+        {{"request", call.metadata.requestId}, {"status", std::to_string(head.status)},
+            {"framing", std::string(nameOf(call.framing))}});
     return AttemptResult::Delivered;
 }
 
@@ -375,6 +380,7 @@
         }
         std::vector<StreamEvent> events;
         std::string ready = part.empty() ? splitter.remainder() : splitter.append(part, events);
+        call.unfinishedBytes = splitter.remainder().size();
         const auto newEvents = std::count_if(events.begin(), events.end(), [](const StreamEvent &event) {
             return event.hasData;
         });
@@ -443,8 +449,10 @@
         }
     }
     call.exchange.endStream(scope);
-    logEvent(
-        EventKind::CallEnded, {{"request", call.metadata.requestId}, {"events", std::to_string(call.deliveredEvents)}});
+    logEvent(EventKind::CallEnded,
+        {{"request", call.metadata.requestId}, {"events", std::to_string(call.deliveredEvents)},
+            {"framing", std::string(nameOf(call.framing))},
+            {"unfinished_bytes", std::to_string(call.unfinishedBytes)}});
 }
 
 } // namespace Chestnuthook
--- a/src/http/http_message_type.h
+++ b/src/http/http_message_type.h
@@ -2,11 +2,14 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "core/name_table_type.h"
+
 namespace Chestnuthook
 {
 
@@ -72,13 +75,28 @@
     [[nodiscard]] std::string queryParameter(std::string_view name) const;
 };
 
+/** How the end of a body is shown. */
+enum class BodyFraming : std::uint8_t {
+    Length, ///< By its declared length; also if there is no body.
+    Chunks, ///< By the last chunk.
+    Close, ///< By the end of the connection.
+};
+
+template<>
+struct NameTable<BodyFraming>
+{
+    static constexpr auto Rows = std::to_array<NameRow<BodyFraming>>(
+        {{BodyFraming::Length, "length"}, {BodyFraming::Chunks, "chunks"}, {BodyFraming::Close, "close"}});
+};
+static_assert(isNameTableWhole(BodyFraming::Close));
+
 struct ResponseHead
 {
     unsigned status = 0; ///< For example 200.
     std::string reason; ///< Reason phrase; empty for the standard one of the status.
     HttpFields fields;
     bool keepAlive = true; ///< The connection may be reused after the body.
-    bool bodyEndsAtClose = false; ///< The body has no declared length and ends when the connection closes.
+    BodyFraming framing = BodyFraming::Length; ///< How the end of the body is shown.
     std::optional<std::size_t> contentLength; ///< Empty for chunked bodies and those that end at the close.
 };
 
--- a/src/http/http_reader_base.cpp
+++ b/src/http/http_reader_base.cpp
@@ -248,8 +248,12 @@
         }
         head.status = message.result_int();
         head.reason = std::string(message.reason());
-        head.bodyEndsAtClose = beastParser.need_eof();
-        head.keepAlive = beastParser.keep_alive() && !head.bodyEndsAtClose;
+        if (beastParser.need_eof()) {
+            head.framing = BodyFraming::Close;
+        } else {
+            head.framing = beastParser.chunked() ? BodyFraming::Chunks : BodyFraming::Length;
+        }
+        head.keepAlive = beastParser.keep_alive() && head.framing != BodyFraming::Close;
         if (!beastParser.chunked() && beastParser.content_length()) {
             head.contentLength = static_cast<std::size_t>(*beastParser.content_length());
         }
