--- a/tests/support/connection_server.cpp
+++ b/tests/support/connection_server.cpp
@@ -34,6 +34,14 @@
     }
 }
 
+void ConnectionServer::stopListening()
+{
+    this->isClosing = true;
+    while (!this->isClosed) {
+        std::this_thread::yield();
+    }
+}
+
 void ConnectionServer::joinDone()
 {
     this->connections.remove_if([](Connection &connection) {
@@ -49,6 +57,11 @@
 {
     while (!this->stopping) {
         this->joinDone();
+        if (this->isClosing) {
+            this->socket.close();
+            this->isClosed = true;
+            return;
+        }
         if (this->socket.poll(StopCheckInterval, Poco::Net::Socket::SELECT_READ)) {
             Connection &entry = this->connections.emplace_back();
             entry.thread = std::thread([this, &entry, connection = this->socket.acceptConnection()]() mutable {
--- a/tests/support/connection_server.h
+++ b/tests/support/connection_server.h
@@ -25,6 +25,10 @@
     ConnectionServer(const ConnectionServer &) = delete;
     ConnectionServer &operator=(const ConnectionServer &) = delete;
 
+    /** Closes the port, as when the process of the server goes down. Open connections are served on. Returns when new
+     * connections are refused. */
+    void stopListening();
+
 private:
     /** A connection and its thread. */
     struct Connection
@@ -45,6 +49,8 @@
 private:
     Serve serve; ///< Connection handler.
     std::atomic<bool> stopping{false}; ///< Tells all threads to end.
+    std::atomic<bool> isClosing{false}; ///< Tells the accept thread to close the port.
+    std::atomic<bool> isClosed{false}; ///< The port is closed.
     std::list<Connection> connections; ///< Used by the accept thread, and by the destructor after its end.
     std::thread acceptThread; ///< Declared last, so that it starts after all other members exist.
 };
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -32,6 +32,12 @@
     RawServer(const std::string &ip, Handler handler);
     RawServer(const std::string &ip, Responder responder);
 
+    /** See ConnectionServer::stopListening. */
+    void stopListening()
+    {
+        this->server.stopListening();
+    }
+
 private:
     void serve(Poco::Net::StreamSocket &connection, const std::atomic<bool> &stopping) const;
 
