A stream that breaks off without length or chunks no longer ends as complete

The broken output was also kept as the conversation's turn and sent as the prompt of the next one. Cause: relayStream took the end of the body for the end of the stream. Without length or chunks that is the end of the connection, and a process that goes down closes its connections in the same order as one that is done. What was left of an unfinished event was passed on, too. Change: a stream that ends within an event or a line was broken off, whatever its framing; one that ends with its connection must have an event. What ends with its connection, stream or not, is complete only if the endpoint accepts another connection. That one is kept for the next request, for which a new one would have been needed anyway. A broken stream is resumed as after a reset, isn't kept, and counts against its endpoint. Why it works: all connections of a process end together with its port, so an endpoint that still listens has ended the response itself.

--- a/src/gateway/event_split_func.cpp
+++ b/src/gateway/event_split_func.cpp
@@ -34,6 +34,19 @@
     return event;
 }
 
+bool EventSplitter::isInsideEvent() const
+{
+    if (this->lineStart != this->pending.size()) {
+        return true;
+    }
+    for (std::size_t at = 0; at < this->pending.size(); at = this->pending.find('\n', at) + 1) {
+        if (this->pending[at] != ':') { // Comments are no part of an event.
+            return true;
+        }
+    }
+    return false;
+}
+
 std::string EventSplitter::append(std::string_view bytes, std::vector<StreamEvent> &events)
 {
     std::size_t searched = this->pending.size();
--- a/src/gateway/event_split_func.h
+++ b/src/gateway/event_split_func.h
@@ -28,11 +28,8 @@
     {
         return this->pending;
     }
-    void clearRemainder()
-    {
-        this->pending.clear();
-        this->lineStart = 0;
-    }
+    /** Whether an event or a line has begun and not ended, so that a stream that ends here has been broken off. */
+    [[nodiscard]] bool isInsideEvent() const;
 
 private:
     std::string pending; ///< Start of an incomplete event.
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -107,8 +107,12 @@
     [[nodiscard]] AttemptResult attempt(kj::WaitScope &scope, Call &call, const DeployedEndpoint &endpoint);
     [[nodiscard]] AttemptResult sendAndReceive(
         kj::WaitScope &scope, Call &call, const DeployedEndpoint &endpoint, EndpointConnection &connection);
-    [[nodiscard]] AttemptResult relayResponse(
-        kj::WaitScope &scope, Call &call, HttpResponseReader &reader, const ResponseHead &head);
+    /** Whether a response was received to its end. A process that goes down closes its connections as if its responses
+     * had ended, so after a response that ends with its connection the endpoint must accept another one. */
+    [[nodiscard]] bool confirmEnd(
+        kj::WaitScope &scope, const Call &call, const DeployedEndpoint &endpoint, const ResponseHead &head);
+    [[nodiscard]] AttemptResult relayResponse(kj::WaitScope &scope, Call &call, const DeployedEndpoint &endpoint,
+        HttpResponseReader &reader, const ResponseHead &head);
     [[nodiscard]] AttemptResult relayStream(kj::WaitScope &scope, Call &call, const DeployedEndpoint &endpoint,
         HttpResponseReader &reader, const ResponseHead &head);
     /** Begins the response to the client. The stream may go on only at the version of @p endpoint from then on. */
--- a/src/gateway/gateway_run.cpp
+++ b/src/gateway/gateway_run.cpp
@@ -309,7 +309,7 @@
             return AttemptResult::Failed; // Part of a stream has been sent, so no other response can be sent instead.
         }
         const AttemptResult result = isStream ? this->relayStream(scope, call, endpoint, reader, head)
-                                              : this->relayResponse(scope, call, reader, head);
+                                              : this->relayResponse(scope, call, endpoint, reader, head);
         if (result == AttemptResult::Delivered) {
             if (head.status >= HttpStatus::FirstServerError) {
                 this->loadBalancer.recordError(this->now(), endpoint.id);
@@ -322,8 +322,24 @@
     }
 }
 
-Gateway::AttemptResult Gateway::relayResponse(
-    kj::WaitScope &scope, Call &call, HttpResponseReader &reader, const ResponseHead &head)
+bool Gateway::confirmEnd(
+    kj::WaitScope &scope, const Call &call, const DeployedEndpoint &endpoint, const ResponseHead &head)
+{
+    if (head.framing != BodyFraming::Close) {
+        return true;
+    }
+    metrics().add(MetricKind::ResponsesEndedByClose);
+    auto connection =
+        this->connections.connect(scope, endpoint.address, std::min(ConnectTimeout, call.deadline - this->now()));
+    if (connection == nullptr) {
+        return false;
+    }
+    this->connections.addIdle(endpoint.address, std::move(connection), ConnectionPool::idleTimeoutFrom(HttpFields()));
+    return true;
+}
+
+Gateway::AttemptResult Gateway::relayResponse(kj::WaitScope &scope, Call &call, const DeployedEndpoint &endpoint,
+    HttpResponseReader &reader, const ResponseHead &head)
 {
     std::string part;
     do {
@@ -337,6 +353,9 @@
             return AttemptResult::Failed;
         }
     } while (!part.empty());
+    if (!this->confirmEnd(scope, call, endpoint, head)) {
+        return AttemptResult::Failed;
+    }
     call.held.pin();
     call.exchange.respond(scope, this->headerCodec.clientResponseHead(head), call.content);
     logEvent(EventKind::CallEnded,
@@ -394,6 +413,13 @@
             call.noteFailure(HttpReadResult::BodyTooLarge);
             return AttemptResult::Failed;
         }
+        if (part.empty()) {
+            const bool hasNoEvent = call.deliveredEvents == 0 && call.metadata.lastEventId.empty();
+            const bool isCut = splitter.isInsideEvent() || (head.framing == BodyFraming::Close && hasNoEvent);
+            if (isCut || !this->confirmEnd(scope, call, endpoint, head)) {
+                return AttemptResult::Failed;
+            }
+        }
         if (!ready.empty() || part.empty()) {
             if (!call.exchange.hasStarted()) {
                 this->beginStream(scope, call, endpoint, head);
--- a/src/table/metric_table.cpp
+++ b/src/table/metric_table.cpp
@@ -52,6 +52,8 @@
         "Strikes against requests that crash endpoints."},
     {MetricKind::EndpointsLeaving, "chestnuthook_endpoints_leaving_total", MetricType::Counter, "",
         "Endpoints that stated in a response that they leave."},
+    {MetricKind::ResponsesEndedByClose, "chestnuthook_responses_ended_by_close_total", MetricType::Counter, "",
+        "Responses of endpoints that had neither a length nor chunks."},
 });
 
 constexpr bool isTableComplete()
--- a/src/table/metric_table.h
+++ b/src/table/metric_table.h
@@ -33,8 +33,9 @@
     LogSyncs,
     StrikesTotal,
     EndpointsLeaving,
+    ResponsesEndedByClose,
 };
-inline constexpr std::size_t MetricCount = static_cast<std::size_t>(MetricKind::EndpointsLeaving) + 1;
+inline constexpr std::size_t MetricCount = static_cast<std::size_t>(MetricKind::ResponsesEndedByClose) + 1;
 
 /** Type of a metric, as in the Prometheus text format. */
 enum class MetricType : std::uint8_t { Counter, Gauge, Histogram };
--- a/tests/process/broken_response_test.cpp
+++ b/tests/process/broken_response_test.cpp
@@ -38,6 +38,7 @@
 /** Ends at which a stream isn't complete. */
 const std::vector<Ending> BrokenStreams = {
     {"head", "", true},
+    {"empty", ""},
     {"data", EventOne + "id: 2\nda"},
     {"utf8", EventOne + "id: 2\ndata: zw\xC3"},
     {"line", EventOne + "id: 2\ndata: zwölf\n"},
--- a/tests/unit/gateway_decision_test.cpp
+++ b/tests/unit/gateway_decision_test.cpp
@@ -338,6 +338,23 @@
     BOOST_TEST(events[1].data == "two");
 }
 
+BOOST_AUTO_TEST_CASE(stream_that_ends_within_an_event_or_a_line_is_told_from_a_whole_one)
+{
+    const std::string whole = "id: 1\ndata: one\n\n";
+    for (const std::string rest : {"", ": comment\n", ": a\n: b\r\n"}) {
+        EventSplitter splitter;
+        std::vector<StreamEvent> events;
+        std::ignore = splitter.append(whole + rest, events);
+        BOOST_TEST(!splitter.isInsideEvent(), rest);
+    }
+    for (const std::string rest : {"i", "id: 2\n", ": comment", ": a\n: b", ": a\nid: 2\n", "data: x\r\n\r", "\r"}) {
+        EventSplitter splitter;
+        std::vector<StreamEvent> events;
+        std::ignore = splitter.append(whole + rest, events);
+        BOOST_TEST(splitter.isInsideEvent(), rest);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(events_are_the_same_in_whatever_parts_they_arrive)
 {
     const std::string text = "id: 1\r\ndata: one\r\n\r\n: c\n\n\nid: 2\ndata: a\ndata: b\n\ndata: rest\r\n";
