--- a/tests/unit/http_attempt_test.cpp
+++ b/tests/unit/http_attempt_test.cpp
@@ -106,6 +106,28 @@
     BOOST_TEST(!runEngineAttempt(endpoint.request(), sink, cancel).complete);
 }
 
+BOOST_AUTO_TEST_CASE(body_that_breaks_off_is_incomplete_however_it_is_framed)
+{
+    for (const std::string &response : {std::string("Transfer-Encoding: chunked\r\n\r\n3\r\nwho"),
+             std::string("Transfer-Encoding: chunked\r\n\r\n3\r\nwho\r\n"),
+             std::string("Content-Length: 5\r\n\r\nwho")}) {
+        const ConnectionServer server(
+            "127.0.0.1", [&response](Poco::Net::StreamSocket &connection, const std::atomic<bool> & /*stopping*/) {
+                const std::string bytes = "HTTP/1.1 200 OK\r\n" + response;
+                connection.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+                connection.shutdownSend();
+                std::this_thread::sleep_for(50ms); // Closing with unread bytes would reset the connection.
+            });
+        AttemptRequest request;
+        request.address = server.address;
+        request.method = "GET";
+        request.path = "/";
+        request.timeoutMs = 2000;
+        CancelToken cancel;
+        BOOST_TEST(!runServiceAttempt(request, cancel).complete, response);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(endpoint_list_that_trickles_without_end_meets_the_deadline)
 {
     const EndlessEndpoint endpoint(Head, "a", 20ms);
