--- a/src/gateway/connection_pool_base.cpp
+++ b/src/gateway/connection_pool_base.cpp
@@ -2,13 +2,44 @@
 #include "gateway/connection_pool_base.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
 #include <Poco/NumberParser.h>
 
 namespace Chestnuthook
 {
 
+namespace
+{
+
+/** Creates a TCP socket of @p family that sends without delay, bound to @p localAddress if that isn't empty. @return null if that
+ * fails. @throws Poco::Exception if the address can't be parsed. */
+kj::AutoCloseFd openSocket(int family, const std::string &localAddress)
+{
+    kj::AutoCloseFd socket(::socket(family, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+    if (socket == nullptr) {
+        return socket;
+    }
+    const int enabled = 1;
+    ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
+    if (!localAddress.empty()) {
+        const Poco::Net::SocketAddress local(localAddress, 0);
+        ::setsockopt(socket, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &enabled, sizeof enabled);
+        if (::bind(socket, local.addr(), local.length()) != 0) {
+            return nullptr;
+        }
+    }
+    return socket;
+}
+
+} // namespace
+
 bool EndpointConnection::send(kj::WaitScope &scope, kj::Timer &timer, std::string_view bytes, kj::TimePoint deadline)
 {
     this->input.setDeadline(timer, deadline);
@@ -29,8 +60,9 @@
     return outcome.exclusiveJoin(kj::mv(late)).wait(scope);
 }
 
-ConnectionPool::ConnectionPool(ControlLoop &loop)
+ConnectionPool::ConnectionPool(ControlLoop &loop, std::string localAddress)
     : loop(loop)
+    , localAddress(std::move(localAddress))
 {
 }
 
@@ -71,23 +103,38 @@
     return connection;
 }
 
-std::unique_ptr<EndpointConnection> ConnectionPool::connect(
-    kj::WaitScope &scope, const std::string &address, Duration timeout)
+kj::Promise<ConnectResult> ConnectionPool::open(const std::string &address)
+{
+    std::optional<Poco::Net::SocketAddress> target;
+    kj::AutoCloseFd socket;
+    try {
+        target.emplace(address);
+        socket = openSocket(target->af(), this->localAddress);
+    } catch (const Poco::Exception &) {
+        return ConnectResult{nullptr, ConnectFailure::NoSocket};
+    }
+    if (socket == nullptr) {
+        return ConnectResult{nullptr, ConnectFailure::NoSocket};
+    }
+    // An address at which nothing listens may make the call itself fail; evalNow() turns that into a rejected promise.
+    auto connecting = kj::evalNow([&]() {
+        return this->loop.sockets().wrapConnectingSocketFd(kj::mv(socket), target->addr(), target->length());
+    });
+    return connecting.then(
+        [](kj::Own<kj::AsyncIoStream> &&stream) {
+            return ConnectResult{std::make_unique<EndpointConnection>(kj::mv(stream)), ConnectFailure::None};
+        },
+        [](kj::Exception && /*exception*/) {
+            return ConnectResult{nullptr, ConnectFailure::Refused};
+        });
+}
+
+ConnectResult ConnectionPool::connect(kj::WaitScope &scope, const std::string &address, Duration timeout)
 {
-    auto connecting = this->loop.rpc().network.parseAddress(address).then([](kj::Own<kj::NetworkAddress> &&parsed) {
-        auto connected = parsed->connect();
-        return connected.attach(kj::mv(parsed));
+    auto late = this->loop.kjTimer().afterDelay(kjDuration(std::max(timeout, Duration(0)))).then([]() {
+        return ConnectResult{nullptr, ConnectFailure::TimedOut};
     });
-    return this->loop.kjTimer()
-        .timeoutAfter(kjDuration(std::max(timeout, Duration(0))), kj::mv(connecting))
-        .then(
-            [](kj::Own<kj::AsyncIoStream> &&stream) {
-                return std::make_unique<EndpointConnection>(kj::mv(stream));
-            },
-            [](kj::Exception && /*exception*/) {
-                return std::unique_ptr<EndpointConnection>();
-            })
-        .wait(scope);
+    return this->open(address).exclusiveJoin(kj::mv(late)).wait(scope);
 }
 
 void ConnectionPool::addIdle(
--- a/src/gateway/connection_pool_base.h
+++ b/src/gateway/connection_pool_base.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -11,6 +12,7 @@
 
 #include <kj/async-io.h>
 
+#include "core/name_table_type.h"
 #include "core/timer_base.h"
 #include "gateway/header_codec_type.h"
 #include "http/http_reader_base.h"
@@ -40,17 +42,42 @@
     bool unusable = false; ///< The endpoint closed it, or sent data that belongs to no request.
 };
 
+/** Why a connection could not be opened. */
+enum class ConnectFailure : std::uint8_t {
+    None, ///< It was opened.
+    TimedOut, ///< Nothing answered.
+    Refused, ///< The address answered that nothing listens there.
+    NoSocket, ///< This process has no descriptor left, or the address is invalid.
+};
+
+template<>
+struct NameTable<ConnectFailure>
+{
+    static constexpr auto Rows = std::to_array<NameRow<ConnectFailure>>({{ConnectFailure::None, "none"},
+        {ConnectFailure::TimedOut, "time-out"}, {ConnectFailure::Refused, "refused"}, {ConnectFailure::NoSocket, "no socket"}});
+};
+static_assert(isNameTableWhole(ConnectFailure::NoSocket));
+
+/** Result of opening a connection. */
+struct ConnectResult
+{
+    std::unique_ptr<EndpointConnection> connection; ///< Null if it failed.
+    ConnectFailure failure = ConnectFailure::None; ///< Why it failed.
+};
+
 /** Must be used on the control thread only. */
 class ConnectionPool
 {
 public:
-    ConnectionPool(ControlLoop &loop);
+    /** Connections leave from @p localAddress, an IP address; empty to let the system choose. */
+    explicit ConnectionPool(ControlLoop &loop, std::string localAddress = {});
 
     /** Takes an idle connection to @p address out of the pool. @return null if there is none. */
     [[nodiscard]] std::unique_ptr<EndpointConnection> takeIdle(const std::string &address);
-    /** Opens a new connection. @return null if that fails or takes longer than @p timeout. */
-    [[nodiscard]] std::unique_ptr<EndpointConnection> connect(
-        kj::WaitScope &scope, const std::string &address, Duration timeout);
+    /** Opens a new connection. The promise doesn't fail; it has no time limit but that of the system. */
+    [[nodiscard]] kj::Promise<ConnectResult> open(const std::string &address);
+    /** Opens a new connection within @p timeout. */
+    [[nodiscard]] ConnectResult connect(kj::WaitScope &scope, const std::string &address, Duration timeout);
     /** Returns a connection to the pool for at most @p idleTimeout. Its last response must have been read completely.
      */
     void addIdle(const std::string &address, std::unique_ptr<EndpointConnection> connection, Duration idleTimeout);
@@ -68,6 +95,7 @@
     void removeUnusable(const std::string &address);
 
     ControlLoop &loop; ///< Must outlive this object.
+    std::string localAddress; ///< See the constructor.
     std::map<std::string, std::vector<std::unique_ptr<EndpointConnection>>> idle; ///< By address, latest last.
 };
 
--- a/src/gateway/gateway_base.cpp
+++ b/src/gateway/gateway_base.cpp
@@ -101,7 +101,7 @@
     , configurationReader(std::move(readConfiguration))
     , settings(std::move(settings))
     , loadBalancer(this->settings.drainPeriod)
-    , connections(loop)
+    , connections(loop, this->settings.endpointSource)
     , responseMemory(this->settings.memoryLimitBytes / ResponseMemoryDivisor)
     , history(loop, watcher, this->settings.dataCentre)
 {
--- a/src/gateway/gateway_run.cpp
+++ b/src/gateway/gateway_run.cpp
@@ -160,14 +160,18 @@
 {
     auto connection = this->connections.takeIdle(endpoint.address);
     const bool reused = connection != nullptr;
+    ConnectFailure failure = ConnectFailure::None;
     if (!reused) {
-        connection =
+        ConnectResult opened =
             this->connections.connect(scope, endpoint.address, std::min(ConnectTimeout, call.deadline - this->now()));
+        connection = std::move(opened.connection);
+        failure = opened.failure;
     }
     if (connection == nullptr) {
         this->loadBalancer.recordFailure(this->now(), endpoint.id);
         logEvent(EventKind::AttemptFailed,
-            {{"request", call.metadata.requestId}, {"endpoint", endpoint.id}, {"reason", "no connection"}});
+            {{"request", call.metadata.requestId}, {"endpoint", endpoint.id}, {"reason", "no connection"},
+                {"cause", std::string(nameOf(failure))}});
         return AttemptResult::NotExecuted;
     }
     logEvent(EventKind::CallDispatched,
@@ -226,7 +230,7 @@
 void Gateway::recordStrikeIfDown(std::uint64_t fingerprint, const DeployedEndpoint &endpoint)
 {
     this->loop.detach(kj::startFiber(ProbeStackBytes, [this, fingerprint, endpoint](kj::WaitScope &scope) {
-        auto connection = this->connections.connect(scope, endpoint.address, ConnectTimeout);
+        auto connection = this->connections.connect(scope, endpoint.address, ConnectTimeout).connection;
         if (connection == nullptr) {
             this->strikes.push_back({fingerprint, endpoint.id});
             return;
@@ -330,7 +334,8 @@
     }
     metrics().add(MetricKind::ResponsesEndedByClose);
     auto connection =
-        this->connections.connect(scope, endpoint.address, std::min(ConnectTimeout, call.deadline - this->now()));
+        this->connections.connect(scope, endpoint.address, std::min(ConnectTimeout, call.deadline - this->now()))
+            .connection;
     if (connection == nullptr) {
         return false;
     }
--- a/src/rpc/control_loop_base.h
+++ b/src/rpc/control_loop_base.h
@@ -69,6 +69,11 @@
     {
         return this->rpcContext;
     }
+    /** Wraps sockets that were created without kj. */
+    [[nodiscard]] kj::LowLevelAsyncIoProvider &sockets()
+    {
+        return *this->io.lowLevelProvider;
+    }
     [[nodiscard]] kj::Timer &kjTimer()
     {
         return this->io.provider->getTimer();
--- a/tests/support/platform_process.cpp
+++ b/tests/support/platform_process.cpp
@@ -15,6 +15,7 @@
         seeds += (seeds.empty() ? "\"" : ",\"") + seed + "\"";
     }
     std::ofstream(base + ".json.new") << R"({"node":")" << instance.name << R"(","ip":")" << instance.ip
+                                      << R"(","endpointSource":")" << instance.endpointSource
                                       << R"(","zone":"z","innerPorts":[)" << instance.rpcPort << R"(],"seeds":[)"
                                       << seeds << R"(],"bootstrap":)" << (instance.isBootstrap ? "true" : "false")
                                       << R"(,"listen":{)" << instance.listen << R"(},"dataDir":")" << base
--- a/tests/support/platform_process.h
+++ b/tests/support/platform_process.h
@@ -18,6 +18,7 @@
     std::string name; ///< Instance name, unique in the deployment.
     std::string ip; ///< Loopback address of the instance.
     std::string listen; ///< Members of the JSON object with the listening addresses.
+    std::string endpointSource; ///< Address from which a gateway connects to endpoints; empty for the system's choice.
     unsigned short rpcPort = 0; ///< RPC port for the other daemons, the same on every instance.
     std::vector<std::string> seeds; ///< Addresses of control members as ip:port.
     std::string platformAddress; ///< Address of the platform's endpoint list.
