Test of gateways that are cut off from the endpoints, on real processes

Proxies can't show it: their port accepts connections whatever happens behind them. Change: stand-ins drop the packets from a gateway's address with a socket filter, so that connections hang and new ones aren't answered, as behind a partition.

--- a/src/gateway/connection_pool_base.cpp
+++ b/src/gateway/connection_pool_base.cpp
@@ -18,8 +18,8 @@
 namespace
 {
 
-/** Creates a TCP socket of @p family that sends without delay, bound to @p localAddress if that isn't empty. @return null if that
- * fails. @throws Poco::Exception if the address can't be parsed. */
+/** Creates a TCP socket of @p family that sends without delay, bound to @p localAddress if that isn't empty. @return
+ * null if that fails. @throws Poco::Exception if the address can't be parsed. */
 kj::AutoCloseFd openSocket(int family, const std::string &localAddress)
 {
     kj::AutoCloseFd socket(::socket(family, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
--- a/src/gateway/connection_pool_base.h
+++ b/src/gateway/connection_pool_base.h
@@ -53,8 +53,9 @@
 template<>
 struct NameTable<ConnectFailure>
 {
-    static constexpr auto Rows = std::to_array<NameRow<ConnectFailure>>({{ConnectFailure::None, "none"},
-        {ConnectFailure::TimedOut, "time-out"}, {ConnectFailure::Refused, "refused"}, {ConnectFailure::NoSocket, "no socket"}});
+    static constexpr auto Rows =
+        std::to_array<NameRow<ConnectFailure>>({{ConnectFailure::None, "none"}, {ConnectFailure::TimedOut, "time-out"},
+            {ConnectFailure::Refused, "refused"}, {ConnectFailure::NoSocket, "no socket"}});
 };
 static_assert(isNameTableWhole(ConnectFailure::NoSocket));
 
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -27,7 +27,8 @@
 struct GatewaySettings
 {
     std::string dataCentre; ///< Data centre of this instance.
-    std::string endpointSource; ///< IP address from which connections to endpoints leave; empty for the system's choice.
+    std::string
+        endpointSource; ///< IP address from which connections to endpoints leave; empty for the system's choice.
     Duration drainPeriod{0}; ///< Time after which an endpoint that is known to leave must get no request.
     std::size_t memoryLimitBytes = 110U << 20U; ///< Memory of the process above which the platform ends it.
 };
--- a/tests/support/connection_server.cpp
+++ b/tests/support/connection_server.cpp
@@ -5,6 +5,8 @@
 
 #include <Poco/Exception.h>
 
+#include "support/source_filter.h"
+
 namespace Chestnuthook::Testing
 {
 
@@ -42,8 +44,21 @@
     }
 }
 
+void ConnectionServer::cutOff(const std::vector<std::string> &sources)
+{
+    const std::lock_guard lock(this->filterMutex);
+    this->cutSources = sources;
+    dropPacketsFrom(this->socket.impl()->sockfd(), sources);
+    for (const Connection &connection : this->connections) {
+        if (connection.descriptor >= 0) {
+            dropPacketsFrom(connection.descriptor, sources);
+        }
+    }
+}
+
 void ConnectionServer::joinDone()
 {
+    const std::lock_guard lock(this->filterMutex);
     this->connections.remove_if([](Connection &connection) {
         const bool isDone = connection.isDone;
         if (isDone) {
@@ -63,13 +78,21 @@
             return;
         }
         if (this->socket.poll(StopCheckInterval, Poco::Net::Socket::SELECT_READ)) {
+            Poco::Net::StreamSocket accepted = this->socket.acceptConnection();
+            const std::lock_guard lock(this->filterMutex);
             Connection &entry = this->connections.emplace_back();
-            entry.thread = std::thread([this, &entry, connection = this->socket.acceptConnection()]() mutable {
+            entry.descriptor = accepted.impl()->sockfd();
+            dropPacketsFrom(entry.descriptor, this->cutSources);
+            entry.thread = std::thread([this, &entry, connection = std::move(accepted)]() mutable {
                 try {
                     this->serve(connection, this->stopping);
                 } catch (const Poco::Exception &) {
                     // One peer is gone; the end of this handler closes the connection to the other one.
                 }
+                {
+                    const std::lock_guard guard(this->filterMutex);
+                    entry.descriptor = -1;
+                }
                 entry.isDone = true;
             });
         }
--- a/tests/support/connection_server.h
+++ b/tests/support/connection_server.h
@@ -4,8 +4,10 @@
 #include <atomic>
 #include <functional>
 #include <list>
+#include <mutex>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
@@ -29,11 +31,16 @@
      * connections are refused. */
     void stopListening();
 
+    /** Cuts the server off from clients at the IPv4 addresses @p sources, and from no others; see dropPacketsFrom().
+     */
+    void cutOff(const std::vector<std::string> &sources);
+
 private:
     /** A connection and its thread. */
     struct Connection
     {
         std::atomic<bool> isDone{false}; ///< The thread is about to end.
+        int descriptor = -1; ///< Of the socket; -1 once it may be closed. Guarded by `filterMutex`.
         std::thread thread; ///< Serves the connection.
     };
 
@@ -51,7 +58,9 @@
     std::atomic<bool> stopping{false}; ///< Tells all threads to end.
     std::atomic<bool> isClosing{false}; ///< Tells the accept thread to close the port.
     std::atomic<bool> isClosed{false}; ///< The port is closed.
-    std::list<Connection> connections; ///< Used by the accept thread, and by the destructor after its end.
+    std::mutex filterMutex; ///< Guards the next two members and the descriptors of connections.
+    std::vector<std::string> cutSources; ///< See `cutOff`.
+    std::list<Connection> connections; ///< Changed by the accept thread, and by the destructor after its end.
     std::thread acceptThread; ///< Declared last, so that it starts after all other members exist.
 };
 
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "support/connection_server.h"
 
@@ -37,6 +38,11 @@
     {
         this->server.stopListening();
     }
+    /** See ConnectionServer::cutOff. */
+    void cutOff(const std::vector<std::string> &sources)
+    {
+        this->server.cutOff(sources);
+    }
 
 private:
     void serve(Poco::Net::StreamSocket &connection, const std::atomic<bool> &stopping) const;
--- a/tests/support/small_deployment.cpp
+++ b/tests/support/small_deployment.cpp
@@ -48,6 +48,7 @@
         this->clientAddresses.push_back(reserveAddress(ip));
         add("gateway", FirstGatewayHost + i,
             R"("front":")" + this->clientAddresses.back() + R"(","ready":")" + reserveAddress(ip) + "\"");
+        this->instances.back().endpointSource = ip;
     }
     this->processes.resize(this->instances.size());
     for (std::size_t i = 0; i < this->instances.size(); ++i) {
@@ -73,6 +74,15 @@
     this->processes[process] = startInstance(this->instances[process], this->folder.path);
 }
 
+std::vector<std::string> SmallDeployment::sourcesOf(const std::vector<std::size_t> &gateways) const
+{
+    std::vector<std::string> sources;
+    for (const std::size_t gateway : gateways) {
+        sources.push_back(this->instances[this->processOfGateway(gateway)].endpointSource);
+    }
+    return sources;
+}
+
 void SmallDeployment::setEndpoints(const std::vector<ListedEndpoint> &endpoints)
 {
     std::string entries;
--- a/tests/support/small_deployment.h
+++ b/tests/support/small_deployment.h
@@ -55,6 +55,9 @@
 
     void start(std::size_t process, bool isBootstrap = false);
 
+    /** Addresses from which the @p gateways connect to endpoints. */
+    [[nodiscard]] std::vector<std::string> sourcesOf(const std::vector<std::size_t> &gateways) const;
+
     /** Index in `processes` of @p gateway. */
     [[nodiscard]] std::size_t processOfGateway(std::size_t gateway) const
     {
