A gateway that is cut off from endpoints reaches them through another gateway

Cause: a request had no way to an endpoint but the link of the gateway that took it, and nothing knew whether a link or an endpoint was at fault. Change: what is relayed is the connection, not the request. A gateway that gets no connection within 40 ms, or is refused, asks another one to open it; that one forwards bytes both ways over the authenticated RPC port, for listed endpoints only and never through a third. The request stays where it was taken: retries, deadline, rate, tokens, versions and the truth about side effects have one owner, and the client's close ends the endpoint's connection. EndpointLinks decides, without I/O: a link is down only if another gateway reaches the endpoint meanwhile, so a crash or a silent second moves nothing; two links that hang put the others in doubt, whose kept connections aren't used. Silence is checked by a new connection, links that are down by a few probes at a time. Requests that may be repeated leave a link that hangs. RelayPeers chooses whom to ask: who reports to reach endpoints, by load, data centre and a hash. The directory leaves out gateways that are cut off while the others are at least half. Why it works: gateways reach each other, and a relayed connection behaves like a direct one in all that a request can tell.

--- a/src/deployment/configuration_type.h
+++ b/src/deployment/configuration_type.h
@@ -58,6 +58,12 @@
     std::chrono::duration<double> retention{0}; ///< How long turns are stored, in seconds.
     bool isPublic = false; ///< Requests need no API key.
     bool resumable = false; ///< A broken stream may be resumed at another endpoint.
+
+    /** Whether a request that may have run can be sent to an endpoint once more. */
+    [[nodiscard]] bool isRepeatable() const
+    {
+        return this->kind == RouteKind::Safe || (this->kind == RouteKind::Stream && this->resumable);
+    }
 };
 
 /** Properties of the inference engine of a service. */
--- a/src/deployment/deployment_member_base.cpp
+++ b/src/deployment/deployment_member_base.cpp
@@ -82,7 +82,7 @@
 {
     return {textOf(report.getName()), report.getRole(), textOf(report.getDataCentre()),
         textOf(report.getCallerAddress()), textOf(report.getRpcAddress()), textOf(report.getIdentity()),
-        report.getReady()};
+        report.getReady(), report.getCutOff()};
 }
 
 } // namespace
@@ -367,6 +367,7 @@
             list[i].setCallerAddress(wireText(alive[i].clientAddress));
             list[i].setRpcAddress(wireText(alive[i].rpcAddress));
             list[i].setReady(alive[i].ready);
+            list[i].setCutOff(alive[i].isCutOff);
             list[i].setIdentity(wireText(alive[i].identity));
         }
     }
--- a/src/deployment/deployment_watcher_base.cpp
+++ b/src/deployment/deployment_watcher_base.cpp
@@ -107,6 +107,7 @@
         report.setRpcAddress(wireText(info.rpcAddress));
         report.setIdentity(wireText(info.identity));
         report.setReady(info.ready);
+        report.setCutOff(info.isCutOff);
         report.setCopiedView(this->copiedView ? this->copiedView() : 0);
         const auto strikes = this->takeStrikes ? this->takeStrikes() : std::vector<EndpointStrike>();
         auto list = report.initStrikes(static_cast<unsigned>(strikes.size()));
@@ -189,7 +190,7 @@
         for (const auto entry : update.getInstances()) {
             this->view.instances.push_back({textOf(entry.getName()), entry.getRole(), textOf(entry.getDataCentre()),
                 textOf(entry.getCallerAddress()), textOf(entry.getRpcAddress()), textOf(entry.getIdentity()),
-                entry.getReady()});
+                entry.getReady(), entry.getCutOff()});
         }
     }
     if (hasPart(parts, UpdatePart::Quarantine)) {
--- a/src/deployment/instance_registry_base.cpp
+++ b/src/deployment/instance_registry_base.cpp
@@ -12,6 +12,13 @@
     std::erase_if(instances, [](const InstanceInfo &instance) {
         return instance.role != Wire::InstanceRole::GATEWAY || !instance.ready;
     });
+    const auto isCutOff = [](const InstanceInfo &instance) {
+        return instance.isCutOff;
+    };
+    const auto cutOff = static_cast<std::size_t>(std::ranges::count_if(instances, isCutOff));
+    if (2 * cutOff <= instances.size()) {
+        std::erase_if(instances, isCutOff);
+    }
     std::stable_partition(instances.begin(), instances.end(), [&dataCentre](const InstanceInfo &instance) {
         return instance.dataCentre == dataCentre;
     });
--- a/src/deployment/instance_registry_base.h
+++ b/src/deployment/instance_registry_base.h
@@ -23,10 +23,13 @@
     std::string rpcAddress; ///< Address for other daemons.
     std::string identity; ///< Identity of its data folder; empty if it has none.
     bool ready = false; ///< A gateway that accepts client requests.
+    bool isCutOff = false; ///< A gateway that needs others to reach most endpoints of a service.
     bool operator==(const InstanceInfo &) const = default;
 };
 
-/** Gateways that clients in @p dataCentre should use: those of that data centre first, at most MaxListedGateways. */
+/** Gateways that clients in @p dataCentre should use: those of that data centre first, at most MaxListedGateways. Ones
+ * that are cut off from endpoints are left out if the others are at least half of all, so that these aren't overloaded.
+ */
 [[nodiscard]] std::vector<InstanceInfo> selectGateways(
     std::vector<InstanceInfo> instances, const std::string &dataCentre);
 inline constexpr std::size_t MaxListedGateways = 64; ///< Gateways in one response to a client.
--- a/src/gateway/connection_pool_base.cpp
+++ b/src/gateway/connection_pool_base.cpp
@@ -161,6 +161,23 @@
     list.push_back(std::move(connection));
 }
 
+void ConnectionPool::closeIdle(const std::string &address)
+{
+    this->idle.erase(address);
+}
+
+void ConnectionPool::closeIdleIf(const std::function<bool(const EndpointConnection &)> &isStale)
+{
+    for (auto &[address, list] : this->idle) {
+        std::erase_if(list, [&isStale](const auto &connection) {
+            return isStale(*connection);
+        });
+    }
+    std::erase_if(this->idle, [](const auto &entry) {
+        return entry.second.empty();
+    });
+}
+
 Duration ConnectionPool::idleTimeoutFrom(const HttpFields &fields)
 {
     constexpr std::string_view Parameter = "timeout=";
--- a/src/gateway/connection_pool_base.h
+++ b/src/gateway/connection_pool_base.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -39,6 +40,9 @@
     Instant idleSince{0}; ///< When the connection was last returned to the pool.
     Duration idleTimeout{0}; ///< How long it may stay in the pool; 0 if it must not be reused.
     kj::Maybe<kj::Promise<void>> closeWatch; ///< While idle, detects that the endpoint closes it or sends data.
+    std::string relay; ///< Name of the gateway that relays it; empty for a direct connection.
+    std::shared_ptr<void> relayUse; ///< Counts the connection at that gateway while it exists.
+    bool isInterrupted = false; ///< Its request was given up because the link to the endpoint hangs.
     bool unusable = false; ///< The endpoint closed it, or sent data that belongs to no request.
 };
 
@@ -83,6 +87,11 @@
      */
     void addIdle(const std::string &address, std::unique_ptr<EndpointConnection> connection, Duration idleTimeout);
 
+    /** Closes the idle connections to @p address. */
+    void closeIdle(const std::string &address);
+    /** Closes the idle connections for which @p isStale returns true. */
+    void closeIdleIf(const std::function<bool(const EndpointConnection &)> &isStale);
+
     /** How long a connection may stay idle after a response with @p fields. */
     [[nodiscard]] static Duration idleTimeoutFrom(const HttpFields &fields);
 
--- a/src/gateway/gateway_base.cpp
+++ b/src/gateway/gateway_base.cpp
@@ -101,10 +101,15 @@
     , configurationReader(std::move(readConfiguration))
     , settings(std::move(settings))
     , loadBalancer(this->settings.drainPeriod)
-    , connections(loop, this->settings.endpointSource)
+    , connector(loop, {this->settings.name, this->settings.dataCentre, this->settings.endpointSource})
     , responseMemory(this->settings.memoryLimitBytes / ResponseMemoryDivisor)
     , history(loop, watcher, this->settings.dataCentre)
 {
+    this->connector.onLinksChanged = [this, wasCutOff = false]() mutable {
+        if (std::exchange(wasCutOff, this->isCutOff()) != this->isCutOff()) {
+            this->watcher.reportNow();
+        }
+    };
 }
 
 void Gateway::applyUpdate(std::uint32_t parts)
@@ -124,12 +129,14 @@
     }
     if (hasPart(parts, UpdatePart::Endpoints)) {
         this->loadBalancer.setEndpoints(this->now(), view.endpoints);
+        this->connector.setEndpoints(view.endpoints);
     }
     if (hasPart(parts, UpdatePart::Instances)) {
         this->gatewayCount = static_cast<std::size_t>(
             std::count_if(view.instances.begin(), view.instances.end(), [](const InstanceInfo &one) {
                 return one.role == Wire::InstanceRole::GATEWAY;
             }));
+        this->connector.setInstances(view.instances);
     }
 }
 
@@ -160,6 +167,7 @@
 void Gateway::drain()
 {
     this->draining = true;
+    this->connector.relay.stopAccepting();
     this->drainStartedAt = this->now();
 }
 
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -11,7 +11,7 @@
 #include "core/timer_base.h"
 #include "deployment/deployment_member_base.h"
 #include "deployment/deployment_watcher_base.h"
-#include "gateway/connection_pool_base.h"
+#include "gateway/endpoint_connector_base.h"
 #include "gateway/event_split_func.h"
 #include "gateway/header_codec_type.h"
 #include "gateway/load_balancer_base.h"
@@ -26,6 +26,7 @@
 
 struct GatewaySettings
 {
+    std::string name; ///< Name of this instance.
     std::string dataCentre; ///< Data centre of this instance.
     std::string
         endpointSource; ///< IP address from which connections to endpoints leave; empty for the system's choice.
@@ -82,6 +83,16 @@
     {
         this->accepting = false;
     }
+    /** Opens connections to endpoints for other gateways. */
+    [[nodiscard]] EndpointRelay &relay()
+    {
+        return this->connector.relay;
+    }
+    /** Whether this gateway needs others to reach most endpoints of a service. */
+    [[nodiscard]] bool isCutOff() const
+    {
+        return this->connector.isCutOff();
+    }
     /** Logs the requests that are active when the process ends, and when the last one was accepted. */
     void logShutdown() const;
     /** Returns the strikes since the last call. A strike names a request that was in flight at an endpoint when the
@@ -116,7 +127,7 @@
     [[nodiscard]] AttemptResult relayResponse(kj::WaitScope &scope, Call &call, const DeployedEndpoint &endpoint,
         HttpResponseReader &reader, const ResponseHead &head);
     [[nodiscard]] AttemptResult relayStream(kj::WaitScope &scope, Call &call, const DeployedEndpoint &endpoint,
-        HttpResponseReader &reader, const ResponseHead &head);
+        const EndpointConnection &connection, HttpResponseReader &reader, const ResponseHead &head);
     /** Begins the response to the client. The stream may go on only at the version of @p endpoint from then on. */
     void beginStream(kj::WaitScope &scope, Call &call, const DeployedEndpoint &endpoint, const ResponseHead &head);
     void finishStream(kj::WaitScope &scope, Call &call);
@@ -145,7 +156,7 @@
     GatewaySettings settings;
     ConfigurationPtr configuration; ///< Configuration in force; null before the first one. Its version never decreases.
     LoadBalancer loadBalancer; ///< Selects endpoints.
-    ConnectionPool connections; ///< Connections to endpoints.
+    EndpointConnector connector; ///< Connections to endpoints.
     ResponseMemory responseMemory; ///< Limits the memory of the responses that are held.
     HistoryClient history; ///< Stored turns and token budgets.
     StreamOriginTable streamOrigins; ///< Streams that began at this gateway; history members hold those of all.
--- a/src/gateway/gateway_call_internal.h
+++ b/src/gateway/gateway_call_internal.h
@@ -78,7 +78,10 @@
     std::string lastEventId; ///< Id of the last event sent to the client.
     unsigned deliveredEvents = 0; ///< Number of events sent to the client.
     unsigned tokensPerEvent = 1; ///< Tokens in each event of the selected service.
-    unsigned executedAttempts = 0; ///< Attempts that may have been executed by an endpoint.
+    /** Attempts that may have been executed by an endpoint, without those at endpoints that were cut off meanwhile. */
+    unsigned executedAttempts = 0;
+    bool mayHaveRun = false; ///< An endpoint may have executed the request.
+    bool isLinkLost = false; ///< The last attempt was given up because the link to its endpoint hangs.
     std::string abortReason = "the connection ended"; ///< Why there is no complete response, for the log.
     BodyFraming framing = BodyFraming::Length; ///< Of the last response, for the log.
     std::size_t unfinishedBytes = 0; ///< Bytes of the last stream after its last whole event, for the log.
--- a/src/gateway/gateway_run.cpp
+++ b/src/gateway/gateway_run.cpp
@@ -113,7 +113,6 @@
         criteria.affinity = std::max<std::uint64_t>(hash64(affinityKey), 1);
     }
     criteria.dataCentre = this->settings.dataCentre;
-    const bool isRetryable = route.kind == RouteKind::Safe || (route.kind == RouteKind::Stream && route.resumable);
     std::set<std::string> tried;
     unsigned endpointTries = 0;
     AttemptResult lastResult = AttemptResult::NotExecuted;
@@ -133,9 +132,10 @@
         if (lastResult == AttemptResult::NotExecuted) {
             continue;
         }
-        ++call.executedAttempts;
+        call.executedAttempts += call.isLinkLost ? 0 : 1;
+        call.mayHaveRun = true;
         const bool isOutputLost = call.exchange.hasStarted() && call.held.isGivenUp();
-        if (!isRetryable || isOutputLost || call.executedAttempts >= route.maxAttempts) {
+        if (!route.isRepeatable() || isOutputLost || call.executedAttempts >= route.maxAttempts) {
             break;
         }
     }
@@ -143,7 +143,7 @@
         call.abortReason = "stream cut";
         return; // The connection is closed, which shows the client that the response is incomplete.
     }
-    if (call.executedAttempts == 0) {
+    if (!call.mayHaveRun) {
         const bool late = call.deadline - this->now() <= MinUsefulTime;
         const std::string_view reason =
             call.version ? "no endpoint of the stream's version has room" : "no endpoint has room";
@@ -158,25 +158,20 @@
 
 Gateway::AttemptResult Gateway::attempt(kj::WaitScope &scope, Call &call, const DeployedEndpoint &endpoint)
 {
-    auto connection = this->connections.takeIdle(endpoint.address);
-    const bool reused = connection != nullptr;
-    ConnectFailure failure = ConnectFailure::None;
-    if (!reused) {
-        ConnectResult opened =
-            this->connections.connect(scope, endpoint.address, std::min(ConnectTimeout, call.deadline - this->now()));
-        connection = std::move(opened.connection);
-        failure = opened.failure;
-    }
+    OpenedConnection opened =
+        this->connector.connect(scope, endpoint, std::min(ConnectTimeout, call.deadline - this->now()));
+    auto connection = std::move(opened.connection);
     if (connection == nullptr) {
         this->loadBalancer.recordFailure(this->now(), endpoint.id);
         logEvent(EventKind::AttemptFailed,
             {{"request", call.metadata.requestId}, {"endpoint", endpoint.id}, {"reason", "no connection"},
-                {"cause", std::string(nameOf(failure))}});
+                {"cause", std::string(nameOf(opened.failure))}});
         return AttemptResult::NotExecuted;
     }
     logEvent(EventKind::CallDispatched,
         {{"request", call.metadata.requestId}, {"endpoint", endpoint.id}, {"version", endpoint.version},
-            {"kept", reused ? "yes" : "no"}, {"load", this->loadBalancer.describeLoad(this->now(), endpoint.id)},
+            {"kept", opened.isKept ? "yes" : "no"}, {"relay", connection->relay},
+            {"load", this->loadBalancer.describeLoad(this->now(), endpoint.id)},
             {"leaving", this->loadBalancer.describeLeaving(this->now(), endpoint.service)},
             {"ms", std::to_string((this->now() - call.exchange.received).count() / 1000)}});
     if (!call.metadata.lastEventId.empty() || call.exchange.hasStarted()) {
@@ -188,19 +183,26 @@
     this->loadBalancer.recordRequestStart(endpoint.id);
     KJ_DEFER(this->loadBalancer.recordRequestEnd(endpoint.id));
     call.beginAttempt();
-    const AttemptResult result = this->sendAndReceive(scope, call, endpoint, *connection);
+    const AttemptResult result = [&]() {
+        this->connector.beginRequest(endpoint.address, *connection, call.route->isRepeatable());
+        KJ_DEFER(this->connector.endRequest(endpoint.address, *connection));
+        return this->sendAndReceive(scope, call, endpoint, *connection);
+    }();
     call.releaseContent();
+    call.isLinkLost = connection->isInterrupted;
     if (result == AttemptResult::Delivered || result == AttemptResult::NotExecuted) {
         const Duration idleTimeout = connection->idleTimeout;
         if (idleTimeout.count() > 0) {
-            this->connections.addIdle(endpoint.address, std::move(connection), idleTimeout);
+            this->connector.keep(endpoint, std::move(connection), idleTimeout);
         }
         return result;
     }
-    if (result == AttemptResult::TimedOut && call.deliveredEvents == 0) {
+    // What happens on the way is no fault of the endpoint.
+    const bool isEndpointFault = connection->relay.empty() && !call.isLinkLost;
+    if (isEndpointFault && result == AttemptResult::TimedOut && call.deliveredEvents == 0) {
         this->loadBalancer.recordError(this->now(), endpoint.id);
     }
-    if (result == AttemptResult::Failed) {
+    if (isEndpointFault && result == AttemptResult::Failed) {
         this->loadBalancer.recordFailure(this->now(), endpoint.id);
         if (call.failureReason.empty()) {
             this->recordStrikeIfDown(call.fingerprint, endpoint);
@@ -210,8 +212,8 @@
     logEvent(EventKind::AttemptFailed,
         {{"request", call.metadata.requestId}, {"endpoint", endpoint.id},
             {"reason", std::string(result == AttemptResult::TimedOut ? "time-out" : failureReason)},
-            {"kept", reused ? "yes" : "no"}, {"events", std::to_string(call.deliveredEvents)},
-            {"framing", std::string(nameOf(call.framing))},
+            {"kept", opened.isKept ? "yes" : "no"}, {"relay", connection->relay},
+            {"events", std::to_string(call.deliveredEvents)}, {"framing", std::string(nameOf(call.framing))},
             {"unfinished_bytes", std::to_string(call.unfinishedBytes)}});
     return result;
 }
@@ -230,13 +232,12 @@
 void Gateway::recordStrikeIfDown(std::uint64_t fingerprint, const DeployedEndpoint &endpoint)
 {
     this->loop.detach(kj::startFiber(ProbeStackBytes, [this, fingerprint, endpoint](kj::WaitScope &scope) {
-        auto connection = this->connections.connect(scope, endpoint.address, ConnectTimeout).connection;
+        auto connection = this->connector.open(scope, endpoint, ConnectTimeout).connection;
         if (connection == nullptr) {
             this->strikes.push_back({fingerprint, endpoint.id});
             return;
         }
-        this->connections.addIdle(
-            endpoint.address, std::move(connection), ConnectionPool::idleTimeoutFrom(HttpFields()));
+        this->connector.keep(endpoint, std::move(connection), ConnectionPool::idleTimeoutFrom(HttpFields()));
     }));
 }
 
@@ -269,6 +270,7 @@
             call.noteFailure(read);
             return connection.input.hasTimedOut() ? AttemptResult::TimedOut : AttemptResult::Failed;
         }
+        this->connector.recordReceived(endpoint.address, connection);
         const ResponseMetadata metadata = this->headerCodec.readResponseMetadata(head);
         if (metadata.load) {
             this->loadBalancer.recordLoad(this->now(), endpoint.id, *metadata.load);
@@ -312,7 +314,7 @@
         if (!isStream && call.exchange.hasStarted()) {
             return AttemptResult::Failed; // Part of a stream has been sent, so no other response can be sent instead.
         }
-        const AttemptResult result = isStream ? this->relayStream(scope, call, endpoint, reader, head)
+        const AttemptResult result = isStream ? this->relayStream(scope, call, endpoint, connection, reader, head)
                                               : this->relayResponse(scope, call, endpoint, reader, head);
         if (result == AttemptResult::Delivered) {
             if (head.status >= HttpStatus::FirstServerError) {
@@ -334,12 +336,11 @@
     }
     metrics().add(MetricKind::ResponsesEndedByClose);
     auto connection =
-        this->connections.connect(scope, endpoint.address, std::min(ConnectTimeout, call.deadline - this->now()))
-            .connection;
+        this->connector.open(scope, endpoint, std::min(ConnectTimeout, call.deadline - this->now())).connection;
     if (connection == nullptr) {
         return false;
     }
-    this->connections.addIdle(endpoint.address, std::move(connection), ConnectionPool::idleTimeoutFrom(HttpFields()));
+    this->connector.keep(endpoint, std::move(connection), ConnectionPool::idleTimeoutFrom(HttpFields()));
     return true;
 }
 
@@ -387,7 +388,7 @@
 }
 
 Gateway::AttemptResult Gateway::relayStream(kj::WaitScope &scope, Call &call, const DeployedEndpoint &endpoint,
-    HttpResponseReader &reader, const ResponseHead &head)
+    const EndpointConnection &connection, HttpResponseReader &reader, const ResponseHead &head)
 {
     EventSplitter splitter;
     std::size_t bytesSinceData = 0; // Received since the last event with data.
@@ -402,6 +403,7 @@
             call.noteFailure(read);
             return AttemptResult::Failed;
         }
+        this->connector.recordReceived(endpoint.address, connection);
         std::vector<StreamEvent> events;
         std::string ready = part.empty() ? splitter.remainder() : splitter.append(part, events);
         call.unfinishedBytes = splitter.remainder().size();
--- a/src/http/http_reader_base.cpp
+++ b/src/http/http_reader_base.cpp
@@ -124,12 +124,23 @@
     if (this->timer == nullptr) {
         return done;
     }
+    auto interrupted = kj::newPromiseAndFulfiller<bool>();
+    this->interruption = kj::mv(interrupted.fulfiller);
+    done = done.exclusiveJoin(kj::mv(interrupted.promise));
     return done.exclusiveJoin(this->timer->atTime(this->deadline).then([this]() {
         this->timedOut = true;
         return false;
     }));
 }
 
+void HttpInputStream::interrupt()
+{
+    this->timedOut = true;
+    if (this->interruption.get() != nullptr) {
+        this->interruption->fulfill(false);
+    }
+}
+
 void HttpInputStream::setDeadline(kj::Timer &clock, kj::TimePoint time)
 {
     this->timer = &clock;
--- a/src/http/http_reader_base.h
+++ b/src/http/http_reader_base.h
@@ -44,6 +44,8 @@
     {
         this->timer = nullptr;
     }
+    /** Ends the wait for bytes, now or at the next read, as if the deadline had passed. */
+    void interrupt();
     [[nodiscard]] bool hasTimedOut() const
     {
         return this->timedOut;
@@ -91,6 +93,7 @@
     bool timedOut = false; ///< Reading ended because the deadline passed.
     kj::Timer *timer = nullptr; ///< Clock of the deadline; null if there is none.
     kj::TimePoint deadline = kj::origin<kj::TimePoint>(); ///< Valid while `timer` is set.
+    kj::Own<kj::PromiseFulfiller<bool>> interruption; ///< Ends the current wait; null if there is none.
     bool isReading = false; ///< `pendingRead` is not resolved yet.
     /** The last read. It is not cancelled when a promise of `readMore` is dropped, since the bytes may already have
      * been taken from the socket. Declared last, so that it is cancelled first. */
--- a/src/rpc/deployment.capnp
+++ b/src/rpc/deployment.capnp
@@ -26,6 +26,7 @@
     ready @6 :Bool;             # A gateway that takes callers.
     copiedView @7 :UInt64;      # History: view for which the copy of all turns is complete; 0 for none.
     strikes @8 :List(EndpointStrike);   # Since the last report.
+    cutOff @9 :Bool;            # A gateway that reaches less than half of a service's endpoints by its own links.
 }
 
 struct EndpointEntry {
@@ -59,6 +60,7 @@
     rpcAddress @4 :Text;
     ready @5 :Bool;
     identity @6 :Text;          # Of the data folder.
+    cutOff @7 :Bool;            # As the daemon reported it.
 }
 
 # Versions that the caller holds; a part whose version is the same is left out of the update.
--- a/src/rpc/deployment.capnp.h
+++ b/src/rpc/deployment.capnp.h
@@ -448,6 +448,8 @@
   inline bool hasStrikes() const;
   inline  ::capnp::List< ::Chestnuthook::Wire::EndpointStrike,  ::capnp::Kind::STRUCT>::Reader getStrikes() const;
 
+  inline bool getCutOff() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -527,6 +529,9 @@
   inline void adoptStrikes(::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::EndpointStrike,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::EndpointStrike,  ::capnp::Kind::STRUCT>> disownStrikes();
 
+  inline bool getCutOff();
+  inline void setCutOff(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -917,6 +922,8 @@
   inline bool hasIdentity() const;
   inline  ::capnp::Text::Reader getIdentity() const;
 
+  inline bool getCutOff() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -986,6 +993,9 @@
   inline void adoptIdentity(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownIdentity();
 
+  inline bool getCutOff();
+  inline void setCutOff(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2373,6 +2383,20 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline bool InstanceReport::Reader::getCutOff() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
+}
+
+inline bool InstanceReport::Builder::getCutOff() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
+}
+inline void InstanceReport::Builder::setCutOff(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool EndpointEntry::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2953,6 +2977,20 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool InstanceEntry::Reader::getCutOff() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
+}
+
+inline bool InstanceEntry::Builder::getCutOff() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
+}
+inline void InstanceEntry::Builder::setCutOff(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t HeldVersions::Reader::getConfiguration() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/table/event_table.cpp
+++ b/src/table/event_table.cpp
@@ -45,6 +45,8 @@
     {EventKind::EndpointUp, EventLevel::Info},
     {EventKind::EndpointDown, EventLevel::Warning},
     {EventKind::EndpointLeaving, EventLevel::Info},
+    {EventKind::EndpointLinkDown, EventLevel::Warning},
+    {EventKind::EndpointLinkUp, EventLevel::Info},
     {EventKind::StrikeRecorded, EventLevel::Warning},
     {EventKind::RequestQuarantined, EventLevel::Warning},
     {EventKind::CacheReleased, EventLevel::Debug},
--- a/src/table/metric_table.h
+++ b/src/table/metric_table.h
@@ -34,8 +34,10 @@
     StrikesTotal,
     EndpointsLeaving,
     ResponsesEndedByClose,
+    ConnectionsRelayed,
+    LinksDown,
 };
-inline constexpr std::size_t MetricCount = static_cast<std::size_t>(MetricKind::ResponsesEndedByClose) + 1;
+inline constexpr std::size_t MetricCount = static_cast<std::size_t>(MetricKind::LinksDown) + 1;
 
 /** Type of a metric, as in the Prometheus text format. */
 enum class MetricType : std::uint8_t { Counter, Gauge, Histogram };
--- a/tests/process/cut_gateway_test.cpp
+++ b/tests/process/cut_gateway_test.cpp
@@ -3,7 +3,9 @@
 #define BOOST_TEST_MODULE cut_gateway
 #include <boost/test/unit_test.hpp>
 
-#include <array>
+#include <algorithm>
+#include <atomic>
+#include <csignal>
 #include <deque>
 #include <map>
 #include <mutex>
@@ -12,8 +14,11 @@
 #include <thread>
 #include <vector>
 
+#include "gateway/relayed_stream_base.h"
+#include "rpc/control_loop_base.h"
 #include "support/small_deployment.h"
 
+using namespace Chestnuthook;
 using namespace Chestnuthook::Testing;
 using namespace std::chrono_literals;
 
@@ -25,11 +30,25 @@
 constexpr std::size_t EndpointCount = 4;
 constexpr auto ContactTime = 3s; ///< From then on the clients of a cut gateway must be served as those of others.
 constexpr auto RequestInterval = 20ms; ///< Between two requests to one gateway.
+constexpr std::size_t SlowEventCount = 8; ///< Events of a slow stream.
+constexpr auto SlowEventPause = 100ms; ///< Pause before each of them.
+constexpr auto DetectionTime = 1500ms; ///< Time after which a gateway knows of a cut while it gets requests.
 const std::string EventOne = "id: 1\ndata: one\n\n";
 const std::string EventTwo = "id: 2\ndata: two\n\n";
 const std::vector<std::string> Paths = {"/safe/x", "/unsafe/x", "/stream/x", "/resume/x"};
 
-/** An endpoint that records from where requests reach it. */
+/** Events of a slow stream; each has the same size. */
+std::string slowEvents()
+{
+    std::string events;
+    for (std::size_t i = 0; i < SlowEventCount; ++i) {
+        events += "id: " + std::to_string(i) + "\ndata: slow\n\n";
+    }
+    return events;
+}
+
+/** An endpoint that records from where requests reach it. Streams whose path ends in /slow take SlowEventCount events,
+ * with pauses. */
 class Endpoint
 {
 public:
@@ -53,27 +72,58 @@
         const auto &list = this->sources[requestId];
         return list.empty() ? std::string() : list.back();
     }
+    /** Whether the connection ended before the response to the request did. */
+    bool wasAbandoned(const std::string &requestId)
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->abandoned.contains(requestId);
+    }
+
+    std::atomic<std::chrono::milliseconds> responseTime = 10ms; ///< Time until a response begins.
 
 private:
     bool answer(Poco::Net::StreamSocket &connection, const std::string &head)
     {
+        const std::string id = fieldOf(head, "X-Request-Id");
         {
             const std::lock_guard lock(this->mutex);
-            this->sources[fieldOf(head, "X-Request-Id")].push_back(connection.peerAddress().host().toString());
+            this->sources[id].push_back(connection.peerAddress().host().toString());
         }
         const std::string target = head.substr(0, head.find(" HTTP"));
         const bool isStream =
             target.find("/stream/") != std::string::npos || target.find("/resume/") != std::string::npos;
+        std::this_thread::sleep_for(this->responseTime.load());
+        if (target.ends_with("/slow")) {
+            return this->sendSlowStream(connection, head, id);
+        }
         const std::string response = isStream
             ? signedResponse(head, EventOne + EventTwo, "Content-Type: text/event-stream\r\n")
             : signedResponse(head, "ok");
-        std::this_thread::sleep_for(10ms);
         connection.sendBytes(response.data(), static_cast<int>(response.size()));
         return true;
     }
 
-    std::mutex mutex; ///< Guards `sources`.
+    bool sendSlowStream(Poco::Net::StreamSocket &connection, const std::string &head, const std::string &id)
+    {
+        std::string response = signedResponse(head, slowEvents(), "Content-Type: text/event-stream\r\n");
+        const std::size_t bodyStart = response.size() - slowEvents().size();
+        const std::size_t eventBytes = slowEvents().size() / SlowEventCount;
+        connection.sendBytes(response.data(), static_cast<int>(bodyStart));
+        for (std::size_t i = 0; i < SlowEventCount; ++i) {
+            const Poco::Timespan pause(std::chrono::duration_cast<std::chrono::microseconds>(SlowEventPause).count());
+            if (connection.poll(pause, Poco::Net::Socket::SELECT_READ)) { // The next request isn't sent before the end.
+                const std::lock_guard lock(this->mutex);
+                this->abandoned.insert(id);
+                return false;
+            }
+            connection.sendBytes(response.data() + bodyStart + i * eventBytes, static_cast<int>(eventBytes));
+        }
+        return true;
+    }
+
+    std::mutex mutex; ///< Guards the members below.
     std::map<std::string, std::vector<std::string>> sources; ///< Address of each sender, by request id.
+    std::set<std::string> abandoned; ///< Ids of requests whose connection ended before their response.
 
 public:
     RawServer server; ///< Accepts the requests.
@@ -167,6 +217,16 @@
         outcome.falselyRefused += (response.status == 503 || response.status == 429) && runs > 0 ? 1 : 0;
     }
 
+    /** Addresses from which request @p id reached an endpoint last; empty if it reached none. */
+    std::string sourceOf(const std::string &id)
+    {
+        std::string source;
+        for (Endpoint &endpoint : this->endpoints) {
+            source += endpoint.sourceOf(id);
+        }
+        return source;
+    }
+
     std::deque<Endpoint> endpoints{EndpointCount}; ///< Endpoints of the only service.
     SmallDeployment deployment{Network, GatewayCount, configuration()}; ///< Ready to serve when the test starts.
     std::mutex mutex; ///< Guards the outcomes while requests are sent.
@@ -213,3 +273,189 @@
     }));
     checkServed(this->sendFor(1s));
 }
+
+BOOST_FIXTURE_TEST_CASE(overlapping_cuts_keep_all_promises, Fixture)
+{
+    this->cutOff({0, 1});
+    checkTruth(this->sendFor(1s));
+    this->cutOff({1, 2});
+    checkTruth(this->sendFor(1s));
+    this->cutOff({2, 3});
+    checkTruth(this->sendFor(ContactTime));
+    const std::vector<Outcome> during = this->sendFor(1s);
+    checkTruth(during);
+    checkServed(during);
+}
+
+BOOST_FIXTURE_TEST_CASE(link_to_a_single_endpoint_is_replaced_by_another_gateway, Fixture)
+{
+    this->cutOff({0}, 0);
+    checkTruth(this->sendFor(DetectionTime));
+    const std::vector<Outcome> during = this->sendFor(1s);
+    checkTruth(during);
+    checkServed(during);
+    BOOST_TEST(during[0].sources.contains(this->deployment.sourcesOf({0}).front()));
+    BOOST_TEST(during[0].sources.size() > 1U);
+    for (std::size_t gateway = 1; gateway < GatewayCount; ++gateway) {
+        BOOST_TEST((during[gateway].sources == std::set<std::string>{this->deployment.sourcesOf({gateway}).front()}));
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(endpoints_that_are_silent_for_a_second_are_not_taken_for_cut_off, Fixture)
+{
+    checkServed(this->sendFor(300ms));
+    for (Endpoint &endpoint : this->endpoints) {
+        endpoint.responseTime = 1100ms;
+    }
+    const std::vector<Outcome> during = this->sendFor(3s);
+    checkTruth(during);
+    for (std::size_t gateway = 0; gateway < GatewayCount; ++gateway) {
+        BOOST_TEST(during[gateway].served == during[gateway].sent);
+        BOOST_TEST((during[gateway].sources == std::set<std::string>{this->deployment.sourcesOf({gateway}).front()}));
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(gateway_that_stops_cuts_no_stream_that_it_relays, Fixture)
+{
+    this->cutOff({0});
+    checkTruth(this->sendFor(DetectionTime));
+    std::vector<Response> responses(24);
+    std::vector<std::string> ids;
+    std::vector<std::jthread> clients;
+    for (Response &response : responses) {
+        ids.push_back("slow" + std::to_string(ids.size()));
+        clients.emplace_back([this, &response, id = ids.back()]() {
+            response = this->deployment.send(0, {"/stream/slow", id});
+        });
+    }
+    std::this_thread::sleep_for(2 * SlowEventPause);
+    for (std::size_t gateway = 1; gateway + 1 < GatewayCount; ++gateway) {
+        this->deployment.processes[this->deployment.processOfGateway(gateway)]->signal(SIGTERM);
+    }
+    clients.clear();
+    std::set<std::string> sources;
+    for (std::size_t i = 0; i < responses.size(); ++i) {
+        BOOST_TEST(responses[i].complete);
+        BOOST_TEST(responses[i].body == slowEvents());
+        sources.insert(this->sourceOf(ids[i]));
+    }
+    BOOST_TEST(sources.size() > 1U);
+    for (std::size_t gateway = 1; gateway + 1 < GatewayCount; ++gateway) {
+        BOOST_TEST(this->deployment.processes[this->deployment.processOfGateway(gateway)]->wait() == 0);
+    }
+    const std::vector<Outcome> after = this->sendFor(500ms);
+    BOOST_TEST(after[0].served == after[0].sent);
+}
+
+BOOST_FIXTURE_TEST_CASE(requests_survive_the_end_of_the_gateway_that_relays_them, Fixture)
+{
+    this->cutOff({0});
+    checkTruth(this->sendFor(DetectionTime));
+    std::jthread killer([this]() {
+        std::this_thread::sleep_for(300ms);
+        for (const std::size_t gateway : {1U, 2U}) {
+            this->deployment.processes[this->deployment.processOfGateway(gateway)]->signal(SIGKILL);
+        }
+    });
+    checkTruth({this->sendFor(1500ms)[0]});
+    const Outcome after = this->sendFor(1s)[0];
+    BOOST_TEST(after.served == after.sent);
+}
+
+BOOST_FIXTURE_TEST_CASE(pause_of_the_gateways_that_relay_cuts_no_stream, Fixture)
+{
+    this->cutOff({0});
+    checkTruth(this->sendFor(DetectionTime));
+    std::vector<Response> responses(8);
+    std::vector<std::jthread> clients;
+    clients.reserve(responses.size() + 1);
+    for (Response &response : responses) {
+        clients.emplace_back([this, &response]() {
+            response = this->deployment.send(0, {"/stream/slow", "slow" + std::to_string(this->ids++)});
+        });
+    }
+    std::this_thread::sleep_for(2 * SlowEventPause);
+    const auto signalOthers = [this](int number) {
+        for (std::size_t gateway = 1; gateway < GatewayCount; ++gateway) {
+            this->deployment.processes[this->deployment.processOfGateway(gateway)]->signal(number);
+        }
+    };
+    signalOthers(SIGSTOP);
+    clients.emplace_back([this]() { // Asks for further connections meanwhile.
+        std::ignore = this->deployment.send(0, {"/safe/x", "meanwhile"}, 600ms);
+    });
+    std::this_thread::sleep_for(500ms);
+    signalOthers(SIGCONT);
+    clients.clear();
+    for (const Response &response : responses) {
+        BOOST_TEST(response.complete);
+        BOOST_TEST(response.body == slowEvents());
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(close_of_a_client_reaches_the_endpoint_through_another_gateway, Fixture)
+{
+    this->cutOff({0});
+    checkTruth(this->sendFor(DetectionTime));
+    std::ignore =
+        this->deployment.send(0, {"/stream/slow", "left"}, SlowEventPause / 2); // Leaves before the first event.
+    BOOST_TEST(waitUntil(
+        [this]() {
+            return std::ranges::any_of(this->endpoints, [](Endpoint &endpoint) {
+                return endpoint.wasAbandoned("left");
+            });
+        },
+        500ms));
+    BOOST_TEST(this->sourceOf("left") != this->deployment.sourcesOf({0}).front());
+}
+
+BOOST_FIXTURE_TEST_CASE(new_clients_are_sent_to_gateways_that_reach_endpoints, Fixture)
+{
+    const auto listed = [this]() {
+        return http(this->deployment.directoryAddress, "GET", "/-/resolve?name=h.example&region=r&zone=z").body;
+    };
+    const auto isListed = [&](std::size_t gateway) {
+        return listed().find(this->deployment.clientAddresses[gateway]) != std::string::npos;
+    };
+    this->cutOff({0, 1});
+    checkTruth(this->sendFor(DetectionTime));
+    BOOST_TEST(!isListed(0));
+    BOOST_TEST(!isListed(1));
+    BOOST_TEST(isListed(2));
+    BOOST_TEST(isListed(3));
+    this->cutOff({});
+    BOOST_TEST(waitUntil([&]() {
+        return isListed(0) && isListed(1);
+    }));
+}
+
+BOOST_FIXTURE_TEST_CASE(only_daemons_of_the_deployment_may_ask_for_connections, Fixture)
+{
+    const PlatformInstance &gateway = this->deployment.instances[this->deployment.processOfGateway(0)];
+    const std::string address = gateway.ip + ":" + std::to_string(gateway.rpcPort);
+    const std::string bytes = sendRawRequest(address,
+        "POST /safe/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: forged\r\nX-Expected-Instance: i-0\r\n"
+        "X-Tenant: glue\r\nContent-Length: 0\r\n\r\n",
+        500ms);
+    BOOST_TEST(bytes.find("HTTP/1.1") == std::string::npos);
+    BOOST_TEST(this->sourceOf("forged").empty());
+    for (const std::string secret : {"another", "test"}) {
+        ControlLoop loop(secret, "stranger");
+        RpcLink link(loop.rpc(), address);
+        const auto ask = [&link](const std::string &endpoint) {
+            return link.services().then([endpoint](OfferedServices &&services) {
+                auto request = services.peer.castAs<Wire::EndpointRelay>().connectRequest();
+                request.setEndpoint(endpoint.c_str());
+                request.setToCaller(makeSink(kj::refcounted<RelayBuffer>()));
+                return request.send().ignoreResult();
+            });
+        };
+        BOOST_CHECK_THROW(loop.wait(ask("i-none")), kj::Exception);
+        BOOST_CHECK_THROW(loop.wait(ask(this->endpoints[0].server.address)), kj::Exception);
+        if (secret == "test") {
+            BOOST_CHECK_NO_THROW(loop.wait(ask("i-0")));
+        } else {
+            BOOST_CHECK_THROW(loop.wait(ask("i-0")), kj::Exception);
+        }
+    }
+}
--- a/tests/support/connection_server.cpp
+++ b/tests/support/connection_server.cpp
@@ -83,7 +83,7 @@
             Connection &entry = this->connections.emplace_back();
             entry.descriptor = accepted.impl()->sockfd();
             dropPacketsFrom(entry.descriptor, this->cutSources);
-            entry.thread = std::thread([this, &entry, connection = std::move(accepted)]() mutable {
+            entry.thread = std::thread([this, &entry, connection = accepted]() mutable {
                 try {
                     this->serve(connection, this->stopping);
                 } catch (const Poco::Exception &) {
--- a/tests/support/small_deployment.cpp
+++ b/tests/support/small_deployment.cpp
@@ -77,6 +77,7 @@
 std::vector<std::string> SmallDeployment::sourcesOf(const std::vector<std::size_t> &gateways) const
 {
     std::vector<std::string> sources;
+    sources.reserve(gateways.size());
     for (const std::size_t gateway : gateways) {
         sources.push_back(this->instances[this->processOfGateway(gateway)].endpointSource);
     }
