--- a/tests/process/soak_test.cpp
+++ b/tests/process/soak_test.cpp
@@ -14,6 +14,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <sstream>
 #include <thread>
 
@@ -66,6 +67,7 @@
     Releases, ///< Endpoints are replaced by ones of other versions while clients resume streams.
     Stops, ///< Planned stops, with few disturbances, of two gateways or of many.
     Storage, ///< Disturbances of links between daemons and of disks, and lost disks.
+    Cuts, ///< Gateways are cut off from endpoints.
 };
 
 /** Waits as a client does before its next request. */
@@ -92,6 +94,8 @@
         return scheduleStops(seed, targets, SoakDeployment::GracePeriod);
     case Scenario::Storage:
         return scheduleStorageFaults(seed, targets, CatchUpTime);
+    case Scenario::Cuts:
+        return scheduleCuts(seed, targets, SoakDeployment::GracePeriod);
     }
     return scheduleFaults(seed, targets);
 }
@@ -100,7 +104,12 @@
 {
     constexpr std::size_t ManyGateways = 8;
     constexpr unsigned ManyGatewaysInterval = 4;
-    return scenario == Scenario::Stops && seed % ManyGatewaysInterval == 0 ? ManyGateways : 2;
+    constexpr std::size_t GatewaysOfCuts = 4;
+    if (scenario == Scenario::Stops || scenario == Scenario::Cuts) {
+        const std::size_t few = scenario == Scenario::Cuts ? GatewaysOfCuts : 2;
+        return seed % ManyGatewaysInterval == 0 ? ManyGateways : few;
+    }
+    return 2;
 }
 
 /** Runs the schedule and the clients of one seed, and collects violated guarantees. */
@@ -135,7 +144,8 @@
         }
         const Clock::time_point loadStart = Clock::now();
         std::vector<std::jthread> threads; // Joined even if a step throws.
-        const std::size_t keptClients = this->scenario == Scenario::Stops ? gateways * KeptClientsPerGateway : 0;
+        const bool hasKeptClients = this->scenario == Scenario::Stops || this->scenario == Scenario::Cuts;
+        const std::size_t keptClients = hasKeptClients ? gateways * KeptClientsPerGateway : 0;
         const int streamClients = this->scenario == Scenario::Releases ? StreamClientCount : 0;
         threads.reserve(ClientCount + keptClients + static_cast<std::size_t>(streamClients));
         for (int client = 0; client < ClientCount; ++client) {
@@ -224,6 +234,7 @@
     void playSchedule(const std::vector<Fault> &schedule, Clock::time_point loadStart)
     {
         constexpr auto RestartInterval = 50ms;
+        const bool hasStops = this->scenario == Scenario::Stops || this->scenario == Scenario::Cuts;
         std::multimap<std::chrono::milliseconds, std::function<void()>> steps;
         for (const Fault &fault : schedule) {
             steps.emplace(fault.at, [this, &fault]() {
@@ -234,7 +245,7 @@
             });
         }
         for (const auto &[at, step] : steps) {
-            while (this->scenario == Scenario::Stops && Clock::now() + RestartInterval < loadStart + at) {
+            while (hasStops && Clock::now() + RestartInterval < loadStart + at) {
                 std::this_thread::sleep_for(RestartInterval);
                 this->startStopped();
             }
@@ -293,7 +304,7 @@
     void injectFault(const Fault &fault)
     {
         auto &processes = this->deployment.processes;
-        if (!isPlanned(fault.kind)) {
+        if (!isPlanned(fault.kind) && fault.kind != FaultKind::CutOff) { // A cut excuses nothing.
             const std::lock_guard lock(this->mutex);
             this->disturbances.push_back({&fault, Clock::now()});
         }
@@ -338,7 +349,23 @@
         case FaultKind::FillDisk:
             this->deployment.setDiskFull(fault.target, true);
             break;
+        case FaultKind::CutOff:
+            this->cuts.push_back({&fault, Clock::now()});
+            this->applyCuts();
+            break;
+        }
+    }
+
+    /** Cuts off the gateways of all cuts that last. */
+    void applyCuts()
+    {
+        std::set<std::size_t> gateways;
+        for (const Disturbance &cut : this->cuts) {
+            if (cut.end == Clock::time_point::max()) {
+                gateways.insert(cut.fault->gateways.begin(), cut.fault->gateways.end());
+            }
         }
+        this->deployment.cutOff(gateways);
     }
 
     void endFault(const Fault &fault)
@@ -361,6 +388,12 @@
         if (fault.kind == FaultKind::Stop) {
             this->killStopped(fault.target);
         }
+        if (fault.kind == FaultKind::CutOff) {
+            for (Disturbance &cut : this->cuts) {
+                cut.end = cut.fault == &fault ? Clock::now() : cut.end;
+            }
+            this->applyCuts();
+        }
         this->deployment.startEnded(); // Including processes that other faults ended meanwhile.
         const std::lock_guard lock(this->mutex);
         for (Disturbance &disturbance : this->disturbances) {
@@ -785,6 +818,7 @@
         bool needsHistory = false; ///< Its response depends on the history members.
         unsigned maxRuns = 0; ///< Most runs at all endpoints together.
         std::string body = {}; ///< Body expected at the endpoint; empty if it isn't checked.
+        bool isServed = false; ///< The response is complete, and a success or says that the token budget is spent.
     };
 
     /** Records a call, which `checkGuarantees` compares with the runs at the endpoints. */
@@ -793,6 +827,7 @@
         const std::lock_guard lock(this->mutex);
         const bool notRun = status == 402 || status == 429 || status == 503;
         call.maxRuns = notRun ? 0 : call.maxRuns;
+        call.isServed = call.isAnswered && (status == 200 || status == 402);
         this->calls.push_back(std::move(call));
         ++this->statusCounts[status];
     }
@@ -842,6 +877,54 @@
         }
     }
 
+    /** Whether @p call was sent while a planned stop of its gateway may have rejected it. */
+    [[nodiscard]] bool isAtStoppedGateway(const RecordedCall &call) const
+    {
+        return std::ranges::any_of(this->stops, [&call](const Stop &stop) {
+            return stop.gateway == call.gateway && call.ended >= stop.at
+                && call.sent <= stop.at + SoakDeployment::GracePeriod + UndisturbedTime;
+        });
+    }
+
+    /** Checks that gateways that have been cut off for a while serve nearly as often as the others. */
+    void checkCuts()
+    {
+        struct Count
+        {
+            unsigned all = 0; ///< Undisturbed calls.
+            unsigned served = 0; ///< Those that were served.
+        };
+        Count cut;
+        Count other;
+        for (const RecordedCall &call : this->calls) {
+            const auto covers = [&call](const Disturbance &disturbance) {
+                return disturbance.start + UndisturbedTime <= call.sent && call.sent <= disturbance.end;
+            };
+            const auto concerns = [&call](const Disturbance &disturbance) {
+                return std::ranges::count(disturbance.fault->gateways, call.gateway) != 0;
+            };
+            const bool isCut = std::ranges::any_of(this->cuts, [&](const Disturbance &one) {
+                return covers(one) && concerns(one);
+            });
+            const bool isJustCut = !isCut && std::ranges::any_of(this->cuts, concerns);
+            if (std::ranges::none_of(this->cuts, covers) || isJustCut || this->isDisturbed(call)
+                || this->isAtStoppedGateway(call)) {
+                continue;
+            }
+            Count &count = isCut ? cut : other;
+            ++count.all;
+            count.served += call.isServed ? 1 : 0;
+        }
+        std::cout << "  served at gateways that are cut off: " << cut.served << " of " << cut.all << ", at others "
+                  << other.served << " of " << other.all << '\n';
+        // The users' rule: two thirds as often as at the others, or all but 10 + 1 in 50.
+        const bool isOften = 3 * cut.served * other.all >= 2 * other.served * cut.all;
+        if (!isOften && cut.all - cut.served > 10 + cut.all / 50) {
+            this->violations.push_back("clients of gateways that are cut off are served, " + std::to_string(cut.served)
+                + " of " + std::to_string(cut.all));
+        }
+    }
+
     /** Checks that streams go on where endpoints of their version serve. */
     void checkResumedShare()
     {
@@ -877,6 +960,9 @@
         if (this->scenario == Scenario::Releases) {
             this->checkResumedShare();
         }
+        if (this->scenario == Scenario::Cuts) {
+            this->checkCuts();
+        }
         unsigned read = 0;
         static_cast<void>(waitUntil([&]() {
             for (const std::string &address : this->deployment.operatorAddresses) {
@@ -914,7 +1000,8 @@
     std::vector<Acknowledgement> acknowledgements; ///< Of all configurations after the first.
     std::vector<Program> programs; ///< Programs of the scenario Storage, as left by their clients.
     std::vector<Stop> stops; ///< All planned stops.
-    std::vector<Disturbance> disturbances; ///< All unplanned faults, in the order of their starts.
+    std::vector<Disturbance> disturbances; ///< All unplanned faults but cuts, in the order of their starts.
+    std::vector<Disturbance> cuts; ///< All cuts of gateways from endpoints, in the order of their starts.
     /** Guards `violations`, `statusCounts`, `calls`, `disturbances`, `acknowledgements`, `programs` and the counts of
      * streams. */
     std::mutex mutex;
@@ -926,6 +1013,7 @@
 const std::vector<unsigned> DefaultReleaseSeeds = {1, 2};
 const std::vector<unsigned> DefaultStopSeeds = {1, 4};
 const std::vector<unsigned> DefaultStorageSeeds = {1, 13};
+const std::vector<unsigned> DefaultCutSeeds = {1, 2};
 
 std::vector<unsigned> selectSeeds(const std::vector<unsigned> &defaultSeeds)
 {
@@ -982,3 +1070,8 @@
 {
     runSeeds(Scenario::Storage, DefaultStorageSeeds);
 }
+
+BOOST_AUTO_TEST_CASE(clients_of_gateways_that_are_cut_off_are_served)
+{
+    runSeeds(Scenario::Cuts, DefaultCutSeeds);
+}
--- a/tests/support/faulty_link.h
+++ b/tests/support/faulty_link.h
@@ -8,6 +8,7 @@
 #include <limits>
 #include <mutex>
 #include <string>
+#include <vector>
 
 #include "support/connection_server.h"
 
@@ -47,6 +48,12 @@
     /** Forwards new connections to @p newTarget, or resets them if it is empty. Existing connections are reset. */
     void setTarget(std::string newTarget);
 
+    /** Cuts clients at the IPv4 addresses @p sources off from the proxy; see ConnectionServer::cutOff. */
+    void cutOff(const std::vector<std::string> &sources)
+    {
+        this->server.cutOff(sources);
+    }
+
     /** Forwards nothing more on the existing connections, which stay open. */
     void silenceConnections()
     {
--- a/tests/support/raw_server.cpp
+++ b/tests/support/raw_server.cpp
@@ -105,6 +105,15 @@
         + extra + "Content-Length: " + std::to_string(withoutPauses(body).size()) + "\r\n\r\n" + body;
 }
 
+std::string withoutLength(std::string response)
+{
+    const std::size_t at = response.find("Content-Length: ");
+    if (at != std::string::npos) {
+        response.erase(at, response.find('\n', at) + 1 - at);
+    }
+    return response.ends_with(CloseMark) ? response : response + std::string(CloseMark);
+}
+
 std::string truncateAndClose(const std::string &response, std::size_t bytes)
 {
     return response.substr(0, response.size() - bytes) + std::string(CloseMark);
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -66,6 +66,9 @@
 /** Signed response with status 200 to the request with @p head. PauseMark in @p body doesn't count in its length. */
 std::string signedResponse(const std::string &head, const std::string &body, const std::string &extra = "");
 
+/** @p response without its length, so that it ends with the connection. */
+std::string withoutLength(std::string response);
+
 /** @p response without its last @p bytes, followed by the close of the connection. */
 std::string truncateAndClose(const std::string &response, std::size_t bytes);
 
--- a/tests/support/soak_deployment.cpp
+++ b/tests/support/soak_deployment.cpp
@@ -30,6 +30,7 @@
 constexpr int FirstHistoryHost = 11; ///< Last number of the addresses of history members.
 constexpr int FirstGatewayHost = 21; ///< Last number of the addresses of gateways.
 constexpr std::size_t LostResponseInterval = 40; ///< One in this many responses is lost by the endpoint.
+constexpr std::size_t UnframedInterval = 6; ///< One in this many responses has neither a length nor chunks.
 constexpr std::size_t CutStreamInterval = 4; ///< One in this many runs of a resumable stream breaks off.
 constexpr std::size_t MinResumableEvents = 4;
 constexpr std::size_t MaxResumableEvents = 10;
@@ -173,7 +174,10 @@
     if (isLost) {
         return std::string(CloseMark); // The request has run, but the response is lost.
     }
-    return response;
+    // A stream that breaks off between two events without a length would look whole.
+    const bool isCutBetweenEvents = response.ends_with("\n\n" + std::string(CloseMark));
+    const bool hasNoLength = hashOf("length" + requestId) % UnframedInterval == 0 && !isCutBetweenEvents;
+    return hasNoLength ? withoutLength(std::move(response)) : response;
 }
 
 std::size_t SoakEndpoint::resumableEvents(const std::string &stream)
@@ -260,6 +264,7 @@
         this->clientAddresses.push_back(reserveAddress(ip));
         add("gateway", host,
             R"("front":")" + this->clientAddresses.back() + R"(","ready":")" + reserveAddress(ip) + "\"");
+        this->instances.back().endpointSource = ip;
         this->clientLinks.emplace_back(this->clientAddresses.back());
     }
     this->processes.resize(this->instances.size());
@@ -332,6 +337,18 @@
     }));
 }
 
+void SoakDeployment::cutOff(const std::set<std::size_t> &gateways)
+{
+    std::vector<std::string> sources;
+    sources.reserve(gateways.size());
+    for (const std::size_t gateway : gateways) {
+        sources.push_back(this->instances[this->processOfGateway(gateway)].endpointSource);
+    }
+    for (FaultyLink &link : this->endpointLinks) {
+        link.cutOff(sources);
+    }
+}
+
 void SoakDeployment::start(std::size_t process, bool isBootstrap)
 {
     this->instances[process].isBootstrap = isBootstrap;
--- a/tests/support/soak_deployment.h
+++ b/tests/support/soak_deployment.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -104,6 +105,9 @@
     /** Number of endpoints of @p version that are listed as ready. */
     std::size_t readyEndpoints(const std::string &version);
 
+    /** Cuts @p gateways, and no others, off from all endpoints. */
+    void cutOff(const std::set<std::size_t> &gateways);
+
     /** Index in `processes` of @p gateway. */
     [[nodiscard]] std::size_t processOfGateway(std::size_t gateway) const
     {
--- a/tests/support/soak_schedule.cpp
+++ b/tests/support/soak_schedule.cpp
@@ -14,7 +14,7 @@
 using Milliseconds = std::chrono::milliseconds;
 
 constexpr std::array FaultNames = {"kill", "pause", "terminate", "kill all", "link", "configure", "release", "stop",
-    "inner link", "lose disk", "fill disk"};
+    "inner link", "lose disk", "fill disk", "cut off"};
 constexpr std::array LinkFaultNames = {
     "none", "delay", "stall", "hold responses", "reset", "reset on response", "hold requests"};
 
@@ -56,6 +56,15 @@
     return fault;
 }
 
+std::string describeGateways(const std::vector<std::size_t> &gateways)
+{
+    std::string text;
+    for (const std::size_t gateway : gateways) {
+        text += (text.empty() ? " gateways " : ",") + std::to_string(gateway);
+    }
+    return text;
+}
+
 /** A short disturbance of a control or history member, or of a link to it. */
 Fault randomMemberFault(Random &random, const FaultTargets &targets)
 {
@@ -98,6 +107,7 @@
     return std::to_string(fault.at.count()) + " to " + std::to_string((fault.at + fault.duration).count())
         + " ms: " + FaultNames.at(static_cast<std::size_t>(fault.kind)) + ' ' + std::to_string(fault.target)
         + (hasLink ? std::string(" ") + LinkFaultNames.at(static_cast<std::size_t>(fault.link)) : "")
+        + describeGateways(fault.gateways)
         + (fault.caller == FaultyLink::AnyCaller ? "" : " from " + std::to_string(fault.caller))
         + (fault.version.empty() ? "" : " " + fault.version + (fault.reusesAddress ? " at the same address" : ""));
 }
@@ -177,6 +187,41 @@
     return schedule;
 }
 
+std::vector<Fault> scheduleCuts(unsigned seed, const FaultTargets &targets, Milliseconds grace)
+{
+    constexpr int MaxCuts = 2;
+    constexpr int MaxOtherFaults = 2;
+    constexpr std::array Kinds = {FaultKind::Kill, FaultKind::Pause, FaultKind::Terminate, FaultKind::Stop,
+        FaultKind::Stop, FaultKind::Configure};
+    Random random(seed);
+    std::vector<Fault> schedule;
+    Milliseconds at(0);
+    for (int left = randomInt(random, 1, MaxCuts); left > 0; --left) {
+        at += randomTime(random, Milliseconds(300), Milliseconds(4000));
+        Fault fault;
+        fault.kind = FaultKind::CutOff;
+        fault.at = at;
+        fault.duration = randomTime(random, Milliseconds(4000), Milliseconds(6500));
+        const auto first = static_cast<std::size_t>(randomInt(random, 0, static_cast<int>(targets.gateways) - 1));
+        const int count = randomInt(random, 1, static_cast<int>(targets.gateways) - 1);
+        for (std::size_t i = 0; i < static_cast<std::size_t>(count); ++i) {
+            fault.gateways.push_back((first + i) % targets.gateways);
+        }
+        schedule.push_back(fault);
+    }
+    for (int left = randomInt(random, 0, MaxOtherFaults); left > 0; --left) {
+        Fault fault;
+        fault.kind = Kinds[static_cast<std::size_t>(randomInt(random, 0, int{Kinds.size()} - 1))];
+        fault.at = randomTime(random, MinFaultTime, MaxFaultTime);
+        const bool isStop = fault.kind == FaultKind::Stop;
+        fault.duration = isStop ? grace : randomTime(random, MinFaultDuration, MaxFaultDuration);
+        const auto gateway = static_cast<std::size_t>(randomInt(random, 0, static_cast<int>(targets.gateways) - 1));
+        fault.target = isStop ? gateway : targets.processes - targets.gateways + gateway;
+        schedule.push_back(fault);
+    }
+    return schedule;
+}
+
 std::vector<Fault> scheduleStorageFaults(unsigned seed, const FaultTargets &targets, Milliseconds catchUp)
 {
     enum class Loss : std::uint8_t {
--- a/tests/support/soak_schedule.h
+++ b/tests/support/soak_schedule.h
@@ -31,6 +31,7 @@
     InnerLink, ///< A fault of the link from one or all daemons to a control or history member.
     LoseDisk, ///< SIGKILL of a control or history member, which is started again without its data.
     FillDisk, ///< All writes of a control or history member fail.
+    CutOff, ///< Gateways are cut off from all endpoints.
 };
 
 /** One entry of a schedule. */
@@ -43,6 +44,7 @@
     LinkFault link = LinkFault::None; ///< Fault of the link.
     std::string version = {}; ///< Release: version of the new endpoint.
     bool reusesAddress = false; ///< Release: the new endpoint starts at the address of the old one after its end.
+    std::vector<std::size_t> gateways = {}; ///< CutOff: indices of the gateways.
     std::size_t caller = FaultyLink::AnyCaller; ///< InnerLink: index of the process whose connections are affected.
 };
 
@@ -76,4 +78,9 @@
 [[nodiscard]] std::vector<Fault> scheduleStorageFaults(
     unsigned seed, const FaultTargets &targets, std::chrono::milliseconds catchUp);
 
+/** One or two cuts, each of some or most gateways, that may overlap. Beside them gateways are stopped as planned,
+ * killed, paused or ended, and configurations are changed. */
+[[nodiscard]] std::vector<Fault> scheduleCuts(
+    unsigned seed, const FaultTargets &targets, std::chrono::milliseconds grace);
+
 } // namespace Chestnuthook::Testing
