A request that meets a network cut is no longer taken for one that crashes endpoints

Cause: a request that was under way when its connection broke counts as a strike if its endpoint accepts no connection any more. A gateway without links reaches no endpoint, so that three strikes at three endpoints come together within one cut. Change: the strike counts only if another endpoint can be reached, directly or through another gateway; those that worked last and haven't failed since are tried. Why it works: the other endpoint shows that the network of this gateway isn't the cause. Measured: requests_that_met_a_cut_are_not_quarantined failed before (503) and passes; request_that_brings_three_endpoints_down_is_quarantined keeps the strikes.

--- a/src/gateway/endpoint_connector_base.cpp
+++ b/src/gateway/endpoint_connector_base.cpp
@@ -24,6 +24,8 @@
 constexpr Duration ProbeTickInterval = std::chrono::milliseconds(100);
 /** A probe that isn't answered within this time has failed. */
 constexpr Duration ProbeTimeout = std::chrono::milliseconds(150);
+/** Other endpoints that are tried before a gateway takes its own network for the cause of a failure. */
+constexpr std::size_t MaxOthersTried = 2;
 constexpr std::size_t ProbeStackBytes = 128U << 10U; ///< Stack size of a fiber that only opens a connection.
 
 std::string relayedKey(const std::string &address)
@@ -157,6 +159,24 @@
     return std::move(race->result);
 }
 
+bool EndpointConnector::isDown(kj::WaitScope &scope, const DeployedEndpoint &endpoint)
+{
+    const std::vector<std::string> others = this->links.latestConfirmed(endpoint.address, MaxOthersTried);
+    for (const std::string &address : others) {
+        const auto other = this->endpoints.find(address);
+        if (other == this->endpoints.end()) {
+            continue;
+        }
+        const DeployedEndpoint reference = other->second;
+        ConnectResult opened = this->open(scope, reference, ProbeTimeout);
+        if (opened.connection != nullptr) {
+            this->keep(reference, std::move(opened.connection), ConnectionPool::idleTimeoutFrom(HttpFields()));
+            return true;
+        }
+    }
+    return others.empty();
+}
+
 std::shared_ptr<EndpointConnector::Race> EndpointConnector::startDirect(
     const DeployedEndpoint &endpoint, Duration timeout)
 {
--- a/src/gateway/endpoint_connector_base.h
+++ b/src/gateway/endpoint_connector_base.h
@@ -48,6 +48,9 @@
     [[nodiscard]] OpenedConnection connect(kj::WaitScope &scope, const DeployedEndpoint &endpoint, Duration timeout);
     /** Opens a new connection within @p timeout. */
     [[nodiscard]] ConnectResult open(kj::WaitScope &scope, const DeployedEndpoint &endpoint, Duration timeout);
+    /** Whether @p endpoint, to which no connection could be opened, is down: another endpoint can be reached, so the
+     * cause isn't the network of this gateway. Without another endpoint it is taken to be down. */
+    [[nodiscard]] bool isDown(kj::WaitScope &scope, const DeployedEndpoint &endpoint);
     /** Keeps a connection whose last response was read completely for at most @p idleTimeout. */
     void keep(const DeployedEndpoint &endpoint, std::unique_ptr<EndpointConnection> connection, Duration idleTimeout);
 
--- a/src/gateway/endpoint_links_base.cpp
+++ b/src/gateway/endpoint_links_base.cpp
@@ -75,6 +75,7 @@
 {
     if (const auto found = this->links.find(address); found != this->links.end()) {
         found->second.relayBackoffUntil = now + RelayBackoff;
+        found->second.failed = now;
     }
 }
 
@@ -159,6 +160,22 @@
     });
 }
 
+std::vector<std::string> EndpointLinks::latestConfirmed(const std::string &address, std::size_t count) const
+{
+    std::vector<std::string> addresses;
+    for (const auto &[other, link] : this->links) {
+        if (other != address) {
+            addresses.push_back(other);
+        }
+    }
+    std::ranges::stable_sort(addresses, {}, [this](const std::string &other) {
+        const Link &link = this->links.at(other);
+        return std::pair(link.failed > link.confirmed, -link.confirmed.us);
+    });
+    addresses.resize(std::min(addresses.size(), count));
+    return addresses;
+}
+
 bool EndpointLinks::isProbeDue(Instant now, const Link &link) const
 {
     if (link.isDown) {
--- a/src/gateway/endpoint_links_base.h
+++ b/src/gateway/endpoint_links_base.h
@@ -70,6 +70,8 @@
     /** Whether this gateway reaches less than half of the endpoints of a service that others reach. */
     [[nodiscard]] bool isCutOff() const;
     [[nodiscard]] std::size_t downCount() const;
+    /** Up to @p count addresses other than @p address, the last that worked first; ones that failed since come last. */
+    [[nodiscard]] std::vector<std::string> latestConfirmed(const std::string &address, std::size_t count) const;
     /** Addresses to which a direct connection is to be opened now, at most MaxProbesAtOnce. */
     [[nodiscard]] std::vector<std::string> takeDueProbes(Instant now);
 
@@ -81,6 +83,7 @@
         bool hangs = false; ///< While it is down: nothing answers, so that kept connections hang, too.
         Instant wentDown{0}; ///< When the link last went down.
         Instant confirmed{0}; ///< When the link was last seen to work.
+        Instant failed{0}; ///< When no connection could be opened last, directly or through another gateway.
         unsigned inFlight = 0; ///< Requests sent on direct connections that have not ended.
         std::optional<Instant> silentSince; ///< Start of the oldest unanswered wait; empty while none is in flight.
         Instant probed{0}; ///< When the last probe was due.
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -136,7 +136,7 @@
 
     /** Records that @p endpoint has stated in the response to @p call that it leaves. */
     void recordLeaving(const Call &call, const DeployedEndpoint &endpoint);
-    /** Records a strike if the endpoint no longer accepts connections. */
+    /** Records a strike if the endpoint no longer accepts connections while others do. */
     void recordStrikeIfDown(std::uint64_t fingerprint, const DeployedEndpoint &endpoint);
     void reject(kj::WaitScope &scope, Call &call, unsigned status, std::string_view reason, double retryAfterSeconds);
     void startCreditRequest();
--- a/src/gateway/gateway_run.cpp
+++ b/src/gateway/gateway_run.cpp
@@ -234,7 +234,9 @@
     this->loop.detach(kj::startFiber(ProbeStackBytes, [this, fingerprint, endpoint](kj::WaitScope &scope) {
         auto connection = this->connector.open(scope, endpoint, ConnectTimeout).connection;
         if (connection == nullptr) {
-            this->strikes.push_back({fingerprint, endpoint.id});
+            if (this->connector.isDown(scope, endpoint)) {
+                this->strikes.push_back({fingerprint, endpoint.id});
+            }
             return;
         }
         this->connector.keep(endpoint, std::move(connection), ConnectionPool::idleTimeoutFrom(HttpFields()));
--- a/tests/process/cut_gateway_test.cpp
+++ b/tests/process/cut_gateway_test.cpp
@@ -32,6 +32,7 @@
 constexpr auto RequestInterval = 20ms; ///< Between two requests to one gateway.
 constexpr std::size_t SlowEventCount = 8; ///< Events of a slow stream.
 constexpr auto SlowEventPause = 100ms; ///< Pause before each of them.
+constexpr auto StrikeReportTime = 1s; ///< Strikes of one gateway are known to all after this time.
 constexpr auto DetectionTime = 1500ms; ///< Time after which a gateway knows of a cut while it gets requests.
 const std::string EventOne = "id: 1\ndata: one\n\n";
 const std::string EventTwo = "id: 2\ndata: two\n\n";
@@ -47,8 +48,8 @@
     return events;
 }
 
-/** An endpoint that records from where requests reach it. Streams whose path ends in /slow take SlowEventCount events,
- * with pauses. */
+/** An endpoint that records from where requests reach it. A path that ends in /crash makes it go down. Streams whose
+ * path ends in /slow take SlowEventCount events, with pauses. */
 class Endpoint
 {
 public:
@@ -80,6 +81,7 @@
     }
 
     std::atomic<std::chrono::milliseconds> responseTime = 10ms; ///< Time until a response begins.
+    std::atomic<bool> resetsConnections = false; ///< Resets connections instead of sending responses.
 
 private:
     bool answer(Poco::Net::StreamSocket &connection, const std::string &head)
@@ -93,6 +95,13 @@
         const bool isStream =
             target.find("/stream/") != std::string::npos || target.find("/resume/") != std::string::npos;
         std::this_thread::sleep_for(this->responseTime.load());
+        if (target.ends_with("/crash")) {
+            this->server.stopListening();
+        }
+        if (this->resetsConnections || target.ends_with("/crash")) {
+            connection.setLinger(true, 0);
+            return false;
+        }
         if (target.ends_with("/slow")) {
             return this->sendSlowStream(connection, head, id);
         }
@@ -409,6 +418,46 @@
     BOOST_TEST(this->sourceOf("left") != this->deployment.sourcesOf({0}).front());
 }
 
+BOOST_FIXTURE_TEST_CASE(requests_that_met_a_cut_are_not_quarantined, Fixture)
+{
+    constexpr int Rounds = 10;
+    constexpr auto ResponseTime = 200ms;
+    for (Endpoint &endpoint : this->endpoints) {
+        endpoint.responseTime = ResponseTime;
+    }
+    const auto setCut = [this](bool isCut) {
+        this->cutOff(isCut ? std::vector<std::size_t>{0, 1, 2, 3} : std::vector<std::size_t>{});
+        for (Endpoint &endpoint : this->endpoints) {
+            endpoint.resetsConnections = isCut;
+        }
+    };
+    for (int round = 0; round < Rounds; ++round) {
+        std::jthread client([this]() {
+            std::ignore = this->deployment.send(0, {"/safe/same", "round" + std::to_string(this->ids++)});
+        });
+        std::this_thread::sleep_for(ResponseTime / 2);
+        setCut(true);
+        client.join();
+        std::this_thread::sleep_for(ResponseTime);
+        setCut(false);
+        BOOST_REQUIRE(waitUntil([this]() {
+            return this->deployment.send(0, {"/safe/other", "other" + std::to_string(this->ids++)}).status == 200;
+        }));
+    }
+    BOOST_TEST(this->deployment.send(0, {"/safe/same", "last"}).status == 200);
+}
+
+BOOST_FIXTURE_TEST_CASE(request_that_brings_three_endpoints_down_is_quarantined, Fixture)
+{
+    for (int i = 0; i < 3; ++i) {
+        BOOST_TEST(this->deployment.send(0, {"/unsafe/crash", "crash" + std::to_string(i)}).status == 502);
+    }
+    std::this_thread::sleep_for(StrikeReportTime);
+    BOOST_TEST(this->deployment.send(1, {"/unsafe/crash", "again"}).status == 503);
+    BOOST_TEST(this->sourceOf("again").empty());
+    BOOST_TEST(this->deployment.send(1, {"/unsafe/x", "other"}).status == 200);
+}
+
 BOOST_FIXTURE_TEST_CASE(new_clients_are_sent_to_gateways_that_reach_endpoints, Fixture)
 {
     const auto listed = [this]() {
--- a/tests/unit/endpoint_links_test.cpp
+++ b/tests/unit/endpoint_links_test.cpp
@@ -191,6 +191,18 @@
     BOOST_TEST(links.takeDueProbes(Start + 2 * Millisecond).size() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(other_endpoints_that_worked_last_come_first)
+{
+    EndpointLinks links = linksTo(4);
+    links.recordReceived(Start, addressOf(2));
+    links.recordConnected(Start + Millisecond, addressOf(1));
+    BOOST_TEST((links.latestConfirmed(addressOf(0), 2) == std::vector{addressOf(1), addressOf(2)}));
+    BOOST_TEST((links.latestConfirmed(addressOf(1), 1) == std::vector{addressOf(2)}));
+    links.recordUnreachable(Start + 2 * Millisecond, addressOf(1));
+    BOOST_TEST((links.latestConfirmed(addressOf(0), 2) == std::vector{addressOf(2), addressOf(3)}));
+    BOOST_TEST(linksTo(1).latestConfirmed(addressOf(0), 2).empty());
+}
+
 BOOST_AUTO_TEST_CASE(no_gateway_is_asked_again_at_once_for_an_endpoint_that_nobody_reaches)
 {
     EndpointLinks links = linksTo(2);
