chestnuthook-entry tells a chunked response without its last chunk from a complete one

A tool call's response that broke off between or within chunks was journalled and answered as complete. Cause: POCO's chunked stream ends alike with and without the last chunk. Change: the body of a chunked response is parsed by Boost.Beast from the session's bytes; without the last chunk the attempt is broken, its outcome unknown.

--- a/src/endpoint/http_attempt_func.cpp
+++ b/src/endpoint/http_attempt_func.cpp
@@ -2,9 +2,14 @@
 #include "endpoint/http_attempt_func.h"
 
 #include <algorithm>
+#include <array>
 #include <istream>
 #include <ostream>
 
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
@@ -24,9 +29,14 @@
 constexpr std::size_t MaxEventBytes = 256UL * 1024;
 constexpr std::int64_t ConnectTimeoutMs = 1000;
 constexpr std::size_t ReadBytes = 4096;
+constexpr std::size_t MaxChunkHeadBytes = 64UL * 1024; ///< Of a chunk's size with its extensions, and of the trailer.
 constexpr std::string_view DataPrefix = "data: ";
 
-using Session = Poco::Net::HTTPClientSession;
+class Session : public Poco::Net::HTTPClientSession
+{
+public:
+    using HTTPClientSession::read;
+};
 using Response = Poco::Net::HTTPResponse;
 
 /** Connects and sends the request. Sets `outcome.sent` before the first byte is written. @return the body stream of the
@@ -85,6 +95,38 @@
     }
 }
 
+/** Reads a chunked body from the connection of @p session. POCO's stream for it ends alike with and without the last
+ * chunk. @return whether the last chunk arrived. */
+bool readChunkedBody(Session &session, std::string &body)
+{
+    namespace Beast = boost::beast::http;
+    Beast::response_parser<Beast::string_body> parser;
+    parser.eager(true);
+    parser.body_limit(MaxResponseBytes);
+    std::string unread = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"; // POCO has read the real head.
+    while (!parser.is_done()) {
+        boost::system::error_code error;
+        unread.erase(0, parser.put(boost::asio::const_buffer(unread.data(), unread.size()), error));
+        if (error && error != Beast::error::need_more) {
+            throw Poco::DataFormatException("the answer is malformed or over its bound");
+        }
+        if (unread.size() > MaxChunkHeadBytes) {
+            throw Poco::DataFormatException("a chunk's head is over its bound");
+        }
+        if (parser.is_done() || (!unread.empty() && !error)) {
+            continue;
+        }
+        std::array<char, ReadBytes> buffer{};
+        const int count = session.read(buffer.data(), buffer.size());
+        if (count <= 0) {
+            break;
+        }
+        unread.append(buffer.data(), static_cast<std::size_t>(count));
+    }
+    body = std::move(parser.get().body());
+    return parser.is_done();
+}
+
 void readUsage(const Poco::JSON::Object::Ptr &usage, AttemptOutcome &outcome)
 {
     outcome.promptTokens = usage->optValue<std::uint64_t>("prompt_tokens", 0);
@@ -175,7 +217,7 @@
         Poco::Net::HTTPResponse response;
         if (std::istream *stream = send(session, request, response, outcome)) {
             if (belongsToAttempt(response, request)) {
-                read(*stream, response, outcome);
+                read(session, *stream, response, outcome);
             } else {
                 outcome.what = "the answer is of another attempt";
             }
@@ -198,26 +240,32 @@
 
 AttemptOutcome runServiceAttempt(const AttemptRequest &request, CancelToken &cancel)
 {
-    return runAttempt(
-        request, cancel, [&request](std::istream &stream, const Response &response, AttemptOutcome &outcome) {
-            readBody(stream, outcome.body);
-            const bool hasNoKnownLength = request.method == "HEAD" || !response.hasContentLength();
-            outcome.complete =
-                hasNoKnownLength || response.getContentLength64() == static_cast<Poco::Int64>(outcome.body.size());
+    return runAttempt(request, cancel,
+        [&request](Session &session, std::istream &stream, const Response &response, AttemptOutcome &outcome) {
+            const bool hasBody = request.method != "HEAD";
+            if (hasBody && response.getChunkedTransferEncoding()) {
+                outcome.complete = readChunkedBody(session, outcome.body);
+            } else {
+                readBody(stream, outcome.body);
+                const bool hasNoKnownLength = !hasBody || !response.hasContentLength();
+                outcome.complete =
+                    hasNoKnownLength || response.getContentLength64() == static_cast<Poco::Int64>(outcome.body.size());
+            }
             outcome.broken = !outcome.complete;
-            outcome.what = outcome.complete ? "" : "the answer ended before its length";
+            outcome.what = outcome.complete ? "" : "the answer ended before its length or its last chunk";
         });
 }
 
 AttemptOutcome runEngineAttempt(const AttemptRequest &request, const TextSink &sink, CancelToken &cancel)
 {
-    return runAttempt(request, cancel, [&sink](std::istream &stream, const Response &, AttemptOutcome &outcome) {
-        if (outcome.status != Poco::Net::HTTPResponse::HTTP_OK) {
-            readBody(stream, outcome.what);
-            return;
-        }
-        readEvents(stream, outcome, sink);
-    });
+    return runAttempt(request, cancel,
+        [&sink](Session & /*session*/, std::istream &stream, const Response &, AttemptOutcome &outcome) {
+            if (outcome.status != Poco::Net::HTTPResponse::HTTP_OK) {
+                readBody(stream, outcome.what);
+                return;
+            }
+            readEvents(stream, outcome, sink);
+        });
 }
 
 } // namespace Chestnuthook
--- a/tests/unit/http_attempt_test.cpp
+++ b/tests/unit/http_attempt_test.cpp
@@ -106,6 +106,30 @@
     BOOST_TEST(!runEngineAttempt(endpoint.request(), sink, cancel).complete);
 }
 
+BOOST_AUTO_TEST_CASE(chunked_body_is_read_to_its_last_chunk)
+{
+    const std::string response =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nwho\r\n2;a=b\r\nle\r\n0\r\nX-A: b\r\n\r\n";
+    for (std::size_t cut = 0; cut < response.size(); cut += 3) { // The response comes in two parts.
+        const ConnectionServer server(
+            "127.0.0.1", [&](Poco::Net::StreamSocket &connection, const std::atomic<bool> & /*stopping*/) {
+                connection.sendBytes(response.data(), static_cast<int>(cut));
+                std::this_thread::sleep_for(5ms);
+                connection.sendBytes(response.data() + cut, static_cast<int>(response.size() - cut));
+                std::this_thread::sleep_for(50ms); // Closing with unread bytes would reset the connection.
+            });
+        AttemptRequest request;
+        request.address = server.address;
+        request.method = "GET";
+        request.path = "/";
+        request.timeoutMs = 2000;
+        CancelToken cancel;
+        const AttemptOutcome outcome = runServiceAttempt(request, cancel);
+        BOOST_TEST(outcome.complete, outcome.what);
+        BOOST_TEST(outcome.body == "whole");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(body_that_breaks_off_is_incomplete_however_it_is_framed)
 {
     for (const std::string &response : {std::string("Transfer-Encoding: chunked\r\n\r\n3\r\nwho"),
