A gateway that relays no more connections doesn't lose those that it relays

Cause: found while reading the new code. A refusal for lack of room and a time-out came as the same kind of error, so that the asking gateway made a new RPC connection in both cases and took the other gateway for dead. Change: the four outcomes of asking have names; only no answer replaces the RPC connection, which those that were opened over it outlive. The gauge of links that are down follows the endpoint list.

--- a/src/gateway/endpoint_connector_base.cpp
+++ b/src/gateway/endpoint_connector_base.cpp
@@ -88,6 +88,7 @@
         this->endpoints[endpoint.address] = endpoint;
     }
     this->links.setEndpoints(list);
+    metrics().set(MetricKind::LinksDown, static_cast<std::int64_t>(this->links.downCount()));
 }
 
 void EndpointConnector::setInstances(const std::vector<InstanceInfo> &instances)
@@ -207,7 +208,8 @@
 {
     const Instant until = this->now() + timeout;
     std::set<std::string> asked;
-    while (asked.size() < MaxPeersAsked && this->now() < until) {
+    bool hasGivenUp = false;
+    while (!hasGivenUp && asked.size() < MaxPeersAsked && this->now() < until) {
         const InstanceInfo *chosen = this->peers.choose(this->now(), asked);
         if (chosen == nullptr) {
             break;
@@ -221,20 +223,23 @@
             }));
         }
         RelayAnswer answer = answered.wait(scope);
-        if (answer.connection != nullptr) {
-            this->peers.recordSuccess(peer.name);
-            return std::move(answer.connection);
-        }
         if (race != nullptr && race->isDone && race->result.connection != nullptr) {
-            return nullptr;
+            return nullptr; // The answer, if there is one, isn't needed any more.
         }
-        if (answer.hasRefused) {
+        switch (answer.outcome) {
+        case RelayOutcome::Connected:
+            this->peers.recordSuccess(peer.name);
+            return std::move(answer.connection);
+        case RelayOutcome::Unreachable:
             this->peers.recordRefusal(this->now(), peer.name);
-            if (race == nullptr || race->isDone) {
-                break; // Two gateways that don't reach the endpoint are enough to give it up.
-            }
-        } else {
+            hasGivenUp = race == nullptr || race->isDone; // Two gateways that don't reach the endpoint are enough.
+            break;
+        case RelayOutcome::Busy:
+            this->peers.recordRefusal(this->now(), peer.name);
+            break;
+        case RelayOutcome::NoAnswer:
             this->peers.recordFailure(this->now(), peer.name);
+            break;
         }
     }
     this->links.recordUnreachable(this->now(), endpoint.address);
@@ -254,7 +259,7 @@
         request.setToCaller(kj::mv(sink));
         return request.send().then([this, name, used, received = kj::mv(received)](auto &&response) mutable {
             auto stream = kj::heap<RelayedStream>(kj::mv(received), response.getToEndpoint());
-            RelayAnswer answer;
+            RelayAnswer answer{RelayOutcome::Connected, nullptr};
             // A connection that was opened goes on when the link makes another RPC connection.
             answer.connection = std::make_unique<EndpointConnection>(stream.attach(std::move(used)));
             answer.connection->relay = name;
@@ -265,16 +270,23 @@
             return answer;
         });
     });
-    return this->loop.kjTimer()
-        .timeoutAfter(kjDuration(RelayAnswerTimeout), kj::mv(answered))
+    auto late = this->loop.kjTimer().afterDelay(kjDuration(RelayAnswerTimeout)).then([link]() {
+        link->reset();
+        return RelayAnswer{};
+    });
+    return answered
         .catch_([link](kj::Exception &&exception) {
-            RelayAnswer answer;
-            answer.hasRefused = exception.getType() == kj::Exception::Type::FAILED;
-            if (!answer.hasRefused) {
+            switch (exception.getType()) {
+            case kj::Exception::Type::FAILED:
+                return RelayAnswer{RelayOutcome::Unreachable, nullptr};
+            case kj::Exception::Type::OVERLOADED:
+                return RelayAnswer{RelayOutcome::Busy, nullptr};
+            default:
                 link->reset();
+                return RelayAnswer{};
             }
-            return answer;
-        });
+        })
+        .exclusiveJoin(kj::mv(late));
 }
 
 std::shared_ptr<RpcLink> EndpointConnector::linkTo(const std::string &address)
--- a/src/gateway/endpoint_connector_base.h
+++ b/src/gateway/endpoint_connector_base.h
@@ -72,11 +72,17 @@
 
 private:
     struct Race;
+    enum class RelayOutcome : std::uint8_t {
+        Connected, ///< It has opened a connection.
+        Unreachable, ///< It doesn't reach the endpoint either, or doesn't know it.
+        Busy, ///< It relays no more connections.
+        NoAnswer, ///< It didn't answer in time, or the connection to it broke.
+    };
     /** Answer of another gateway that was asked for a connection. */
     struct RelayAnswer
     {
-        std::unique_ptr<EndpointConnection> connection; ///< Null if it failed.
-        bool hasRefused = false; ///< It answered that it can't open one.
+        RelayOutcome outcome = RelayOutcome::NoAnswer;
+        std::unique_ptr<EndpointConnection> connection; ///< Null unless connected.
     };
 
     /** Opens a direct connection. It goes on when the caller has got another one, to learn the state of the link. */
