--- a/src/gateway/endpoint_connector_base.cpp
+++ b/src/gateway/endpoint_connector_base.cpp
@@ -36,13 +36,18 @@
 } // namespace
 
 /** An attempt to connect directly, which may go on after a relayed connection was obtained. */
-struct EndpointConnector::Race
+struct EndpointConnector::DirectAttempt
 {
-    Race()
-        : Race(kj::newPromiseAndFulfiller<void>(), kj::newPromiseAndFulfiller<void>())
+    DirectAttempt()
+        : DirectAttempt(kj::newPromiseAndFulfiller<void>(), kj::newPromiseAndFulfiller<void>())
     {
     }
 
+    [[nodiscard]] bool isConnected() const
+    {
+        return this->isDone && this->result.connection != nullptr;
+    }
+
     ConnectResult result; ///< Valid once `isDone`.
     bool isDone = false; ///< The attempt has ended.
     bool isAbandoned = false; ///< Nothing waits for the result.
@@ -53,7 +58,7 @@
     kj::ForkedPromise<void> connected; ///< Resolves when it has succeeded; never if it fails.
 
 private:
-    Race(kj::PromiseFulfillerPair<void> ended, kj::PromiseFulfillerPair<void> succeeded)
+    DirectAttempt(kj::PromiseFulfillerPair<void> ended, kj::PromiseFulfillerPair<void> succeeded)
         : doneFulfiller(kj::mv(ended.fulfiller))
         , connectedFulfiller(kj::mv(succeeded.fulfiller))
         , done(ended.promise.fork())
@@ -125,39 +130,36 @@
 {
     const std::string &address = endpoint.address;
     const ConnectPlan plan = this->links.plan(address);
-    std::shared_ptr<Race> race;
+    std::shared_ptr<DirectAttempt> direct;
     if (plan != ConnectPlan::Relayed) {
-        race = this->startDirect(endpoint, timeout);
+        direct = this->startDirect(endpoint, timeout);
     }
-    KJ_DEFER(if (race != nullptr) { race->isAbandoned = true; });
+    KJ_DEFER(if (direct != nullptr) { direct->isAbandoned = true; });
     if (plan == ConnectPlan::Direct) {
-        race->done.addBranch().exclusiveJoin(this->loop.kjTimer().afterDelay(DirectHeadStart)).wait(scope);
+        direct->done.addBranch().exclusiveJoin(this->loop.kjTimer().afterDelay(DirectHeadStart)).wait(scope);
     }
-    const auto isConnected = [&race]() {
-        return race != nullptr && race->isDone && race->result.connection != nullptr;
-    };
-    if (isConnected()) {
-        return std::move(race->result);
+    if (direct != nullptr && direct->isConnected()) {
+        return std::move(direct->result);
     }
     if (this->links.mayRelay(this->now(), address)) {
-        auto relayed = this->openRelayed(scope, endpoint, race.get(), timeout);
+        auto relayed = this->openRelayed(scope, endpoint, direct.get(), timeout);
         if (relayed != nullptr) {
-            if (race != nullptr) {
-                race->isRelayed = true;
-                if (race->isDone) {
-                    this->recordDown(address, race->result.failure);
+            if (direct != nullptr) {
+                direct->isRelayed = true;
+                if (direct->isDone) {
+                    this->recordDown(address, direct->result.failure);
                 }
             }
             return {std::move(relayed), ConnectFailure::None};
         }
     }
-    if (race == nullptr) {
+    if (direct == nullptr) {
         return {nullptr, ConnectFailure::TimedOut};
     }
-    if (!race->isDone) {
-        race->done.addBranch().wait(scope);
+    if (!direct->isDone) {
+        direct->done.addBranch().wait(scope);
     }
-    return std::move(race->result);
+    return std::move(direct->result);
 }
 
 bool EndpointConnector::isDown(kj::WaitScope &scope, const DeployedEndpoint &endpoint)
@@ -178,33 +180,34 @@
     return others.empty();
 }
 
-std::shared_ptr<EndpointConnector::Race> EndpointConnector::startDirect(
+std::shared_ptr<EndpointConnector::DirectAttempt> EndpointConnector::startDirect(
     const DeployedEndpoint &endpoint, Duration timeout)
 {
-    auto race = std::make_shared<Race>();
+    auto direct = std::make_shared<DirectAttempt>();
     auto late = this->loop.kjTimer().afterDelay(kjDuration(std::max(timeout, Duration(0)))).then([]() {
         return ConnectResult{nullptr, ConnectFailure::TimedOut};
     });
     auto opened = this->pool.open(endpoint.address).exclusiveJoin(kj::mv(late));
-    this->loop.detach(opened.then([this, race, endpoint](ConnectResult &&result) {
-        race->result = std::move(result);
-        race->isDone = true;
-        if (race->result.connection != nullptr) {
+    this->loop.detach(opened.then([this, direct, endpoint](ConnectResult &&result) {
+        direct->result = std::move(result);
+        direct->isDone = true;
+        if (direct->result.connection != nullptr) {
             this->recordConnected(endpoint.address);
-            race->connectedFulfiller->fulfill();
-            if (race->isAbandoned) {
-                this->keep(endpoint, std::move(race->result.connection), ConnectionPool::idleTimeoutFrom(HttpFields()));
+            direct->connectedFulfiller->fulfill();
+            if (direct->isAbandoned) {
+                this->keep(
+                    endpoint, std::move(direct->result.connection), ConnectionPool::idleTimeoutFrom(HttpFields()));
             }
-        } else if (race->isRelayed) {
-            this->recordDown(endpoint.address, race->result.failure);
+        } else if (direct->isRelayed) {
+            this->recordDown(endpoint.address, direct->result.failure);
         }
-        race->doneFulfiller->fulfill();
+        direct->doneFulfiller->fulfill();
     }));
-    return race;
+    return direct;
 }
 
 std::unique_ptr<EndpointConnection> EndpointConnector::openRelayed(
-    kj::WaitScope &scope, const DeployedEndpoint &endpoint, Race *race, Duration timeout)
+    kj::WaitScope &scope, const DeployedEndpoint &endpoint, DirectAttempt *direct, Duration timeout)
 {
     const Instant until = this->now() + timeout;
     std::set<std::string> asked;
@@ -217,13 +220,13 @@
         const InstanceInfo peer = *chosen;
         asked.insert(peer.name);
         auto answered = this->askPeer(peer, endpoint.id);
-        if (race != nullptr) {
-            answered = answered.exclusiveJoin(race->connected.addBranch().then([]() {
+        if (direct != nullptr) {
+            answered = answered.exclusiveJoin(direct->connected.addBranch().then([]() {
                 return RelayAnswer{};
             }));
         }
         RelayAnswer answer = answered.wait(scope);
-        if (race != nullptr && race->isDone && race->result.connection != nullptr) {
+        if (direct != nullptr && direct->isConnected()) {
             return nullptr; // The answer, if there is one, isn't needed any more.
         }
         switch (answer.outcome) {
@@ -232,7 +235,7 @@
             return std::move(answer.connection);
         case RelayOutcome::Unreachable:
             this->peers.recordRefusal(this->now(), peer.name);
-            hasGivenUp = race == nullptr || race->isDone; // Two gateways that don't reach the endpoint are enough.
+            hasGivenUp = direct == nullptr || direct->isDone; // Two gateways that don't reach the endpoint are enough.
             break;
         case RelayOutcome::Busy:
             this->peers.recordRefusal(this->now(), peer.name);
--- a/src/gateway/endpoint_connector_base.h
+++ b/src/gateway/endpoint_connector_base.h
@@ -71,7 +71,7 @@
     std::function<void()> onLinksChanged; ///< Called when a link went down or up. May be empty.
 
 private:
-    struct Race;
+    struct DirectAttempt;
     enum class RelayOutcome : std::uint8_t {
         Connected, ///< It has opened a connection.
         Unreachable, ///< It doesn't reach the endpoint either, or doesn't know it.
@@ -86,10 +86,10 @@
     };
 
     /** Opens a direct connection. It goes on when the caller has got another one, to learn the state of the link. */
-    std::shared_ptr<Race> startDirect(const DeployedEndpoint &endpoint, Duration timeout);
-    /** Asks other gateways one after another until one opens a connection or @p race is won. */
+    std::shared_ptr<DirectAttempt> startDirect(const DeployedEndpoint &endpoint, Duration timeout);
+    /** Asks other gateways one after another until one opens a connection or @p direct is connected. */
     std::unique_ptr<EndpointConnection> openRelayed(
-        kj::WaitScope &scope, const DeployedEndpoint &endpoint, Race *race, Duration timeout);
+        kj::WaitScope &scope, const DeployedEndpoint &endpoint, DirectAttempt *direct, Duration timeout);
     kj::Promise<RelayAnswer> askPeer(const InstanceInfo &peer, const std::string &endpointId);
     std::shared_ptr<RpcLink> linkTo(const std::string &address);
     void recordConnected(const std::string &address);
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -28,8 +28,7 @@
 {
     std::string name; ///< Name of this instance.
     std::string dataCentre; ///< Data centre of this instance.
-    std::string
-        endpointSource; ///< IP address from which connections to endpoints leave; empty for the system's choice.
+    std::string endpointSource; ///< IP address from which direct connections to endpoints leave; may be empty.
     Duration drainPeriod{0}; ///< Time after which an endpoint that is known to leave must get no request.
     std::size_t memoryLimitBytes = 110U << 20U; ///< Memory of the process above which the platform ends it.
 };
@@ -84,7 +83,7 @@
         this->accepting = false;
     }
     /** Opens connections to endpoints for other gateways. */
-    [[nodiscard]] EndpointRelay &relay()
+    [[nodiscard]] EndpointRelay &endpointRelay()
     {
         return this->connector.relay;
     }
