--- a/tests/support/http_connection.cpp
+++ b/tests/support/http_connection.cpp
@@ -29,7 +29,7 @@
     std::string rest = bytes.substr(end + 4);
     if (head.find("chunked") == std::string::npos) {
         const std::string length = fieldOf(head, "Content-Length");
-        response.complete = length.empty() || rest.size() == std::stoul(length);
+        response.complete = !length.empty() && rest.size() == std::stoul(length);
         response.body = rest;
     } else {
         for (std::size_t at = rest.find("\r\n"); at != std::string::npos; at = rest.find("\r\n")) {
