Soak: a stream without length breaks off within an event only

Traced: the stand-in broke a resumed stream without length off exactly between two events (33 of 33, 35 of 35 bytes of the next one unsent) and stayed up.

--- a/tests/support/soak_deployment.cpp
+++ b/tests/support/soak_deployment.cpp
@@ -43,6 +43,12 @@
     return std::hash<std::string>()(id);
 }
 
+/** Whether the response to the request @p id ends with its connection. */
+bool hasNoLength(const std::string &id)
+{
+    return hashOf("length" + id) % UnframedInterval == 0;
+}
+
 std::string eventOf(std::size_t number, const std::string &id, const std::string &version = "")
 {
     const auto letter = static_cast<char>('a' + number - 1);
@@ -174,10 +180,7 @@
     if (isLost) {
         return std::string(CloseMark); // The request has run, but the response is lost.
     }
-    // A stream that breaks off between two events without a length would look whole.
-    const bool isCutBetweenEvents = response.ends_with("\n\n" + std::string(CloseMark));
-    const bool hasNoLength = hashOf("length" + requestId) % UnframedInterval == 0 && !isCutBetweenEvents;
-    return hasNoLength ? withoutLength(std::move(response)) : response;
+    return hasNoLength(requestId) ? withoutLength(std::move(response)) : response;
 }
 
 std::size_t SoakEndpoint::resumableEvents(const std::string &stream)
@@ -190,7 +193,8 @@
     const std::string last = fieldOf(head, "Last-Event-Id");
     const std::size_t first = last.empty() ? 1 : std::stoul(last) + 1;
     const std::size_t events = resumableEvents(stream);
-    const std::size_t hash = hashOf(fieldOf(head, "X-Request-Id") + last);
+    const std::string requestId = fieldOf(head, "X-Request-Id");
+    const std::size_t hash = hashOf(requestId + last);
     const bool breaksOff = hash % CutStreamInterval == 0 && first <= events;
     const std::size_t lastNumber = breaksOff ? first + hash / CutStreamInterval % (events - first + 1) : 0;
     std::string content;
@@ -198,7 +202,9 @@
     for (std::size_t number = first; number <= events; ++number) {
         const std::string event = eventOf(number, stream, this->version + " ");
         content.append(PauseMark).append(event);
-        unsentBytes = number == lastNumber ? 1 + hash % event.size() : unsentBytes + PauseMark.size() + event.size();
+        // Without a length, a stream that breaks off between two events would look whole.
+        const std::size_t maxUnsent = event.size() - (hasNoLength(requestId) ? 1 : 0);
+        unsentBytes = number == lastNumber ? 1 + hash % maxUnsent : unsentBytes + PauseMark.size() + event.size();
     }
     const std::string response = signedResponse(head, content, EventStreamField);
     return breaksOff ? truncateAndClose(response, unsentBytes) : response;
