A gateway of another data centre is asked once one of its own doesn't reach an endpoint

Cause: another gateway of the same data centre was asked first, and with 20 of them cut off, too, which at few requests each don't know it yet, all that were asked refused after 60 ms. No link was shown to be down, so that nothing was learned for the next request either. On the small sites two such gateways are left. Change: after an answer that an endpoint isn't reached, gateways of that data centre are asked last for a second. Why it works: the second gateway that is asked is in another data centre, reaches the endpoint, and so shows that the link is down.

--- a/src/gateway/endpoint_connector_base.cpp
+++ b/src/gateway/endpoint_connector_base.cpp
@@ -234,7 +234,7 @@
             this->peers.recordSuccess(peer.name);
             return std::move(answer.connection);
         case RelayOutcome::Unreachable:
-            this->peers.recordRefusal(this->now(), peer.name);
+            this->peers.recordUnreachable(this->now(), peer.name);
             hasGivenUp = direct == nullptr || direct->isDone; // Two gateways that don't reach the endpoint are enough.
             break;
         case RelayOutcome::Busy:
--- a/src/gateway/relay_peers_base.cpp
+++ b/src/gateway/relay_peers_base.cpp
@@ -35,10 +35,15 @@
 const InstanceInfo *RelayPeers::choose(Instant now, const std::set<std::string> &tried) const
 {
     const Peer *best = nullptr;
+    const auto isAvoided = [&](const std::string &peerDataCentre) {
+        const auto found = this->dataCentreBackoff.find(peerDataCentre);
+        return found != this->dataCentreBackoff.end() && found->second > now;
+    };
     const auto rank = [&](const Peer &peer) {
         // The hash spreads the gateways that ask over those that are asked.
-        return std::tuple(peer.backoffUntil > now, peer.info.isCutOff, peer.connections / ConnectionsPerStep,
-            peer.info.dataCentre != this->dataCentre, hash64(peer.info.name, hash64(this->ownName)));
+        return std::tuple(peer.backoffUntil > now, peer.info.isCutOff, isAvoided(peer.info.dataCentre),
+            peer.connections / ConnectionsPerStep, peer.info.dataCentre != this->dataCentre,
+            hash64(peer.info.name, hash64(this->ownName)));
     };
     for (const auto &[name, peer] : this->peers) {
         if (!tried.contains(name) && (best == nullptr || rank(peer) < rank(*best))) {
@@ -83,6 +88,14 @@
     }
 }
 
+void RelayPeers::recordUnreachable(Instant now, const std::string &name)
+{
+    this->recordRefusal(now, name);
+    if (const auto found = this->peers.find(name); found != this->peers.end()) {
+        this->dataCentreBackoff[found->second.info.dataCentre] = now + DataCentreBackoff;
+    }
+}
+
 void RelayPeers::recordFailure(Instant now, const std::string &name)
 {
     if (const auto found = this->peers.find(name); found != this->peers.end()) {
--- a/src/gateway/relay_peers_base.h
+++ b/src/gateway/relay_peers_base.h
@@ -22,6 +22,9 @@
     static constexpr unsigned MaxBackoffDoublings = 4;
     /** A gateway that refused is not asked for this long. */
     static constexpr Duration RefusalBackoff = std::chrono::milliseconds(250);
+    /** Gateways of a data centre of which one doesn't reach an endpoint are asked last for this long: a cut often
+     * concerns all of them, and they may not know it yet. */
+    static constexpr Duration DataCentreBackoff = std::chrono::seconds(1);
     /** A gateway with this many more connections for this one than another is not preferred for its data centre. */
     static constexpr std::size_t ConnectionsPerStep = 8;
 
@@ -41,6 +44,8 @@
     void recordSuccess(const std::string &name);
     /** The gateway answered that it can't open one. */
     void recordRefusal(Instant now, const std::string &name);
+    /** The gateway answered that it doesn't reach the endpoint. */
+    void recordUnreachable(Instant now, const std::string &name);
     /** The gateway didn't answer. */
     void recordFailure(Instant now, const std::string &name);
 
@@ -55,6 +60,7 @@
 
     std::string ownName; ///< Name of this gateway.
     std::string dataCentre; ///< Data centre of this gateway.
+    std::map<std::string, Instant> dataCentreBackoff; ///< End of DataCentreBackoff by data centre.
     std::map<std::string, Peer> peers; ///< By name: gateways that are ready, without this one.
 };
 
--- a/tests/unit/endpoint_links_test.cpp
+++ b/tests/unit/endpoint_links_test.cpp
@@ -281,6 +281,22 @@
     BOOST_TEST(peers.choose(Start, {})->name == second);
 }
 
+BOOST_AUTO_TEST_CASE(another_data_centre_is_asked_after_one_gateway_that_does_not_reach_an_endpoint)
+{
+    RelayPeers peers("self", "x");
+    std::vector<InstanceInfo> all = {gateway("y1", "y")};
+    for (int i = 0; i < 20; ++i) {
+        all.push_back(gateway("x" + std::to_string(i)));
+    }
+    peers.setInstances(all);
+    const std::string first = peers.choose(Start, {})->name;
+    BOOST_TEST(first != "y1");
+    peers.recordUnreachable(Start, first);
+    BOOST_TEST(peers.choose(Start, {first})->name == "y1");
+    BOOST_TEST(peers.choose(Start + Millisecond, {})->name == "y1");
+    BOOST_TEST(peers.choose(Start + RelayPeers::DataCentreBackoff, {})->name != "y1");
+}
+
 BOOST_AUTO_TEST_CASE(clients_are_sent_to_gateways_that_reach_endpoints_if_those_are_half)
 {
     const auto listed = [](const std::vector<InstanceInfo> &all) {
