A request that is given up on a link that hangs doesn't run when the cut heals

An unsafe one could run long after its 504. Cause: a connection that was given up was closed in order, so that the kernel went on sending the request's bytes and delivered them after the cut. Evidence: request_that_was_given_up_in_a_cut_does_not_run_after_it, 3 runs instead of 1. Change: a connection on which bytes were sent and none received since is reset when it is dropped, by the gateway and by the one that relays. What was received shows that what was sent before has arrived, so other connections are closed as before. Why it works: a reset drops what the socket still holds.

--- a/src/gateway/connection_pool_base.cpp
+++ b/src/gateway/connection_pool_base.cpp
@@ -40,8 +40,20 @@
 
 } // namespace
 
+EndpointConnection::~EndpointConnection()
+{
+    if (!this->isUnanswered) {
+        return;
+    }
+    KJ_IF_MAYBE (descriptor, this->stream->getFd()) {
+        const linger reset{1, 0};
+        ::setsockopt(*descriptor, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+    }
+}
+
 bool EndpointConnection::send(kj::WaitScope &scope, kj::Timer &timer, std::string_view bytes, kj::TimePoint deadline)
 {
+    this->isUnanswered = true;
     this->input.setDeadline(timer, deadline);
     // write() throws synchronously on a socket that was reset; evalNow() turns that into a rejected promise.
     auto written = kj::evalNow([&]() {
@@ -145,6 +157,7 @@
     if (!connection->input.unreadBytes().empty() || list.size() >= MaxIdleConnections) {
         return;
     }
+    connection->isUnanswered = false;
     connection->idleSince = this->loop.timers().now();
     connection->idleTimeout = idleTimeout;
     connection->input.clearDeadline();
--- a/src/gateway/connection_pool_base.h
+++ b/src/gateway/connection_pool_base.h
@@ -31,6 +31,12 @@
     {
     }
 
+    /** Resets the connection if a request on it is unanswered, so that bytes which a partition holds up are dropped and
+     * the request that was given up doesn't run later. */
+    ~EndpointConnection();
+    EndpointConnection(const EndpointConnection &) = delete;
+    EndpointConnection &operator=(const EndpointConnection &) = delete;
+
     /** Sends a request. @p deadline applies to the write and to all reads of the response. @return whether the complete
      * request was sent. */
     [[nodiscard]] bool send(kj::WaitScope &scope, kj::Timer &timer, std::string_view bytes, kj::TimePoint deadline);
@@ -42,6 +48,7 @@
     kj::Maybe<kj::Promise<void>> closeWatch; ///< While idle, detects that the endpoint closes it or sends data.
     std::string relay; ///< Name of the gateway that relays it; empty for a direct connection.
     std::shared_ptr<void> relayUse; ///< Counts the connection at that gateway while it exists.
+    bool isUnanswered = false; ///< Bytes were sent, and none received since.
     bool isInterrupted = false; ///< Its request was given up because the link to the endpoint hangs.
     bool unusable = false; ///< The endpoint closed it, or sent data that belongs to no request.
 };
--- a/src/gateway/endpoint_connector_base.cpp
+++ b/src/gateway/endpoint_connector_base.cpp
@@ -338,8 +338,9 @@
     }
 }
 
-void EndpointConnector::recordReceived(const std::string &address, const EndpointConnection &connection)
+void EndpointConnector::recordReceived(const std::string &address, EndpointConnection &connection)
 {
+    connection.isUnanswered = false;
     if (connection.relay.empty()) {
         this->links.recordReceived(this->now(), address);
     }
--- a/src/gateway/endpoint_connector_base.h
+++ b/src/gateway/endpoint_connector_base.h
@@ -59,7 +59,7 @@
     void beginRequest(const std::string &address, EndpointConnection &connection, bool isRepeatable);
     void endRequest(const std::string &address, EndpointConnection &connection);
     /** Bytes of a response arrived on @p connection. */
-    void recordReceived(const std::string &address, const EndpointConnection &connection);
+    void recordReceived(const std::string &address, EndpointConnection &connection);
 
     /** Whether most endpoints of a service are reached only through other gateways. */
     [[nodiscard]] bool isCutOff() const
@@ -72,6 +72,7 @@
 
 private:
     struct DirectAttempt;
+    /** What became of a request to another gateway to open a connection. */
     enum class RelayOutcome : std::uint8_t {
         Connected, ///< It has opened a connection.
         Unreachable, ///< It doesn't reach the endpoint either, or doesn't know it.
@@ -87,7 +88,8 @@
 
     /** Opens a direct connection. It goes on when the caller has got another one, to learn the state of the link. */
     std::shared_ptr<DirectAttempt> startDirect(const DeployedEndpoint &endpoint, Duration timeout);
-    /** Asks other gateways one after another until one opens a connection or @p direct is connected. */
+    /** Asks other gateways one after another until one opens a connection, or until @p direct, which may be null, has
+     * connected. @return null if none did. */
     std::unique_ptr<EndpointConnection> openRelayed(
         kj::WaitScope &scope, const DeployedEndpoint &endpoint, DirectAttempt *direct, Duration timeout);
     kj::Promise<RelayAnswer> askPeer(const InstanceInfo &peer, const std::string &endpointId);
--- a/src/gateway/endpoint_relay_base.cpp
+++ b/src/gateway/endpoint_relay_base.cpp
@@ -45,6 +45,7 @@
     {
         this->lastUse = this->relay.loop.timers().now();
         KJ_REQUIRE(this->opened != nullptr, "the endpoint's connection has ended");
+        this->opened->isUnanswered = true;
         const auto bytes = context.getParams().getBytes();
         return this->opened->stream->write(bytes.begin(), bytes.size()).attach(std::shared_ptr(this->opened));
     }
@@ -62,6 +63,7 @@
         return this->opened->stream->tryRead(this->buffer.data(), 1, this->buffer.size())
             .then([this](std::size_t count) -> kj::Promise<void> {
                 this->lastUse = this->relay.loop.timers().now();
+                this->opened->isUnanswered = false;
                 if (count == 0) {
                     return this->toCaller.endRequest().send().ignoreResult();
                 }
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -126,7 +126,7 @@
     [[nodiscard]] AttemptResult relayResponse(kj::WaitScope &scope, Call &call, const DeployedEndpoint &endpoint,
         HttpResponseReader &reader, const ResponseHead &head);
     [[nodiscard]] AttemptResult relayStream(kj::WaitScope &scope, Call &call, const DeployedEndpoint &endpoint,
-        const EndpointConnection &connection, HttpResponseReader &reader, const ResponseHead &head);
+        EndpointConnection &connection, HttpResponseReader &reader, const ResponseHead &head);
     /** Begins the response to the client. The stream may go on only at the version of @p endpoint from then on. */
     void beginStream(kj::WaitScope &scope, Call &call, const DeployedEndpoint &endpoint, const ResponseHead &head);
     void finishStream(kj::WaitScope &scope, Call &call);
--- a/src/gateway/gateway_run.cpp
+++ b/src/gateway/gateway_run.cpp
@@ -390,7 +390,7 @@
 }
 
 Gateway::AttemptResult Gateway::relayStream(kj::WaitScope &scope, Call &call, const DeployedEndpoint &endpoint,
-    const EndpointConnection &connection, HttpResponseReader &reader, const ResponseHead &head)
+    EndpointConnection &connection, HttpResponseReader &reader, const ResponseHead &head)
 {
     EventSplitter splitter;
     std::size_t bytesSinceData = 0; // Received since the last event with data.
