Soak: the seeds that failed are default seeds

Cause: their causes are known (docs/SOAK.md): Releases 102, Cuts 102 and 105. Cuts 2, which never failed, gives way to them; the comment of checkServed says what it checks.

--- a/tests/process/cut_gateway_test.cpp
+++ b/tests/process/cut_gateway_test.cpp
@@ -251,8 +251,7 @@
     }
 }
 
-/** Checks that the users' rule holds for each gateway: served two thirds as often as at the others, or all but 10 + 1
- * in 50 of the requests. */
+/** Checks that at each gateway all but 10 + 1 in 50 requests are served, the stricter half of the users' rule. */
 void checkServed(const std::vector<Outcome> &outcomes)
 {
     for (const Outcome &outcome : outcomes) {
--- a/tests/process/soak_test.cpp
+++ b/tests/process/soak_test.cpp
@@ -1027,10 +1027,10 @@
 
 /** Seeds that CI runs for each scenario: ordinary ones, and each one that ever failed (docs/SOAK.md). */
 const std::vector<unsigned> DefaultFaultSeeds = {1, 2};
-const std::vector<unsigned> DefaultReleaseSeeds = {1, 2};
+const std::vector<unsigned> DefaultReleaseSeeds = {1, 2, 102};
 const std::vector<unsigned> DefaultStopSeeds = {1, 4};
 const std::vector<unsigned> DefaultStorageSeeds = {1, 13};
-const std::vector<unsigned> DefaultCutSeeds = {1, 2};
+const std::vector<unsigned> DefaultCutSeeds = {1, 102, 105};
 
 std::vector<unsigned> selectSeeds(const std::vector<unsigned> &defaultSeeds)
 {
