--- a/tests/process/soak_test.cpp
+++ b/tests/process/soak_test.cpp
@@ -1030,7 +1030,7 @@
 const std::vector<unsigned> DefaultReleaseSeeds = {1, 2, 102};
 const std::vector<unsigned> DefaultStopSeeds = {1, 4};
 const std::vector<unsigned> DefaultStorageSeeds = {1, 13};
-const std::vector<unsigned> DefaultCutSeeds = {1, 102, 105};
+const std::vector<unsigned> DefaultCutSeeds = {1, 2, 102, 105};
 
 std::vector<unsigned> selectSeeds(const std::vector<unsigned> &defaultSeeds)
 {
