--- a/src/deployment/deployment_member_base.cpp
+++ b/src/deployment/deployment_member_base.cpp
@@ -102,6 +102,21 @@
         return kj::READY_NOW;
     }
 
+    kj::Promise<void> serviceVersions(ServiceVersionsContext context) override
+    {
+        return this->member.confirmLead().then([this, context](bool isLeading) mutable {
+            auto results = context.getResults();
+            results.setKnown(isLeading && this->member.knowsEndpointVersions());
+            const std::set<std::string> versions =
+                this->member.endpointVersions(textOf(context.getParams().getService()));
+            auto list = results.initVersions(static_cast<unsigned>(versions.size()));
+            unsigned position = 0;
+            for (const std::string &version : versions) {
+                list.set(position++, wireText(version));
+            }
+        });
+    }
+
 private:
     void grantCredit(capnp::List<Wire::CustomerCredit>::Reader wanted, Wire::Deployment::CreditResults::Builder results)
     {
@@ -204,6 +219,7 @@
     this->instancesVersion = 1;
     this->endpoints.clear();
     this->endpointsVersion = 0;
+    this->beginVersionTerm(now);
     this->leaseEnd = Instant(0);
     const bool followedPredecessor = this->watcher.view.term + 1 == this->leaderTerm
         && this->watcher.followedFor() >= this->settings.rateTolerance.window;
@@ -217,7 +233,6 @@
     this->isChangingGroup = false;
     this->isChangingView = false;
     this->notifyWatchers();
-    this->pollEndpoints();
 }
 
 void DeploymentMember::notifyWatchers()
@@ -263,6 +278,7 @@
     this->notifyInForce();
     this->planHistory();
     this->planGroup();
+    this->removeExpiredVersions();
 }
 
 void DeploymentMember::resignIfOverloaded()
@@ -363,31 +379,6 @@
     }));
 }
 
-void DeploymentMember::pollEndpoints()
-{
-    if (!this->isLeader() || this->isPollingEndpoints) {
-        return;
-    }
-    this->isPollingEndpoints = true;
-    this->loop.detach(this->endpointSource.read().then([this](EndpointListResult &&list) {
-        this->isPollingEndpoints = false;
-        if (!*list) {
-            logEvent(EventKind::FreshnessLost, {{"what", "endpoint list"}, {"error", errorText(list->error())}});
-            return;
-        }
-        if (this->endpointsVersion == 0 || this->endpoints != **list) {
-            this->endpoints = std::move(**list);
-            std::set<std::string> listed;
-            for (const DeployedEndpoint &endpoint : this->endpoints) {
-                listed.insert(endpoint.id);
-            }
-            this->endpointLimits.retain(listed);
-            ++this->endpointsVersion;
-            this->notifyWatchers();
-        }
-    }));
-}
-
 void DeploymentMember::recordStrikes(Wire::InstanceReport::Reader report)
 {
     for (const auto entry : report.getStrikes()) {
--- a/src/deployment/deployment_member_base.h
+++ b/src/deployment/deployment_member_base.h
@@ -16,6 +16,7 @@
 #include "deployment/deployment_watcher_base.h"
 #include "deployment/endpoint_limit_type.h"
 #include "deployment/endpoint_list_type.h"
+#include "deployment/endpoint_versions_type.h"
 #include "deployment/instance_registry_base.h"
 #include "deployment/loop_lag_base.h"
 #include "deployment/strike_tracker_base.h"
@@ -91,6 +92,10 @@
     {
         return this->group.machine.configurationVersion;
     }
+    /** Whether `endpointVersions` names all versions that gateways may have used. For the leader. */
+    [[nodiscard]] bool knowsEndpointVersions() const;
+    /** Software versions of the endpoints at which streams of @p service may have begun. */
+    [[nodiscard]] std::set<std::string> endpointVersions(const std::string &service) const;
     /** Grants requests to an endpoint whose limit the gateway knows as @p report says. */
     [[nodiscard]] std::uint32_t grantEndpointCredit(const EndpointLimitReport &report, const CreditRequest &request);
     [[nodiscard]] std::uint32_t grantCredit(const std::string &customer, const CreditRequest &request);
@@ -103,7 +108,14 @@
     void runLeaderTasks();
     void planHistory();
     void planGroup();
+    void beginVersionTerm(Instant now);
+    /** Waits until the versions that leaders of earlier terms recorded are applied; then reads the endpoint list. */
+    void readVersionRecord();
     void pollEndpoints();
+    /** Publishes @p list once its versions are recorded. */
+    void takeEndpoints(std::vector<DeployedEndpoint> list);
+    void publishEndpoints(std::vector<DeployedEndpoint> list);
+    void removeExpiredVersions();
     void recordStrikes(Wire::InstanceReport::Reader report);
     /** Records what a gateway knows of the limit of an endpoint, and tells the others if it is new. */
     void recordLimit(const EndpointLimitReport &report);
@@ -135,8 +147,14 @@
     Instant leaderSince{0}; ///< When this member became leader in that term.
     InstanceRegistry registry; ///< Daemons that report to this member.
     std::uint64_t instancesVersion = 0; ///< Version of the alive instances in `registry`.
-    std::vector<DeployedEndpoint> endpoints; ///< Endpoint list as last read.
+    /** Endpoint list as last read; all of its versions are recorded in the replicated state. */
+    std::vector<DeployedEndpoint> endpoints;
     std::uint64_t endpointsVersion = 0; ///< Version of `endpoints`; 0 until the list was read in this term.
+    EndpointVersionExpiry versionExpiry; ///< When recorded versions may be forgotten.
+    std::uint64_t versionReadTerm = 0; ///< Term for which `readVersionRecord` is in progress; 0 for none.
+    bool isVersionRecordRead = false; ///< All versions that leaders of earlier terms recorded are applied.
+    bool isVersionRecordPartial = false; ///< Leaders of earlier terms may have published others.
+    bool isChangingVersions = false; ///< A change of the recorded versions is being committed.
     bool isPollingEndpoints = false; ///< A read of the endpoint list is in progress.
     StrikeTracker strikes; ///< Requests that crash endpoints.
     std::uint64_t quarantineVersion = 0; ///< Version of the quarantine in `strikes`.
--- a/src/deployment/deployment_state_base.cpp
+++ b/src/deployment/deployment_state_base.cpp
@@ -8,6 +8,31 @@
 namespace Chestnuthook
 {
 
+namespace
+{
+
+using WireVersions = capnp::List<Wire::ServiceVersion>;
+
+void writeVersions(WireVersions::Builder list, const ServiceVersions &versions)
+{
+    unsigned position = 0;
+    for (const ServiceVersion &version : versions) {
+        list[position].setService(wireText(version.service));
+        list[position++].setVersion(wireText(version.version));
+    }
+}
+
+ServiceVersions readVersions(WireVersions::Reader list)
+{
+    ServiceVersions versions;
+    for (const auto version : list) {
+        versions.insert({textOf(version.getService()), textOf(version.getVersion())});
+    }
+    return versions;
+}
+
+} // namespace
+
 std::string configurationCommand(std::uint64_t version, const std::string &document)
 {
     capnp::MallocMessageBuilder message;
@@ -31,6 +56,22 @@
     return flatBytes(message);
 }
 
+std::string addVersionsCommand(const ServiceVersions &versions)
+{
+    capnp::MallocMessageBuilder message;
+    const auto count = static_cast<unsigned>(versions.size());
+    writeVersions(message.initRoot<Wire::DeploymentCommand>().initAddVersions(count), versions);
+    return flatBytes(message);
+}
+
+std::string removeVersionsCommand(const ServiceVersions &versions)
+{
+    capnp::MallocMessageBuilder message;
+    const auto count = static_cast<unsigned>(versions.size());
+    writeVersions(message.initRoot<Wire::DeploymentCommand>().initRemoveVersions(count), versions);
+    return flatBytes(message);
+}
+
 std::string DeploymentState::apply(std::uint64_t index, std::string_view command)
 {
     this->appliedIndex = index;
@@ -51,6 +92,14 @@
     case Wire::DeploymentCommand::RETIRE:
         this->retiring.insert(textOf(root.getRetire()));
         break;
+    case Wire::DeploymentCommand::ADD_VERSIONS:
+        this->endpointVersions.merge(readVersions(root.getAddVersions()));
+        break;
+    case Wire::DeploymentCommand::REMOVE_VERSIONS:
+        for (const ServiceVersion &version : readVersions(root.getRemoveVersions())) {
+            this->endpointVersions.erase(version);
+        }
+        break;
     }
     return {};
 }
@@ -67,6 +116,8 @@
     for (const std::string &name : this->retiring) {
         names.set(position++, wireText(name));
     }
+    const auto versionCount = static_cast<unsigned>(this->endpointVersions.size());
+    writeVersions(state.initEndpointVersions(versionCount), this->endpointVersions);
     return flatBytes(message);
 }
 
@@ -81,6 +132,7 @@
     for (const auto name : state.getRetiring()) {
         this->retiring.insert(textOf(name));
     }
+    this->endpointVersions = readVersions(state.getEndpointVersions());
 }
 
 } // namespace Chestnuthook
--- a/src/deployment/deployment_state_base.h
+++ b/src/deployment/deployment_state_base.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+#include "deployment/endpoint_versions_type.h"
 #include "deployment/history_view_type.h"
 
 namespace Chestnuthook
@@ -16,6 +17,8 @@
 [[nodiscard]] std::string configurationCommand(std::uint64_t version, const std::string &document);
 [[nodiscard]] std::string viewCommand(const HistoryView &view);
 [[nodiscard]] std::string retireCommand(const std::string &instance);
+[[nodiscard]] std::string addVersionsCommand(const ServiceVersions &versions);
+[[nodiscard]] std::string removeVersionsCommand(const ServiceVersions &versions);
 
 /** Implements the StateMachine concept. */
 class DeploymentState
@@ -33,6 +36,7 @@
     std::string document; ///< Configuration document as sent by the operator.
     HistoryView view; ///< Membership of the history store; its version never decreases.
     std::set<std::string> retiring; ///< Names of the history instances that are being retired.
+    ServiceVersions endpointVersions; ///< Versions of the endpoints that gateways may have used for streams.
 
 private:
     std::uint64_t appliedIndex = 0; ///< Log index of the last applied command.
--- a/src/deployment/deployment_watcher_base.cpp
+++ b/src/deployment/deployment_watcher_base.cpp
@@ -249,6 +249,26 @@
     }
 }
 
+kj::Promise<std::set<std::string>> DeploymentWatcher::requestServiceVersions(const std::string &service)
+{
+    KJ_REQUIRE(!this->view.leader.empty(), "no leader of the control members is known");
+    return this->linkTo(this->view.leader)
+        .services()
+        .then([service](OfferedServices &&services) {
+            auto request = services.deployment.castAs<Wire::Deployment>().serviceVersionsRequest();
+            request.setService(wireText(service));
+            return request.send();
+        })
+        .then([](auto &&response) {
+            KJ_REQUIRE(response.getKnown(), "the control member doesn't know all versions");
+            std::set<std::string> versions;
+            for (const auto version : response.getVersions()) {
+                versions.insert(textOf(version));
+            }
+            return versions;
+        });
+}
+
 kj::Promise<CreditReply> DeploymentWatcher::requestCredit(
     const std::map<std::string, CreditRequest> &customers, const std::vector<EndpointCreditRequest> &endpoints)
 {
--- a/src/deployment/deployment_watcher_base.h
+++ b/src/deployment/deployment_watcher_base.h
@@ -82,6 +82,10 @@
     [[nodiscard]] kj::Promise<CreditReply> requestCredit(
         const std::map<std::string, CreditRequest> &customers, const std::vector<EndpointCreditRequest> &endpoints);
 
+    /** Asks the leader for the software versions of the endpoints at which streams of @p service may have begun, as of
+     * a time after the call. The promise fails if it doesn't answer, isn't the leader, or can't be certain. */
+    [[nodiscard]] kj::Promise<std::set<std::string>> requestServiceVersions(const std::string &service);
+
     /** Contact to the leader counts as lost after this long without an answer. By then leaders count this daemon as
      * silent; see InstanceRegistry::SilenceTimeout. */
     static constexpr Duration LeaderContactTimeout = std::chrono::milliseconds(1000);
--- a/src/gateway/gateway_base.cpp
+++ b/src/gateway/gateway_base.cpp
@@ -39,6 +39,9 @@
 constexpr auto PollInterval = 20 * kj::MILLISECONDS;
 /** A resumed stream is rejected if no history member knows where it began within this time. */
 constexpr Duration OriginSearchTimeout = std::chrono::milliseconds(150);
+/** A resumed stream of unknown origin is rejected if the leader doesn't name the versions of its service within this
+ * time. */
+constexpr Duration VersionsTimeout = std::chrono::milliseconds(250);
 /** A turn is rejected if the history members don't reply within this time. */
 constexpr Duration HistoryTimeout = std::chrono::milliseconds(1600);
 /** Token claims are stored this much longer than the turns of their route. */
@@ -312,20 +315,17 @@
     if (call.route->kind != RouteKind::Stream || !isResumption) {
         return true;
     }
-    if (call.metadata.resumedRequest.empty()) { // The client doesn't say which stream it resumes.
-        call.version = this->loadBalancer.commonVersion(this->now(), call.service);
-        if (call.version->empty()) {
-            this->reject(scope, call, HttpStatus::Unavailable, "the version that began the stream is not stated",
-                ShortRetryAfterSeconds);
-            return false;
+    std::optional<StreamOrigin> origin;
+    if (!call.metadata.resumedRequest.empty()) {
+        const StreamKey stream = call.streamKey(call.metadata.resumedRequest);
+        origin = this->streamOrigins.find(this->now(), stream);
+        if (!origin) {
+            const Instant until = std::min(call.deadline, this->now() + OriginSearchTimeout);
+            origin = this->history.findStreamOrigin(scope, stream, until);
         }
-        return true;
     }
-    const StreamKey stream = call.streamKey(call.metadata.resumedRequest);
-    std::optional<StreamOrigin> origin = this->streamOrigins.find(this->now(), stream);
-    if (!origin) {
-        origin =
-            this->history.findStreamOrigin(scope, stream, std::min(call.deadline, this->now() + OriginSearchTimeout));
+    if (!origin) { // The client doesn't say which stream it resumes, or those who knew its origin were restarted.
+        origin = this->findOnlyOrigin(scope, *call.route);
     }
     if (!origin || !hasTarget(*call.route, origin->service)) {
         this->reject(scope, call, HttpStatus::Unavailable,
@@ -339,6 +339,35 @@
     return true;
 }
 
+std::optional<StreamOrigin> Gateway::findOnlyOrigin(kj::WaitScope &scope, const RouteConfig &route)
+{
+    const auto isInUse = [](const RouteTarget &target) {
+        return target.weight != 0;
+    };
+    if (std::ranges::count_if(route.targets, isInUse) != 1) {
+        return std::nullopt;
+    }
+    const std::string service = std::ranges::find_if(route.targets, isInUse)->service;
+    if (this->loadBalancer.commonVersion(this->now(), service).empty()) {
+        return std::nullopt; // This gateway knows of several versions itself.
+    }
+    // Others may have begun streams at versions that this gateway has not seen listed.
+    auto asked = kj::evalNow([&]() {
+        return this->watcher.requestServiceVersions(service);
+    });
+    const std::set<std::string> versions =
+        this->loop.kjTimer()
+            .timeoutAfter(kjDuration(VersionsTimeout), kj::mv(asked))
+            .catch_([](kj::Exception &&exception) {
+                logEvent(EventKind::FreshnessLost,
+                    {{"what", "versions of a service"}, {"error", exception.getDescription().cStr()}});
+                return std::set<std::string>();
+            })
+            .wait(scope);
+    const bool isOnlyVersion = versions.size() == 1 && !versions.begin()->empty();
+    return isOnlyVersion ? std::optional(StreamOrigin{service, *versions.begin()}) : std::nullopt;
+}
+
 void Gateway::startCreditRequest()
 {
     if (this->pendingCreditRequest != nullptr || !this->watcher.hasLeaderContact()) {
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -120,6 +120,8 @@
     [[nodiscard]] bool admit(kj::WaitScope &scope, Call &call);
     /** Selects the service of the request, and for a resumed stream the version at which it may go on. */
     [[nodiscard]] bool selectOrigin(kj::WaitScope &scope, Call &call);
+    /** Service and version at which every stream of @p route began, if the leader confirms that there is only one. */
+    [[nodiscard]] std::optional<StreamOrigin> findOnlyOrigin(kj::WaitScope &scope, const RouteConfig &route);
     [[nodiscard]] bool applyRateLimit(kj::WaitScope &scope, Call &call);
     [[nodiscard]] bool beginTurn(kj::WaitScope &scope, Call &call);
     /** Endpoint for an attempt. */
--- a/src/gateway/load_balancer_base.h
+++ b/src/gateway/load_balancer_base.h
@@ -42,7 +42,7 @@
     [[nodiscard]] const DeployedEndpoint *choose(
         Instant now, const SelectionCriteria &criteria, const std::set<std::string> &tried) const;
     /** Software version of all endpoints of @p service that are listed or were in the last VersionMemory; empty if they
-     * differ or one doesn't state it. */
+     * differ or one doesn't state it. As far as this process knows: it may have been restarted or out of touch. */
     [[nodiscard]] std::string commonVersion(Instant now, const std::string &service) const;
     /** Whether @p id is listed and isn't known to leave. */
     [[nodiscard]] bool isUsable(const std::string &id) const;
--- a/src/rpc/deployment.capnp
+++ b/src/rpc/deployment.capnp
@@ -72,6 +72,12 @@
     cutOff @7 :Bool;            # As the daemon reported it.
 }
 
+# Software version of an endpoint of a service.
+struct ServiceVersion {
+    service @0 :Text;
+    version @1 :Text;           # Empty where the list doesn't say.
+}
+
 # Versions that the caller holds; a part whose version is the same is left out of the update.
 struct HeldVersions {
     configuration @0 :UInt64;
@@ -122,6 +128,9 @@
     # The newest configuration that this member has applied, in the zlib format; version 0 if it is older than atLeast.
     # Any control member answers.
     configuration @2 (atLeast :UInt64) -> (version :UInt64, compressed :Data);
+    # Software versions of the endpoints at which streams of a service may have begun.
+    # `known` is false where this member doesn't lead or can't be certain.
+    serviceVersions @3 (service :Text) -> (known :Bool, versions :List(Text));
 }
 
 # A command of the deployment's replicated state.
@@ -133,6 +142,8 @@
         }
         view @2 :HistoryView;   # Takes effect where its version follows the one in force.
         retire @3 :Text;        # Name of a history instance that is to be emptied.
+        addVersions @4 :List(ServiceVersion);    # Committed before a list with such endpoints is handed out.
+        removeVersions @5 :List(ServiceVersion);
     }
 }
 
@@ -141,4 +152,5 @@
     document @1 :Data;
     view @2 :HistoryView;
     retiring @3 :List(Text);
+    endpointVersions @4 :List(ServiceVersion);
 }
--- a/src/rpc/deployment.capnp.c++
+++ b/src/rpc/deployment.capnp.c++
@@ -862,6 +862,65 @@
   1, 8, i_dc8556d1c357b99f, nullptr, nullptr, { &s_dc8556d1c357b99f, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<48> b_fd0e04b495e8f593 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    147, 245, 232, 149, 180,   4,  14, 253,
+     17,   0,   0,   0,   1,   0,   0,   0,
+     69, 185, 226, 134,  10, 127,  28, 211,
+      2,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,   2,   1,   0,   0,
+     33,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100, 101, 112, 108, 111, 121, 109, 101,
+    110, 116,  46,  99,  97, 112, 110, 112,
+     58,  83, 101, 114, 118, 105,  99, 101,
+     86, 101, 114, 115, 105, 111, 110,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+    115, 101, 114, 118, 105,  99, 101,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    118, 101, 114, 115, 105, 111, 110,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_fd0e04b495e8f593 = b_fd0e04b495e8f593.words;
+#if !CAPNP_LITE
+static const uint16_t m_fd0e04b495e8f593[] = {0, 1};
+static const uint16_t i_fd0e04b495e8f593[] = {0, 1};
+const ::capnp::_::RawSchema s_fd0e04b495e8f593 = {
+  0xfd0e04b495e8f593, b_fd0e04b495e8f593.words, 48, nullptr, m_fd0e04b495e8f593,
+  0, 2, i_fd0e04b495e8f593, nullptr, nullptr, { &s_fd0e04b495e8f593, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<144> b_afc33ebcb2aaf655 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      85, 246, 170, 178, 188,  62, 195, 175,
@@ -1404,7 +1463,7 @@
   1, 4, i_f6875abc82804858, nullptr, nullptr, { &s_f6875abc82804858, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<50> b_d63bb588485acf0c = {
+static const ::capnp::_::AlignedData<61> b_d63bb588485acf0c = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      12, 207,  90,  72, 136, 181,  59, 214,
      17,   0,   0,   0,   3,   0,   0,   0,
@@ -1414,39 +1473,47 @@
      21,   0,   0,   0, 226,   0,   0,   0,
      33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0, 199,   0,   0,   0,
-    153,   0,   0,   0,   7,   0,   0,   0,
+     29,   0,   0,   0,   7,   1,   0,   0,
+    197,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     100, 101, 112, 108, 111, 121, 109, 101,
     110, 116,  46,  99,  97, 112, 110, 112,
      58,  68, 101, 112, 108, 111, 121, 109,
     101, 110, 116,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     12,   0,   0,   0,   3,   0,   5,   0,
+     16,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      53, 245,  58,  41, 214,  58, 209, 129,
     235,  50, 134,  40,  41, 224, 183, 239,
-     81,   0,   0,   0,  50,   0,   0,   0,
+    113,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     69,   0,   0,   0,   7,   0,   0,   0,
+    101,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     125, 191, 108,  26, 131, 156, 215, 166,
     201, 226, 185, 249,  71, 119, 144, 233,
-     57,   0,   0,   0,  58,   0,   0,   0,
+     89,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     45,   0,   0,   0,   7,   0,   0,   0,
+     77,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
      19,  10, 246,   0,  83, 148, 114, 224,
      82, 236, 141,   3, 180, 225, 216, 176,
-     33,   0,   0,   0, 114,   0,   0,   0,
+     65,   0,   0,   0, 114,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+     57,   0,   0,   0,   7,   0,   0,   0,
+      3,   0,   0,   0,   0,   0,   0,   0,
+    116,  13, 164,  46,  22, 206,  79, 237,
+     37, 184,  51,  92, 196, 111,  36, 255,
+     45,   0,   0,   0, 130,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     37,   0,   0,   0,   7,   0,   0,   0,
     119,  97, 116,  99, 104,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
      99, 114, 101, 100, 105, 116,   0,   0,
@@ -1454,6 +1521,9 @@
      99, 111, 110, 102, 105, 103, 117, 114,
      97, 116, 105, 111, 110,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    115, 101, 114, 118, 105,  99, 101,  86,
+    101, 114, 115, 105, 111, 110, 115,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_d63bb588485acf0c = b_d63bb588485acf0c.words;
@@ -1464,12 +1534,14 @@
   &s_b0d8e1b4038dec52,
   &s_e072945300f60a13,
   &s_e9907747f9b9e2c9,
+  &s_ed4fce162ea40d74,
   &s_efb7e029288632eb,
+  &s_ff246fc45c33b825,
 };
-static const uint16_t m_d63bb588485acf0c[] = {2, 1, 0};
+static const uint16_t m_d63bb588485acf0c[] = {2, 1, 3, 0};
 const ::capnp::_::RawSchema s_d63bb588485acf0c = {
-  0xd63bb588485acf0c, b_d63bb588485acf0c.words, 50, d_d63bb588485acf0c, m_d63bb588485acf0c,
-  6, 3, nullptr, nullptr, nullptr, { &s_d63bb588485acf0c, nullptr, nullptr, 0, 0, nullptr }
+  0xd63bb588485acf0c, b_d63bb588485acf0c.words, 61, d_d63bb588485acf0c, m_d63bb588485acf0c,
+  8, 4, nullptr, nullptr, nullptr, { &s_d63bb588485acf0c, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<64> b_81d13ad6293af535 = {
@@ -1900,17 +1972,129 @@
   0, 2, i_b0d8e1b4038dec52, nullptr, nullptr, { &s_b0d8e1b4038dec52, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<58> b_c1238814cfeff460 = {
+static const ::capnp::_::AlignedData<35> b_ed4fce162ea40d74 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    116,  13, 164,  46,  22, 206,  79, 237,
+     28,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 154,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     37,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100, 101, 112, 108, 111, 121, 109, 101,
+    110, 116,  46,  99,  97, 112, 110, 112,
+     58,  68, 101, 112, 108, 111, 121, 109,
+    101, 110, 116,  46, 115, 101, 114, 118,
+    105,  99, 101,  86, 101, 114, 115, 105,
+    111, 110, 115,  36,  80,  97, 114,  97,
+    109, 115,   0,   0,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    115, 101, 114, 118, 105,  99, 101,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_ed4fce162ea40d74 = b_ed4fce162ea40d74.words;
+#if !CAPNP_LITE
+static const uint16_t m_ed4fce162ea40d74[] = {0};
+static const uint16_t i_ed4fce162ea40d74[] = {0};
+const ::capnp::_::RawSchema s_ed4fce162ea40d74 = {
+  0xed4fce162ea40d74, b_ed4fce162ea40d74.words, 35, nullptr, m_ed4fce162ea40d74,
+  0, 1, i_ed4fce162ea40d74, nullptr, nullptr, { &s_ed4fce162ea40d74, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<55> b_ff246fc45c33b825 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     37, 184,  51,  92, 196, 111,  36, 255,
+     28,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 162,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     37,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100, 101, 112, 108, 111, 121, 109, 101,
+    110, 116,  46,  99,  97, 112, 110, 112,
+     58,  68, 101, 112, 108, 111, 121, 109,
+    101, 110, 116,  46, 115, 101, 114, 118,
+    105,  99, 101,  86, 101, 114, 115, 105,
+    111, 110, 115,  36,  82, 101, 115, 117,
+    108, 116, 115,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     44,   0,   0,   0,   3,   0,   1,   0,
+     72,   0,   0,   0,   2,   0,   1,   0,
+    107, 110, 111, 119, 110,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    118, 101, 114, 115, 105, 111, 110, 115,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_ff246fc45c33b825 = b_ff246fc45c33b825.words;
+#if !CAPNP_LITE
+static const uint16_t m_ff246fc45c33b825[] = {0, 1};
+static const uint16_t i_ff246fc45c33b825[] = {0, 1};
+const ::capnp::_::RawSchema s_ff246fc45c33b825 = {
+  0xff246fc45c33b825, b_ff246fc45c33b825.words, 55, nullptr, m_ff246fc45c33b825,
+  0, 2, i_ff246fc45c33b825, nullptr, nullptr, { &s_ff246fc45c33b825, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<98> b_c1238814cfeff460 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      96, 244, 239, 207,  20, 136,  35, 193,
      17,   0,   0,   0,   1,   0,   2,   0,
      69, 185, 226, 134,  10, 127,  28, 211,
-      1,   0,   7,   0,   0,   0,   3,   0,
+      1,   0,   7,   0,   0,   0,   5,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0,  26,   1,   0,   0,
      37,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     33,   0,   0,   0, 175,   0,   0,   0,
+     33,   0,   0,   0,  31,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     100, 101, 112, 108, 111, 121, 109, 101,
@@ -1919,28 +2103,42 @@
     101, 110, 116,  67, 111, 109, 109,  97,
     110, 100,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     12,   0,   0,   0,   3,   0,   4,   0,
+     20,   0,   0,   0,   3,   0,   4,   0,
       0,   0, 255, 255,   0,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     232, 153,  23,  31, 245, 122,  86, 220,
-     69,   0,   0,   0, 114,   0,   0,   0,
+    125,   0,   0,   0, 114,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       1,   0, 254, 255,   0,   0,   0,   0,
       0,   0,   1,   0,   2,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     49,   0,   0,   0,  42,   0,   0,   0,
+    105,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     44,   0,   0,   0,   3,   0,   1,   0,
-     56,   0,   0,   0,   2,   0,   1,   0,
+    100,   0,   0,   0,   3,   0,   1,   0,
+    112,   0,   0,   0,   2,   0,   1,   0,
       2,   0, 253, 255,   0,   0,   0,   0,
       0,   0,   1,   0,   3,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     53,   0,   0,   0,  58,   0,   0,   0,
+    109,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     48,   0,   0,   0,   3,   0,   1,   0,
-     60,   0,   0,   0,   2,   0,   1,   0,
+    104,   0,   0,   0,   3,   0,   1,   0,
+    116,   0,   0,   0,   2,   0,   1,   0,
+      3,   0, 252, 255,   0,   0,   0,   0,
+      0,   0,   1,   0,   4,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    113,   0,   0,   0,  98,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112,   0,   0,   0,   3,   0,   1,   0,
+    140,   0,   0,   0,   2,   0,   1,   0,
+      4,   0, 251, 255,   0,   0,   0,   0,
+      0,   0,   1,   0,   5,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    137,   0,   0,   0, 122,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    136,   0,   0,   0,   3,   0,   1,   0,
+    164,   0,   0,   0,   2,   0,   1,   0,
      99, 111, 110, 102, 105, 103, 117, 114,
      97, 116, 105, 111, 110,   0,   0,   0,
     118, 105, 101, 119,   0,   0,   0,   0,
@@ -1957,6 +2155,32 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97, 100, 100,  86, 101, 114, 115, 105,
+    111, 110, 115,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    147, 245, 232, 149, 180,   4,  14, 253,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101, 109, 111, 118, 101,  86, 101,
+    114, 115, 105, 111, 110, 115,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    147, 245, 232, 149, 180,   4,  14, 253,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
@@ -1965,12 +2189,13 @@
 static const ::capnp::_::RawSchema* const d_c1238814cfeff460[] = {
   &s_89891cc60232563e,
   &s_dc567af51f1799e8,
+  &s_fd0e04b495e8f593,
 };
-static const uint16_t m_c1238814cfeff460[] = {0, 2, 1};
-static const uint16_t i_c1238814cfeff460[] = {0, 1, 2};
+static const uint16_t m_c1238814cfeff460[] = {3, 0, 4, 2, 1};
+static const uint16_t i_c1238814cfeff460[] = {0, 1, 2, 3, 4};
 const ::capnp::_::RawSchema s_c1238814cfeff460 = {
-  0xc1238814cfeff460, b_c1238814cfeff460.words, 58, d_c1238814cfeff460, m_c1238814cfeff460,
-  2, 3, i_c1238814cfeff460, nullptr, nullptr, { &s_c1238814cfeff460, nullptr, nullptr, 0, 0, nullptr }
+  0xc1238814cfeff460, b_c1238814cfeff460.words, 98, d_c1238814cfeff460, m_c1238814cfeff460,
+  3, 5, i_c1238814cfeff460, nullptr, nullptr, { &s_c1238814cfeff460, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<51> b_dc567af51f1799e8 = {
@@ -2038,17 +2263,17 @@
   1, 2, i_dc567af51f1799e8, nullptr, nullptr, { &s_dc567af51f1799e8, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<87> b_c678735e294edb35 = {
+static const ::capnp::_::AlignedData<108> b_c678735e294edb35 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      53, 219,  78,  41,  94, 115, 120, 198,
      17,   0,   0,   0,   1,   0,   1,   0,
      69, 185, 226, 134,  10, 127,  28, 211,
-      3,   0,   7,   0,   0,   0,   0,   0,
+      4,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0,  10,   1,   0,   0,
      37,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     33,   0,   0,   0, 231,   0,   0,   0,
+     33,   0,   0,   0,  31,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     100, 101, 112, 108, 111, 121, 109, 101,
@@ -2057,35 +2282,42 @@
     101, 110, 116,  83, 116,  97, 116, 101,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     16,   0,   0,   0,   3,   0,   4,   0,
+     20,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     97,   0,   0,   0, 170,   0,   0,   0,
+    125,   0,   0,   0, 170,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    100,   0,   0,   0,   3,   0,   1,   0,
-    112,   0,   0,   0,   2,   0,   1,   0,
+    128,   0,   0,   0,   3,   0,   1,   0,
+    140,   0,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    109,   0,   0,   0,  74,   0,   0,   0,
+    137,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    108,   0,   0,   0,   3,   0,   1,   0,
-    120,   0,   0,   0,   2,   0,   1,   0,
+    136,   0,   0,   0,   3,   0,   1,   0,
+    148,   0,   0,   0,   2,   0,   1,   0,
       2,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   1,   0,   2,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    117,   0,   0,   0,  42,   0,   0,   0,
+    145,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    112,   0,   0,   0,   3,   0,   1,   0,
-    124,   0,   0,   0,   2,   0,   1,   0,
+    140,   0,   0,   0,   3,   0,   1,   0,
+    152,   0,   0,   0,   2,   0,   1,   0,
       3,   0,   0,   0,   2,   0,   0,   0,
       0,   0,   1,   0,   3,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    121,   0,   0,   0,  74,   0,   0,   0,
+    149,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    148,   0,   0,   0,   3,   0,   1,   0,
+    176,   0,   0,   0,   2,   0,   1,   0,
+      4,   0,   0,   0,   3,   0,   0,   0,
+      0,   0,   1,   0,   4,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    120,   0,   0,   0,   3,   0,   1,   0,
-    148,   0,   0,   0,   2,   0,   1,   0,
+    173,   0,   0,   0, 138,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    176,   0,   0,   0,   3,   0,   1,   0,
+    204,   0,   0,   0,   2,   0,   1,   0,
      99, 111, 110, 102, 105, 103, 117, 114,
      97, 116, 105, 111, 110,  86, 101, 114,
     115, 105, 111, 110,   0,   0,   0,   0,
@@ -2123,6 +2355,20 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    101, 110, 100, 112, 111, 105, 110, 116,
+     86, 101, 114, 115, 105, 111, 110, 115,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    147, 245, 232, 149, 180,   4,  14, 253,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
@@ -2131,12 +2377,13 @@
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_c678735e294edb35[] = {
   &s_89891cc60232563e,
+  &s_fd0e04b495e8f593,
 };
-static const uint16_t m_c678735e294edb35[] = {0, 1, 3, 2};
-static const uint16_t i_c678735e294edb35[] = {0, 1, 2, 3};
+static const uint16_t m_c678735e294edb35[] = {0, 1, 4, 3, 2};
+static const uint16_t i_c678735e294edb35[] = {0, 1, 2, 3, 4};
 const ::capnp::_::RawSchema s_c678735e294edb35 = {
-  0xc678735e294edb35, b_c678735e294edb35.words, 87, d_c678735e294edb35, m_c678735e294edb35,
-  1, 4, i_c678735e294edb35, nullptr, nullptr, { &s_c678735e294edb35, nullptr, nullptr, 0, 0, nullptr }
+  0xc678735e294edb35, b_c678735e294edb35.words, 108, d_c678735e294edb35, m_c678735e294edb35,
+  2, 5, i_c678735e294edb35, nullptr, nullptr, { &s_c678735e294edb35, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 }  // namespace schemas
@@ -2203,6 +2450,14 @@
 constexpr ::capnp::_::RawSchema const* InstanceEntry::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// ServiceVersion
+constexpr uint16_t ServiceVersion::_capnpPrivate::dataWordSize;
+constexpr uint16_t ServiceVersion::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind ServiceVersion::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* ServiceVersion::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // HeldVersions
 constexpr uint16_t HeldVersions::_capnpPrivate::dataWordSize;
 constexpr uint16_t HeldVersions::_capnpPrivate::pointerCount;
@@ -2266,6 +2521,16 @@
       "deployment.capnp:Deployment", "configuration",
       0xd63bb588485acf0cull, 2);
 }
+::capnp::Request< ::Chestnuthook::Wire::Deployment::ServiceVersionsParams,  ::Chestnuthook::Wire::Deployment::ServiceVersionsResults>
+Deployment::Client::serviceVersionsRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::Chestnuthook::Wire::Deployment::ServiceVersionsParams,  ::Chestnuthook::Wire::Deployment::ServiceVersionsResults>(
+      0xd63bb588485acf0cull, 3, sizeHint);
+}
+::kj::Promise<void> Deployment::Server::serviceVersions(ServiceVersionsContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "deployment.capnp:Deployment", "serviceVersions",
+      0xd63bb588485acf0cull, 3);
+}
 ::capnp::Capability::Server::DispatchCallResult Deployment::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -2298,6 +2563,12 @@
              ::Chestnuthook::Wire::Deployment::ConfigurationParams,  ::Chestnuthook::Wire::Deployment::ConfigurationResults>(context)),
         false
       };
+    case 3:
+      return {
+        serviceVersions(::capnp::Capability::Server::internalGetTypedContext<
+             ::Chestnuthook::Wire::Deployment::ServiceVersionsParams,  ::Chestnuthook::Wire::Deployment::ServiceVersionsResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -2361,6 +2632,22 @@
 constexpr ::capnp::_::RawSchema const* Deployment::ConfigurationResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Deployment::ServiceVersionsParams
+constexpr uint16_t Deployment::ServiceVersionsParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Deployment::ServiceVersionsParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Deployment::ServiceVersionsParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Deployment::ServiceVersionsParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Deployment::ServiceVersionsResults
+constexpr uint16_t Deployment::ServiceVersionsResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Deployment::ServiceVersionsResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Deployment::ServiceVersionsResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Deployment::ServiceVersionsResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // DeploymentCommand
 constexpr uint16_t DeploymentCommand::_capnpPrivate::dataWordSize;
 constexpr uint16_t DeploymentCommand::_capnpPrivate::pointerCount;
--- a/src/rpc/deployment.capnp.h
+++ b/src/rpc/deployment.capnp.h
@@ -33,6 +33,7 @@
 CAPNP_DECLARE_SCHEMA(ceec0766d89afdd2);
 CAPNP_DECLARE_SCHEMA(89891cc60232563e);
 CAPNP_DECLARE_SCHEMA(dc8556d1c357b99f);
+CAPNP_DECLARE_SCHEMA(fd0e04b495e8f593);
 CAPNP_DECLARE_SCHEMA(afc33ebcb2aaf655);
 CAPNP_DECLARE_SCHEMA(c13b0a5b0008f3a7);
 CAPNP_DECLARE_SCHEMA(b864d6dbbb6a7e3f);
@@ -44,6 +45,8 @@
 CAPNP_DECLARE_SCHEMA(e9907747f9b9e2c9);
 CAPNP_DECLARE_SCHEMA(e072945300f60a13);
 CAPNP_DECLARE_SCHEMA(b0d8e1b4038dec52);
+CAPNP_DECLARE_SCHEMA(ed4fce162ea40d74);
+CAPNP_DECLARE_SCHEMA(ff246fc45c33b825);
 CAPNP_DECLARE_SCHEMA(c1238814cfeff460);
 CAPNP_DECLARE_SCHEMA(dc567af51f1799e8);
 CAPNP_DECLARE_SCHEMA(c678735e294edb35);
@@ -161,6 +164,21 @@
   };
 };
 
+struct ServiceVersion {
+  ServiceVersion() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fd0e04b495e8f593, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct HeldVersions {
   HeldVersions() = delete;
 
@@ -235,6 +253,8 @@
   struct CreditResults;
   struct ConfigurationParams;
   struct ConfigurationResults;
+  struct ServiceVersionsParams;
+  struct ServiceVersionsResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -334,6 +354,36 @@
   };
 };
 
+struct Deployment::ServiceVersionsParams {
+  ServiceVersionsParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ed4fce162ea40d74, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Deployment::ServiceVersionsResults {
+  ServiceVersionsResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ff246fc45c33b825, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct DeploymentCommand {
   DeploymentCommand() = delete;
 
@@ -344,6 +394,8 @@
     CONFIGURATION,
     VIEW,
     RETIRE,
+    ADD_VERSIONS,
+    REMOVE_VERSIONS,
   };
   struct Configuration;
 
@@ -378,7 +430,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c678735e294edb35, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(c678735e294edb35, 1, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1194,6 +1246,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class ServiceVersion::Reader {
+public:
+  typedef ServiceVersion Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasVersion() const;
+  inline  ::capnp::Text::Reader getVersion() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ServiceVersion::Builder {
+public:
+  typedef ServiceVersion Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasVersion();
+  inline  ::capnp::Text::Builder getVersion();
+  inline void setVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVersion(unsigned int size);
+  inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVersion();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ServiceVersion::Pipeline {
+public:
+  typedef ServiceVersion Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class HeldVersions::Reader {
 public:
   typedef HeldVersions Reads;
@@ -1682,6 +1825,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::Chestnuthook::Wire::Deployment::ConfigurationParams,  ::Chestnuthook::Wire::Deployment::ConfigurationResults> configurationRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Chestnuthook::Wire::Deployment::ServiceVersionsParams,  ::Chestnuthook::Wire::Deployment::ServiceVersionsResults> serviceVersionsRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1710,6 +1855,10 @@
   typedef  ::Chestnuthook::Wire::Deployment::ConfigurationResults ConfigurationResults;
   typedef ::capnp::CallContext<ConfigurationParams, ConfigurationResults> ConfigurationContext;
   virtual ::kj::Promise<void> configuration(ConfigurationContext context);
+  typedef  ::Chestnuthook::Wire::Deployment::ServiceVersionsParams ServiceVersionsParams;
+  typedef  ::Chestnuthook::Wire::Deployment::ServiceVersionsResults ServiceVersionsResults;
+  typedef ::capnp::CallContext<ServiceVersionsParams, ServiceVersionsResults> ServiceVersionsContext;
+  virtual ::kj::Promise<void> serviceVersions(ServiceVersionsContext context);
 
   inline  ::Chestnuthook::Wire::Deployment::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -2266,6 +2415,174 @@
 };
 #endif  // !CAPNP_LITE
 
+class Deployment::ServiceVersionsParams::Reader {
+public:
+  typedef ServiceVersionsParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Deployment::ServiceVersionsParams::Builder {
+public:
+  typedef ServiceVersionsParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Deployment::ServiceVersionsParams::Pipeline {
+public:
+  typedef ServiceVersionsParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Deployment::ServiceVersionsResults::Reader {
+public:
+  typedef ServiceVersionsResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getKnown() const;
+
+  inline bool hasVersions() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getVersions() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Deployment::ServiceVersionsResults::Builder {
+public:
+  typedef ServiceVersionsResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getKnown();
+  inline void setKnown(bool value);
+
+  inline bool hasVersions();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getVersions();
+  inline void setVersions( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setVersions(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initVersions(unsigned int size);
+  inline void adoptVersions(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownVersions();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Deployment::ServiceVersionsResults::Pipeline {
+public:
+  typedef ServiceVersionsResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class DeploymentCommand::Reader {
 public:
   typedef DeploymentCommand Reads;
@@ -2295,6 +2612,14 @@
   inline bool hasRetire() const;
   inline  ::capnp::Text::Reader getRetire() const;
 
+  inline bool isAddVersions() const;
+  inline bool hasAddVersions() const;
+  inline  ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>::Reader getAddVersions() const;
+
+  inline bool isRemoveVersions() const;
+  inline bool hasRemoveVersions() const;
+  inline  ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>::Reader getRemoveVersions() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2344,6 +2669,22 @@
   inline void adoptRetire(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownRetire();
 
+  inline bool isAddVersions();
+  inline bool hasAddVersions();
+  inline  ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>::Builder getAddVersions();
+  inline void setAddVersions( ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>::Builder initAddVersions(unsigned int size);
+  inline void adoptAddVersions(::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>> disownAddVersions();
+
+  inline bool isRemoveVersions();
+  inline bool hasRemoveVersions();
+  inline  ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>::Builder getRemoveVersions();
+  inline void setRemoveVersions( ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>::Builder initRemoveVersions(unsigned int size);
+  inline void adoptRemoveVersions(::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>> disownRemoveVersions();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2484,6 +2825,9 @@
   inline bool hasRetiring() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getRetiring() const;
 
+  inline bool hasEndpointVersions() const;
+  inline  ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>::Reader getEndpointVersions() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2537,6 +2881,13 @@
   inline void adoptRetiring(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownRetiring();
 
+  inline bool hasEndpointVersions();
+  inline  ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>::Builder getEndpointVersions();
+  inline void setEndpointVersions( ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>::Builder initEndpointVersions(unsigned int size);
+  inline void adoptEndpointVersions(::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>> disownEndpointVersions();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3578,6 +3929,74 @@
       ::capnp::bounded<17>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ServiceVersion::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServiceVersion::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServiceVersion::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServiceVersion::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ServiceVersion::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServiceVersion::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ServiceVersion::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServiceVersion::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ServiceVersion::Reader::hasVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServiceVersion::Builder::hasVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServiceVersion::Reader::getVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServiceVersion::Builder::getVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ServiceVersion::Builder::setVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServiceVersion::Builder::initVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ServiceVersion::Builder::adoptVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServiceVersion::Builder::disownVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t HeldVersions::Reader::getConfiguration() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4556,6 +4975,92 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Deployment::ServiceVersionsParams::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Deployment::ServiceVersionsParams::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Deployment::ServiceVersionsParams::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Deployment::ServiceVersionsParams::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Deployment::ServiceVersionsParams::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Deployment::ServiceVersionsParams::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Deployment::ServiceVersionsParams::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Deployment::ServiceVersionsParams::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Deployment::ServiceVersionsResults::Reader::getKnown() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Deployment::ServiceVersionsResults::Builder::getKnown() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Deployment::ServiceVersionsResults::Builder::setKnown(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Deployment::ServiceVersionsResults::Reader::hasVersions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Deployment::ServiceVersionsResults::Builder::hasVersions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Deployment::ServiceVersionsResults::Reader::getVersions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Deployment::ServiceVersionsResults::Builder::getVersions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Deployment::ServiceVersionsResults::Builder::setVersions( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void Deployment::ServiceVersionsResults::Builder::setVersions(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Deployment::ServiceVersionsResults::Builder::initVersions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Deployment::ServiceVersionsResults::Builder::adoptVersions(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Deployment::ServiceVersionsResults::Builder::disownVersions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::Chestnuthook::Wire::DeploymentCommand::Which DeploymentCommand::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
@@ -4696,6 +5201,114 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool DeploymentCommand::Reader::isAddVersions() const {
+  return which() == DeploymentCommand::ADD_VERSIONS;
+}
+inline bool DeploymentCommand::Builder::isAddVersions() {
+  return which() == DeploymentCommand::ADD_VERSIONS;
+}
+inline bool DeploymentCommand::Reader::hasAddVersions() const {
+  if (which() != DeploymentCommand::ADD_VERSIONS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool DeploymentCommand::Builder::hasAddVersions() {
+  if (which() != DeploymentCommand::ADD_VERSIONS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>::Reader DeploymentCommand::Reader::getAddVersions() const {
+  KJ_IREQUIRE((which() == DeploymentCommand::ADD_VERSIONS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>::Builder DeploymentCommand::Builder::getAddVersions() {
+  KJ_IREQUIRE((which() == DeploymentCommand::ADD_VERSIONS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void DeploymentCommand::Builder::setAddVersions( ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>::Reader value) {
+  _builder.setDataField<DeploymentCommand::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, DeploymentCommand::ADD_VERSIONS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>::Builder DeploymentCommand::Builder::initAddVersions(unsigned int size) {
+  _builder.setDataField<DeploymentCommand::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, DeploymentCommand::ADD_VERSIONS);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void DeploymentCommand::Builder::adoptAddVersions(
+    ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>>&& value) {
+  _builder.setDataField<DeploymentCommand::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, DeploymentCommand::ADD_VERSIONS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>> DeploymentCommand::Builder::disownAddVersions() {
+  KJ_IREQUIRE((which() == DeploymentCommand::ADD_VERSIONS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool DeploymentCommand::Reader::isRemoveVersions() const {
+  return which() == DeploymentCommand::REMOVE_VERSIONS;
+}
+inline bool DeploymentCommand::Builder::isRemoveVersions() {
+  return which() == DeploymentCommand::REMOVE_VERSIONS;
+}
+inline bool DeploymentCommand::Reader::hasRemoveVersions() const {
+  if (which() != DeploymentCommand::REMOVE_VERSIONS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool DeploymentCommand::Builder::hasRemoveVersions() {
+  if (which() != DeploymentCommand::REMOVE_VERSIONS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>::Reader DeploymentCommand::Reader::getRemoveVersions() const {
+  KJ_IREQUIRE((which() == DeploymentCommand::REMOVE_VERSIONS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>::Builder DeploymentCommand::Builder::getRemoveVersions() {
+  KJ_IREQUIRE((which() == DeploymentCommand::REMOVE_VERSIONS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void DeploymentCommand::Builder::setRemoveVersions( ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>::Reader value) {
+  _builder.setDataField<DeploymentCommand::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, DeploymentCommand::REMOVE_VERSIONS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>::Builder DeploymentCommand::Builder::initRemoveVersions(unsigned int size) {
+  _builder.setDataField<DeploymentCommand::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, DeploymentCommand::REMOVE_VERSIONS);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void DeploymentCommand::Builder::adoptRemoveVersions(
+    ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>>&& value) {
+  _builder.setDataField<DeploymentCommand::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, DeploymentCommand::REMOVE_VERSIONS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>> DeploymentCommand::Builder::disownRemoveVersions() {
+  KJ_IREQUIRE((which() == DeploymentCommand::REMOVE_VERSIONS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t DeploymentCommand::Configuration::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4869,6 +5482,40 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool DeploymentState::Reader::hasEndpointVersions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool DeploymentState::Builder::hasEndpointVersions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>::Reader DeploymentState::Reader::getEndpointVersions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>::Builder DeploymentState::Builder::getEndpointVersions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void DeploymentState::Builder::setEndpointVersions( ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>::Builder DeploymentState::Builder::initEndpointVersions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void DeploymentState::Builder::adoptEndpointVersions(
+    ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>> DeploymentState::Builder::disownEndpointVersions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/tests/process/stream_resume_test.cpp
+++ b/tests/process/stream_resume_test.cpp
@@ -152,14 +152,20 @@
 class Deployment
 {
 public:
-    Deployment()
+    /** Versions of the endpoints in the list at the start. */
+    enum class Start : std::uint8_t { OneVersion, TwoVersions };
+
+    explicit Deployment(Start start)
         : platform("127.0.2.30", [this](const std::string & /*head*/, const std::string & /*body*/) {
             const std::lock_guard lock(this->mutex);
             const std::string list = R"({"instances":[)" + this->entries + R"(],"nextToken":null})";
             return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(list.size()) + "\r\n\r\n" + list;
         })
     {
-        this->setList({&this->first, &this->firstTwin, &this->second, &this->secondTwin});
+        this->setList({&this->first, &this->firstTwin});
+        if (start == Start::TwoVersions) {
+            this->setList({&this->first, &this->firstTwin, &this->second, &this->secondTwin});
+        }
         const std::string rpcAddress = reserveAddress("127.0.2.1");
         const auto rpcPort = static_cast<unsigned short>(std::stoul(rpcAddress.substr(rpcAddress.find(':') + 1)));
         const auto add = [&](const std::string &program, int host, const std::string &listen) {
@@ -207,7 +213,9 @@
     {
         for (PlatformInstance &instance : this->instances) {
             instance.isBootstrap = isBootstrap;
-            this->processes[instance.name] = startInstance(instance, this->folder.path);
+            if (!this->processes.contains(instance.name)) {
+                this->processes[instance.name] = startInstance(instance, this->folder.path);
+            }
         }
     }
 
@@ -223,11 +231,41 @@
 
     void killAll()
     {
-        for (auto &[name, process] : this->processes) {
-            process->signal(SIGKILL);
-            process->wait();
+        this->killAll("");
+    }
+
+    /** Kills all processes whose name begins with @p prefix. */
+    void killAll(const std::string &prefix)
+    {
+        std::erase_if(this->processes, [&prefix](const auto &entry) {
+            const bool isKilled = entry.first.starts_with(prefix);
+            if (isKilled) {
+                entry.second->signal(SIGKILL);
+                entry.second->wait();
+            }
+            return isKilled;
+        });
+    }
+
+    /** Kills all gateways and waits until they serve new streams again. */
+    void restartGateways()
+    {
+        this->killAll("gateway-");
+        this->startAll(false);
+        for (const std::size_t gateway : {GatewayA, GatewayB}) {
+            this->waitForNewStreams(gateway, [](const std::string & /*version*/) {
+                return true;
+            });
         }
-        this->processes.clear();
+    }
+
+    /** Replaces the list and waits until gateway A serves streams of @p version, which the list before didn't have. */
+    void release(const std::vector<const Endpoint *> &listed, const std::string &version)
+    {
+        this->setList(listed);
+        this->waitForNewStreams(GatewayA, [&version](const std::string &served) {
+            return served == version;
+        });
     }
 
     /** Replaces the platform's endpoint list and waits until both gateways use it. */
@@ -315,14 +353,19 @@
     void waitForNewStreams(const std::function<bool(const std::string &)> &accepted)
     {
         for (const std::size_t gateway : {GatewayA, GatewayB}) {
-            BOOST_REQUIRE(waitUntil([&]() {
-                const Response response = this->send(gateway, {"/once/whole", this->newId()});
-                const std::set<std::string> versions = versionsIn(response.body);
-                return response.complete && versions.size() == 1 && accepted(*versions.begin());
-            }));
+            this->waitForNewStreams(gateway, accepted);
         }
     }
 
+    void waitForNewStreams(std::size_t gateway, const std::function<bool(const std::string &)> &accepted)
+    {
+        BOOST_REQUIRE(waitUntil([&]() {
+            const Response response = this->send(gateway, {"/once/whole", this->newId()});
+            const std::set<std::string> versions = versionsIn(response.body);
+            return response.complete && versions.size() == 1 && accepted(*versions.begin());
+        }));
+    }
+
     /** Waits until streams that began at either gateway go on at the other one, that is until the history members have
      * formed their group and both gateways know it. */
     void waitUntilStreamsResume()
@@ -394,6 +437,11 @@
 
 struct Fixture
 {
+    explicit Fixture(Deployment::Start start = Deployment::Start::TwoVersions)
+        : deployment(start)
+    {
+    }
+
     /** Begins @p count streams at gateway A. @return their versions by request id. */
     std::map<std::string, std::string> beginStreams(int count)
     {
@@ -415,9 +463,28 @@
         return tally;
     }
 
+    /** Resumes each of the streams @p versions at @p gateway without naming its first request. */
+    Tally resumeUnnamed(std::size_t gateway, const std::map<std::string, std::string> &versions)
+    {
+        Tally tally;
+        for (const auto &[id, version] : versions) {
+            tally.add(version, this->deployment.send(gateway, {"/once/first", this->deployment.newId(), "", 1}));
+        }
+        return tally;
+    }
+
     Deployment deployment; ///< Ready to serve when the test starts.
 };
 
+/** No endpoint of the second version has been listed when the test starts. */
+struct OneVersionFixture : Fixture
+{
+    OneVersionFixture()
+        : Fixture(Deployment::Start::OneVersion)
+    {
+    }
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_CASE(client_resumption_goes_on_at_the_version_that_began_the_stream, Fixture)
@@ -696,3 +763,84 @@
     BOOST_TEST(!response.complete);
     BOOST_TEST(this->deployment.runsOf(retried) == 1U);
 }
+
+BOOST_FIXTURE_TEST_CASE(
+    unnamed_resumption_at_restarted_gateways_never_goes_on_at_a_version_that_replaced_its_own, OneVersionFixture)
+{
+    const std::map<std::string, std::string> versions = this->beginStreams(StreamCount);
+    this->deployment.release({&this->deployment.second, &this->deployment.secondTwin}, "v2");
+    this->deployment.restartGateways();
+    BOOST_TEST(this->resumeUnnamed(GatewayA, versions).mixed == 0);
+    BOOST_TEST(this->resumeUnnamed(GatewayB, versions).mixed == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    unnamed_resumption_after_loss_of_all_processes_never_goes_on_at_a_version_that_replaced_its_own, OneVersionFixture)
+{
+    const std::map<std::string, std::string> versions = this->beginStreams(SmallStreamCount);
+    this->deployment.release({&this->deployment.second, &this->deployment.secondTwin}, "v2");
+    this->deployment.killAll();
+    this->deployment.startAll(false);
+    BOOST_TEST(waitUntil([&]() {
+        BOOST_TEST(this->resumeUnnamed(GatewayB, versions).mixed == 0);
+        BOOST_TEST(this->resumeStreams(versions).mixed == 0);
+        return this->deployment.send(GatewayB, {"/once/whole", this->deployment.newId()}).complete;
+    }));
+    BOOST_TEST(this->resumeUnnamed(GatewayB, versions).mixed == 0);
+    BOOST_TEST(this->resumeStreams(versions).mixed == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    unnamed_resumption_at_a_gateway_that_missed_a_release_never_goes_on_at_the_version_before, OneVersionFixture)
+{
+    this->deployment.processes.at("gateway-22")->signal(SIGSTOP);
+    this->deployment.release({&this->deployment.first, &this->deployment.second, &this->deployment.secondTwin}, "v2");
+    const std::map<std::string, std::string> versions = this->beginStreams(StreamCount);
+    this->deployment.signal("deployment", SIGSTOP); // The gateway that wakes up learns nothing.
+    this->deployment.processes.at("gateway-22")->signal(SIGCONT);
+    BOOST_TEST(this->resumeUnnamed(GatewayB, versions).mixed == 0);
+    this->deployment.signal("deployment", SIGCONT);
+    BOOST_TEST(this->resumeUnnamed(GatewayB, versions).mixed == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    unnamed_resumption_that_waits_at_a_gateway_that_wakes_up_never_goes_on_at_the_version_before, OneVersionFixture)
+{
+    this->deployment.processes.at("gateway-22")->signal(SIGSTOP);
+    this->deployment.release({&this->deployment.first, &this->deployment.second, &this->deployment.secondTwin}, "v2");
+    const std::map<std::string, std::string> versions = this->beginStreams(StreamCount);
+    std::deque<Poco::Net::StreamSocket> connections; // Accepted by the kernel, so that the requests wait there.
+    for (std::size_t i = 0; i < versions.size(); ++i) {
+        connections.emplace_back(Poco::Net::SocketAddress(this->deployment.clientAddresses[GatewayB]));
+        const std::string request = serialize({"/once/first", this->deployment.newId(), "", 1});
+        connections.back().sendBytes(request.data(), static_cast<int>(request.size()));
+    }
+    this->deployment.processes.at("gateway-22")->signal(SIGCONT);
+    Tally tally;
+    auto connection = connections.begin();
+    for (const auto &stream : versions) {
+        tally.add(stream.second, parseResponse(readUntilIdle(*connection++, ResponseTimeout)));
+    }
+    BOOST_TEST(tally.mixed == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(unnamed_resumption_goes_on_at_restarted_gateways_if_there_is_one_version, OneVersionFixture)
+{
+    const std::map<std::string, std::string> versions = this->beginStreams(StreamCount);
+    this->deployment.restartGateways();
+    const Tally tally = this->resumeUnnamed(GatewayB, versions);
+    BOOST_TEST(tally.mixed == 0);
+    BOOST_TEST(tally.wentOn == tally.begun);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    resumption_goes_on_after_all_history_members_were_restarted_if_there_is_one_version, OneVersionFixture)
+{
+    const std::map<std::string, std::string> versions = this->beginStreams(StreamCount);
+    this->deployment.killAll("history-");
+    this->deployment.startAll(false);
+    this->deployment.restartGateways();
+    const Tally tally = this->resumeStreams(versions);
+    BOOST_TEST(tally.mixed == 0);
+    BOOST_TEST(tally.wentOn == tally.begun);
+}
