History members keep the texts of turns on disk and an index in memory

Cause: HistoryTable held every turn with input and output in memory. Ruled out: a leak (peak follows the turns kept), the claims and origins (some hundred bytes each).

Change: the log thread tells where each record is; a turn whose record is durable may leave memory and is read back by one read of its record, checked by its checksum. The log is opened in steps of 1 MB instead of whole segments, and records are renewed in slices of 1 MB. A turn that can't be read is a failed call, never a missing turn. The format of log and messages is unchanged; `full` is a new status that earlier gateways take for a failure.

--- a/src/core/file_system_base.cpp
+++ b/src/core/file_system_base.cpp
@@ -82,6 +82,30 @@
         return std::optional<std::string>(std::move(bytes));
     }
 
+    Result<std::string> readRange(const std::string &path, std::uint64_t offset, std::size_t bytes) override
+    {
+        const int file = ::open(path.c_str(), O_RDONLY | O_CLOEXEC);
+        if (file < 0) {
+            return failErrno("opening " + path);
+        }
+        std::string part(bytes, '\0');
+        std::size_t size = 0;
+        ssize_t count = 0;
+        while (size < bytes
+            && (count = ::pread(file, part.data() + size, bytes - size, static_cast<off_t>(offset + size))) != 0) {
+            if (count > 0) {
+                size += static_cast<std::size_t>(count);
+            } else if (errno != EINTR) {
+                const auto failed = failErrno("reading " + path);
+                ::close(file);
+                return failed;
+            }
+        }
+        ::close(file);
+        part.resize(size);
+        return part;
+    }
+
     Result<int> open(const std::string &path, OpenMode mode) override
     {
         const int modeFlag = mode == OpenMode::Append ? O_APPEND : O_TRUNC;
--- a/src/core/file_system_base.h
+++ b/src/core/file_system_base.h
@@ -37,6 +37,9 @@
     [[nodiscard]] virtual Result<std::vector<std::string>> list(const std::string &folder) = 0;
     /** Content of a file; nothing if there is no such file. */
     [[nodiscard]] virtual Result<std::optional<std::string>> read(const std::string &path) = 0;
+    /** Up to @p bytes of a file from @p offset on; fewer only at its end. A missing file is an error. */
+    [[nodiscard]] virtual Result<std::string> readRange(
+        const std::string &path, std::uint64_t offset, std::size_t bytes) = 0;
 
     /** Opens a file for writing. @return its descriptor. */
     [[nodiscard]] virtual Result<int> open(const std::string &path, OpenMode mode) = 0;
--- a/src/history/history_client_base.cpp
+++ b/src/history/history_client_base.cpp
@@ -67,6 +67,7 @@
 {
     HistoryView view; ///< View of the last try.
     std::set<std::string> succeeded; ///< Identities of the members that succeeded.
+    std::set<std::string> full; ///< Identities of the members that store no new program.
     std::multiset<std::string> awaited; ///< Identities of the members whose calls have neither ended nor been given up.
     bool hasFailures = false; ///< A call of the last try failed or was refused, or there was no member to call.
     bool needsWrite = false; ///< Needs a write quorum, otherwise a read quorum.
@@ -83,7 +84,8 @@
     /** Whether @p member is to be called in this try. */
     [[nodiscard]] bool needsCall(const HistoryMember &member) const
     {
-        return !this->succeeded.contains(member.identity) && !this->awaited.contains(member.identity);
+        return !this->full.contains(member.identity) && !this->succeeded.contains(member.identity)
+            && !this->awaited.contains(member.identity);
     }
     [[nodiscard]] bool isComplete() const
     {
@@ -93,7 +95,8 @@
     }
     void notifyWaiter()
     {
-        if ((this->isComplete() || this->awaited.empty()) && this->fulfiller.get() != nullptr) {
+        const bool isRefused = !this->full.empty() && this->view.hasReadQuorum(this->full);
+        if ((this->isComplete() || isRefused || this->awaited.empty()) && this->fulfiller.get() != nullptr) {
             this->fulfiller->fulfill();
         }
     }
@@ -210,6 +213,8 @@
                 [quorumCall, stopWaiting, identity = member.identity](Wire::HistoryStatus status) {
                     if (status == Wire::HistoryStatus::OK) {
                         quorumCall->succeeded.insert(identity);
+                    } else if (status == Wire::HistoryStatus::FULL) {
+                        quorumCall->full.insert(identity);
                     }
                     stopWaiting();
                 },
@@ -326,6 +331,9 @@
     const auto quorumCall = std::make_shared<QuorumCall>();
     do {
         if (!this->callBegin(scope, quorumCall, start, until)) {
+            if (quorumCall->view.hasReadQuorum(quorumCall->full)) {
+                return fail(ErrorKind::NotReady, "the history members have no room for new programs");
+            }
             continue;
         }
         if (!start.claim.program.empty()) {
--- a/src/history/history_log_base.cpp
+++ b/src/history/history_log_base.cpp
@@ -36,6 +36,13 @@
 
 Result<void> HistoryLog::open(
     const std::string &dataFolder, const std::function<std::uint64_t(std::string_view)> &onRecord)
+{
+    return this->open(dataFolder, [&onRecord](std::string_view record, const RecordLocation & /*location*/) {
+        return onRecord(record);
+    });
+}
+
+Result<void> HistoryLog::open(const std::string &dataFolder, const RecordVisitor &onRecord)
 {
     this->folder = dataFolder;
     Result<void> created = createFolder(this->files, dataFolder);
@@ -54,7 +61,8 @@
     }
     std::sort(numbers.begin(), numbers.end());
     for (const std::uint64_t number : numbers) {
-        Segment segment{number, 0};
+        Segment segment;
+        segment.number = number;
         Result<void> done = this->readSegment(segment, number == numbers.back(), onRecord);
         if (!done) {
             return done;
@@ -64,30 +72,48 @@
     return this->startSegment();
 }
 
-Result<void> HistoryLog::readSegment(
-    Segment &segment, bool isLast, const std::function<std::uint64_t(std::string_view)> &onRecord)
+Result<bool> HistoryLog::readRecords(Segment &segment, const RecordVisitor &onRecord)
 {
     const std::string path = this->pathOf(segment.number);
-    const auto read = this->files.read(path);
-    if (!read) {
-        return tl::unexpected(read.error());
+    std::string window; // Bytes of the file from `segment.bytes` on.
+    bool isAtEnd = false;
+    while (!isAtEnd) {
+        const auto part = this->files.readRange(path, segment.bytes + window.size(), ReadBytes);
+        if (!part) {
+            return tl::unexpected(part.error());
+        }
+        isAtEnd = part->size() < ReadBytes;
+        window += *part;
+        std::size_t offset = 0;
+        for (auto record = parseRecord(window, offset); record; record = parseRecord(window, offset)) {
+            const std::size_t size = RecordHeaderBytes + record->payload.size();
+            const RecordLocation location{segment.number, segment.bytes + offset, static_cast<std::uint32_t>(size)};
+            segment.lastExpiryMs = std::max(segment.lastExpiryMs, onRecord(record->payload, location));
+            offset += size;
+        }
+        segment.bytes += offset;
+        window.erase(0, offset);
     }
-    const std::string bytes = read->value_or("");
-    std::size_t offset = 0;
-    for (auto record = parseRecord(bytes, offset); record; record = parseRecord(bytes, offset)) {
-        segment.lastExpiryMs = std::max(segment.lastExpiryMs, onRecord(record->payload));
-        offset += RecordHeaderBytes + record->payload.size();
+    return window.empty();
+}
+
+Result<void> HistoryLog::readSegment(Segment &segment, bool isLast, const RecordVisitor &onRecord)
+{
+    const std::string path = this->pathOf(segment.number);
+    const Result<bool> isWhole = this->readRecords(segment, onRecord);
+    if (!isWhole) {
+        return tl::unexpected(isWhole.error());
     }
     if (!isLast) { // A segment is synced completely before the next one is created, so only the last can be torn.
-        return offset == bytes.size()
-            ? Result<void>()
-            : Result<void>(fail(ErrorKind::StorageCorrupt, path + " is corrupt at byte " + std::to_string(offset)));
+        return *isWhole ? Result<void>()
+                        : Result<void>(fail(
+                            ErrorKind::StorageCorrupt, path + " is corrupt at byte " + std::to_string(segment.bytes)));
     }
     const Result<int> file = this->files.open(path, OpenMode::Append);
     if (!file) {
         return tl::unexpected(file.error());
     }
-    Result<void> done = offset < bytes.size() ? this->files.truncate(*file, offset) : Result<void>();
+    Result<void> done = *isWhole ? Result<void>() : this->files.truncate(*file, segment.bytes);
     if (done) { // The process that wrote the records may have ended before it synced them.
         done = this->files.sync(*file);
     }
@@ -106,15 +132,42 @@
     if (!file) {
         return tl::unexpected(file.error());
     }
-    this->segments.push_back(Segment{number, 0});
+    this->segments.push_back(Segment{});
+    this->segments.back().number = number;
     this->size = 0;
     return this->files.syncFolder(this->folder);
 }
 
-void HistoryLog::append(std::string_view record, std::uint64_t expiresMs)
+RecordLocation HistoryLog::append(std::string_view record, std::uint64_t expiresMs)
 {
+    Segment &segment = this->segments.back();
+    const std::size_t start = this->unsynced.size();
     appendRecord(this->unsynced, this->size, record);
-    this->segments.back().lastExpiryMs = std::max(this->segments.back().lastExpiryMs, expiresMs);
+    segment.lastExpiryMs = std::max(segment.lastExpiryMs, expiresMs);
+    return {segment.number, this->size + start, static_cast<std::uint32_t>(this->unsynced.size() - start)};
+}
+
+Result<std::string> HistoryLog::read(const RecordLocation &location) const
+{
+    const std::string path = this->pathOf(location.segment);
+    const Result<std::string> bytes = this->files.readRange(path, location.offset, location.bytes);
+    if (!bytes) {
+        return bytes;
+    }
+    const auto record = parseRecord(*bytes, 0);
+    if (!record) {
+        return fail(ErrorKind::StorageCorrupt, path + " is corrupt at byte " + std::to_string(location.offset));
+    }
+    return std::string(record->payload);
+}
+
+std::uint64_t HistoryLog::bytes() const
+{
+    std::uint64_t total = 0;
+    for (const Segment &segment : this->segments) {
+        total += segment.bytes;
+    }
+    return total;
 }
 
 Result<void> HistoryLog::sync()
@@ -131,6 +184,7 @@
         return done;
     }
     this->size += this->unsynced.size();
+    this->segments.back().bytes = this->size;
     this->unsynced.clear();
     return this->size < this->segmentBytes ? Result<void>() : this->startSegment();
 }
--- a/src/history/history_log_base.h
+++ b/src/history/history_log_base.h
@@ -13,6 +13,14 @@
 namespace Chestnuthook
 {
 
+/** Where a record is in the log. */
+struct RecordLocation
+{
+    std::uint64_t segment = 0; ///< Number of its segment; 0 for none.
+    std::uint64_t offset = 0; ///< Bytes before it in the segment.
+    std::uint32_t bytes = 0; ///< Its size with the record header.
+};
+
 /** Append-only log with blocking writes. An incomplete record at the end of the last segment was never acknowledged and
  * is truncated; corruption anywhere else is an error. */
 class HistoryLog
@@ -27,13 +35,21 @@
     HistoryLog &operator=(const HistoryLog &) = delete;
     ~HistoryLog();
 
-    /** Opens the folder, creating it if needed, and passes each stored record to @p onRecord, which returns its expiry
-     * in milliseconds since 1970 (0 for none). Errors: StorageFailed, StorageCorrupt. */
+    /** Takes a stored record and returns its expiry in milliseconds since 1970, 0 for none. */
+    using RecordVisitor = std::function<std::uint64_t(std::string_view record, const RecordLocation &location)>;
+
+    /** Opens the folder, creating it if needed, and passes each stored record to @p onRecord. Of a segment about
+     * ReadBytes are in memory at a time. Errors: StorageFailed, StorageCorrupt. */
+    [[nodiscard]] Result<void> open(const std::string &dataFolder, const RecordVisitor &onRecord);
     [[nodiscard]] Result<void> open(
         const std::string &dataFolder, const std::function<std::uint64_t(std::string_view)> &onRecord);
 
-    /** Buffers a record until the next `sync`. */
-    void append(std::string_view record, std::uint64_t expiresMs);
+    /** Buffers a record until the next `sync`. @return where that writes it. */
+    RecordLocation append(std::string_view record, std::uint64_t expiresMs);
+    /** Reads a synced record; any thread may call it. Errors: StorageFailed, StorageCorrupt. */
+    [[nodiscard]] Result<std::string> read(const RecordLocation &location) const;
+    /** Size of all segments in bytes. */
+    [[nodiscard]] std::uint64_t bytes() const;
     [[nodiscard]] bool hasUnsynced() const
     {
         return !this->unsynced.empty();
@@ -48,11 +64,15 @@
     {
         std::uint64_t number = 0; ///< Number in the file name; increases with each segment.
         std::uint64_t lastExpiryMs = 0; ///< Latest expiry of its records, in milliseconds since 1970.
+        std::uint64_t bytes = 0; ///< Its size.
     };
 
+    static constexpr std::size_t ReadBytes = 1U << 20U; ///< Size of a read when the log is opened.
+
     [[nodiscard]] std::string pathOf(std::uint64_t number) const;
-    Result<void> readSegment(
-        Segment &segment, bool isLast, const std::function<std::uint64_t(std::string_view)> &onRecord);
+    Result<void> readSegment(Segment &segment, bool isLast, const RecordVisitor &onRecord);
+    /** Visits the records of @p segment up to the first incomplete one. @return whether that is the end of the file. */
+    Result<bool> readRecords(Segment &segment, const RecordVisitor &onRecord);
     Result<void> startSegment();
 
     FileSystem &files; ///< Must outlive this object.
--- a/src/history/history_log_thread_base.cpp
+++ b/src/history/history_log_thread_base.cpp
@@ -1,7 +1,9 @@
 /** @file history_log_thread_base.cpp  Job loop of the thread and its notifications to the control thread. */
 #include "history/history_log_thread_base.h"
 
+#include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <utility>
 
 #include "core/timer_type.h"
@@ -66,11 +68,14 @@
         const std::uint64_t expiredBeforeMs = std::exchange(this->expiredBefore, 0);
         const std::uint64_t batch = this->queuedBatch;
         lock.unlock();
-        Result<void> done = this->runJobs(records, expiredBeforeMs);
+        std::vector<PlacedTurn> placed;
+        Result<void> done = this->runJobs(records, expiredBeforeMs, placed);
         lock.lock();
         this->progress.outcome = std::move(done);
+        this->progress.logBytes = this->log.bytes();
         if (this->progress.outcome) {
             this->progress.syncedBatch = batch;
+            std::move(placed.begin(), placed.end(), std::back_inserter(this->progress.placed));
         }
         const auto waiting = kj::mv(this->fulfiller);
         lock.unlock();
@@ -81,11 +86,15 @@
     }
 }
 
-Result<void> HistoryLogThread::runJobs(const std::vector<LogRecord> &records, std::uint64_t expiredBeforeMs)
+Result<void> HistoryLogThread::runJobs(
+    const std::vector<LogRecord> &records, std::uint64_t expiredBeforeMs, std::vector<PlacedTurn> &placed)
 {
     const auto start = std::chrono::steady_clock::now();
     for (const LogRecord &record : records) {
-        this->log.append(record.bytes, record.expiresMs);
+        const RecordLocation location = this->log.append(record.bytes, record.expiresMs);
+        if (!record.turn.empty()) {
+            placed.push_back({record.turn, location});
+        }
     }
     Result<void> done = records.empty() ? Result<void>() : this->log.sync();
     logIfSlow("history sync", std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - start));
@@ -112,6 +121,7 @@
             {
                 const std::lock_guard lock(this->mutex);
                 current = this->progress;
+                this->progress.placed.clear();
             }
             this->onProgress(current);
             return next;
--- a/src/history/history_log_thread_base.h
+++ b/src/history/history_log_thread_base.h
@@ -26,11 +26,20 @@
     {
         std::string bytes; ///< The encoded record.
         std::uint64_t expiresMs = 0; ///< Wall clock, milliseconds since 1970.
+        std::string turn = {}; ///< Id of the turn that the record holds; empty for other records.
+    };
+    /** A turn and its newest durable record. */
+    struct PlacedTurn
+    {
+        std::string turn; ///< Id of the turn.
+        RecordLocation location; ///< Where the log holds it.
     };
     /** Outcome of the jobs so far. */
     struct Progress
     {
         std::uint64_t syncedBatch = 0; ///< Newest durable batch.
+        std::vector<PlacedTurn> placed; ///< Durable since the progress before.
+        std::uint64_t logBytes = 0; ///< Size of the log.
         Result<void> outcome; ///< The first error.
     };
 
@@ -49,7 +58,8 @@
 
 private:
     void run();
-    Result<void> runJobs(const std::vector<LogRecord> &records, std::uint64_t expiredBeforeMs);
+    Result<void> runJobs(
+        const std::vector<LogRecord> &records, std::uint64_t expiredBeforeMs, std::vector<PlacedTurn> &placed);
     kj::Promise<void> listen();
 
     HistoryLog &log; ///< Outlives this; used by the thread only.
--- a/src/history/history_member_base.cpp
+++ b/src/history/history_member_base.cpp
@@ -19,6 +19,8 @@
 constexpr Duration ExpiryInterval = std::chrono::seconds(5);
 /** Records are renewed in the log this long before they expire there, in milliseconds; longer than ExpiryInterval. */
 constexpr std::uint64_t RenewalMarginMs = 10000;
+/** Approximate size of the turns that are renewed at once, in bytes. */
+constexpr std::size_t RenewalBytes = 1U << 20U;
 constexpr auto CopyTimeout = 1 * kj::SECONDS;
 /** Approximate size of the records in one copy response, in bytes. */
 constexpr std::size_t CopyResponseBytes = 256U << 10U;
@@ -48,6 +50,11 @@
         }
         const HistoryRecord record = readRecord(params.getClaim());
         if (const auto *claim = std::get_if<ProgramClaim>(&record); claim != nullptr && !claim->program.empty()) {
+            const bool isNewProgram = params.getPrevious().size() == 0 && !this->member.table.hasClaims(claim->program);
+            if (isNewProgram && this->member.isFull()) {
+                results.setStatus(Wire::HistoryStatus::FULL);
+                return kj::READY_NOW;
+            }
             this->member.addRecord(record);
             const auto claims = this->member.table.claimsOf(claim->program);
             auto list = results.initClaims(static_cast<unsigned>(claims.size()));
@@ -91,7 +98,12 @@
             return kj::READY_NOW;
         }
         std::uint64_t position = params.getPosition();
+        const std::uint64_t failedReads = this->member.table.failedReads();
         const auto records = this->member.table.readFrom(position, CopyResponseBytes);
+        if (this->member.table.failedReads() != failedReads) {
+            results.setStatus(Wire::HistoryStatus::FAILED);
+            return kj::READY_NOW;
+        }
         auto list = results.initRecords(static_cast<unsigned>(records.size()));
         for (unsigned i = 0; i < records.size(); ++i) {
             writeRecord(list[i], records[i]);
@@ -148,6 +160,9 @@
     template<typename Results>
     static void writeChain(Results &results, const TurnChain &chain)
     {
+        if (chain.isUnreadable) {
+            results.setStatus(Wire::HistoryStatus::FAILED);
+        }
         results.setKnown(!chain.turns.empty());
         results.setMissing(wireText(chain.missing));
         auto list = results.initChain(static_cast<unsigned>(chain.turns.size()));
@@ -163,13 +178,20 @@
 
 HistoryMemberDaemon::HistoryMemberDaemon(
     ControlLoop &loop, DeploymentWatcher &watcher, FileSystem &files, const HistoryMemberSettings &settings)
-    : startId(randomStartId())
+    : table(
+        [this](const RecordLocation &location) {
+            return this->readTurn(location);
+        },
+        settings.cacheBytes)
+    , startId(randomStartId())
     , loop(loop)
     , watcher(watcher)
     , files(files)
     , startWallMs(settings.wallMs())
     , startTime(loop.timers().now())
     , log(files, settings.segmentBytes)
+    , maxIndexBytes(settings.maxIndexBytes)
+    , maxLogBytes(settings.maxLogBytes)
     , viewTtlMs(settings.viewTtlMs)
 {
 }
@@ -209,12 +231,16 @@
         return done;
     }
     this->ownIdentity = identityFile.identity();
-    done = this->log.open(folder, [this](std::string_view bytes) {
+    done = this->log.open(folder, [this](std::string_view bytes, const RecordLocation &location) {
         HistoryRecord record = decodeRecord(bytes);
         this->setOwnExpiry(record);
         this->table.apply(record);
+        if (const auto *turn = std::get_if<KeptTurn>(&record)) {
+            this->table.place(turn->id, location);
+        }
         return this->expiryMsOf(record);
     });
+    this->logBytes = this->log.bytes();
     logEvent(EventKind::StorageOpened,
         {{"identity", this->ownIdentity}, {"turns", std::to_string(this->table.turnCount())},
             {"view", std::to_string(this->table.highestSeenView())}});
@@ -235,14 +261,48 @@
 {
     const std::uint64_t now = this->nowMs();
     this->table.expire(now);
-    for (const KeptTurn &turn : this->table.takeRenewals(now + RenewalMarginMs)) {
-        this->logRecord(turn);
-    }
     if (this->table.highestSeenView() != 0 && this->viewLoggedMs < now + RenewalMarginMs) {
         this->logRecord(SeenView{this->table.highestSeenView()});
     }
+    if (!std::exchange(this->isRenewing, true)) {
+        this->renew(now + RenewalMarginMs, now);
+    }
+}
+
+void HistoryMemberDaemon::renew(std::uint64_t beforeMs, std::uint64_t nowMs)
+{
+    const std::uint64_t failedReads = this->table.failedReads();
+    const std::vector<KeptTurn> renewals = this->table.takeRenewals(beforeMs, RenewalBytes);
+    for (const KeptTurn &turn : renewals) {
+        this->logRecord(turn);
+    }
     this->writeCollected(); // Before the removal of the segments that hold the earlier records.
-    this->logThread->removeExpired(now);
+    if (this->table.failedReads() != failedReads) {
+        logEvent(EventKind::StorageFault, {{"error", "turns to be renewed can't be read"}});
+    }
+    if (renewals.empty()) {
+        this->isRenewing = false;
+        this->logThread->removeExpired(nowMs);
+        return;
+    }
+    this->loop.detach(this->whenSynced().then([this, beforeMs, nowMs]() {
+        this->renew(beforeMs, nowMs);
+    }));
+}
+
+Result<KeptTurn> HistoryMemberDaemon::readTurn(const RecordLocation &location) const
+{
+    const Result<std::string> bytes = this->log.read(location);
+    if (!bytes) {
+        logEvent(EventKind::StorageFault, {{"error", errorText(bytes.error())}});
+        return tl::unexpected(bytes.error());
+    }
+    HistoryRecord record = decodeRecord(*bytes);
+    auto *turn = std::get_if<KeptTurn>(&record);
+    if (turn == nullptr) {
+        return fail(ErrorKind::StorageCorrupt, "a record of the history log is no turn");
+    }
+    return std::move(*turn);
 }
 
 Wire::HistoryStatus HistoryMemberDaemon::checkCall(const std::string &calledIdentity, std::uint64_t view)
@@ -272,7 +332,7 @@
 {
     for (const HistoryRecord &record : records) {
         if (const auto *turn = std::get_if<KeptTurn>(&record)) {
-            std::string missing = this->table.chain(turn->id, turn->customer).missing;
+            std::string missing = this->table.missingInChain(turn->id, turn->customer);
             if (!missing.empty()) {
                 return missing;
             }
@@ -291,7 +351,8 @@
         }));
     }
     const std::uint64_t expiresMs = this->expiryMsOf(record);
-    this->collected.push_back({encodeRecord(record), expiresMs});
+    const auto *turn = std::get_if<KeptTurn>(&record);
+    this->collected.push_back({encodeRecord(record), expiresMs, turn == nullptr ? std::string() : turn->id});
     if (const auto *seen = std::get_if<SeenView>(&record)) {
         // A renewal follows the first record of the same view, which is durable by then or in an earlier batch.
         this->viewBatch = seen->version > this->viewInBatch ? this->lastBatch : this->viewBatch;
@@ -319,6 +380,10 @@
 
 void HistoryMemberDaemon::handleProgress(const HistoryLogThread::Progress &progress)
 {
+    for (const HistoryLogThread::PlacedTurn &placed : progress.placed) {
+        this->table.place(placed.turn, placed.location);
+    }
+    this->logBytes = progress.logBytes;
     while (!this->batches.empty() && this->batches.front().number <= progress.syncedBatch) {
         this->batches.front().fulfiller->fulfill();
         this->batches.pop_front();
--- a/src/history/history_member_base.h
+++ b/src/history/history_member_base.h
@@ -32,6 +32,9 @@
     /** How long the log keeps the record of the highest seen view, in milliseconds; it is renewed before. Segments are
      * deleted in order, so each stays at least this long. */
     std::uint64_t viewTtlMs = 60000;
+    std::size_t cacheBytes = 32U << 20U; ///< Size of the turns that are kept in memory besides the log.
+    std::size_t maxIndexBytes = 64U << 20U; ///< Size of the index from which on new programs are refused.
+    std::uint64_t maxLogBytes = 1ULL << 40U; ///< Size of the log from which on new programs are refused.
 };
 
 /** Used by the control thread only. */
@@ -64,6 +67,11 @@
     /** Whether a call addressed to @p calledIdentity under view version @p view may be served. Records a newer version,
      * after which calls under older ones are rejected. */
     [[nodiscard]] Wire::HistoryStatus checkCall(const std::string &calledIdentity, std::uint64_t view);
+    /** Whether memory or disk are nearly used up. What is stored stays, and what continues it is still stored. */
+    [[nodiscard]] bool isFull() const
+    {
+        return this->table.indexBytes() > this->maxIndexBytes || this->logBytes > this->maxLogBytes;
+    }
     /** Adds a record that changes the table; a record that is stored already is ignored. */
     void addRecord(HistoryRecord record);
     /** A turn that @p records continue and that this member lacks; empty for none. */
@@ -75,7 +83,7 @@
     void addStreamOrigin(const StreamKey &stream, const StreamOrigin &origin, Duration ttl);
     [[nodiscard]] std::optional<StreamOrigin> findStreamOrigin(const StreamKey &stream) const;
 
-    HistoryTable table; ///< Records of this member; the log holds the same ones.
+    HistoryTable table; ///< Index of the records in the log.
     const std::uint64_t startId; ///< Random; tells the positions of `table` from those of an earlier process.
 
 private:
@@ -100,10 +108,15 @@
 
     /** Adds a record of the table to the log. */
     void logRecord(const HistoryRecord &record);
+    /** Reads a turn from the log. Errors: StorageFailed, StorageCorrupt. */
+    [[nodiscard]] Result<KeptTurn> readTurn(const RecordLocation &location) const;
     /** Passes the collected records to the log. */
     void writeCollected();
     /** Deletes expired records. Records that are kept for longer than the log holds them are appended again first. */
     void expire();
+    /** Appends the next records that must be renewed by @p beforeMs, and after the last one deletes what expired before
+     * @p nowMs from the log. */
+    void renew(std::uint64_t beforeMs, std::uint64_t nowMs);
     void handleProgress(const HistoryLogThread::Progress &progress);
     /** Resolves once all batches up to @p number are durable. */
     [[nodiscard]] kj::Promise<void> whenBatchSynced(std::uint64_t number);
@@ -124,7 +137,11 @@
     const Instant startTime; ///< Steady clock at the start.
     std::string ownIdentity; ///< Identity of the data folder.
     StreamOriginTable streamOrigins; ///< Not durable: clients resume a stream within seconds.
-    HistoryLog log; ///< Durable copy of `table`; used by `logThread` after `open`.
+    HistoryLog log; ///< Durable copy of `table`; written by `logThread` after `open`.
+    std::uint64_t logBytes = 0; ///< Size of the log.
+    const std::size_t maxIndexBytes; ///< See HistoryMemberSettings.
+    const std::uint64_t maxLogBytes; ///< See HistoryMemberSettings.
+    bool isRenewing = false; ///< Records are being renewed; see `renew`.
     std::vector<HistoryLogThread::LogRecord> collected; ///< Records of the last batch until they are written.
     std::deque<Batch> batches; ///< Batches that are not durable yet, oldest first.
     std::uint64_t lastBatch = 0; ///< Number of the newest batch.
--- a/src/history/history_table_base.cpp
+++ b/src/history/history_table_base.cpp
@@ -16,6 +16,12 @@
 
 /** A turn that is written again within this share of its time is a repetition, which isn't kept for longer. */
 constexpr std::uint64_t RepetitionShare = 8;
+constexpr std::size_t RecordOverheadBytes = 100; ///< Of a record in memory or in a message, besides its texts.
+
+std::size_t bytesOfTurn(const KeptTurn &turn)
+{
+    return turn.input.size() + turn.output.size() + RecordOverheadBytes;
+}
 
 } // namespace
 
@@ -94,7 +100,9 @@
         }
         if (isNew) {
             entry.turn = std::make_shared<KeptTurn>(*turn);
-            this->arrivals.emplace(this->nextPosition++, RecordKey{{}, turn->id});
+            entry.previous = turn->previous;
+            entry.customer = &*this->customers.insert(turn->customer).first;
+            this->arrivals.emplace(this->nextPosition++, RecordKey{nullptr, &at->first});
             const auto expected = this->absent.extract(turn->id);
             entry.expiresMs = expected.empty() ? 0 : expected.mapped();
         }
@@ -110,9 +118,10 @@
     if (claim.program.empty()) { // A begin call of a turn without a budget.
         return false;
     }
-    auto [entry, isNew] = this->claims[claim.program].try_emplace(claim.claim.turn);
+    const auto program = this->claims.try_emplace(claim.program).first;
+    auto [entry, isNew] = program->second.try_emplace(claim.claim.turn);
     if (isNew) {
-        this->arrivals.emplace(this->nextPosition++, RecordKey{claim.program, claim.claim.turn});
+        this->arrivals.emplace(this->nextPosition++, RecordKey{&program->first, &entry->first});
     }
     if (!isNew && (!claim.claim.settled || entry->second.claim == claim.claim)) {
         return false;
@@ -132,23 +141,81 @@
         }
         TurnEntry &entry = known->second;
         // The turns before an entry are kept as long as the entry.
-        if (entry.turn->customer != customer || entry.expiresMs >= expiresMs) {
+        if (*entry.customer != customer || entry.expiresMs >= expiresMs) {
             return;
         }
         entry.expiresMs = expiresMs;
-        id = entry.turn->previous;
+        id = entry.previous;
     }
 }
 
-std::vector<KeptTurn> HistoryTable::takeRenewals(std::uint64_t beforeMs)
+void HistoryTable::place(const std::string &turn, const RecordLocation &location)
+{
+    const auto known = this->turns.find(turn);
+    if (known == this->turns.end() || this->reader == nullptr) {
+        return;
+    }
+    TurnEntry &entry = known->second;
+    const bool wasPlaced = entry.isPlaced();
+    entry.location = location;
+    if (!wasPlaced) {
+        this->cacheTurn(entry);
+    }
+}
+
+void HistoryTable::cacheTurn(TurnEntry &entry)
+{
+    entry.cached = this->cache.insert(this->cache.begin(), &entry);
+    this->cacheSize += bytesOfTurn(*entry.turn);
+    while (this->cacheSize > this->cacheBytes && !this->cache.empty()) {
+        TurnEntry &oldest = *this->cache.back();
+        this->dropFromCache(oldest);
+        oldest.turn.reset();
+    }
+}
+
+void HistoryTable::dropFromCache(TurnEntry &entry)
+{
+    this->cacheSize -= bytesOfTurn(*entry.turn);
+    this->cache.erase(entry.cached);
+}
+
+std::shared_ptr<const KeptTurn> HistoryTable::load(TurnEntry &entry)
+{
+    if (entry.turn == nullptr) {
+        Result<KeptTurn> read = this->reader(entry.location);
+        if (!read) {
+            ++this->readFailures;
+            return nullptr;
+        }
+        auto turn = std::make_shared<const KeptTurn>(std::move(*read));
+        entry.turn = turn;
+        this->cacheTurn(entry);
+        return turn;
+    }
+    if (entry.isCached()) {
+        this->cache.splice(this->cache.begin(), this->cache, entry.cached);
+    }
+    return entry.turn;
+}
+
+std::vector<KeptTurn> HistoryTable::takeRenewals(std::uint64_t beforeMs, std::size_t maxBytes)
 {
     std::vector<KeptTurn> renewals;
+    std::size_t size = 0;
     for (auto &[id, entry] : this->turns) {
-        if (entry.loggedMs < beforeMs && entry.loggedMs < entry.expiresMs) {
-            renewals.push_back(*entry.turn);
+        if (entry.loggedMs >= beforeMs || entry.loggedMs >= entry.expiresMs) {
+            continue;
+        }
+        if (size >= maxBytes) {
+            break;
+        }
+        if (const auto turn = this->load(entry)) {
+            renewals.push_back(*turn);
             renewals.back().expiresMs = entry.expiresMs;
-            entry.loggedMs = entry.expiresMs;
+            size += bytesOfTurn(*turn);
         }
+        entry.loggedMs = entry.expiresMs;
     }
     return renewals;
 }
@@ -161,15 +228,18 @@
     for (auto at = this->arrivals.begin(); at != this->arrivals.end();) {
         const RecordKey &key = at->second;
         bool expired = false;
-        if (key.program.empty()) {
-            const auto turn = this->turns.find(key.turn);
+        if (key.program == nullptr) {
+            const auto turn = this->turns.find(*key.turn);
             expired = turn->second.expiresMs < nowMs;
             if (expired) {
+                if (turn->second.isCached()) {
+                    this->dropFromCache(turn->second);
+                }
                 this->turns.erase(turn);
             }
         } else {
-            const auto program = this->claims.find(key.program);
-            const auto claim = program->second.find(key.turn);
+            const auto program = this->claims.find(*key.program);
+            const auto claim = program->second.find(*key.turn);
             expired = claim->second.expiresMs < nowMs;
             if (expired) {
                 program->second.erase(claim);
@@ -194,38 +264,55 @@
     return list;
 }
 
-TurnChain HistoryTable::chain(const std::string &turn, const std::string &customer) const
+TurnChain HistoryTable::chain(const std::string &turn, const std::string &customer)
 {
     TurnChain chain;
     std::string next = turn;
     while (!next.empty()) {
         const auto known = this->turns.find(next);
-        if (known == this->turns.end() || known->second.turn->customer != customer) {
+        const bool isKnown = known != this->turns.end() && *known->second.customer == customer;
+        const auto loaded = isKnown ? this->load(known->second) : nullptr;
+        if (loaded == nullptr) {
             chain.missing = next;
+            chain.isUnreadable = isKnown;
             return chain;
         }
-        chain.turns.push_back(known->second.turn);
-        next = known->second.turn->previous;
+        chain.turns.push_back(loaded);
+        next = loaded->previous;
     }
     return chain;
 }
 
-std::vector<HistoryRecord> HistoryTable::readFrom(std::uint64_t &position, std::size_t bytes) const
+std::string HistoryTable::missingInChain(const std::string &turn, const std::string &customer) const
+{
+    std::string next = turn;
+    while (!next.empty()) {
+        const auto known = this->turns.find(next);
+        if (known == this->turns.end() || *known->second.customer != customer) {
+            return next;
+        }
+        next = known->second.previous;
+    }
+    return {};
+}
+
+std::vector<HistoryRecord> HistoryTable::readFrom(std::uint64_t &position, std::size_t bytes)
 {
-    constexpr std::size_t RecordOverheadBytes = 100;
     std::vector<HistoryRecord> records;
     std::size_t size = 0;
     for (auto at = this->arrivals.lower_bound(position); at != this->arrivals.end() && size < bytes; ++at) {
         const RecordKey &key = at->second;
-        if (key.program.empty()) {
-            const TurnEntry &entry = this->turns.at(key.turn);
-            KeptTurn turn = *entry.turn;
-            turn.expiresMs = entry.expiresMs;
-            size += turn.input.size() + turn.output.size() + RecordOverheadBytes;
-            records.emplace_back(std::move(turn));
+        if (key.program == nullptr) {
+            TurnEntry &entry = this->turns.at(*key.turn);
+            if (const auto loaded = this->load(entry)) {
+                KeptTurn turn = *loaded;
+                turn.expiresMs = entry.expiresMs;
+                size += bytesOfTurn(turn);
+                records.emplace_back(std::move(turn));
+            }
         } else {
-            const ClaimEntry &entry = this->claims.at(key.program).at(key.turn);
-            records.emplace_back(ProgramClaim{key.program, entry.claim, entry.expiresMs, entry.keepMs});
+            const ClaimEntry &entry = this->claims.at(*key.program).at(*key.turn);
+            records.emplace_back(ProgramClaim{*key.program, entry.claim, entry.expiresMs, entry.keepMs});
             size += RecordOverheadBytes;
         }
         position = at->first + 1;
--- a/src/history/history_table_base.h
+++ b/src/history/history_table_base.h
@@ -1,16 +1,22 @@
-/** @file history_table_base.h  Stored turns and token claims of one history member, in memory. No I/O, no clock. */
+/** @file history_table_base.h  Index of the turns that one history member stores, and its token claims. The index is in
+ * memory; of the turns' texts only those used last are. No I/O, no clock. */
 #pragma once
 
 #include <cstdint>
+#include <functional>
+#include <limits>
+#include <list>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <variant>
 #include <vector>
 
+#include "history/history_log_base.h"
 #include "rpc/history.capnp.h"
 
 namespace Chestnuthook
@@ -69,23 +75,45 @@
 {
     std::vector<std::shared_ptr<const KeptTurn>> turns; ///< Newest first.
     std::string missing; ///< Id of the first turn that isn't stored here; empty if the chain is complete.
+    bool isUnreadable = false; ///< The turn `missing` is stored here, but the log can't be read.
 };
 
+/** Reads a turn that was placed in the log. Errors: StorageFailed, StorageCorrupt. */
+using TurnReader = std::function<Result<KeptTurn>(const RecordLocation &)>;
+
 /** All times are those of one clock of its owner. */
 class HistoryTable
 {
 public:
+    HistoryTable() = default;
+    /** Turns that the log holds are read by @p reader when they are needed again. About @p cacheBytes of them stay in
+     * memory. */
+    HistoryTable(TurnReader reader, std::size_t cacheBytes)
+        : reader(std::move(reader))
+        , cacheBytes(cacheBytes)
+    {
+    }
+
     /** @return whether the record has changed the table. */
     bool apply(const HistoryRecord &record);
+    /** Records that the log holds the newest record of @p turn at @p location, so that it needn't stay in memory. */
+    void place(const std::string &turn, const RecordLocation &location);
     /** Deletes records that expired before @p nowMs, in milliseconds since 1970. */
     void expire(std::uint64_t nowMs);
 
     [[nodiscard]] std::vector<TokenClaim> claimsOf(const std::string &program) const;
+    /** Whether the program has a claim of any turn. */
+    [[nodiscard]] bool hasClaims(const std::string &program) const
+    {
+        return this->claims.contains(program);
+    }
     /** The chain that ends at @p turn. Turns of other customers count as missing. */
-    [[nodiscard]] TurnChain chain(const std::string &turn, const std::string &customer) const;
+    [[nodiscard]] TurnChain chain(const std::string &turn, const std::string &customer);
+    /** The first turn of that chain, from its end, that isn't stored here; empty if the chain is complete. */
+    [[nodiscard]] std::string missingInChain(const std::string &turn, const std::string &customer) const;
     /** Records from @p position on, about @p bytes of them. Advances @p position past them. Empty at the end of the
-     * table. */
-    [[nodiscard]] std::vector<HistoryRecord> readFrom(std::uint64_t &position, std::size_t bytes) const;
+     * table. Turns that can't be read are left out and counted. */
+    [[nodiscard]] std::vector<HistoryRecord> readFrom(std::uint64_t &position, std::size_t bytes);
     /** Position after the last record. */
     [[nodiscard]] std::uint64_t endPosition() const
     {
@@ -93,13 +121,30 @@
     }
 
     /** Turns whose last record in the log expires before @p beforeMs although they are kept for longer, each with its
-     * new expiry. The caller must append them to the log. */
-    [[nodiscard]] std::vector<KeptTurn> takeRenewals(std::uint64_t beforeMs);
+     * new expiry; about @p maxBytes of them. The caller must append them to the log. Turns that can't be read are left
+     * out and counted. */
+    [[nodiscard]] std::vector<KeptTurn> takeRenewals(
+        std::uint64_t beforeMs, std::size_t maxBytes = std::numeric_limits<std::size_t>::max());
 
     [[nodiscard]] std::size_t turnCount() const
     {
         return this->turns.size();
     }
+    /** Number of reads of turns that have failed. */
+    [[nodiscard]] std::uint64_t failedReads() const
+    {
+        return this->readFailures;
+    }
+    /** Bytes of the turns in memory that the log holds, too. */
+    [[nodiscard]] std::size_t cachedBytes() const
+    {
+        return this->cacheSize;
+    }
+    /** Estimated size of the index without the turns' texts, in bytes. */
+    [[nodiscard]] std::size_t indexBytes() const
+    {
+        return this->arrivals.size() * IndexBytesPerRecord;
+    }
     [[nodiscard]] std::uint64_t highestSeenView() const
     {
         return this->view;
@@ -112,23 +157,54 @@
         std::uint64_t expiresMs = 0; ///< Milliseconds since 1970.
         std::uint64_t keepMs = 0; ///< See ProgramClaim.
     };
+    struct TurnEntry;
+    using TurnCache = std::list<TurnEntry *>; ///< The turn that was used last comes first.
     /** A turn is kept until all turns that continue it have expired. */
     struct TurnEntry
     {
-        std::shared_ptr<const KeptTurn> turn; ///< Never changes; its `expiresMs` is that of its first record.
+        /** Never changes; its `expiresMs` is that of one of its records. Null if only the log holds it. */
+        std::shared_ptr<const KeptTurn> turn;
+        std::string previous; ///< Id of the turn that it continues; empty at the start of a chain.
+        const std::string *customer = nullptr; ///< Customer that owns it, in `customers`.
+        RecordLocation location; ///< Its newest record in the log, if it was placed.
+        TurnCache::iterator cached; ///< Position in `cache`, if it is in memory and was placed.
         std::uint64_t expiresMs = 0; ///< Not earlier than that of any turn that continues it.
         std::uint64_t loggedMs = 0; ///< Latest expiry of its records in the log.
+
+        [[nodiscard]] bool isPlaced() const
+        {
+            return this->location.segment != 0;
+        }
+        [[nodiscard]] bool isCached() const
+        {
+            return this->turn != nullptr && this->isPlaced();
+        }
     };
-    /** Identifies a turn or a claim. */
+    /** Identifies a turn or a claim. Points to the keys of `turns` and `claims`. */
     struct RecordKey
     {
-        std::string program; ///< Program of a claim; empty for a turn.
-        std::string turn; ///< Request id of the turn.
+        const std::string *program = nullptr; ///< Program of a claim; null for a turn.
+        const std::string *turn = nullptr; ///< Request id of the turn.
     };
 
+    /** Measured on a 64-bit machine with ids of 16 characters. */
+    static constexpr std::size_t IndexBytesPerRecord = 400;
+
+    /** The turn of @p entry, read from the log if it isn't in memory; null if that fails. */
+    std::shared_ptr<const KeptTurn> load(TurnEntry &entry);
+    /** Adds a placed turn to the cache and drops others from memory if that is too large. */
+    void cacheTurn(TurnEntry &entry);
+    void dropFromCache(TurnEntry &entry);
+
     /** Keeps the chain of @p customer that ends at @p id until @p expiresMs. */
     void keepChain(std::string id, const std::string &customer, std::uint64_t expiresMs);
 
+    TurnReader reader; ///< Reads turns that aren't in memory. Without one, all turns stay in memory.
+    std::size_t cacheBytes = 0; ///< Limit of `cacheSize`.
+    std::size_t cacheSize = 0; ///< Bytes of the turns in `cache`.
+    TurnCache cache; ///< Turns in memory that the log holds, too.
+    std::uint64_t readFailures = 0; ///< See `failedReads`.
+    std::set<std::string> customers; ///< All customers that have owned turns.
     std::unordered_map<std::string, TurnEntry> turns; ///< By id.
     std::unordered_map<std::string, std::uint64_t>
         absent; ///< Expiry of turns that others continue, but that aren't here.
--- a/src/rpc/history.capnp
+++ b/src/rpc/history.capnp
@@ -38,6 +38,7 @@
     staleView @1;           # The caller's view is older than one that this member has seen.
     wrongMember @2;         # Another data folder is at this address now.
     failed @3;
+    full @4;                # Memory or disk is nearly used up, so that no new program is stored.
 }
 
 interface HistoryStore {
--- a/src/rpc/history.capnp.h
+++ b/src/rpc/history.capnp.h
@@ -29,6 +29,7 @@
   STALE_VIEW,
   WRONG_MEMBER,
   FAILED,
+  FULL,
 };
 CAPNP_DECLARE_ENUM(HistoryStatus, aa293cd94f8f7957);
 CAPNP_DECLARE_SCHEMA(9207a5c12c1df486);
--- a/tests/support/history_member_thread.cpp
+++ b/tests/support/history_member_thread.cpp
@@ -61,6 +61,9 @@
     };
     settings.segmentBytes = this->segmentBytes;
     settings.viewTtlMs = this->viewTtlMs;
+    settings.cacheBytes = this->cacheBytes;
+    settings.maxIndexBytes = this->maxIndexBytes;
+    settings.maxLogBytes = this->maxLogBytes;
     HistoryMemberDaemon daemon(loop, watcher, this->files, settings);
     const Result<void> opened = daemon.open(Folder, this->name);
     if (!opened) {
--- a/tests/support/history_member_thread.h
+++ b/tests/support/history_member_thread.h
@@ -40,6 +40,9 @@
     std::atomic<std::int64_t> clockOffsetMs = 0; ///< How far its wall clock is ahead.
     std::uint64_t segmentBytes = HistoryLog::SegmentBytes; ///< Size at which a segment of its log is closed.
     std::uint64_t viewTtlMs = HistoryMemberSettings().viewTtlMs; ///< See HistoryMemberSettings.
+    std::size_t cacheBytes = HistoryMemberSettings().cacheBytes; ///< See HistoryMemberSettings.
+    std::size_t maxIndexBytes = HistoryMemberSettings().maxIndexBytes; ///< See HistoryMemberSettings.
+    std::uint64_t maxLogBytes = HistoryMemberSettings().maxLogBytes; ///< See HistoryMemberSettings.
     const std::string name; ///< Its name.
     const std::string address; ///< Its RPC address.
     HistoryMember info; ///< As it appears in a view.
--- a/tests/support/simulated_file_system.cpp
+++ b/tests/support/simulated_file_system.cpp
@@ -133,6 +133,16 @@
     return node == nullptr ? std::optional<std::string>() : std::optional(node->content);
 }
 
+Result<std::string> SimulatedFileSystem::readRange(const std::string &path, std::uint64_t offset, std::size_t bytes)
+{
+    const std::lock_guard lock(this->mutex);
+    const NodePtr node = this->find(path);
+    if (node == nullptr) {
+        return Testing::failed("no file " + path);
+    }
+    return offset < node->content.size() ? node->content.substr(offset, bytes) : std::string();
+}
+
 Result<int> SimulatedFileSystem::open(const std::string &path, OpenMode mode)
 {
     const std::lock_guard lock(this->mutex);
--- a/tests/support/simulated_file_system.h
+++ b/tests/support/simulated_file_system.h
@@ -28,6 +28,7 @@
     bool isWritable(const std::string &folder) override;
     Result<std::vector<std::string>> list(const std::string &folder) override;
     Result<std::optional<std::string>> read(const std::string &path) override;
+    Result<std::string> readRange(const std::string &path, std::uint64_t offset, std::size_t bytes) override;
     Result<int> open(const std::string &path, OpenMode mode) override;
     void close(int file) override;
     Result<void> write(int file, std::string_view bytes) override;
