Control: fewer and cheaper calls at the leader of a large fleet

Some 1,280 calls a second were answered where the idle fleet alone asked for 1,000; 58 of 200 daemons never got through, and acknowledged configurations reached gateways late or not at all (CONFIG, DENIED). Ruled out: gateways and endpoints (0.007 of 0.12 core), the size of configurations (fetched beside the watch).

Change: the leader tells gateways how long their watches may wait (4 ms for each gateway, 200 ms to 1 s); silence and contact time-outs grow by the same. Lists of instances are sent as changes; gateways of a large fleet get them with their next answer. An update ends watches in groups of 16. RPC streams read ahead. A credit call without an answer makes the gateway ask the leader at once. Watches that ended without a change are forgotten each 200 ms instead of at the next update. The event leader_load counts the calls by kind.

Writes collected to the end of a turn of the event loop were tried and dropped (leaders changed all the time under load).

--- a/src/deployment/deployment_member_base.cpp
+++ b/src/deployment/deployment_member_base.cpp
@@ -2,6 +2,7 @@
 #include "deployment/deployment_member_base.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "core/boot_clock_func.h"
@@ -30,6 +31,11 @@
  * more work a few seconds after the list shows it as leaving. */
 constexpr Duration EndpointPollInterval = std::chrono::milliseconds(700);
 
+/** All daemons of a large fleet answer an update at once, so they get it in groups: the leader's heartbeats must not
+ * wait behind hundreds of calls. */
+constexpr std::size_t WatchesEndedAtOnce = 16;
+constexpr auto WatchEndInterval = 5 * kj::MILLISECONDS;
+
 /** Election timeout in ticks of 25 ms. Data centres are only a few milliseconds apart, so a leader that stops
  * responding can be replaced after 200 to 400 ms. */
 constexpr unsigned ElectionTicks = 8;
@@ -76,12 +82,14 @@
         const auto params = context.getParams();
         return this->member.awaitUpdate(params.getReport(), params.getHeld(), params.getWaitMs())
             .then([this, context]() mutable {
-                this->member.writeUpdate(context.getParams().getHeld(), context.getResults().initUpdate());
+                const auto params = context.getParams();
+                this->member.writeUpdate(params.getReport(), params.getHeld(), context.getResults().initUpdate());
             });
     }
 
     kj::Promise<void> credit(CreditContext context) override
     {
+        this->member.recordCreditCall();
         return this->member.confirmLead().then([this, context](bool isLeading) mutable {
             auto results = context.getResults();
             results.setLeading(isLeading);
@@ -214,9 +222,9 @@
     this->leaderTerm = this->node.term();
     this->leaderSince = now;
     this->registry = InstanceRegistry();
-    this->registry.adopt(now, this->watcher.view.instances);
+    this->registry.adopt(now, this->watcher.view.instances, MaxWatchWait);
     this->registry.recordReport(now, this->settings.self, 0);
-    this->instancesVersion = 1;
+    this->instancesVersion = this->registry.version();
     this->endpoints.clear();
     this->endpointsVersion = 0;
     this->beginVersionTerm(now);
@@ -237,9 +245,45 @@
 
 void DeploymentMember::notifyWatchers()
 {
-    for (auto &fulfiller : std::exchange(this->pendingWatches, {})) {
-        fulfiller->fulfill();
+    for (auto *watches : {&this->pendingWatches, &this->slowWatches}) {
+        std::ranges::move(std::exchange(*watches, {}), std::back_inserter(this->endingWatches));
+    }
+    this->endWatches();
+}
+
+void DeploymentMember::endWatches()
+{
+    if (this->isEndingWatches) {
+        return;
+    }
+    for (std::size_t ended = 0; ended < WatchesEndedAtOnce && !this->endingWatches.empty(); ++ended) {
+        this->endingWatches.front()->fulfill();
+        this->endingWatches.pop_front();
+    }
+    if (this->endingWatches.empty()) {
+        return;
     }
+    this->isEndingWatches = true;
+    this->loop.detach(this->loop.kjTimer().afterDelay(WatchEndInterval).then([this]() {
+        this->isEndingWatches = false;
+        this->endWatches();
+    }));
+}
+
+void DeploymentMember::dropEndedWatches()
+{
+    for (auto *watches : {&this->pendingWatches, &this->slowWatches}) {
+        std::erase_if(*watches, [](auto &fulfiller) {
+            return !fulfiller->isWaiting();
+        });
+    }
+}
+
+void DeploymentMember::publishInstances()
+{
+    this->instancesVersion = this->registry.version();
+    std::ranges::move(std::exchange(this->pendingWatches, {}), std::back_inserter(this->endingWatches));
+    this->endWatches();
 }
 
 void DeploymentMember::refreshConfiguration()
@@ -266,14 +310,14 @@
     bool changed = this->registry.recordReport(now, this->settings.self, 0);
     changed = this->registry.expire(now) || changed;
     if (changed) {
-        ++this->instancesVersion;
-        this->notifyWatchers();
+        this->publishInstances();
     }
     if (this->strikes.expire(now)) {
         ++this->quarantineVersion;
         this->notifyWatchers();
     }
     this->updateSilentGateways();
+    this->dropEndedWatches();
     this->refreshConfiguration();
     this->notifyInForce();
     this->planHistory();
@@ -296,6 +340,7 @@
 
 void DeploymentMember::updateSilentGateways()
 {
+    this->gatewayCount = this->registry.gatewayCount();
     InstanceRegistry::GatewayNames names = this->registry.gatewayNames();
     this->endpointCredits.setGateways(names.known, names.silent);
     this->credits.setGateways(std::move(names.known), std::move(names.silent));
@@ -310,6 +355,14 @@
                     {"granted", std::to_string(counts.granted)}, {"term", std::to_string(this->leaderTerm)}});
         }
     }
+    const auto work = std::exchange(this->load, {});
+    if (work.watches + work.credits != 0) {
+        logEvent(EventKind::LeaderLoad,
+            {{"watches", std::to_string(work.watches)}, {"credits", std::to_string(work.credits)},
+                {"instance_lists", std::to_string(work.instanceLists)},
+                {"endpoint_lists", std::to_string(work.endpointLists)},
+                {"daemons", std::to_string(this->registry.alive().size())}});
+    }
     const auto sent = std::exchange(this->configurationsSent, {});
     if (sent.receivers != 0) {
         logEvent(EventKind::ConfigurationSent,
@@ -423,21 +476,27 @@
     for (const auto limit : report.getLimits()) {
         this->recordLimit(readLimit(limit));
     }
-    if (this->registry.recordReport(
-            this->loop.timers().now(), readInstanceInfo(report), report.getCopiedView(), held.getConfiguration())) {
-        ++this->instancesVersion;
-        this->notifyWatchers();
+    const Duration extraSilence = extraSilenceOf(std::min<Duration>(std::chrono::milliseconds(waitMs), MaxWatchWait));
+    if (this->registry.recordReport(this->loop.timers().now(), readInstanceInfo(report), report.getCopiedView(),
+            held.getConfiguration(), extraSilence)) {
+        this->publishInstances();
     }
     this->notifyInForce();
-    if (this->changedParts(held) != 0 || waitMs == 0) {
+    std::uint32_t parts = this->changedParts(held);
+    const bool takesInstancesLater = extraSilence.count() > 0;
+    if (takesInstancesLater) {
+        parts &= ~static_cast<std::uint32_t>(UpdatePart::Instances);
+    }
+    if (parts != 0 || waitMs == 0) {
         return kj::READY_NOW;
     }
     auto pair = kj::newPromiseAndFulfiller<void>();
-    this->pendingWatches.push_back(kj::mv(pair.fulfiller));
+    (takesInstancesLater ? this->slowWatches : this->pendingWatches).push_back(kj::mv(pair.fulfiller));
     return pair.promise.exclusiveJoin(this->loop.kjTimer().afterDelay(waitMs * kj::MILLISECONDS));
 }
 
-void DeploymentMember::writeUpdate(Wire::HeldVersions::Reader held, Wire::Update::Builder update)
+void DeploymentMember::writeUpdate(
+    Wire::InstanceReport::Reader report, Wire::HeldVersions::Reader held, Wire::Update::Builder update)
 {
     update.setLeader(wireText(this->node.leaderAddress()));
     if (!this->isLeader()) {
@@ -447,6 +506,12 @@
     if (held.getFetches()) {
         parts &= ~static_cast<std::uint32_t>(UpdatePart::Configuration);
     }
+    ++this->load.watches;
+    this->load.instanceLists += hasPart(parts, UpdatePart::Instances) ? 1 : 0;
+    this->load.endpointLists += hasPart(parts, UpdatePart::Endpoints) ? 1 : 0;
+    const bool isGateway = report.getRole() == Wire::InstanceRole::GATEWAY;
+    const Duration wait = isGateway ? gatewayWatchWait(this->gatewayCount) : MinWatchWait;
+    update.setWatchMs(static_cast<std::uint32_t>(std::chrono::duration_cast<Milliseconds>(wait).count()));
     update.setTerm(this->leaderTerm);
     update.setHas(parts);
     auto versions = update.initVersions();
@@ -475,18 +540,7 @@
         }
     }
     if (hasPart(parts, UpdatePart::Instances)) {
-        const auto alive = this->registry.alive();
-        auto list = update.initInstances(static_cast<unsigned>(alive.size()));
-        for (unsigned i = 0; i < alive.size(); ++i) {
-            list[i].setName(wireText(alive[i].name));
-            list[i].setRole(alive[i].role);
-            list[i].setDataCentre(wireText(alive[i].dataCentre));
-            list[i].setCallerAddress(wireText(alive[i].clientAddress));
-            list[i].setRpcAddress(wireText(alive[i].rpcAddress));
-            list[i].setReady(alive[i].ready);
-            list[i].setCutOff(alive[i].isCutOff);
-            list[i].setIdentity(wireText(alive[i].identity));
-        }
+        this->writeInstances(held, update);
     }
     if (hasPart(parts, UpdatePart::Quarantine)) {
         const auto quarantined = this->strikes.quarantined();
@@ -501,6 +555,33 @@
     }
 }
 
+void DeploymentMember::writeInstances(Wire::HeldVersions::Reader held, Wire::Update::Builder update) const
+{
+    std::optional<InstanceRegistry::Changes> changes;
+    if (held.getTakesChanges() && held.getTerm() == this->leaderTerm && held.getInstances() != 0) {
+        changes = this->registry.changesSince(held.getInstances());
+    }
+    update.setInstancesPartial(changes.has_value());
+    const std::vector<InstanceInfo> listed = changes ? std::move(changes->alive) : this->registry.alive();
+    auto list = update.initInstances(static_cast<unsigned>(listed.size()));
+    for (unsigned i = 0; i < listed.size(); ++i) {
+        list[i].setName(wireText(listed[i].name));
+        list[i].setRole(listed[i].role);
+        list[i].setDataCentre(wireText(listed[i].dataCentre));
+        list[i].setCallerAddress(wireText(listed[i].clientAddress));
+        list[i].setRpcAddress(wireText(listed[i].rpcAddress));
+        list[i].setReady(listed[i].ready);
+        list[i].setCutOff(listed[i].isCutOff);
+        list[i].setIdentity(wireText(listed[i].identity));
+    }
+    if (changes) {
+        auto gone = update.initInstancesGone(static_cast<unsigned>(changes->gone.size()));
+        for (unsigned i = 0; i < changes->gone.size(); ++i) {
+            gone.set(i, wireText(changes->gone[i]));
+        }
+    }
+}
+
 void DeploymentMember::recordConfigurationSent(std::size_t bytes)
 {
     ++this->configurationsSent.receivers;
@@ -508,6 +589,11 @@
     metrics().add(MetricKind::ConfigurationBytesSent, static_cast<std::int64_t>(bytes));
 }
 
+void DeploymentMember::recordCreditCall()
+{
+    ++this->load.credits;
+}
+
 kj::Promise<bool> DeploymentMember::confirmLead()
 {
     const Instant start = bootClockNow();
--- a/src/deployment/deployment_member_base.h
+++ b/src/deployment/deployment_member_base.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <set>
@@ -79,11 +80,13 @@
     [[nodiscard]] kj::Promise<void> awaitUpdate(
         Wire::InstanceReport::Reader report, Wire::HeldVersions::Reader held, unsigned waitMs);
     /** Writes the parts that are newer than @p held; only the leader's address if this member isn't the leader. */
-    void writeUpdate(Wire::HeldVersions::Reader held, Wire::Update::Builder update);
+    void writeUpdate(
+        Wire::InstanceReport::Reader report, Wire::HeldVersions::Reader held, Wire::Update::Builder update);
     [[nodiscard]] bool isLeader() const
     {
         return this->node.isLeader();
     }
+    void recordCreditCall();
     /** Whether this member is the leader, and no other one can have been elected so far. */
     [[nodiscard]] kj::Promise<bool> confirmLead();
     /** The document of the newest configuration that this member has applied, compressed. */
@@ -105,6 +108,14 @@
 private:
     void startLeaderTerm();
     void notifyWatchers();
+    /** Ends the next of `endingWatches`, and the others soon. */
+    void endWatches();
+    /** Forgets watches that were answered without a change. */
+    void dropEndedWatches();
+    /** Notifies the watches that need a new list of instances at once. */
+    void publishInstances();
+    /** Writes what has changed since @p held, or the whole list. */
+    void writeInstances(Wire::HeldVersions::Reader held, Wire::Update::Builder update) const;
     void runLeaderTasks();
     void planHistory();
     void planGroup();
@@ -147,6 +158,7 @@
     Instant leaderSince{0}; ///< When this member became leader in that term.
     InstanceRegistry registry; ///< Daemons that report to this member.
     std::uint64_t instancesVersion = 0; ///< Version of the alive instances in `registry`.
+    std::size_t gatewayCount = 0; ///< Gateways that were alive when the leader's tasks last ran.
     /** Endpoint list as last read; all of its versions are recorded in the replicated state. */
     std::vector<DeployedEndpoint> endpoints;
     std::uint64_t endpointsVersion = 0; ///< Version of `endpoints`; 0 until the list was read in this term.
@@ -173,6 +185,15 @@
         std::uint64_t bytes = 0; ///< Their size.
     } configurationsSent;
 
+    /** Work of the leader for other daemons since the last report. */
+    struct
+    {
+        std::uint64_t watches = 0; ///< Calls of `watch` that were answered.
+        std::uint64_t credits = 0; ///< Calls of `credit`.
+        std::uint64_t instanceLists = 0; ///< Answers that held the list of instances.
+        std::uint64_t endpointLists = 0; ///< Answers that held the list of endpoints.
+    } load;
+
     ConfigurationPtr configuration; ///< Parsed from the replicated state; null until there is one.
     std::uint64_t compressedVersion = 0; ///< Version of `compressed`; 0 for none.
     std::string compressed; ///< See `compressedConfiguration`.
@@ -184,6 +205,10 @@
     };
     std::vector<PendingChange> pendingChanges; ///< See `awaitInForce`.
     std::vector<kj::Own<kj::PromiseFulfiller<void>>> pendingWatches; ///< Wakes the watches that wait for an update.
+    /** As `pendingWatches`, of gateways of a large fleet: a new list of instances can wait until they end. */
+    std::vector<kj::Own<kj::PromiseFulfiller<void>>> slowWatches;
+    std::deque<kj::Own<kj::PromiseFulfiller<void>>> endingWatches; ///< Watches that an update is to end.
+    bool isEndingWatches = false; ///< `endWatches` will run again.
     TimerSubscription leaderTaskTimer; ///< Runs `runLeaderTasks`.
     TimerSubscription lagTimer; ///< Runs `resignIfOverloaded`.
     TimerSubscription reportTimer; ///< Runs `logLeaderActivity`.
--- a/src/deployment/deployment_watcher_base.cpp
+++ b/src/deployment/deployment_watcher_base.cpp
@@ -44,9 +44,16 @@
     }
 }
 
+void DeploymentWatcher::verifyLeader()
+{
+    if (this->answerDue - this->loop.timers().now() > WatchTimeout) {
+        this->reportNow();
+    }
+}
+
 bool DeploymentWatcher::hasLeaderContact() const
 {
-    return this->view.term != 0 && this->loop.timers().now() - this->lastAnswer < LeaderContactTimeout;
+    return this->view.term != 0 && this->loop.timers().now() - this->lastAnswer < this->leaderContactTimeout();
 }
 
 std::vector<InstanceInfo> DeploymentWatcher::currentInstances() const
@@ -91,7 +98,7 @@
     }
     return this->watchOnce()
         .catch_([this](kj::Exception &&exception) {
-            this->unansweredSince = Instant(0);
+            this->answerDue = Instant(0);
             this->linkTo(this->target).reset();
             if (this->view.leader == this->target) {
                 logEvent(EventKind::PeerLost,
@@ -109,7 +116,9 @@
 
 kj::Promise<void> DeploymentWatcher::watchOnce()
 {
-    auto called = this->linkTo(this->target).services().then([this](OfferedServices &&services) {
+    const bool waits = this->target == this->view.leader && !this->isReportPending;
+    this->isReportPending = false;
+    auto called = this->linkTo(this->target).services().then([this, waits](OfferedServices &&services) {
         auto request = services.deployment.castAs<Wire::Deployment>().watchRequest();
         const InstanceInfo info = this->describeSelf();
         auto report = request.initReport();
@@ -142,26 +151,26 @@
         held.setInstances(this->instancesVersion);
         held.setQuarantine(this->quarantineVersion);
         held.setView(this->view.history.version);
-        const bool waits = this->target == this->view.leader && !this->isReportPending;
-        this->isReportPending = false;
-        request.setWaitMs(waits ? WatchWaitMs : 0);
+        held.setTakesChanges(true);
+        const auto wait = std::chrono::duration_cast<Milliseconds>(this->watchWait);
+        request.setWaitMs(waits ? static_cast<std::uint32_t>(wait.count()) : 0);
         return request.send();
     });
     auto pair = kj::newPromiseAndFulfiller<void>();
     this->interrupt = kj::mv(pair.fulfiller);
     const Instant now = this->loop.timers().now();
-    if (this->unansweredSince.us == 0) {
-        this->unansweredSince = now;
-    }
     const bool isProbe = this->target != this->view.leader;
-    const Duration limit =
-        isProbe ? std::min(ProbeTimeout + this->failedProbes * ProbeTimeoutStep, WatchTimeout) : WatchTimeout;
+    const Duration limit = isProbe ? std::min(ProbeTimeout + this->failedProbes * ProbeTimeoutStep, WatchTimeout)
+        : waits                    ? this->watchWait + AnswerTimeout
+                                   : WatchTimeout;
     // Interrupting a watch to report must not extend the time limit of a silent leader.
-    const Duration left = std::max(this->unansweredSince + limit - now, Duration(0));
+    const bool isFirst = this->answerDue.us == 0;
+    this->answerDue = isFirst ? now + limit : std::min(this->answerDue, now + limit);
+    const Duration left = std::max(this->answerDue - now, Duration(0));
     auto answered = this->loop.kjTimer()
                         .timeoutAfter(kjDuration(left), kj::mv(called))
                         .then([this](auto &&response) -> kj::Promise<void> {
-                            this->unansweredSince = Instant(0);
+                            this->answerDue = Instant(0);
                             const auto update = response.getUpdate();
                             if (update.getTerm() != 0 && update.getTerm() >= this->view.term) {
                                 this->applyUpdate(update);
@@ -191,6 +200,9 @@
         this->termSeenAt = this->lastAnswer;
     }
     this->view.leader = this->target;
+    const Duration told =
+        std::clamp<Duration>(std::chrono::milliseconds(update.getWatchMs()), MinWatchWait, MaxWatchWait);
+    this->watchWait = std::max(told, this->watchWait - WatchWaitStep);
     const auto versions = update.getVersions();
     const std::uint32_t parts = update.getHas();
     this->endpointsVersion = versions.getEndpoints();
@@ -213,12 +225,7 @@
         }
     }
     if (hasPart(parts, UpdatePart::Instances)) {
-        this->view.instances.clear();
-        for (const auto entry : update.getInstances()) {
-            this->view.instances.push_back({textOf(entry.getName()), entry.getRole(), textOf(entry.getDataCentre()),
-                textOf(entry.getCallerAddress()), textOf(entry.getRpcAddress()), textOf(entry.getIdentity()),
-                entry.getReady(), entry.getCutOff()});
-        }
+        this->applyInstances(update);
     }
     if (hasPart(parts, UpdatePart::Quarantine)) {
         this->view.quarantine.clear();
@@ -237,6 +244,29 @@
     }
 }
 
+void DeploymentWatcher::applyInstances(Wire::Update::Reader update)
+{
+    std::map<std::string, InstanceInfo> instances;
+    if (update.getInstancesPartial()) {
+        for (InstanceInfo &instance : this->view.instances) {
+            instances.emplace(instance.name, std::move(instance));
+        }
+    }
+    for (const auto name : update.getInstancesGone()) {
+        instances.erase(textOf(name));
+    }
+    for (const auto entry : update.getInstances()) {
+        instances.insert_or_assign(textOf(entry.getName()),
+            InstanceInfo{textOf(entry.getName()), entry.getRole(), textOf(entry.getDataCentre()),
+                textOf(entry.getCallerAddress()), textOf(entry.getRpcAddress()), textOf(entry.getIdentity()),
+                entry.getReady(), entry.getCutOff()});
+    }
+    this->view.instances.clear();
+    for (auto &[name, instance] : instances) {
+        this->view.instances.push_back(std::move(instance));
+    }
+}
+
 void DeploymentWatcher::setConfiguration(std::uint64_t version, std::string document)
 {
     if (version <= this->view.configurationVersion) {
--- a/src/deployment/deployment_watcher_base.h
+++ b/src/deployment/deployment_watcher_base.h
@@ -88,9 +88,14 @@
 
     /** Contact to the leader counts as lost after this long without an answer. By then leaders count this daemon as
      * silent; see InstanceRegistry::SilenceTimeout. */
-    static constexpr Duration LeaderContactTimeout = std::chrono::milliseconds(1000);
-    /** Whether a leader has answered within LeaderContactTimeout. */
+    [[nodiscard]] Duration leaderContactTimeout() const
+    {
+        return ShortContactTimeout + extraSilenceOf(this->watchWait);
+    }
+    /** Whether a leader has answered within leaderContactTimeout(). */
     [[nodiscard]] bool hasLeaderContact() const;
+    /** Makes the leader answer within WatchTimeout, as it didn't answer another call in time. */
+    void verifyLeader();
     /** When a leader last answered; the start of this process if none has. */
     [[nodiscard]] Instant lastLeaderAnswer() const
     {
@@ -116,10 +121,14 @@
     DeploymentView view; ///< Read by the daemon; modified only here.
 
 private:
-    /** Longest time for which the leader holds a watch without an update, in milliseconds. */
-    static constexpr unsigned WatchWaitMs = 200;
-    /** Time limit for the answer to a watch, from the start of the first unanswered one. */
-    static constexpr Duration WatchTimeout = std::chrono::milliseconds(450);
+    /** Contact timeout while watches wait for MinWatchWait. */
+    static constexpr Duration ShortContactTimeout = std::chrono::milliseconds(1000);
+    /** Time limit for the answer to a watch beyond the time for which the leader holds it. */
+    static constexpr Duration AnswerTimeout = std::chrono::milliseconds(250);
+    /** Time limit for the answer to a watch that isn't held. */
+    static constexpr Duration WatchTimeout = MinWatchWait + AnswerTimeout;
+    /** By how much `watchWait` decreases with an update: leaders allow for the longer silence that they were told. */
+    static constexpr Duration WatchWaitStep = std::chrono::milliseconds(100);
     /** Time limit for the answer of a member that isn't known to be the leader. It is short because the member may be
      * down while others are up, and grows with each failed probe because all may be slow. */
     static constexpr Duration ProbeTimeout = std::chrono::milliseconds(100);
@@ -132,6 +141,7 @@
     kj::Promise<void> watchLoop();
     kj::Promise<void> watchOnce();
     void applyUpdate(Wire::Update::Reader update);
+    void applyInstances(Wire::Update::Reader update);
     void selectNextTarget();
     RpcLink &linkTo(const std::string &address);
 
@@ -147,7 +157,8 @@
     Instant lastAnswer{0}; ///< Time of the last answer of a leader.
     kj::Own<kj::PromiseFulfiller<void>> interrupt; ///< Ends the current watch.
     bool isReportPending = false; ///< The next watch returns at once instead of waiting for an update.
-    Instant unansweredSince{0}; ///< Start of the first unanswered watch; 0 if none.
+    Instant answerDue{0}; ///< When the first unanswered watch must be answered at the latest; 0 if there is none.
+    Duration watchWait = MinWatchWait; ///< Longest time for which the leader holds a watch without an update.
     unsigned failedProbes = 0; ///< Failed calls since a leader answered, at most MaxProbeSteps.
 };
 
--- a/src/deployment/instance_registry_base.cpp
+++ b/src/deployment/instance_registry_base.cpp
@@ -33,15 +33,48 @@
     return std::min(MaxTtl, Duration(stopGrace / StopGraceParts));
 }
 
+Duration gatewayWatchWait(std::size_t gateways)
+{
+    constexpr Duration WaitPerGateway = std::chrono::milliseconds(4);
+    return std::clamp<Duration>(WaitPerGateway * gateways, MinWatchWait, MaxWatchWait);
+}
+
 bool InstanceRegistry::recordReport(
-    Instant now, const InstanceInfo &info, std::uint64_t copiedView, std::uint64_t configuration)
+    Instant now, const InstanceInfo &info, std::uint64_t copiedView, std::uint64_t configuration, Duration extraSilence)
 {
     Entry &entry = this->entries[info.name];
     const bool changed = !entry.alive || entry.info != info;
-    entry = Entry{info, now, copiedView, configuration, true, false};
+    const std::uint64_t changedIn = changed ? ++this->listVersion : entry.changedIn;
+    entry = Entry{info, now, copiedView, configuration, true, false, extraSilence, changedIn};
     return changed;
 }
 
+std::optional<InstanceRegistry::Changes> InstanceRegistry::changesSince(std::uint64_t version) const
+{
+    if (version < this->forgottenIn) {
+        return std::nullopt;
+    }
+    Changes changes;
+    for (const auto &[name, entry] : this->entries) {
+        if (entry.changedIn <= version) {
+            continue;
+        }
+        if (entry.alive) {
+            changes.alive.push_back(entry.info);
+        } else {
+            changes.gone.push_back(name);
+        }
+    }
+    return changes;
+}
+
+std::size_t InstanceRegistry::gatewayCount() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(this->entries, [](const auto &row) {
+        return row.second.alive && row.second.info.role == Wire::InstanceRole::GATEWAY;
+    }));
+}
+
 bool InstanceRegistry::isInForce(std::uint64_t version) const
 {
     return std::ranges::none_of(this->entries, [version](const auto &row) {
@@ -50,26 +83,32 @@
     });
 }
 
-void InstanceRegistry::adopt(Instant now, const std::vector<InstanceInfo> &instances)
+void InstanceRegistry::adopt(Instant now, const std::vector<InstanceInfo> &instances, Duration extraSilence)
 {
+    ++this->listVersion;
     for (const InstanceInfo &instance : instances) {
-        this->entries.try_emplace(instance.name, Entry{instance, now, 0, 0, true, true});
+        this->entries.try_emplace(
+            instance.name, Entry{instance, now, 0, 0, true, true, extraSilence, this->listVersion});
     }
 }
 
 bool InstanceRegistry::expire(Instant now)
 {
-    bool changed = false;
+    const std::uint64_t next = this->listVersion + 1;
     for (auto &[name, entry] : this->entries) {
-        if (entry.alive && now - entry.lastReport > SilenceTimeout) {
+        if (entry.alive && now - entry.lastReport > SilenceTimeout + entry.extraSilence) {
             entry.alive = false;
-            changed = true;
+            entry.changedIn = next;
+            this->listVersion = next;
         }
     }
-    std::erase_if(this->entries, [now](const auto &row) {
+    const std::size_t forgotten = std::erase_if(this->entries, [now](const auto &row) {
         return now - row.second.lastReport > ForgetTimeout;
     });
-    return changed;
+    if (forgotten != 0) {
+        this->forgottenIn = this->listVersion;
+    }
+    return this->listVersion == next;
 }
 
 std::vector<InstanceInfo> InstanceRegistry::alive() const
--- a/src/deployment/instance_registry_base.h
+++ b/src/deployment/instance_registry_base.h
@@ -2,6 +2,7 @@
  * I/O, no clock. */
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -41,6 +42,18 @@
 /** Some clients cache a gateway list for up to this many times its TTL. */
 inline constexpr int MaxTtlOverrunFactor = 3;
 
+/** Limits of the time for which the leader holds the watch of a daemon without an update. */
+inline constexpr Duration MinWatchWait = std::chrono::milliseconds(200);
+inline constexpr Duration MaxWatchWait = std::chrono::milliseconds(1000);
+/** Time for which the leader holds the watches of gateways. It grows with the number of @p gateways, so that watches
+ * alone don't use up the leader's processor: all together they are at most 250 a second for up to 250 gateways. */
+[[nodiscard]] Duration gatewayWatchWait(std::size_t gateways);
+/** By how much later the next report of a daemon may come whose watch is held for @p watchWait. */
+[[nodiscard]] inline Duration extraSilenceOf(Duration watchWait)
+{
+    return std::max(watchWait - MinWatchWait, Duration(0));
+}
+
 /** Used by the control thread of the leader only. */
 class InstanceRegistry
 {
@@ -54,12 +67,29 @@
     static constexpr Duration ForgetTimeout = std::chrono::seconds(60);
 
     /** Records a report. @p copiedView is the version of the view whose copy is complete, 0 for none;
-     * @p configuration is the version in force at the daemon. @return whether the alive daemons changed. */
-    bool recordReport(Instant now, const InstanceInfo &info, std::uint64_t copiedView, std::uint64_t configuration = 0);
+     * @p configuration is the version in force at the daemon. @p extraSilence is added to SilenceTimeout until the next
+     * report, which may come later by that. @return whether the alive daemons changed. */
+    bool recordReport(Instant now, const InstanceInfo &info, std::uint64_t copiedView, std::uint64_t configuration = 0,
+        Duration extraSilence = Duration(0));
+    /** Version of the list of alive daemons; increases with each change. */
+    [[nodiscard]] std::uint64_t version() const
+    {
+        return this->listVersion;
+    }
+    /** What has changed since a version of the list. */
+    struct Changes
+    {
+        std::vector<InstanceInfo> alive; ///< New or changed.
+        std::vector<std::string> gone; ///< Names of those that are no longer alive.
+    };
+    /** Empty if @p version is too old, so that the whole list is needed. */
+    [[nodiscard]] std::optional<Changes> changesSince(std::uint64_t version) const;
+    /** Number of gateways that are alive. */
+    [[nodiscard]] std::size_t gatewayCount() const;
     /** Whether each gateway that is alive has a configuration of at least @p version in force. */
     [[nodiscard]] bool isInForce(std::uint64_t version) const;
-    /** Adds daemons known from a former leader, as if they had reported at @p now. */
-    void adopt(Instant now, const std::vector<InstanceInfo> &instances);
+    /** Adds daemons known from a former leader, as if they had reported at @p now with @p extraSilence. */
+    void adopt(Instant now, const std::vector<InstanceInfo> &instances, Duration extraSilence = Duration(0));
     /** Marks silent daemons and deletes forgotten ones. @return whether the alive daemons changed. */
     bool expire(Instant now);
 
@@ -89,8 +119,12 @@
         std::uint64_t configuration = 0; ///< From the last report.
         bool alive = false; ///< Has reported within SilenceTimeout.
         bool isAdopted = false; ///< Known from a former leader only.
+        Duration extraSilence{0}; ///< See `recordReport`.
+        std::uint64_t changedIn = 0; ///< Version of the list in which it last changed.
     };
 
+    std::uint64_t listVersion = 1; ///< See `version`.
+    std::uint64_t forgottenIn = 0; ///< Version of the list in which a daemon was last forgotten.
     std::map<std::string, Entry> entries; ///< By name.
 };
 
--- a/src/gateway/gateway_base.cpp
+++ b/src/gateway/gateway_base.cpp
@@ -30,9 +30,9 @@
 constexpr Duration CreditFailureBackoff = std::chrono::milliseconds(100);
 /** Requests that don't start a program wait this long for the rate limit before they are rejected. */
 constexpr Duration MaxRateWait = std::chrono::milliseconds(500);
-/** While no leader answers, all requests wait this long: until then another one is elected and found, or the gateway
- * may use its own share of the rate. */
-constexpr Duration MaxLeaderWait = DeploymentWatcher::LeaderContactTimeout + std::chrono::milliseconds(200);
+/** While no leader answers, all requests wait this much longer than the contact to it takes to count as lost: until
+ * then another one is elected and found, or the gateway may use its own share of the rate. */
+constexpr Duration LeaderWaitMargin = std::chrono::milliseconds(200);
 /** A new program whose time left is less than this many target latencies of its route is unlikely to meet its deadline.
  */
 constexpr int MinTargetLatenciesLeft = 2;
@@ -403,6 +403,7 @@
                              this->rateLimiter.requestFailed(customers);
                              this->endpointLimiter.requestFailed(endpoints);
                              this->creditRetryAt = this->now() + CreditFailureBackoff;
+                             this->watcher.verifyLeader();
                              logEvent(EventKind::FreshnessLost,
                                  {{"what", "credit"}, {"error", exception.getDescription().cStr()}});
                          })
@@ -432,7 +433,7 @@
     if (!this->watcher.hasLeaderContact()) {
         state.contact = LeaderContact::Lost;
         const Duration age = this->now() - this->watcher.lastLeaderAnswer();
-        state.lostSince = bootClockNow() - age + DeploymentWatcher::LeaderContactTimeout;
+        state.lostSince = bootClockNow() - age + this->watcher.leaderContactTimeout();
     } else if (this->now() < this->creditRetryAt) {
         state.contact = LeaderContact::Slow;
     }
@@ -456,7 +457,7 @@
         const LeaderState leader = this->leaderState();
         const bool isReachable = leader.contact == LeaderContact::Reachable;
         if (!isReachable) {
-            maxWait = MaxLeaderWait;
+            maxWait = this->watcher.leaderContactTimeout() + LeaderWaitMargin;
         }
         switch (this->rateLimiter.take(bootClockNow(), *call.customer, creditClass, leader)) {
         case CreditDecision::Admitted:
--- a/src/rpc/deployment.capnp
+++ b/src/rpc/deployment.capnp
@@ -88,6 +88,7 @@
     term @5 :UInt64;            # Leader's term under which the versions count; all but configuration and view.
     fetches @6 :Bool;           # The caller gets the configuration by itself or needs none: updates only tell its version.
     knownConfiguration @7 :UInt64;  # Newest version that such a caller knows of; `configuration` is the one in force there.
+    takesChanges @8 :Bool;      # The caller understands updates that hold only the changed instances.
 }
 
 struct Update {
@@ -100,6 +101,9 @@
     quarantine @6 :List(UInt64);
     view @7 :HistoryView;
     has @8 :UInt32;             # Bit per part: 1 configuration, 2 endpoints, 4 instances, 8 quarantine, 16 view.
+    instancesPartial @9 :Bool;  # `instances` are those that changed since the version held; the others remain.
+    instancesGone @10 :List(Text);  # Names of those that are no longer alive; only with instancesPartial.
+    watchMs @11 :UInt32;        # How long the caller may let its next watches wait; 0 for the shortest time.
 }
 
 struct CustomerCredit {
--- a/src/rpc/deployment.capnp.h
+++ b/src/rpc/deployment.capnp.h
@@ -202,7 +202,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c13b0a5b0008f3a7, 2, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(c13b0a5b0008f3a7, 3, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1370,6 +1370,8 @@
 
   inline  ::uint64_t getKnownConfiguration() const;
 
+  inline bool getTakesChanges() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1422,6 +1424,9 @@
   inline  ::uint64_t getKnownConfiguration();
   inline void setKnownConfiguration( ::uint64_t value);
 
+  inline bool getTakesChanges();
+  inline void setTakesChanges(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1490,6 +1495,13 @@
 
   inline  ::uint32_t getHas() const;
 
+  inline bool getInstancesPartial() const;
+
+  inline bool hasInstancesGone() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getInstancesGone() const;
+
+  inline  ::uint32_t getWatchMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1574,6 +1586,20 @@
   inline  ::uint32_t getHas();
   inline void setHas( ::uint32_t value);
 
+  inline bool getInstancesPartial();
+  inline void setInstancesPartial(bool value);
+
+  inline bool hasInstancesGone();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getInstancesGone();
+  inline void setInstancesGone( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setInstancesGone(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initInstancesGone(unsigned int size);
+  inline void adoptInstancesGone(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownInstancesGone();
+
+  inline  ::uint32_t getWatchMs();
+  inline void setWatchMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4109,6 +4135,20 @@
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool HeldVersions::Reader::getTakesChanges() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<385>() * ::capnp::ELEMENTS);
+}
+
+inline bool HeldVersions::Builder::getTakesChanges() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<385>() * ::capnp::ELEMENTS);
+}
+inline void HeldVersions::Builder::setTakesChanges(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<385>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Update::Reader::hasLeader() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4389,6 +4429,72 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Update::Reader::getInstancesPartial() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+
+inline bool Update::Builder::getInstancesPartial() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+inline void Update::Builder::setInstancesPartial(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Update::Reader::hasInstancesGone() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool Update::Builder::hasInstancesGone() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Update::Reader::getInstancesGone() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Update::Builder::getInstancesGone() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void Update::Builder::setInstancesGone( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline void Update::Builder::setInstancesGone(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Update::Builder::initInstancesGone(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void Update::Builder::adoptInstancesGone(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Update::Builder::disownInstancesGone() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Update::Reader::getWatchMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Update::Builder::getWatchMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Update::Builder::setWatchMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool CustomerCredit::Reader::hasCustomer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/rpc/rpc_link_base.cpp
+++ b/src/rpc/rpc_link_base.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "rpc/connection_acceptor_base.h"
+#include "rpc/read_ahead_stream_base.h"
 
 namespace Chestnuthook
 {
@@ -34,7 +35,7 @@
     AcceptedConnection(
         std::shared_ptr<kj::TlsContext> tls, kj::Own<kj::AsyncIoStream> accepted, capnp::Capability::Client bootstrap)
         : tls(std::move(tls))
-        , stream(kj::mv(accepted))
+        , stream(kj::heap<ReadAheadStream>(kj::mv(accepted)))
         , network(*this->stream, capnp::rpc::twoparty::Side::SERVER, readerOptions())
         , system(capnp::makeRpcServer(this->network, kj::mv(bootstrap)))
     {
@@ -105,7 +106,7 @@
 {
     Connection(std::shared_ptr<kj::TlsContext> tls, kj::Own<kj::AsyncIoStream> connected)
         : tls(std::move(tls))
-        , stream(kj::mv(connected))
+        , stream(kj::heap<ReadAheadStream>(kj::mv(connected)))
         , network(*this->stream, capnp::rpc::twoparty::Side::CLIENT, readerOptions())
         , system(capnp::makeRpcClient(this->network))
     {
--- a/src/table/event_table.cpp
+++ b/src/table/event_table.cpp
@@ -24,6 +24,7 @@
     {EventKind::ChildFailed, EventLevel::Warning},
     {EventKind::LeaderElected, EventLevel::Info},
     {EventKind::LeaderResigned, EventLevel::Warning},
+    {EventKind::LeaderLoad, EventLevel::Info},
     {EventKind::TermChanged, EventLevel::Info},
     {EventKind::ConfigurationApplied, EventLevel::Info},
     {EventKind::ConfigurationInForce, EventLevel::Info},
--- a/tests/unit/deployment_test.cpp
+++ b/tests/unit/deployment_test.cpp
@@ -2,6 +2,9 @@
 #define BOOST_TEST_MODULE deployment
 #include <boost/test/unit_test.hpp>
 
+#include <map>
+#include <random>
+
 #include "deployment/configuration_fetcher_base.h"
 #include "deployment/deployment_state_base.h"
 #include "deployment/document_compression_func.h"
@@ -77,6 +80,74 @@
     BOOST_TEST(registry.alive().size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(daemon_whose_watch_is_held_longer_may_be_silent_longer)
+{
+    InstanceRegistry registry;
+    const Duration extra = extraSilenceOf(MaxWatchWait);
+    Instant now(1);
+    registry.recordReport(now, gateway("a"), 0, 0, extra);
+    registry.recordReport(now, gateway("b"), 0);
+    now += InstanceRegistry::SilenceTimeout + extra;
+    BOOST_TEST(registry.expire(now));
+    BOOST_TEST(registry.gatewayCount() == 1U);
+    BOOST_TEST(registry.expire(now + Duration(1)));
+    BOOST_TEST(registry.gatewayCount() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(watches_of_a_large_fleet_keep_within_a_rate)
+{
+    constexpr double MaxWatchesPerSecond = 250;
+    for (const std::size_t gateways : {6U, 50U, 64U, 100U, 167U, 250U}) {
+        const double wait = std::chrono::duration<double>(gatewayWatchWait(gateways)).count();
+        BOOST_TEST(static_cast<double>(gateways) / wait <= MaxWatchesPerSecond);
+    }
+    BOOST_TEST((gatewayWatchWait(9) == MinWatchWait));
+    BOOST_TEST((gatewayWatchWait(1000) == MaxWatchWait));
+}
+
+BOOST_AUTO_TEST_CASE(changes_of_the_instance_list_make_up_the_whole_list)
+{
+    std::mt19937 random(5);
+    InstanceRegistry registry;
+    Instant now(1);
+    std::map<std::string, InstanceInfo> held;
+    std::uint64_t heldVersion = registry.version();
+    std::size_t whole = 0;
+    for (int step = 0; step < 3000; ++step) {
+        now += std::chrono::milliseconds(random() % 100);
+        if (random() % 200 == 0) {
+            now += InstanceRegistry::ForgetTimeout;
+        }
+        registry.recordReport(now, gateway("g" + std::to_string(random() % 20), random() % 4 != 0), 0);
+        registry.expire(now);
+        if (random() % 3 != 0) {
+            continue;
+        }
+        if (const auto changes = registry.changesSince(heldVersion)) {
+            for (const std::string &name : changes->gone) {
+                held.erase(name);
+            }
+            for (const InstanceInfo &instance : changes->alive) {
+                held.insert_or_assign(instance.name, instance);
+            }
+        } else {
+            ++whole;
+            held.clear();
+            for (const InstanceInfo &instance : registry.alive()) {
+                held.emplace(instance.name, instance);
+            }
+        }
+        heldVersion = registry.version();
+        std::vector<InstanceInfo> list;
+        for (const auto &[name, instance] : held) {
+            list.push_back(instance);
+        }
+        BOOST_REQUIRE((list == registry.alive()));
+    }
+    BOOST_TEST(whole > 0U);
+    BOOST_TEST(registry.changesSince(registry.version())->alive.empty());
+}
+
 BOOST_AUTO_TEST_CASE(member_without_reports_counts_as_lost_only_after_the_timeout)
 {
     const InstanceRegistry registry;
