--- a/src/history/history_log_base.cpp
+++ b/src/history/history_log_base.cpp
@@ -152,7 +152,7 @@
     const std::string path = this->pathOf(location.segment);
     const Result<std::string> bytes = this->files.readRange(path, location.offset, location.bytes);
     if (!bytes) {
-        return bytes;
+        return tl::unexpected(bytes.error());
     }
     const auto record = parseRecord(*bytes, 0);
     if (!record) {
--- a/tests/unit/deployment_test.cpp
+++ b/tests/unit/deployment_test.cpp
@@ -139,6 +139,7 @@
         }
         heldVersion = registry.version();
         std::vector<InstanceInfo> list;
+        list.reserve(held.size());
         for (const auto &[name, instance] : held) {
             list.push_back(instance);
         }
