A new leader of a small fleet drops silent daemons as soon as before

Cause: since a new leader allowed all daemons that it knows from its predecessor the silence of the longest watches, though those of small fleets are held for 0.2 s only. Callers were told of dead gateways for 0.8 s longer.

--- a/src/deployment/deployment_member_base.cpp
+++ b/src/deployment/deployment_member_base.cpp
@@ -222,7 +222,9 @@
     this->leaderTerm = this->node.term();
     this->leaderSince = now;
     this->registry = InstanceRegistry();
-    this->registry.adopt(now, this->watcher.view.instances, MaxWatchWait);
+    const auto &known = this->watcher.view.instances;
+    const auto gateways = std::ranges::count(known, Wire::InstanceRole::GATEWAY, &InstanceInfo::role);
+    this->registry.adopt(now, known, extraSilenceOf(gatewayWatchWait(static_cast<std::size_t>(gateways))));
     this->registry.recordReport(now, this->settings.self, 0);
     this->instancesVersion = this->registry.version();
     this->endpoints.clear();
