--- a/src/rpc/deployment.capnp
+++ b/src/rpc/deployment.capnp
@@ -35,6 +35,7 @@
     strikes @8 :List(EndpointStrike);   # Since the last report.
     limits @10 :List(EndpointLimit);    # Changed since the last report.
     cutOff @9 :Bool;            # A gateway that reaches less than half of a service's endpoints by its own links.
+    processorShare @11 :Float64;    # Cores that the process may use; 0 where it doesn't say.
 }
 
 struct EndpointEntry {
@@ -46,6 +47,8 @@
     leaving @5 :Bool;
     version @6 :Text;           # Of its software; empty where the list doesn't say.
     limitPerSecond @7 :Float64; # 0 for none.
+    evacuated @8 :Bool;         # Its data centre is evacuated: it must get no request.
+    coldPerSecond @9 :Float64;  # Requests a second that it takes while it is cold; 0 for one that isn't cold.
 }
 
 struct HistoryMember {
@@ -70,6 +73,7 @@
     ready @5 :Bool;
     identity @6 :Text;          # Of the data folder.
     cutOff @7 :Bool;            # As the daemon reported it.
+    processorShare @8 :Float64; # As the daemon reported it.
 }
 
 # Software version of an endpoint of a service.
@@ -148,6 +152,10 @@
         retire @3 :Text;        # Name of a history instance that is to be emptied.
         addVersions @4 :List(ServiceVersion);    # Committed before a list with such endpoints is handed out.
         removeVersions @5 :List(ServiceVersion);
+        evacuation :group {     # Begins or ends the evacuation of a data centre.
+            dataCentre @6 :Text;
+            active @7 :Bool;
+        }
     }
 }
 
@@ -157,4 +165,5 @@
     view @2 :HistoryView;
     retiring @3 :List(Text);
     endpointVersions @4 :List(ServiceVersion);
+    evacuated @5 :List(Text);   # Data centres whose endpoints must get no request.
 }
--- a/src/rpc/deployment.capnp.h
+++ b/src/rpc/deployment.capnp.h
@@ -49,6 +49,7 @@
 CAPNP_DECLARE_SCHEMA(ff246fc45c33b825);
 CAPNP_DECLARE_SCHEMA(c1238814cfeff460);
 CAPNP_DECLARE_SCHEMA(dc567af51f1799e8);
+CAPNP_DECLARE_SCHEMA(df49bc569d55d68a);
 CAPNP_DECLARE_SCHEMA(c678735e294edb35);
 
 }  // namespace schemas
@@ -97,7 +98,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(988c8277f7c3d5aa, 2, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(988c8277f7c3d5aa, 3, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -112,7 +113,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8e42e09f00ae2656, 2, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(8e42e09f00ae2656, 3, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -157,7 +158,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dc8556d1c357b99f, 1, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(dc8556d1c357b99f, 2, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -396,8 +397,10 @@
     RETIRE,
     ADD_VERSIONS,
     REMOVE_VERSIONS,
+    EVACUATION,
   };
   struct Configuration;
+  struct Evacuation;
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(c1238814cfeff460, 2, 1)
@@ -422,6 +425,21 @@
   };
 };
 
+struct DeploymentCommand::Evacuation {
+  Evacuation() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(df49bc569d55d68a, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct DeploymentState {
   DeploymentState() = delete;
 
@@ -430,7 +448,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c678735e294edb35, 1, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(c678735e294edb35, 1, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -662,6 +680,8 @@
   inline bool hasLimits() const;
   inline  ::capnp::List< ::Chestnuthook::Wire::EndpointLimit,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
 
+  inline double getProcessorShare() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -751,6 +771,9 @@
   inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::EndpointLimit,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::EndpointLimit,  ::capnp::Kind::STRUCT>> disownLimits();
 
+  inline double getProcessorShare();
+  inline void setProcessorShare(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -815,6 +838,10 @@
 
   inline double getLimitPerSecond() const;
 
+  inline bool getEvacuated() const;
+
+  inline double getColdPerSecond() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -887,6 +914,12 @@
   inline double getLimitPerSecond();
   inline void setLimitPerSecond(double value);
 
+  inline bool getEvacuated();
+  inline void setEvacuated(bool value);
+
+  inline double getColdPerSecond();
+  inline void setColdPerSecond(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1148,6 +1181,8 @@
 
   inline bool getCutOff() const;
 
+  inline double getProcessorShare() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1220,6 +1255,9 @@
   inline bool getCutOff();
   inline void setCutOff(bool value);
 
+  inline double getProcessorShare();
+  inline void setProcessorShare(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2646,6 +2684,9 @@
   inline bool hasRemoveVersions() const;
   inline  ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>::Reader getRemoveVersions() const;
 
+  inline bool isEvacuation() const;
+  inline typename Evacuation::Reader getEvacuation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2711,6 +2752,10 @@
   inline void adoptRemoveVersions(::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>> disownRemoveVersions();
 
+  inline bool isEvacuation();
+  inline typename Evacuation::Builder getEvacuation();
+  inline typename Evacuation::Builder initEvacuation();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2823,6 +2868,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class DeploymentCommand::Evacuation::Reader {
+public:
+  typedef Evacuation Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDataCentre() const;
+  inline  ::capnp::Text::Reader getDataCentre() const;
+
+  inline bool getActive() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class DeploymentCommand::Evacuation::Builder {
+public:
+  typedef Evacuation Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDataCentre();
+  inline  ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
+
+  inline bool getActive();
+  inline void setActive(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class DeploymentCommand::Evacuation::Pipeline {
+public:
+  typedef Evacuation Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class DeploymentState::Reader {
 public:
   typedef DeploymentState Reads;
@@ -2854,6 +2985,9 @@
   inline bool hasEndpointVersions() const;
   inline  ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>::Reader getEndpointVersions() const;
 
+  inline bool hasEvacuated() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getEvacuated() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2914,6 +3048,14 @@
   inline void adoptEndpointVersions(::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::ServiceVersion,  ::capnp::Kind::STRUCT>> disownEndpointVersions();
 
+  inline bool hasEvacuated();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getEvacuated();
+  inline void setEvacuated( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setEvacuated(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initEvacuated(unsigned int size);
+  inline void adoptEvacuated(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownEvacuated();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3347,6 +3489,20 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline double InstanceReport::Reader::getProcessorShare() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double InstanceReport::Builder::getProcessorShare() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void InstanceReport::Builder::setProcessorShare(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool EndpointEntry::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3559,6 +3715,34 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool EndpointEntry::Reader::getEvacuated() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+}
+
+inline bool EndpointEntry::Builder::getEvacuated() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+}
+inline void EndpointEntry::Builder::setEvacuated(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS, value);
+}
+
+inline double EndpointEntry::Reader::getColdPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double EndpointEntry::Builder::getColdPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void EndpointEntry::Builder::setColdPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool HistoryMember::Reader::hasIdentity() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3955,6 +4139,20 @@
       ::capnp::bounded<17>() * ::capnp::ELEMENTS, value);
 }
 
+inline double InstanceEntry::Reader::getProcessorShare() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double InstanceEntry::Builder::getProcessorShare() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void InstanceEntry::Builder::setProcessorShare(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ServiceVersion::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5415,6 +5613,29 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool DeploymentCommand::Reader::isEvacuation() const {
+  return which() == DeploymentCommand::EVACUATION;
+}
+inline bool DeploymentCommand::Builder::isEvacuation() {
+  return which() == DeploymentCommand::EVACUATION;
+}
+inline typename DeploymentCommand::Evacuation::Reader DeploymentCommand::Reader::getEvacuation() const {
+  KJ_IREQUIRE((which() == DeploymentCommand::EVACUATION),
+              "Must check which() before get()ing a union member.");
+  return typename DeploymentCommand::Evacuation::Reader(_reader);
+}
+inline typename DeploymentCommand::Evacuation::Builder DeploymentCommand::Builder::getEvacuation() {
+  KJ_IREQUIRE((which() == DeploymentCommand::EVACUATION),
+              "Must check which() before get()ing a union member.");
+  return typename DeploymentCommand::Evacuation::Builder(_builder);
+}
+inline typename DeploymentCommand::Evacuation::Builder DeploymentCommand::Builder::initEvacuation() {
+  _builder.setDataField<DeploymentCommand::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, DeploymentCommand::EVACUATION);
+  _builder.setDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  return typename DeploymentCommand::Evacuation::Builder(_builder);
+}
 inline  ::uint64_t DeploymentCommand::Configuration::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5463,6 +5684,54 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool DeploymentCommand::Evacuation::Reader::hasDataCentre() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool DeploymentCommand::Evacuation::Builder::hasDataCentre() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader DeploymentCommand::Evacuation::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder DeploymentCommand::Evacuation::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void DeploymentCommand::Evacuation::Builder::setDataCentre( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder DeploymentCommand::Evacuation::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void DeploymentCommand::Evacuation::Builder::adoptDataCentre(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> DeploymentCommand::Evacuation::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool DeploymentCommand::Evacuation::Reader::getActive() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool DeploymentCommand::Evacuation::Builder::getActive() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void DeploymentCommand::Evacuation::Builder::setActive(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t DeploymentState::Reader::getConfigurationVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5622,6 +5891,44 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool DeploymentState::Reader::hasEvacuated() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool DeploymentState::Builder::hasEvacuated() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader DeploymentState::Reader::getEvacuated() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder DeploymentState::Builder::getEvacuated() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void DeploymentState::Builder::setEvacuated( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void DeploymentState::Builder::setEvacuated(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder DeploymentState::Builder::initEvacuated(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void DeploymentState::Builder::adoptEvacuated(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> DeploymentState::Builder::disownEvacuated() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
