--- a/src/deployment/deployment_state_base.cpp
+++ b/src/deployment/deployment_state_base.cpp
@@ -100,6 +100,8 @@
             this->endpointVersions.erase(version);
         }
         break;
+    case Wire::DeploymentCommand::EVACUATION:
+        break;
     }
     return {};
 }
