Decode engine capacity, length hints and the pace of endpoints

Pools of endpoints need slots and memory of an engine, the likely output of a turn and the fourth figure of X-Load. X-Load with more than three figures was ignored, so the load of such endpoints was unknown to the load balancer; now its first three figures are used as before, the fourth is the pace and further ones are skipped.

--- a/src/deployment/configuration_type.h
+++ b/src/deployment/configuration_type.h
@@ -70,6 +70,8 @@
 struct EngineConfig
 {
     unsigned tokensPerEvent = 1; ///< Tokens in each event of a stream.
+    unsigned slots = 0; ///< Turns that an endpoint runs concurrently; 0 if not stated.
+    std::uint64_t memoryTokens = 0; ///< Tokens of turns that an endpoint's memory holds; 0 if not stated.
 };
 
 struct ServiceConfig
--- a/src/gateway/header_codec_type.h
+++ b/src/gateway/header_codec_type.h
@@ -25,6 +25,7 @@
     std::optional<std::uint64_t> programTokens; ///< Token budget of all turns of the program together.
     std::uint32_t promptTokens = 0; ///< Number of tokens in the prompt.
     std::uint32_t outputTokens = 0; ///< Maximum number of tokens that the turn generates.
+    std::uint32_t expectedTokens = 0; ///< Likely number of generated tokens; 0 if the client doesn't say.
     std::uint32_t promptParts = 0; ///< Number of parts of the prompt that can be cached separately.
     std::string previousTurn; ///< Request id of the turn that the request continues; empty for none.
     std::string lastEventId; ///< Last event that the client received of a stream that it resumes.
@@ -49,6 +50,7 @@
     unsigned running = 0; ///< Requests being executed.
     unsigned waiting = 0; ///< Requests queued for a slot.
     unsigned slots = 0; ///< Maximum number of requests executed concurrently.
+    unsigned pace = 0; ///< Time that work takes now, in percent of the usual; 0 if not reported.
 };
 
 /** Metadata that an endpoint sends with a response. */
--- a/tests/unit/platform_decode_test.cpp
+++ b/tests/unit/platform_decode_test.cpp
@@ -222,6 +222,62 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(length_hint_is_decoded_and_an_invalid_one_ignored)
+{
+    const PlatformHeaderCodec headerCodec;
+    const auto hintOf = [&headerCodec](const std::string &value) {
+        const auto metadata = headerCodec.readRequestMetadata(requestHead({{"x-length-hint", value}}));
+        BOOST_REQUIRE(
+            metadata.has_value()); // The field was not decoded by earlier builds and must not refuse requests.
+        return metadata->expectedTokens;
+    };
+    BOOST_TEST(hintOf("120") == 120U);
+    for (const std::string value : {"", "-1", "many", "1.5", "99999999999"}) {
+        BOOST_TEST(hintOf(value) == 0U, "the value '" << value << "'");
+    }
+    BOOST_TEST(headerCodec.readRequestMetadata(requestHead({}))->expectedTokens == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(load_with_more_than_three_figures_is_decoded)
+{
+    const PlatformHeaderCodec headerCodec;
+    const auto loadOf = [&headerCodec](const std::string &value) {
+        ResponseHead head;
+        head.fields.add("x-load", value);
+        return headerCodec.readResponseMetadata(head).load;
+    };
+    BOOST_REQUIRE(loadOf("3,1,8").has_value());
+    BOOST_TEST(loadOf("3,1,8")->slots == 8U);
+    BOOST_TEST(loadOf("3,1,8")->pace == 0U);
+    for (const std::string value : {"3,1,8,250", "3, 1, 8, 250, 17", "3,1,8,250,x,1.5"}) {
+        BOOST_REQUIRE_MESSAGE(loadOf(value).has_value(), value);
+        BOOST_TEST(loadOf(value)->running == 3U);
+        BOOST_TEST(loadOf(value)->waiting == 1U);
+        BOOST_TEST(loadOf(value)->slots == 8U);
+        BOOST_TEST(loadOf(value)->pace == 250U);
+    }
+    BOOST_TEST(loadOf("3,1,8,slow")->pace == 0U); // The first three figures remain usable.
+    for (const std::string value : {"", "3", "3,1", "3,x,8", "3,x,8,100", ",,,"}) {
+        BOOST_TEST(!loadOf(value).has_value(), "the value '" << value << "'");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(capacity_of_an_engine_is_decoded)
+{
+    const auto engineOf = [](const std::string &facts) {
+        const std::string services = replaceFirst(configurationDocument(Route), R"("stride":9)", facts);
+        const auto read = readConfiguration(services);
+        BOOST_REQUIRE(read.has_value());
+        return *(*read)->services.at("s1").engine;
+    };
+    const EngineConfig stated = engineOf(R"("stride":9,"slots":6,"kvTokens":71000,"most":4)");
+    BOOST_TEST(stated.tokensPerEvent == 9U);
+    BOOST_TEST(stated.slots == 6U);
+    BOOST_TEST(stated.memoryTokens == 71000U);
+    BOOST_TEST(engineOf(R"("stride":9)").slots == 0U);
+    BOOST_TEST(engineOf(R"("stride":9)").memoryTokens == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(response_metadata_is_decoded)
 {
     const PlatformHeaderCodec headerCodec;
