Evacuation of a data centre: replicated state, endpoint marks, operator calls

The leader marks their endpoints in its list, gateways never choose a marked one, and the call is acknowledged once the gateways in contact hold the list, at most 0.6 s after the commit.

A member of an earlier build skips the command: DeploymentState::apply has no default case there, so an unknown command changes nothing but the applied index. Gateways of earlier builds see marked endpoints as leaving.

Not tested yet.

--- a/src/deployment/deployment_member_base.cpp
+++ b/src/deployment/deployment_member_base.cpp
@@ -40,9 +40,6 @@
  * responding can be replaced after 200 to 400 ms. */
 constexpr unsigned ElectionTicks = 8;
 constexpr unsigned HeartbeatTicks = 2;
-/** An operator's change is acknowledged at the latest this long after it was committed, though some gateways may not
- * have it in force: they may be slow or just gone. Operators try another member after a second. */
-constexpr auto MaxInForceWait = 600 * kj::MILLISECONDS;
 /** Members that have acknowledged the leader elect no other one for ElectionTicks; their clocks may differ a little. */
 constexpr Duration LeaderLease = std::chrono::milliseconds(150);
 
@@ -305,6 +302,7 @@
 
 void DeploymentMember::runLeaderTasks()
 {
+    this->reportEvacuations();
     if (!this->isLeader()) {
         return;
     }
@@ -321,6 +319,7 @@
     this->updateSilentGateways();
     this->dropEndedWatches();
     this->refreshConfiguration();
+    this->refreshEvacuations();
     this->notifyInForce();
     this->planHistory();
     this->planGroup();
@@ -480,7 +479,7 @@
     }
     const Duration extraSilence = extraSilenceOf(std::min<Duration>(std::chrono::milliseconds(waitMs), MaxWatchWait));
     if (this->registry.recordReport(this->loop.timers().now(), readInstanceInfo(report), report.getCopiedView(),
-            held.getConfiguration(), extraSilence)) {
+            held.getConfiguration(), extraSilence, held.getTerm() == this->leaderTerm ? held.getEndpoints() : 0)) {
         this->publishInstances();
     }
     this->notifyInForce();
@@ -536,9 +535,11 @@
             list[i].setAddress(wireText(endpoint.address));
             list[i].setDataCentre(wireText(endpoint.dataCentre));
             list[i].setSlots(endpoint.slots);
-            list[i].setLeaving(endpoint.leaving);
+            // Gateways of builds before evacuations use a leaving endpoint at most as a last resort.
+            list[i].setLeaving(endpoint.leaving || endpoint.evacuated);
             list[i].setVersion(wireText(endpoint.version));
             list[i].setLimitPerSecond(this->endpointLimits.limitOf(endpoint.id));
+            list[i].setEvacuated(endpoint.evacuated);
         }
     }
     if (hasPart(parts, UpdatePart::Instances)) {
@@ -706,14 +707,15 @@
         return kj::READY_NOW;
     }
     auto pair = kj::newPromiseAndFulfiller<void>();
-    this->pendingChanges.push_back({version, kj::mv(pair.fulfiller)});
+    this->pendingChanges.push_back({version, kj::mv(pair.fulfiller), 0});
     return pair.promise.exclusiveJoin(this->loop.kjTimer().afterDelay(MaxInForceWait));
 }
 
 void DeploymentMember::notifyInForce()
 {
     std::erase_if(this->pendingChanges, [this](PendingChange &change) {
-        const bool isDone = !change.fulfiller->isWaiting() || this->registry.isInForce(change.version);
+        const bool isDone = !change.fulfiller->isWaiting()
+            || (this->registry.isInForce(change.version) && this->registry.isEndpointListHeld(change.endpoints));
         if (isDone) {
             change.fulfiller->fulfill();
         }
--- a/src/deployment/deployment_member_base.h
+++ b/src/deployment/deployment_member_base.h
@@ -34,8 +34,13 @@
     RateTolerance rateTolerance; ///< Tolerated excess over the customers' rates.
     unsigned toleratedFailures = 1; ///< Number of instances with a disk whose simultaneous loss is tolerated.
     bool isBootstrap = false; ///< The deployment starts for the first time; its seeds form the group.
+    std::vector<std::string> dataCentres = {}; ///< Data centres of the deployment, as far as the settings name them.
 };
 
+/** An operator's change is acknowledged at the latest this long after it was committed, though some gateways may not
+ * have it in force: they may be slow or just gone. Operators try another member after a second. */
+inline constexpr auto MaxInForceWait = 600 * kj::MILLISECONDS;
+
 /** Progress of retiring a history instance. */
 enum class RetireState : std::uint8_t { Running, Completed };
 
@@ -53,6 +58,10 @@
     {
         this->watcher.setSeeds(std::move(addresses));
     }
+    void setDataCentres(std::vector<std::string> names)
+    {
+        this->settings.dataCentres = std::move(names);
+    }
 
     /** Commits @p document if it is valid. A version that isn't higher than the current one has no effect. Resolves
      * once the gateways in contact have the result in force, or MaxInForceWait later. Errors: BadDeclaration,
@@ -66,6 +75,11 @@
     /** Errors: NotLeader, NoQuorum, NotFound. */
     [[nodiscard]] kj::Promise<BoxedResult<RetireState>> retireState(std::string instance);
 
+    /** Begins or ends the evacuation of @p dataCentre: while it lasts, its endpoints get no request. Resolves once the
+     * change is committed and the gateways in contact hold the list that shows it, or MaxInForceWait later. Errors:
+     * NotLeader, NoQuorum, NotFound if nothing names the data centre, NotReady if there is no endpoint list yet. */
+    [[nodiscard]] kj::Promise<BoxedResult<void>> setEvacuation(std::string dataCentre, bool active);
+
     /** Operator address of the leader; empty if it is unknown or this member. */
     [[nodiscard]] std::string leaderOperatorAddress() const;
     /** Daemons that are alive, as far as this member knows. */
@@ -133,7 +147,19 @@
     void refreshConfiguration();
     /** Resolves once the gateways in contact have @p version in force, or MaxInForceWait later. */
     [[nodiscard]] kj::Promise<void> awaitInForce(std::uint64_t version);
-    /** Resolves the promises of `awaitInForce` that need wait no longer. */
+    /** Whether the settings, an instance, an endpoint or an evacuation in force names @p dataCentre. */
+    [[nodiscard]] bool isKnownDataCentre(const std::string &dataCentre) const;
+    /** Waits for the first endpoint list of this term, at most until @p until, and publishes the evacuations in force.
+     * Resolves as `setEvacuation`. */
+    [[nodiscard]] kj::Promise<BoxedResult<void>> publishEvacuations(Instant until);
+    /** Marks the endpoints of evacuated data centres in @p list. */
+    void markEvacuated(std::vector<DeployedEndpoint> &list) const;
+    /** Publishes the list again if the evacuations have changed. Publishes the list of the leader before if this one
+     * can't read the platform's: the evacuations must not wait for that. */
+    void refreshEvacuations();
+    /** Logs the evacuations in force if they have changed, and counts them. */
+    void reportEvacuations();
+    /** Resolves the promises of `awaitInForce` and `publishEvacuations` that need wait no longer. */
     void notifyInForce();
     /** Gives up the lead if this process can't keep up, as on a machine that has become slow. */
     void resignIfOverloaded();
@@ -200,10 +226,13 @@
     /** A change that waits until gateways have it in force. */
     struct PendingChange
     {
-        std::uint64_t version = 0; ///< Version that was committed.
+        std::uint64_t version = 0; ///< Version of the configuration that was committed; 0 for another change.
         kj::Own<kj::PromiseFulfiller<void>> fulfiller; ///< Ends the wait.
+        std::uint64_t endpoints = 0; ///< Version of the endpoint list that is waited for; 0 for none.
     };
-    std::vector<PendingChange> pendingChanges; ///< See `awaitInForce`.
+    std::vector<PendingChange> pendingChanges; ///< See `awaitInForce` and `publishEvacuations`.
+    std::set<std::string> reportedEvacuations; ///< Evacuations that were last logged.
+    std::set<std::string> publishedEvacuations; ///< Evacuations that `endpoints` shows.
     std::vector<kj::Own<kj::PromiseFulfiller<void>>> pendingWatches; ///< Wakes the watches that wait for an update.
     /** As `pendingWatches`, of gateways of a large fleet: a new list of instances can wait until they end. */
     std::vector<kj::Own<kj::PromiseFulfiller<void>>> slowWatches;
--- a/src/deployment/deployment_member_endpoints.cpp
+++ b/src/deployment/deployment_member_endpoints.cpp
@@ -97,6 +97,8 @@
 
 void DeploymentMember::publishEndpoints(std::vector<DeployedEndpoint> list)
 {
+    this->markEvacuated(list);
+    this->publishedEvacuations = this->group.machine.evacuated;
     if (this->endpointsVersion != 0 && this->endpoints == list) {
         return;
     }
--- a/src/deployment/deployment_state_base.cpp
+++ b/src/deployment/deployment_state_base.cpp
@@ -72,6 +72,15 @@
     return flatBytes(message);
 }
 
+std::string evacuationCommand(const std::string &dataCentre, bool active)
+{
+    capnp::MallocMessageBuilder message;
+    auto group = message.initRoot<Wire::DeploymentCommand>().initEvacuation();
+    group.setDataCentre(wireText(dataCentre));
+    group.setActive(active);
+    return flatBytes(message);
+}
+
 std::string DeploymentState::apply(std::uint64_t index, std::string_view command)
 {
     this->appliedIndex = index;
@@ -100,6 +109,13 @@
             this->endpointVersions.erase(version);
         }
         break;
+    case Wire::DeploymentCommand::EVACUATION: // Builds before this command have no case for it and skip it.
+        if (root.getEvacuation().getActive()) {
+            this->evacuated.insert(textOf(root.getEvacuation().getDataCentre()));
+        } else {
+            this->evacuated.erase(textOf(root.getEvacuation().getDataCentre()));
+        }
+        break;
     }
     return {};
 }
@@ -118,6 +134,11 @@
     }
     const auto versionCount = static_cast<unsigned>(this->endpointVersions.size());
     writeVersions(state.initEndpointVersions(versionCount), this->endpointVersions);
+    auto dataCentres = state.initEvacuated(static_cast<unsigned>(this->evacuated.size()));
+    position = 0;
+    for (const std::string &dataCentre : this->evacuated) {
+        dataCentres.set(position++, wireText(dataCentre));
+    }
     return flatBytes(message);
 }
 
@@ -133,6 +154,10 @@
         this->retiring.insert(textOf(name));
     }
     this->endpointVersions = readVersions(state.getEndpointVersions());
+    this->evacuated.clear();
+    for (const auto dataCentre : state.getEvacuated()) {
+        this->evacuated.insert(textOf(dataCentre));
+    }
 }
 
 } // namespace Chestnuthook
--- a/src/deployment/deployment_state_base.h
+++ b/src/deployment/deployment_state_base.h
@@ -19,6 +19,8 @@
 [[nodiscard]] std::string retireCommand(const std::string &instance);
 [[nodiscard]] std::string addVersionsCommand(const ServiceVersions &versions);
 [[nodiscard]] std::string removeVersionsCommand(const ServiceVersions &versions);
+/** Begins or ends the evacuation of @p dataCentre. */
+[[nodiscard]] std::string evacuationCommand(const std::string &dataCentre, bool active);
 
 /** Implements the StateMachine concept. */
 class DeploymentState
@@ -37,6 +39,7 @@
     HistoryView view; ///< Membership of the history store; its version never decreases.
     std::set<std::string> retiring; ///< Names of the history instances that are being retired.
     ServiceVersions endpointVersions; ///< Versions of the endpoints that gateways may have used for streams.
+    std::set<std::string> evacuated; ///< Data centres whose endpoints must get no request.
 
 private:
     std::uint64_t appliedIndex = 0; ///< Log index of the last applied command.
--- a/src/deployment/deployment_watcher_base.cpp
+++ b/src/deployment/deployment_watcher_base.cpp
@@ -221,7 +221,7 @@
         for (const auto entry : update.getEndpoints()) {
             this->view.endpoints.push_back({textOf(entry.getId()), textOf(entry.getService()),
                 textOf(entry.getAddress()), textOf(entry.getDataCentre()), entry.getSlots(), entry.getLeaving(),
-                textOf(entry.getVersion()), entry.getLimitPerSecond()});
+                textOf(entry.getVersion()), entry.getLimitPerSecond(), entry.getEvacuated()});
         }
     }
     if (hasPart(parts, UpdatePart::Instances)) {
--- a/src/deployment/endpoint_list_type.h
+++ b/src/deployment/endpoint_list_type.h
@@ -23,6 +23,7 @@
     std::string version = {}; ///< Version of its software; empty if the list doesn't say.
     /** Requests per second that it takes from all gateways, as gateways reported to the leader; 0 for no limit. */
     double limitPerSecond = 0;
+    bool evacuated = false; ///< Its data centre is evacuated: it must get no request. Set by the leader.
     bool operator==(const DeployedEndpoint &) const = default;
 };
 
--- a/src/deployment/instance_registry_base.cpp
+++ b/src/deployment/instance_registry_base.cpp
@@ -40,12 +40,12 @@
 }
 
 bool InstanceRegistry::recordReport(
-    Instant now, const InstanceInfo &info, std::uint64_t copiedView, std::uint64_t configuration, Duration extraSilence)
+    Instant now, const InstanceInfo &info, std::uint64_t copiedView, std::uint64_t configuration, Duration extraSilence, std::uint64_t endpoints)
 {
     Entry &entry = this->entries[info.name];
     const bool changed = !entry.alive || entry.info != info;
     const std::uint64_t changedIn = changed ? ++this->listVersion : entry.changedIn;
-    entry = Entry{info, now, copiedView, configuration, true, false, extraSilence, changedIn};
+    entry = Entry{info, now, copiedView, configuration, true, false, extraSilence, changedIn, endpoints};
     return changed;
 }
 
@@ -83,12 +83,27 @@
     });
 }
 
+bool InstanceRegistry::isEndpointListHeld(std::uint64_t version) const
+{
+    return std::ranges::none_of(this->entries, [version](const auto &row) {
+        const Entry &entry = row.second;
+        return entry.info.role == Wire::InstanceRole::GATEWAY && entry.alive && entry.endpoints < version;
+    });
+}
+
+bool InstanceRegistry::hasDataCentre(const std::string &dataCentre) const
+{
+    return std::ranges::any_of(this->entries, [&dataCentre](const auto &row) {
+        return row.second.info.dataCentre == dataCentre;
+    });
+}
+
 void InstanceRegistry::adopt(Instant now, const std::vector<InstanceInfo> &instances, Duration extraSilence)
 {
     ++this->listVersion;
     for (const InstanceInfo &instance : instances) {
         this->entries.try_emplace(
-            instance.name, Entry{instance, now, 0, 0, true, true, extraSilence, this->listVersion});
+            instance.name, Entry{instance, now, 0, 0, true, true, extraSilence, this->listVersion, 0});
     }
 }
 
--- a/src/deployment/instance_registry_base.h
+++ b/src/deployment/instance_registry_base.h
@@ -68,9 +68,10 @@
 
     /** Records a report. @p copiedView is the version of the view whose copy is complete, 0 for none;
      * @p configuration is the version in force at the daemon. @p extraSilence is added to SilenceTimeout until the next
-     * report, which may come later by that. @return whether the alive daemons changed. */
+     * report, which may come later by that. @p endpoints is the version of this leader's endpoint list that the daemon
+     * holds, 0 for none. @return whether the alive daemons changed. */
     bool recordReport(Instant now, const InstanceInfo &info, std::uint64_t copiedView, std::uint64_t configuration = 0,
-        Duration extraSilence = Duration(0));
+        Duration extraSilence = Duration(0), std::uint64_t endpoints = 0);
     /** Version of the list of alive daemons; increases with each change. */
     [[nodiscard]] std::uint64_t version() const
     {
@@ -88,6 +89,10 @@
     [[nodiscard]] std::size_t gatewayCount() const;
     /** Whether each gateway that is alive has a configuration of at least @p version in force. */
     [[nodiscard]] bool isInForce(std::uint64_t version) const;
+    /** Whether each gateway that is alive holds an endpoint list of at least @p version. */
+    [[nodiscard]] bool isEndpointListHeld(std::uint64_t version) const;
+    /** Whether a daemon that isn't forgotten is in @p dataCentre. */
+    [[nodiscard]] bool hasDataCentre(const std::string &dataCentre) const;
     /** Adds daemons known from a former leader, as if they had reported at @p now with @p extraSilence. */
     void adopt(Instant now, const std::vector<InstanceInfo> &instances, Duration extraSilence = Duration(0));
     /** Marks silent daemons and deletes forgotten ones. @return whether the alive daemons changed. */
@@ -121,6 +126,7 @@
         bool isAdopted = false; ///< Known from a former leader only.
         Duration extraSilence{0}; ///< See `recordReport`.
         std::uint64_t changedIn = 0; ///< Version of the list in which it last changed.
+        std::uint64_t endpoints = 0; ///< From the last report.
     };
 
     std::uint64_t listVersion = 1; ///< See `version`.
--- a/src/gateway/gateway_base.cpp
+++ b/src/gateway/gateway_base.cpp
@@ -141,6 +141,7 @@
     if (hasPart(parts, UpdatePart::Endpoints)) {
         this->loadBalancer.setEndpoints(this->now(), view.endpoints);
         this->connector.setEndpoints(view.endpoints);
+        this->reportEvacuated(view.endpoints);
         for (const std::string &endpoint : this->endpointLimits.setListed(this->now(), view.endpoints)) {
             this->applyLimit(endpoint, "list");
         }
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -154,6 +154,8 @@
 
     /** Records that @p endpoint has stated in the response to @p call that it leaves. */
     void recordLeaving(const Call &call, const DeployedEndpoint &endpoint);
+    /** Counts the evacuated endpoints of @p list, and logs their data centres if these have changed. */
+    void reportEvacuated(const std::vector<DeployedEndpoint> &list);
     /** Records a strike if the endpoint no longer accepts connections while others do. */
     void recordStrikeIfDown(std::uint64_t fingerprint, const DeployedEndpoint &endpoint);
     void reject(kj::WaitScope &scope, Call &call, unsigned status, std::string_view reason, double retryAfterSeconds);
@@ -196,6 +198,7 @@
     kj::Maybe<kj::ForkedPromise<void>> pendingCreditRequest; ///< Credit request to the leader that is in flight.
     Instant creditRetryAt{0}; ///< After a failed credit request, the leader is considered unreachable until then.
     std::vector<EndpointStrike> strikes; ///< Not reported yet.
+    std::set<std::string> reportedEvacuations; ///< Evacuated data centres that were last logged.
     std::set<const Call *> activeCalls; ///< Calls that are being handled.
     bool draining = false; ///< See `drain`.
     bool accepting = true; ///< See `stopAccepting`.
--- a/src/gateway/gateway_run.cpp
+++ b/src/gateway/gateway_run.cpp
@@ -19,6 +19,8 @@
 /** Maximum number of endpoints that are tried before a request is rejected. */
 constexpr unsigned MaxEndpointTries = 4;
 constexpr double BusyRetryAfterSeconds = 0.25; ///< Used if all endpoints refused the request.
+/** Used if all endpoints of the service are evacuated, which takes an operator to change. */
+constexpr double EvacuatedRetryAfterSeconds = 1;
 /** A request of a program that has begun waits this long for room within the limits of endpoints. */
 constexpr Duration MaxLimitWait = std::chrono::milliseconds(500);
 /** Endpoints with limits for which credit is requested before a request goes to one without a limit or waits. */
@@ -185,11 +187,13 @@
     }
     if (!call.mayHaveRun) {
         const bool late = call.deadline - this->now() <= MinUsefulTime;
-        const std::string_view reason = isAtLimit ? "all endpoints are at the limits that they name"
+        const bool isEvacuated = this->loadBalancer.areAllEvacuated(criteria);
+        const std::string_view reason = isEvacuated ? "all endpoints are evacuated"
+            : isAtLimit                       ? "all endpoints are at the limits that they name"
             : call.version                        ? "no endpoint of the stream's version has room"
                                                   : "no endpoint has room";
-        this->reject(
-            scope, call, HttpStatus::Unavailable, late ? "no time is left" : reason, late ? 0 : BusyRetryAfterSeconds);
+        const double retryAfter = isEvacuated ? EvacuatedRetryAfterSeconds : late ? 0 : BusyRetryAfterSeconds;
+        this->reject(scope, call, HttpStatus::Unavailable, late ? "no time is left" : reason, retryAfter);
         return;
     }
     const bool late = lastResult == AttemptResult::TimedOut;
@@ -209,6 +213,12 @@
                 {"cause", std::string(nameOf(opened.failure))}});
         return AttemptResult::NotExecuted;
     }
+    // Evacuated since it was chosen: credit and the connection take time. No further request goes there.
+    if (this->loadBalancer.isEvacuated(endpoint.id)) {
+        logEvent(EventKind::AttemptFailed,
+            {{"request", call.metadata.requestId}, {"endpoint", endpoint.id}, {"reason", "evacuated"}});
+        return AttemptResult::NotExecuted;
+    }
     logEvent(EventKind::CallDispatched,
         {{"request", call.metadata.requestId}, {"endpoint", endpoint.id}, {"version", endpoint.version},
             {"kept", opened.isKept ? "yes" : "no"}, {"relay", connection->relay},
--- a/src/gateway/load_balancer_base.cpp
+++ b/src/gateway/load_balancer_base.cpp
@@ -92,10 +92,34 @@
         return false;
     }
     const auto ids = this->idsByService.find(state->second.endpoint.service);
-    return ids != this->idsByService.end() && !state->second.isLeaving()
+    return ids != this->idsByService.end() && state->second.isInService()
         && std::find(ids->second.begin(), ids->second.end(), id) != ids->second.end();
 }
 
+bool LoadBalancer::isEvacuated(const std::string &id) const
+{
+    const auto state = this->states.find(id);
+    return state != this->states.end() && state->second.endpoint.evacuated;
+}
+
+bool LoadBalancer::areAllEvacuated(const SelectionCriteria &criteria) const
+{
+    const auto ids = this->idsByService.find(criteria.service);
+    bool isAny = false;
+    if (ids != this->idsByService.end()) {
+        for (const std::string &id : ids->second) {
+            const State &state = this->states.at(id);
+            if (hasVersion(criteria, state)) {
+                if (!state.endpoint.evacuated) {
+                    return false;
+                }
+                isAny = true;
+            }
+        }
+    }
+    return isAny;
+}
+
 double LoadBalancer::utilization(Instant now, const State &state)
 {
     const double slots = std::max(1U, state.load.slots != 0 ? state.load.slots : state.endpoint.slots);
@@ -123,7 +147,8 @@
     const auto ids = this->idsByService.find(criteria.service);
     return ids != this->idsByService.end() && std::ranges::any_of(ids->second, [&](const std::string &id) {
         const State &state = this->states.at(id);
-        return state.atLimitUntil > now && hasVersion(criteria, state) && !tried.contains(id);
+        return state.atLimitUntil > now && !state.endpoint.evacuated && hasVersion(criteria, state)
+            && !tried.contains(id);
     });
 }
 
@@ -145,7 +170,8 @@
     std::vector<Candidate> lastResorts;
     for (const std::string &id : ids->second) {
         const State &state = this->states.at(id);
-        if (!hasVersion(criteria, state) || tried.contains(id) || state.atLimitUntil > now) {
+        if (state.endpoint.evacuated || !hasVersion(criteria, state) || tried.contains(id)
+            || state.atLimitUntil > now) {
             continue;
         }
         const bool unhealthy = std::max(state.backoffUntil, state.ejectedUntil) > now;
@@ -256,7 +282,7 @@
     std::size_t ejected = 0;
     for (const std::string &other : ids->second) {
         const State &otherState = this->states.at(other);
-        if (!otherState.isLeaving()) {
+        if (otherState.isInService()) {
             errorRates.push_back(otherState.errorRate);
             ejected += otherState.ejectedUntil > now ? 1 : 0;
         }
--- a/src/gateway/load_balancer_base.h
+++ b/src/gateway/load_balancer_base.h
@@ -38,15 +38,20 @@
     void setEndpoints(Instant now, const std::vector<DeployedEndpoint> &list);
 
     /** Selects an endpoint whose id isn't in @p tried. One that leaves is selected only if there is no other, and only
-     * in the first half of its drain period. @return null if there is none. */
+     * in the first half of its drain period; one of an evacuated data centre never. @return null if there is none. */
     [[nodiscard]] const DeployedEndpoint *choose(
         Instant now, const SelectionCriteria &criteria, const std::set<std::string> &tried) const;
     /** Software version of all endpoints of @p service that are listed or were in the last VersionMemory; empty if they
      * differ or one doesn't state it. As far as this process knows: it may have been restarted or out of touch. */
     [[nodiscard]] std::string commonVersion(Instant now, const std::string &service) const;
-    /** Whether @p id is listed and isn't known to leave. */
+    /** Whether @p id is listed and neither is known to leave nor evacuated. */
     [[nodiscard]] bool isUsable(const std::string &id) const;
 
+    /** Whether @p id is in an evacuated data centre, as the list shows it or showed it last. */
+    [[nodiscard]] bool isEvacuated(const std::string &id) const;
+    /** Whether the service has endpoints of the version that is wanted, and all of them are evacuated. */
+    [[nodiscard]] bool areAllEvacuated(const SelectionCriteria &criteria) const;
+
     /** Describes the load of @p id for the log: this gateway's requests in flight, then the running and waiting
      * requests and the slots that the endpoint reported, then the age of that report in milliseconds. */
     [[nodiscard]] std::string describeLoad(Instant now, const std::string &id) const;
@@ -121,6 +126,11 @@
         {
             return this->hasStatedLeaving || this->endpoint.leaving;
         }
+        /** Gets requests as long as it is well: it neither leaves nor is evacuated. */
+        [[nodiscard]] bool isInService() const
+        {
+            return !this->isLeaving() && !this->endpoint.evacuated;
+        }
     };
 
     /** Adds a result, 1 for a failure and 0 for a success, to the error rate and ejects the endpoint if it is an
--- a/src/table/event_table.cpp
+++ b/src/table/event_table.cpp
@@ -71,6 +71,7 @@
     {EventKind::SnapshotTaken, EventLevel::Info},
     {EventKind::ConnectionFailed, EventLevel::Warning},
     {EventKind::StorageOpened, EventLevel::Info},
+    {EventKind::EvacuationChanged, EventLevel::Info},
     {EventKind::SlowOperation, EventLevel::Warning},
 });
 
--- a/src/table/event_table.h
+++ b/src/table/event_table.h
@@ -65,6 +65,7 @@
     SnapshotTaken,
     ConnectionFailed,
     StorageOpened,
+    EvacuationChanged,
     SlowOperation,
 };
 
@@ -136,6 +137,7 @@
         {EventKind::SnapshotTaken, "snapshot_taken"},
         {EventKind::ConnectionFailed, "connection_failed"},
         {EventKind::StorageOpened, "storage_opened"},
+        {EventKind::EvacuationChanged, "evacuation_changed"},
         {EventKind::SlowOperation, "slow_operation"},
     });
 };
--- a/src/table/metric_table.cpp
+++ b/src/table/metric_table.cpp
@@ -66,6 +66,10 @@
         "Endpoints that name a limit of their requests per second."},
     {MetricKind::EndpointLimitRefusals, "chestnuthook_endpoint_limit_refusals_total", MetricType::Counter, "",
         "Times that a request went to another endpoint, waited or was refused because of an endpoint's limit."},
+    {MetricKind::EvacuationsInForce, "chestnuthook_evacuations_in_force", MetricType::Gauge, "",
+        "Data centres that are evacuated, as a control member has applied it."},
+    {MetricKind::EndpointsEvacuated, "chestnuthook_endpoints_evacuated", MetricType::Gauge, "",
+        "Endpoints that get no request from this gateway because their data centre is evacuated."},
 });
 
 constexpr bool isTableComplete()
--- a/src/table/metric_table.h
+++ b/src/table/metric_table.h
@@ -40,8 +40,10 @@
     ConfigurationBytesSent,
     EndpointsLimited,
     EndpointLimitRefusals,
+    EvacuationsInForce,
+    EndpointsEvacuated,
 };
-inline constexpr std::size_t MetricCount = static_cast<std::size_t>(MetricKind::EndpointLimitRefusals) + 1;
+inline constexpr std::size_t MetricCount = static_cast<std::size_t>(MetricKind::EndpointsEvacuated) + 1;
 
 /** Type of a metric, as in the Prometheus text format. */
 enum class MetricType : std::uint8_t { Counter, Gauge, Histogram };
