--- a/src/dispatch/endpoint_pool_base.h
+++ b/src/dispatch/endpoint_pool_base.h
@@ -2,14 +2,22 @@
 #pragma once
 
 #include <cstddef>
-#include <map>
+#include <functional>
+#include <memory>
+#include <optional>
 #include <span>
 #include <string>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
 #include "core/timer_type.h"
+#include "dispatch/customer_share_base.h"
 #include "dispatch/endpoint_pool_type.h"
+#include "dispatch/endpoint_speed_base.h"
+#include "dispatch/program_table_base.h"
+#include "dispatch/turn_cost_base.h"
+#include "dispatch/turn_urgency_func.h"
 
 namespace Chestnuthook
 {
@@ -20,6 +28,13 @@
 class EndpointPool
 {
 public:
+    static constexpr std::size_t MaxWaiting = 512; ///< Turns that wait at most; more are refused.
+
+    EndpointPool();
+    EndpointPool(const EndpointPool &) = delete;
+    EndpointPool &operator=(const EndpointPool &) = delete;
+    ~EndpointPool();
+
     /** Replaces the endpoints. Turns at endpoints that are gone remain known until they are released or expire. */
     void setEndpoints(Instant now, std::span<const PoolEndpoint> list);
     void setParameters(const PoolParameters &given);
@@ -47,25 +62,65 @@
     [[nodiscard]] std::size_t runningCount() const;
 
 private:
+    struct Turn;
+    struct Place;
+    struct Schedule;
+    struct Candidate;
     using TurnKey = std::pair<std::string, std::uint64_t>;
-    struct Row
-    {
-        PoolEndpoint endpoint; ///< As listed.
-        unsigned running = 0; ///< Granted turns.
-        std::uint64_t tokens = 0; ///< Tokens of the granted turns.
-    };
-    struct Granted
+    struct TurnKeyHash
     {
-        TurnRequest request; ///< As submitted.
-        std::string endpoint; ///< Where it runs.
+        std::size_t operator()(const TurnKey &key) const
+        {
+            constexpr std::uint64_t Mixer = 0x9e3779b97f4a7c15; ///< Odd, so that all tickets remain distinct.
+            return std::hash<std::string>()(key.first) ^ (key.second * Mixer);
+        }
     };
+    using Turns = std::unordered_map<TurnKey, std::unique_ptr<Turn>, TurnKeyHash>;
 
-    TurnDecision decide(const TurnRequest &request);
+    [[nodiscard]] Place *findPlace(const std::string &id) const;
+    /** Logarithm of the speed of @p place; that of the pool if it has no outcomes yet. */
+    [[nodiscard]] double logSpeedOf(const Place &place) const;
+    [[nodiscard]] double factorOf(Instant now, const Place &place) const;
+    [[nodiscard]] std::uint32_t uncachedTokens(const TurnRequest &request, const Place &place) const;
+    /** Time of @p request on an idle endpoint of usual speed. */
+    [[nodiscard]] double idleMs(const TurnRequest &request, double outputTokens) const;
+    /** Fills in what is derived from a request. */
+    void prepare(Instant now, Turn &turn);
+    [[nodiscard]] TurnTarget targetAt(Instant now, const Turn &turn) const;
+    [[nodiscard]] UrgencyKey keyOf(Instant now, const Turn &turn) const;
+    /** When the slots of each usable endpoint become free. */
+    [[nodiscard]] Schedule makeSchedule(Instant now) const;
+    [[nodiscard]] Candidate candidateAt(Instant now, const Turn &turn, const Schedule &schedule, std::size_t row) const;
+    /** The best row of @p schedule for @p turn, with a start of 0 if it may start now; nothing if none is allowed. */
+    [[nodiscard]] std::optional<Candidate> bestCandidate(
+        Instant now, const Turn &turn, const Schedule &schedule, bool isContended) const;
+    /** Waiting turns with the most urgent first. */
+    [[nodiscard]] std::vector<Turn *> orderedWaiting(Instant now) const;
+    /** Wait of a turn that has @p ahead waiting turns before it. */
+    [[nodiscard]] double queueWaitMs(const Turn &turn, const Schedule &schedule, std::size_t ahead) const;
+    /** Why @p turn is refused instead of waiting @p waitMs; empty if it may wait. */
+    [[nodiscard]] std::string_view refusalReason(Instant now, const Turn &turn, double waitMs) const;
+    TurnDecision grant(Instant now, Turn &turn, const Schedule &schedule, const Candidate &candidate);
+    void start(Instant now, Turn &turn, Place &place, double timeMs, double factor);
+    void unstart(Turn &turn);
+    void learn(Instant now, const Turn &turn, const TurnOutcome &outcome);
+    void remove(Turns::iterator entry);
+    void removeExpired(Instant now);
+    void updateSpeeds();
+    [[nodiscard]] static bool isAllowed(const Place &place, const TurnRequest &request);
+    [[nodiscard]] static TurnDecision decision(const Turn &turn, TurnVerdict verdict, std::string_view reason);
 
-    PoolParameters parameters; ///< Priors of costs.
-    std::map<std::string, Row> rows; ///< Endpoints by id.
-    std::map<TurnKey, Granted> granted; ///< Granted turns.
-    std::vector<TurnRequest> waiting; ///< Waiting turns in the order of arrival.
+    TurnCostModel costs; ///< Times at an endpoint of usual speed.
+    std::vector<std::unique_ptr<Place>> places; ///< Endpoints that are listed or still have turns.
+    std::uint32_t lastPlaceNumber = 0; ///< Number given to the last new endpoint.
+    Turns turns; ///< Granted and waiting turns.
+    std::vector<Turn *> waiting; ///< Waiting turns in the order of arrival.
+    ProgramTable programs; ///< Programs seen lately.
+    CustomerShares shares; ///< Service of customers in the last seconds.
+    double logUsualSpeed = 0; ///< Mean logarithm of the speeds of endpoints with outcomes.
+    double bestSpeed = 1; ///< Speed of the fastest endpoint relative to the usual one.
+    double recentWaitMs = 0; ///< Mean wait of turns of programs in progress that were granted lately.
+    Instant recentWaitAt; ///< When recentWaitMs was updated.
 };
 
 } // namespace Chestnuthook
