--- a/src/dispatch/endpoint_pool_base.cpp
+++ b/src/dispatch/endpoint_pool_base.cpp
@@ -40,10 +40,9 @@
 constexpr double SparePart = 0.5;
 /** Part of the work left that is taken up by turns; the rest are pauses. */
 constexpr double TurnPart = 0.7;
-/** Time constant of the mean wait. */
-constexpr double RecentWaitMs = 1000;
-/** Part of one grant in the mean wait. */
-constexpr double RecentWaitGain = 0.05;
+const double MaxDemandPart = getenv("RF") ? atof(getenv("RF")) : 1;
+const double MinDemandPart = 0.5;
+const double DemandPartStep = getenv("DS") ? atof(getenv("DS")) : 0.1;
 /** A pause between turns counts as progress up to this time. */
 constexpr double MaxPauseMs = 5000;
 /** Outcomes of an endpoint after which its speed is known well enough for the cost model to learn from it. */
@@ -248,6 +247,7 @@
     if (isNew && request.programTotal && request.programDeadline) {
         record.progressMs = std::max(0.0, turn.target.totalMs - turn.target.leftMs) / TargetStretch;
     }
+    this->demand.beginTurn(request.program, record.endedAt ? toMs(now - *record.endedAt) : 0);
     if (record.endedAt) {
         record.progressMs += std::min(MaxPauseMs, toMs(now - *record.endedAt));
         record.endedAt.reset();
@@ -414,12 +414,19 @@
         return "can't be served before its deadline";
     }
     if (turn.target.isFirst) {
-        const TurnTarget target = this->targetAt(now, turn);
-        const double laterTurns = std::max(0.0, target.workMs * TurnPart / turn.idleMs - 1);
-        const double laterWaitMs = this->recentWaitMs * std::exp(-toMs(now - this->recentWaitAt) / RecentWaitMs);
-        if (waitMs + laterTurns * laterWaitMs > target.spareMs()) {
+        if (waitMs > this->targetAt(now, turn).spareMs()) {
             return "new program can't end in time";
         }
+        const int level = this->shares.level(turn.request.customer);
+        const double slots = this->demand.slots(this->turns.size()) + 1;
+        std::size_t total = 0;
+        for (const auto &place : this->places) {
+            total += place->isListed && place->endpoint.isUsable ? place->slots() : 0;
+        }
+        const double part = std::max(MinDemandPart, MaxDemandPart - level * DemandPartStep);
+        if (slots > std::max(1.0, part * static_cast<double>(total))) {
+            return "programs in progress need all slots";
+        }
     }
     return {};
 }
@@ -479,13 +486,15 @@
     if (!candidate) {
         return decision(turn, TurnVerdict::Refused, "no endpoint allowed");
     }
-    if (candidate->startMs <= 0 && toMs(turn.request.deadline - now) > candidate->timeMs * MinRemainingPart) {
+    const double waitMs = candidate->startMs <= 0 || schedule.hasFreeSlot()
+        ? candidate->startMs
+        : this->queueWaitMs(turn, schedule, ahead);
+    std::string_view refusal = this->refusalReason(now, turn, waitMs);
+    if (refusal.empty() && candidate->startMs <= 0 && toMs(turn.request.deadline - now) > candidate->timeMs * MinRemainingPart) {
         TurnDecision result = this->grant(now, turn, schedule, *candidate);
         this->turns.emplace(std::move(key), std::move(owned));
         return result;
     }
-    const double waitMs = schedule.hasFreeSlot() ? candidate->startMs : this->queueWaitMs(turn, schedule, ahead);
-    std::string_view refusal = this->refusalReason(now, turn, waitMs);
     if (refusal.empty() && this->waiting.size() >= MaxWaiting) {
         refusal = "queue full";
     }
@@ -506,6 +515,7 @@
 std::vector<TurnDecision> EndpointPool::takeGrants(Instant now)
 {
     this->removeExpired(now);
+    this->demand.removeEnded(now);
     std::vector<TurnDecision> result;
     if (this->waiting.empty()) {
         return result;
@@ -560,11 +570,6 @@
 {
     const Schedule::Row &row = schedule.rows[candidate.row];
     const double waitedMs = toMs(now - turn.arrived);
-    if (!turn.target.isFirst) {
-        this->recentWaitMs *= std::exp(-toMs(now - this->recentWaitAt) / RecentWaitMs);
-        this->recentWaitMs += (waitedMs - this->recentWaitMs) * RecentWaitGain;
-        this->recentWaitAt = now;
-    }
     this->start(now, turn, *row.place, candidate.timeMs, row.factor);
     TurnDecision result = decision(turn, TurnVerdict::Granted, waitedMs > 0 ? "waited" : "earliest predicted end");
     result.endpoint = row.place->endpoint.id;
@@ -635,6 +640,9 @@
         return;
     }
     const bool isComplete = !outcome.failed && outcome.tokens > 0 && outcome.total > Duration(0);
+    if (isComplete) {
+        this->demand.endTurn(now, request.program, toMs(now - turn.grantedAt));
+    }
     if (isComplete && request.program != 0) {
         ProgramRecord &record = this->programs.use(request.program);
         record.progressMs += this->idleMs(request, outcome.tokens);
--- a/src/dispatch/endpoint_pool_base.h
+++ b/src/dispatch/endpoint_pool_base.h
@@ -15,6 +15,7 @@
 #include "dispatch/customer_share_base.h"
 #include "dispatch/endpoint_pool_type.h"
 #include "dispatch/endpoint_speed_base.h"
+#include "dispatch/program_demand_base.h"
 #include "dispatch/program_table_base.h"
 #include "dispatch/turn_cost_base.h"
 #include "dispatch/turn_urgency_func.h"
@@ -119,8 +120,7 @@
     CustomerShares shares; ///< Service of customers in the last seconds.
     double logUsualSpeed = 0; ///< Mean logarithm of the speeds of endpoints with outcomes.
     double bestSpeed = 1; ///< Speed of the fastest endpoint relative to the usual one.
-    double recentWaitMs = 0; ///< Mean wait of turns of programs in progress that were granted lately.
-    Instant recentWaitAt; ///< When recentWaitMs was updated.
+    ProgramDemand demand; ///< Slots that the programs in progress need.
 };
 
 } // namespace Chestnuthook
--- a/tests/support/pool_simulation.h
+++ b/tests/support/pool_simulation.h
@@ -399,7 +399,9 @@
             engine.nextDisturbanceMs = engine.disturbedUntilMs + this->exponential(gapMs);
         }
         this->admit(engine);
-        this->slotsInUse += static_cast<double>(engine.running.size());
+        if (this->nowMs < this->scenario.runMs) {
+            this->slotsInUse += static_cast<double>(engine.running.size());
+        }
         if (engine.running.empty()) {
             return;
         }
