Pools of endpoints: a turn counts the delay that it causes to others at its endpoint

Long prompts went to endpoints with the most running turns as soon as these were the fastest. Each candidate now also counts the time by which the turn delays its neighbours.

--- a/src/dispatch/endpoint_pool_base.cpp
+++ b/src/dispatch/endpoint_pool_base.cpp
@@ -34,19 +34,28 @@
 constexpr Duration ProbeInterval = std::chrono::seconds(4);
 /** Advantage of endpoints without outcomes, so that all are known soon. */
 constexpr double UnknownBonusMs = 10;
-/** Time by which a predicted end may be off; waiting for a slot counts that much more. */
-constexpr double WaitWeight = 1.25;
+/** Weight of the time until a slot is free, as that prediction is the least certain one: outputs vary. */
+constexpr double WaitWeight = 1.5;
 /** Part of a program's time to spare that one of its turns may lose by going to a slow endpoint while others wait. */
 constexpr double SparePart = 0.5;
-/** Part of the work left that is taken up by turns; the rest are pauses. */
-constexpr double TurnPart = 0.7;
-const double MaxDemandPart = getenv("RF") ? atof(getenv("RF")) : 1;
-const double MinDemandPart = 0.5;
-const double DemandPartStep = getenv("DS") ? atof(getenv("DS")) : 0.1;
+/** Part of the slots that programs in progress may need on average when a new program is admitted. With more, they wait
+ * for each other before every turn: 1.05 gave a third more late programs at a load of 1.7. */
+constexpr double MaxDemandPart = 1;
+/** For customers above their share this part falls by DemandPartStep a level, so that new programs of the others find
+ * free slots; with 0, the others' programs in time fell from 83 to 43 in 100 beside a customer with 7.5 times its usual
+ * load. */
+constexpr double DemandPartStep = 0.06;
+constexpr double MinDemandPart = 0.75; ///< Least value of this part.
+/** Shortest time after which a refused program may be retried, */
+constexpr double MinRetryMs = 200;
+/** and the additional time for each multiple of the slots that the programs in progress need. */
+constexpr double RetryMsPerExcess = 2000;
 /** A pause between turns counts as progress up to this time. */
 constexpr double MaxPauseMs = 5000;
-/** Outcomes of an endpoint after which its speed is known well enough for the cost model to learn from it. */
+/** Lower bound of an endpoint's factor; keeps divisions defined. */
 constexpr double MinFactor = 0.05;
+/** More slots are not believed, whatever an endpoint reports. */
+constexpr unsigned MaxSlots = 256;
 
 double toMs(Duration duration)
 {
@@ -94,7 +103,7 @@
 
     [[nodiscard]] unsigned slots() const
     {
-        return std::max(1U, this->reportedSlots > 0 ? this->reportedSlots : this->endpoint.slots);
+        return std::clamp(this->reportedSlots > 0 ? this->reportedSlots : this->endpoint.slots, 1U, MaxSlots);
     }
     [[nodiscard]] double foreignNow(Instant now) const
     {
@@ -323,9 +332,7 @@
     const auto neighbours = static_cast<double>(std::min<std::size_t>(place.running.size(), place.slots() - 1));
     candidate.timeMs = backlogMs + this->costs.totalMs(uncached, turn.expectedTokens, neighbours) * row.factor;
     candidate.cost = candidate.startMs * WaitWeight + candidate.timeMs;
-    if (isLongRead(readMs)) {
-        candidate.cost += readMs * neighbours / 2; // Reading delays the turns that run there.
-    }
+    candidate.cost += neighbours * this->costs.neighbourMs(uncached, turn.expectedTokens) * row.factor;
     if (!place.speed.isObserved()) {
         candidate.cost -= UnknownBonusMs;
     }
@@ -359,7 +366,7 @@
             return candidate;
         }
     }
-    // While others wait, turns with time to spare leave the fast endpoints to those without.
+    // While others wait, turns of programs with time to spare leave the fast endpoints to those without.
     if (isContended && best && best->startMs > 0 && bestNow && bestNow->timeMs - turn.idleMs < spareMs * SparePart) {
         return bestNow;
     }
@@ -407,26 +414,30 @@
     return std::max(0.0, freeAt[position]) + static_cast<double>(ahead / freeAt.size()) * meanMs;
 }
 
+double EndpointPool::demandExcess(std::uint64_t customer) const
+{
+    std::size_t slots = 0;
+    for (const auto &place : this->places) {
+        slots += place->isListed && place->endpoint.isUsable ? place->slots() : 0;
+    }
+    const double part = std::max(MinDemandPart, MaxDemandPart - this->shares.level(customer) * DemandPartStep);
+    return (this->demand.slots(this->turns.size()) + 1) / std::max(1.0, part * static_cast<double>(slots)) - 1;
+}
+
 std::string_view EndpointPool::refusalReason(Instant now, const Turn &turn, double waitMs) const
 {
     const double fastestMs = turn.idleMs * std::min(1.0, this->bestSpeed);
     if (waitMs + fastestMs > toMs(turn.request.deadline - now)) {
         return "can't be served before its deadline";
     }
-    if (turn.target.isFirst) {
-        if (waitMs > this->targetAt(now, turn).spareMs()) {
-            return "new program can't end in time";
-        }
-        const int level = this->shares.level(turn.request.customer);
-        const double slots = this->demand.slots(this->turns.size()) + 1;
-        std::size_t total = 0;
-        for (const auto &place : this->places) {
-            total += place->isListed && place->endpoint.isUsable ? place->slots() : 0;
-        }
-        const double part = std::max(MinDemandPart, MaxDemandPart - level * DemandPartStep);
-        if (slots > std::max(1.0, part * static_cast<double>(total))) {
-            return "programs in progress need all slots";
-        }
+    if (!turn.target.isFirst) {
+        return {};
+    }
+    if (waitMs > this->targetAt(now, turn).spareMs()) {
+        return "new program can't end in time";
+    }
+    if (this->demandExcess(turn.request.customer) > 0) {
+        return "programs in progress need all slots";
     }
     return {};
 }
@@ -486,11 +497,11 @@
     if (!candidate) {
         return decision(turn, TurnVerdict::Refused, "no endpoint allowed");
     }
-    const double waitMs = candidate->startMs <= 0 || schedule.hasFreeSlot()
-        ? candidate->startMs
-        : this->queueWaitMs(turn, schedule, ahead);
+    const double waitMs = candidate->startMs <= 0 || schedule.hasFreeSlot() ? candidate->startMs
+                                                                            : this->queueWaitMs(turn, schedule, ahead);
     std::string_view refusal = this->refusalReason(now, turn, waitMs);
-    if (refusal.empty() && candidate->startMs <= 0 && toMs(turn.request.deadline - now) > candidate->timeMs * MinRemainingPart) {
+    if (refusal.empty() && candidate->startMs <= 0
+        && toMs(turn.request.deadline - now) > candidate->timeMs * MinRemainingPart) {
         TurnDecision result = this->grant(now, turn, schedule, *candidate);
         this->turns.emplace(std::move(key), std::move(owned));
         return result;
@@ -504,6 +515,10 @@
         result.reason = refusal;
     }
     result.predictedWait = fromMs(waitMs);
+    if (result.verdict == TurnVerdict::Refused) {
+        const double excess = std::max(0.0, this->demandExcess(turn.request.customer));
+        result.predictedWait = fromMs(std::max(waitMs, MinRetryMs + excess * RetryMsPerExcess));
+    }
     result.predictedTime = fromMs(candidate->timeMs);
     if (result.verdict == TurnVerdict::Waiting) {
         this->waiting.push_back(&turn);
@@ -688,7 +703,7 @@
     for (const auto &place : this->places) {
         for (Turn *turn : place->running) {
             const Instant end = turn->grantedAt + fromMs(turn->predictedMs * ExpiryFactor) + ExpiryMargin;
-            if (now >= end || now >= turn->request.deadline + DeadlineMargin) {
+            if (now >= end || now - turn->request.deadline >= DeadlineMargin) {
                 expired.push_back(turn);
             }
         }
--- a/src/dispatch/endpoint_pool_base.h
+++ b/src/dispatch/endpoint_pool_base.h
@@ -99,6 +99,9 @@
     [[nodiscard]] std::vector<Turn *> orderedWaiting(Instant now) const;
     /** Wait of a turn that has @p ahead waiting turns before it. */
     [[nodiscard]] double queueWaitMs(const Turn &turn, const Schedule &schedule, std::size_t ahead) const;
+    /** How far the demand of the programs in progress and a new one of @p customer exceeds the slots that it may take,
+     * relative to these; negative if it doesn't. */
+    [[nodiscard]] double demandExcess(std::uint64_t customer) const;
     /** Why @p turn is refused instead of waiting @p waitMs; empty if it may wait. */
     [[nodiscard]] std::string_view refusalReason(Instant now, const Turn &turn, double waitMs) const;
     TurnDecision grant(Instant now, Turn &turn, const Schedule &schedule, const Candidate &candidate);
--- a/src/dispatch/program_demand_base.h
+++ b/src/dispatch/program_demand_base.h
@@ -1,4 +1,5 @@
-/** @file program_demand_base.h  How many slots the programs in progress will need, learnt from their turns and pauses. */
+/** @file program_demand_base.h  How many slots the programs in progress will need, learnt from their turns and pauses.
+ */
 #pragma once
 
 #include <algorithm>
@@ -14,8 +15,8 @@
 
 /** Counts programs between two turns, and learns how long pauses are and how often another turn follows.
  *
- * A program in progress needs a slot for a part of its time only, but needs it again after each pause. New programs that
- * are admitted whenever a slot is free at the moment delay those that return. */
+ * A program in progress needs a slot for a part of its time only, but needs it again after each pause. New programs
+ * that are admitted whenever a slot is free at the moment delay those that return. */
 class ProgramDemand
 {
 public:
--- a/src/dispatch/prompt_limit_func.h
+++ b/src/dispatch/prompt_limit_func.h
@@ -6,12 +6,14 @@
 namespace Chestnuthook
 {
 
-/** Reading this long delays the other turns at the endpoint by about a quarter of a usual turn. */
+/** Reading that takes this long delays the other turns at the endpoint by about a quarter of a usual turn. */
 constexpr double LongReadMs = 40;
 /** Reading that may be due at an endpoint when a long prompt is added. */
 constexpr double MaxBacklogBeforeLongMs = 12;
-/** Reading that may be due at an endpoint when a short prompt is added, after which its turns would be late. */
-constexpr double MaxBacklogBeforeShortMs = 120;
+/** Reading that may be due at an endpoint when any prompt is added; more would make its turns late. */
+constexpr double MaxBacklogMs = 120;
+/** Part of its program's time to spare for which a long prompt waits for an endpoint with little to read. */
+constexpr double LongWaitPart = 0.25;
 /** Longest time for which a long prompt waits for an endpoint with little to read. */
 constexpr double MaxLongWaitMs = 400;
 
@@ -33,10 +35,10 @@
 inline bool mayStartReading(const PromptToPlace &prompt, double backlogMs)
 {
     if (!isLongRead(prompt.readMs)) {
-        return backlogMs <= MaxBacklogBeforeShortMs;
+        return backlogMs <= MaxBacklogMs;
     }
-    const double bound = std::clamp(prompt.spareMs / 4, 0.0, MaxLongWaitMs);
-    return backlogMs <= (prompt.waitedMs >= bound ? MaxBacklogBeforeShortMs : MaxBacklogBeforeLongMs);
+    const double bound = std::clamp(prompt.spareMs * LongWaitPart, 0.0, MaxLongWaitMs);
+    return backlogMs <= (prompt.waitedMs >= bound ? MaxBacklogMs : MaxBacklogBeforeLongMs);
 }
 
 } // namespace Chestnuthook
--- a/src/dispatch/turn_cost_base.h
+++ b/src/dispatch/turn_cost_base.h
@@ -128,6 +128,11 @@
     {
         return this->firstEventMs(readTokens) + this->outputMs(outputTokens, neighbours);
     }
+    /** Time by which a turn delays each other one at its endpoint: reading its prompt, and longer steps. */
+    [[nodiscard]] double neighbourMs(double readTokens, double outputTokens) const
+    {
+        return this->readMs(readTokens) + outputTokens * this->step.slopeValue();
+    }
     /** Time from the first event to the end. */
     [[nodiscard]] double outputMs(double outputTokens, double neighbours) const
     {
