Gateways place requests of engines that report their pace through the owners of pools

With many gateways, each hears from an endpoint too rarely to place requests by load. The type of the history's requests is now TurnStart, as the pools' TurnRequest has the same namespace. Compiles; not yet tested.

--- a/src/deployment/deployment_member_base.cpp
+++ b/src/deployment/deployment_member_base.cpp
@@ -156,7 +156,7 @@
 {
     return {textOf(report.getName()), report.getRole(), textOf(report.getDataCentre()),
         textOf(report.getCallerAddress()), textOf(report.getRpcAddress()), textOf(report.getIdentity()),
-        report.getReady(), report.getCutOff()};
+        report.getReady(), report.getCutOff(), report.getProcessorShare()};
 }
 
 } // namespace
@@ -574,6 +574,7 @@
         list[i].setRpcAddress(wireText(listed[i].rpcAddress));
         list[i].setReady(listed[i].ready);
         list[i].setCutOff(listed[i].isCutOff);
+        list[i].setProcessorShare(listed[i].processorShare);
         list[i].setIdentity(wireText(listed[i].identity));
     }
     if (changes) {
--- a/src/deployment/deployment_watcher_base.cpp
+++ b/src/deployment/deployment_watcher_base.cpp
@@ -130,6 +130,7 @@
         report.setIdentity(wireText(info.identity));
         report.setReady(info.ready);
         report.setCutOff(info.isCutOff);
+        report.setProcessorShare(info.processorShare);
         report.setCopiedView(this->copiedView ? this->copiedView() : 0);
         const auto strikes = this->takeStrikes ? this->takeStrikes() : std::vector<EndpointStrike>();
         auto list = report.initStrikes(static_cast<unsigned>(strikes.size()));
@@ -259,7 +260,7 @@
         instances.insert_or_assign(textOf(entry.getName()),
             InstanceInfo{textOf(entry.getName()), entry.getRole(), textOf(entry.getDataCentre()),
                 textOf(entry.getCallerAddress()), textOf(entry.getRpcAddress()), textOf(entry.getIdentity()),
-                entry.getReady(), entry.getCutOff()});
+                entry.getReady(), entry.getCutOff(), entry.getProcessorShare()});
     }
     this->view.instances.clear();
     for (auto &[name, instance] : instances) {
--- a/src/deployment/instance_registry_base.h
+++ b/src/deployment/instance_registry_base.h
@@ -26,6 +26,7 @@
     std::string identity; ///< Identity of its data folder; empty if it has none.
     bool ready = false; ///< A gateway that accepts client requests.
     bool isCutOff = false; ///< A gateway that needs others to reach most endpoints of a service.
+    double processorShare = 0; ///< Cores that the process may use; 0 if it doesn't say.
     bool operator==(const InstanceInfo &) const = default;
 };
 
--- a/src/gateway/gateway_base.cpp
+++ b/src/gateway/gateway_base.cpp
@@ -108,6 +108,10 @@
     , configurationReader(std::move(readConfiguration))
     , settings(std::move(settings))
     , loadBalancer(this->settings.drainPeriod)
+    , dispatcher(loop, this->settings.name,
+          [this](const std::string &endpoint) {
+              return this->loadBalancer.isUsable(endpoint);
+          })
     , connector(loop, {this->settings.name, this->settings.dataCentre, this->settings.endpointSource})
     , responseMemory(this->settings.memoryLimitBytes / ResponseMemoryDivisor)
     , history(loop, watcher, this->settings.dataCentre)
@@ -131,6 +135,7 @@
             logEvent(EventKind::ChildFailed, {{"child", "configuration"}, {"error", errorText(read.error())}});
         } else if (this->configuration == nullptr || (*read)->version > this->configuration->version) {
             this->configuration = *read;
+            this->dispatcher.setConfiguration(this->configuration);
             logEvent(EventKind::ConfigurationInForce,
                 {{"version", std::to_string(this->configuration->version)},
                     {"routes", std::to_string(this->configuration->routes.size())},
@@ -141,6 +146,7 @@
     if (hasPart(parts, UpdatePart::Endpoints)) {
         this->loadBalancer.setEndpoints(this->now(), view.endpoints);
         this->connector.setEndpoints(view.endpoints);
+        this->dispatcher.setEndpoints(view.endpoints);
         for (const std::string &endpoint : this->endpointLimits.setListed(this->now(), view.endpoints)) {
             this->applyLimit(endpoint, "list");
         }
@@ -153,6 +159,7 @@
             }
         }
         this->connector.setInstances(view.instances);
+        this->dispatcher.setInstances(view.instances);
     }
 }
 
@@ -540,7 +547,7 @@
     if (!isProgramTurn) {
         return true;
     }
-    TurnRequest start;
+    TurnStart start;
     start.customer = call.customer == nullptr ? std::string() : call.customer->name;
     start.previous = route.retainsTurns ? call.metadata.previousTurn : std::string();
     const auto now = static_cast<std::uint64_t>(wallMsNow());
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -16,6 +16,7 @@
 #include "gateway/event_split_func.h"
 #include "gateway/header_codec_type.h"
 #include "gateway/load_balancer_base.h"
+#include "gateway/pool_dispatcher_base.h"
 #include "gateway/rate_limiter_base.h"
 #include "gateway/response_memory_base.h"
 #include "gateway/shutdown_schedule_func.h"
@@ -89,6 +90,11 @@
     {
         return this->connector.relay;
     }
+    /** Capability for other gateways: connections to endpoints, and endpoints of the pools that this gateway owns. */
+    [[nodiscard]] Wire::GatewayPeer::Client makePeer()
+    {
+        return this->dispatcher.makePeer(this->connector.relay);
+    }
     /** Whether this gateway needs others to reach most endpoints of a service. */
     [[nodiscard]] bool isCutOff() const
     {
@@ -129,11 +135,18 @@
     {
         std::optional<DeployedEndpoint> endpoint; ///< Empty if there is none.
         bool isAtLimit = false; ///< There is none because of the limits that endpoints name.
+        std::unique_ptr<PoolGrant> grant = nullptr; ///< Held during the attempt if a pool has named the endpoint.
+        std::optional<Duration> refusedFor = std::nullopt; ///< Set if a pool has refused the request.
     };
     /** Chooses an endpoint that isn't in @p tried and takes credit for it if it names a limit. Requests of a running
      * program wait for room within the limits, at most MaxLimitWait. */
     [[nodiscard]] EndpointChoice chooseEndpoint(
         kj::WaitScope &scope, const Call &call, const SelectionCriteria &criteria, const std::set<std::string> &tried);
+    /** Asks the pools of the service for an endpoint. @return nothing if this gateway has to choose by itself. */
+    [[nodiscard]] std::optional<EndpointChoice> choosePooled(
+        kj::WaitScope &scope, const Call &call, const SelectionCriteria &criteria, const std::set<std::string> &tried);
+    /** Reports to its pool how the attempt at the endpoint that @p grant names has ended. */
+    void releaseGrant(const Call &call, PoolGrant &grant, AttemptResult result) const;
     void runAtEndpoints(kj::WaitScope &scope, Call &call);
     [[nodiscard]] AttemptResult attempt(kj::WaitScope &scope, Call &call, const DeployedEndpoint &endpoint);
     [[nodiscard]] AttemptResult sendAndReceive(
@@ -150,6 +163,7 @@
     void beginStream(kj::WaitScope &scope, Call &call, const DeployedEndpoint &endpoint, const ResponseHead &head);
     void finishStream(kj::WaitScope &scope, Call &call);
     [[nodiscard]] std::optional<Milliseconds> programTimeLeft(const Call &call) const;
+    [[nodiscard]] unsigned priorityOf(const Call &call) const;
     [[nodiscard]] std::string serializeRequest(const Call &call, const DeployedEndpoint &endpoint) const;
 
     /** Records that @p endpoint has stated in the response to @p call that it leaves. */
@@ -184,6 +198,7 @@
     GatewaySettings settings;
     ConfigurationPtr configuration; ///< Configuration in force; null before the first one. Its version never decreases.
     LoadBalancer loadBalancer; ///< Selects endpoints.
+    PoolDispatcher dispatcher; ///< Places requests in pools of endpoints.
     EndpointConnector connector; ///< Connections to endpoints.
     ResponseMemory responseMemory; ///< Limits the memory of the responses that are held.
     HistoryClient history; ///< Stored turns and token budgets.
--- a/src/gateway/gateway_call_internal.h
+++ b/src/gateway/gateway_call_internal.h
@@ -42,6 +42,9 @@
         this->framing = BodyFraming::Length;
         this->unfinishedBytes = 0;
         this->failureReason = {};
+        this->reportedLoad.reset();
+        this->firstEventAt.reset();
+        this->eventsBefore = this->deliveredEvents;
     }
     /** Frees `content` at the end of an attempt. */
     void releaseContent()
@@ -78,6 +81,10 @@
     std::string output; ///< Data of all events so far if the turn is stored, as whose output it is.
     std::string lastEventId; ///< Id of the last event sent to the client.
     unsigned deliveredEvents = 0; ///< Number of events sent to the client.
+    unsigned eventsBefore = 0; ///< Value of `deliveredEvents` when the last attempt began.
+    Instant attemptedAt{0}; ///< When the last attempt began.
+    std::optional<Instant> firstEventAt; ///< When its first event arrived.
+    std::optional<EndpointLoad> reportedLoad; ///< Load that its endpoint reported.
     unsigned tokensPerEvent = 1; ///< Tokens in each event of the selected service.
     /** Attempts that may have been executed by an endpoint, without those at endpoints that were cut off meanwhile. */
     unsigned executedAttempts = 0;
--- a/src/gateway/gateway_run.cpp
+++ b/src/gateway/gateway_run.cpp
@@ -89,6 +89,13 @@
     return *call.metadata.programTimeLeft - toMs(this->now() - call.exchange.received);
 }
 
+unsigned Gateway::priorityOf(const Call &call) const
+{
+    const bool hasOwnPriority = call.customer != nullptr && call.customer->priority >= 0;
+    const int priority = hasOwnPriority ? call.customer->priority : call.route->priority;
+    return requestPriority({priority, call.route->kind == RouteKind::Stream, this->programTimeLeft(call)});
+}
+
 std::string Gateway::serializeRequest(const Call &call, const DeployedEndpoint &endpoint) const
 {
     ForwardingMetadata metadata;
@@ -96,9 +103,7 @@
     metadata.endpointId = endpoint.id;
     metadata.customer = call.customer == nullptr ? std::string() : call.customer->name;
     metadata.lastEventId = call.lastEventId.empty() ? call.metadata.lastEventId : call.lastEventId;
-    const bool hasOwnPriority = call.customer != nullptr && call.customer->priority >= 0;
-    const int priority = hasOwnPriority ? call.customer->priority : call.route->priority;
-    metadata.priority = requestPriority({priority, call.route->kind == RouteKind::Stream, this->programTimeLeft(call)});
+    metadata.priority = this->priorityOf(call);
     metadata.bodyBytes = call.historyPrefix.size() + call.exchange.body.size();
     metadata.hasBody = metadata.bodyBytes != 0 || call.exchange.head.fields.find("Content-Length") != nullptr;
     return formatHead(this->headerCodec.endpointRequestHead(call.exchange.head, metadata)) + call.historyPrefix
@@ -112,6 +117,12 @@
     const Instant waitEnd = std::min(this->now() + MaxLimitWait, call.deadline - MinUsefulTime);
     std::set<std::string> excluded = tried;
     unsigned limitsAsked = 0;
+    if (this->dispatcher.isPooled(criteria.service)) {
+        if (auto placed = this->choosePooled(scope, call, criteria, tried)) {
+            return std::move(*placed);
+        }
+        metrics().add(MetricKind::PoolFallbacks);
+    }
     while (true) {
         const DeployedEndpoint *chosen = this->loadBalancer.choose(this->now(), criteria, excluded);
         if (chosen == nullptr) {
@@ -157,14 +168,23 @@
     bool isAtLimit = false; // No endpoint has room within the limit that it names.
     while (call.deadline - this->now() > MinUsefulTime && endpointTries < MaxEndpointTries) {
         criteria.version = call.version;
-        const EndpointChoice choice = this->chooseEndpoint(scope, call, criteria, tried);
+        EndpointChoice choice = this->chooseEndpoint(scope, call, criteria, tried);
         isAtLimit = choice.isAtLimit;
+        if (choice.refusedFor) {
+            const double seconds = std::chrono::duration<double>(*choice.refusedFor).count();
+            this->reject(scope, call, HttpStatus::Unavailable, "its pool can't serve the request in time",
+                std::max(seconds, BusyRetryAfterSeconds));
+            return;
+        }
         if (!choice.endpoint) {
             break;
         }
         const DeployedEndpoint &endpoint = *choice.endpoint;
         ++endpointTries;
         lastResult = this->attempt(scope, call, endpoint);
+        if (choice.grant != nullptr) {
+            this->releaseGrant(call, *choice.grant, lastResult);
+        }
         if (lastResult == AttemptResult::Delivered) {
             return;
         }
@@ -223,6 +243,7 @@
                 {"version", endpoint.version}});
     }
     this->loadBalancer.recordRequestStart(endpoint.id);
+    call.attemptedAt = this->now();
     KJ_DEFER(this->loadBalancer.recordRequestEnd(endpoint.id));
     call.beginAttempt();
     const AttemptResult result = [&]() {
@@ -318,6 +339,8 @@
         const ResponseMetadata metadata = this->headerCodec.readResponseMetadata(head);
         if (metadata.load) {
             this->loadBalancer.recordLoad(this->now(), endpoint.id, *metadata.load);
+            this->dispatcher.recordLoad(endpoint.service, *metadata.load);
+            call.reportedLoad = metadata.load;
         }
         if (metadata.isLeaving) {
             this->recordLeaving(call, endpoint);
@@ -485,6 +508,7 @@
                     call.output += event.data + "\n";
                 }
                 ++call.deliveredEvents;
+                call.firstEventAt = call.firstEventAt.value_or(this->now());
                 if (call.settlement != nullptr) {
                     call.settlement->addDeliveredTokens(call.tokensPerEvent);
                 }
--- a/src/gateway/load_balancer_base.cpp
+++ b/src/gateway/load_balancer_base.cpp
@@ -182,6 +182,20 @@
     return &best->state->endpoint;
 }
 
+const DeployedEndpoint *LoadBalancer::findUsable(
+    Instant now, const SelectionCriteria &criteria, const std::set<std::string> &tried, const std::string &id) const
+{
+    const auto found = this->states.find(id);
+    if (found == this->states.end() || !this->isUsable(id)) {
+        return nullptr;
+    }
+    const State &state = found->second;
+    const bool isAvoided = std::max({state.backoffUntil, state.ejectedUntil, state.atLimitUntil}) > now;
+    const bool isMeant =
+        state.endpoint.service == criteria.service && hasVersion(criteria, state) && !tried.contains(id);
+    return isMeant && !isAvoided ? &state.endpoint : nullptr;
+}
+
 std::string LoadBalancer::describeLoad(Instant now, const std::string &id) const
 {
     const auto found = this->states.find(id);
--- a/src/history/history_client_base.cpp
+++ b/src/history/history_client_base.cpp
@@ -249,7 +249,7 @@
 }
 
 void HistoryClient::sendBeginTo(const QuorumCallPtr &quorumCall, const HistoryMember &member,
-    const std::shared_ptr<const TurnRequest> &start, bool withChain)
+    const std::shared_ptr<const TurnStart> &start, bool withChain)
 {
     this->addCall(quorumCall, member,
         [quorumCall, start, member, withChain, view = quorumCall->view.version](Wire::HistoryStore::Client store) {
@@ -285,9 +285,9 @@
 }
 
 bool HistoryClient::callBegin(
-    kj::WaitScope &scope, const QuorumCallPtr &quorumCall, const TurnRequest &start, Instant until)
+    kj::WaitScope &scope, const QuorumCallPtr &quorumCall, const TurnStart &start, Instant until)
 {
-    const auto shared = std::make_shared<const TurnRequest>(start); // QuorumCallPtr may outlive this fiber.
+    const auto shared = std::make_shared<const TurnStart>(start); // QuorumCallPtr may outlive this fiber.
     const bool claims = !start.claim.program.empty();
     quorumCall->startTry(this->watcher.view.history);
     quorumCall->needsWrite = claims;
@@ -309,7 +309,7 @@
     return !claims || this->waitForCall(scope, quorumCall, until);
 }
 
-Result<void> HistoryClient::checkBudget(const QuorumCall &quorumCall, const TurnRequest &start, TurnContext &context)
+Result<void> HistoryClient::checkBudget(const QuorumCall &quorumCall, const TurnStart &start, TurnContext &context)
 {
     std::vector<std::vector<TokenClaim>> answers;
     for (const auto &[identity, claims] : quorumCall.claims) {
@@ -325,7 +325,7 @@
         std::to_string(others) + " of " + std::to_string(start.budget) + " tokens are already reserved");
 }
 
-Result<TurnContext> HistoryClient::begin(kj::WaitScope &scope, const TurnRequest &start, Instant until)
+Result<TurnContext> HistoryClient::begin(kj::WaitScope &scope, const TurnStart &start, Instant until)
 {
     TurnContext context;
     const auto quorumCall = std::make_shared<QuorumCall>();
@@ -359,7 +359,7 @@
 }
 
 Result<std::vector<std::shared_ptr<const KeptTurn>>> HistoryClient::readChain(
-    kj::WaitScope &scope, const TurnRequest &start, TurnChain chain, Instant until)
+    kj::WaitScope &scope, const TurnStart &start, TurnChain chain, Instant until)
 {
     while (!chain.missing.empty()) {
         const HistoryView view = this->watcher.view.history;
--- a/src/history/history_client_base.h
+++ b/src/history/history_client_base.h
@@ -22,7 +22,7 @@
 {
 
 /** Request to start a turn. */
-struct TurnRequest
+struct TurnStart
 {
     ProgramClaim claim; ///< Most tokens that it may generate; the program is empty if the turn has no budget.
     std::uint64_t budget = 0; ///< Token budget of the program.
@@ -45,7 +45,7 @@
 
     /** Reserves the tokens of a turn and reads the chain that it continues.
      * Errors: BudgetSpent; NotFound if the previous turn doesn't exist; NotReady if no quorum answers by @p until. */
-    [[nodiscard]] Result<TurnContext> begin(kj::WaitScope &scope, const TurnRequest &start, Instant until);
+    [[nodiscard]] Result<TurnContext> begin(kj::WaitScope &scope, const TurnStart &start, Instant until);
 
     /** Writes @p records to a write quorum, retrying until @p until. Acknowledgements of all tries count together. A
      * member that lacks a turn of @p chain gets the chain, so that each member that acknowledges holds all of it.
@@ -98,15 +98,15 @@
      * those of the own data centre first. */
     [[nodiscard]] std::vector<HistoryMember> membersByPreference() const;
     void sendBeginTo(const QuorumCallPtr &quorumCall, const HistoryMember &member,
-        const std::shared_ptr<const TurnRequest> &start, bool withChain);
+        const std::shared_ptr<const TurnStart> &start, bool withChain);
     /** Sends a begin call to the members that haven't answered earlier tries, and waits for it.
      * @return whether a write quorum has stored the claim and returned the claims of the program's other turns; true
      * for a turn without a budget. */
     [[nodiscard]] bool callBegin(
-        kj::WaitScope &scope, const QuorumCallPtr &quorumCall, const TurnRequest &start, Instant until);
+        kj::WaitScope &scope, const QuorumCallPtr &quorumCall, const TurnStart &start, Instant until);
     /** Errors: BudgetSpent. A rejected claim stays stored until the turn is settled. */
     [[nodiscard]] static Result<void> checkBudget(
-        const QuorumCall &quorumCall, const TurnRequest &start, TurnContext &context);
+        const QuorumCall &quorumCall, const TurnStart &start, TurnContext &context);
     /** Sends @p write to the members that haven't acknowledged it in earlier tries. */
     void sendWrite(const QuorumCallPtr &quorumCall, const WritePtr &write);
     void askForOrigin(const std::shared_ptr<OriginSearch> &search, const HistoryMember &member);
@@ -115,7 +115,7 @@
     void addCall(const QuorumCallPtr &quorumCall, const HistoryMember &member, Send send);
     /** Reads the missing part of @p chain from other members. @return the complete chain, oldest first. */
     Result<std::vector<std::shared_ptr<const KeptTurn>>> readChain(
-        kj::WaitScope &scope, const TurnRequest &start, TurnChain chain, Instant until);
+        kj::WaitScope &scope, const TurnStart &start, TurnChain chain, Instant until);
     bool waitForCall(kj::WaitScope &scope, const QuorumCallPtr &quorumCall, Instant until);
     /** @param needsView the members may have changed, so the leader is asked for the view at once. */
     [[nodiscard]] bool waitBeforeRetry(kj::WaitScope &scope, Instant until, bool needsView);
--- a/src/table/event_table.cpp
+++ b/src/table/event_table.cpp
@@ -72,6 +72,9 @@
     {EventKind::ConnectionFailed, EventLevel::Warning},
     {EventKind::StorageOpened, EventLevel::Info},
     {EventKind::SlowOperation, EventLevel::Warning},
+    {EventKind::PoolDecided, EventLevel::Debug},
+    {EventKind::PoolOwnerChanged, EventLevel::Info},
+    {EventKind::PoolOwnerFailed, EventLevel::Warning},
 });
 
 constexpr bool isTableComplete()
@@ -81,7 +84,7 @@
             return false;
         }
     }
-    return EventRows.size() == static_cast<std::size_t>(EventKind::SlowOperation) + 1;
+    return EventRows.size() == static_cast<std::size_t>(EventKind::PoolOwnerFailed) + 1;
 }
 static_assert(isTableComplete(), "each EventKind needs one row, in enumerator order");
 
--- a/src/table/event_table.h
+++ b/src/table/event_table.h
@@ -66,6 +66,9 @@
     ConnectionFailed,
     StorageOpened,
     SlowOperation,
+    PoolDecided,
+    PoolOwnerChanged,
+    PoolOwnerFailed,
 };
 
 /** Severity of an event. */
@@ -137,9 +140,12 @@
         {EventKind::ConnectionFailed, "connection_failed"},
         {EventKind::StorageOpened, "storage_opened"},
         {EventKind::SlowOperation, "slow_operation"},
+        {EventKind::PoolDecided, "pool_decided"},
+        {EventKind::PoolOwnerChanged, "pool_owner_changed"},
+        {EventKind::PoolOwnerFailed, "pool_owner_failed"},
     });
 };
-static_assert(isNameTableWhole(EventKind::SlowOperation));
+static_assert(isNameTableWhole(EventKind::PoolOwnerFailed));
 
 template<>
 struct NameTable<EventLevel>
--- a/src/table/metric_table.cpp
+++ b/src/table/metric_table.cpp
@@ -66,6 +66,16 @@
         "Endpoints that name a limit of their requests per second."},
     {MetricKind::EndpointLimitRefusals, "chestnuthook_endpoint_limit_refusals_total", MetricType::Counter, "",
         "Times that a request went to another endpoint, waited or was refused because of an endpoint's limit."},
+    {MetricKind::PoolGrants, "chestnuthook_pool_grants_total", MetricType::Counter, "",
+        "Requests of this gateway for which the owner of a pool named an endpoint."},
+    {MetricKind::PoolWaits, "chestnuthook_pool_waits_total", MetricType::Counter, "",
+        "Requests of this gateway that waited for an endpoint of a pool."},
+    {MetricKind::PoolRefusals, "chestnuthook_pool_refusals_total", MetricType::Counter, "",
+        "Requests of this gateway that the owner of a pool refused."},
+    {MetricKind::PoolFallbacks, "chestnuthook_pool_fallbacks_total", MetricType::Counter, "",
+        "Requests to pooled services for which this gateway chose an endpoint by itself."},
+    {MetricKind::PoolOwnerChanges, "chestnuthook_pool_owner_changes_total", MetricType::Counter, "",
+        "Changes of the owner of a pool, as this gateway sees it."},
 });
 
 constexpr bool isTableComplete()
--- a/tests/support/history_member_thread.cpp
+++ b/tests/support/history_member_thread.cpp
@@ -132,7 +132,7 @@
 bool HistoryTestClient::isKept(const std::string &turn, Duration patience)
 {
     return this->runFiber([this, &turn, patience](kj::WaitScope &scope) {
-        return this->client.begin(scope, TurnRequest{{}, 0, turn, Customer}, this->now() + patience).has_value();
+        return this->client.begin(scope, TurnStart{{}, 0, turn, Customer}, this->now() + patience).has_value();
     });
 }
 
--- a/tests/unit/history_quorum_test.cpp
+++ b/tests/unit/history_quorum_test.cpp
@@ -137,13 +137,13 @@
         const KeptTurn third = testTurn("third", "second");
         group.links[2]->setFault(LinkFault::Reset);
         BOOST_REQUIRE(group.client->client.write(scope, {second}, {}, until()));
-        const auto chain = group.client->client.begin(scope, TurnRequest{{}, 0, "second", "glue"}, until());
+        const auto chain = group.client->client.begin(scope, TurnStart{{}, 0, "second", "glue"}, until());
         BOOST_REQUIRE(chain);
         group.links[2]->setFault(LinkFault::None);
         group.links[1]->setFault(LinkFault::Reset);
         BOOST_REQUIRE(group.client->client.write(scope, {third}, chain->chain, until()));
         group.links[0]->setFault(LinkFault::Reset);
-        const auto begun = group.client->client.begin(scope, TurnRequest{{}, 0, "third", "glue"}, until());
+        const auto begun = group.client->client.begin(scope, TurnStart{{}, 0, "third", "glue"}, until());
         return begun ? begun->chain.size() : 0;
     });
     BOOST_TEST(read == 3U);
@@ -157,7 +157,7 @@
         group.client->client.writeInBackground({testTurn("pending")});
         group.client->loop.kjTimer().afterDelay(50 * kj::MILLISECONDS).wait(scope);
         const auto begun =
-            group.client->client.begin(scope, TurnRequest{{}, 0, "first", "glue"}, group.client->now() + 500ms);
+            group.client->client.begin(scope, TurnStart{{}, 0, "first", "glue"}, group.client->now() + 500ms);
         return begun.has_value() && begun->chain.size() == 1;
     });
     BOOST_TEST(read);
--- a/tests/unit/history_store_test.cpp
+++ b/tests/unit/history_store_test.cpp
@@ -77,7 +77,7 @@
     Result<TurnContext> readChain(unsigned chain)
     {
         return this->client->runFiber([this, chain](kj::WaitScope &scope) {
-            const TurnRequest request{{}, 0, turnId(chain, ChainLength - 1), largeTurn(chain, 0).customer};
+            const TurnStart request{{}, 0, turnId(chain, ChainLength - 1), largeTurn(chain, 0).customer};
             return this->client->client.begin(scope, request, this->client->now() + Patience);
         });
     }
@@ -113,7 +113,7 @@
     HistoryTestClient &client, const std::string &program, const std::string &turn, const std::string &previous = {})
 {
     return client.runFiber([&](kj::WaitScope &scope) {
-        TurnRequest request;
+        TurnStart request;
         request.claim.program = "glue/" + program;
         request.claim.claim = TokenClaim{turn, 10, false};
         request.claim.keepMs = 60000;
@@ -181,7 +181,7 @@
     store.fill();
     BOOST_REQUIRE(store.member->files.remove(std::string(HistoryMemberThread::Folder) + "/history-1"));
     const Result<TurnContext> read = store.client->runFiber([&store](kj::WaitScope &scope) {
-        const TurnRequest request{{}, 0, turnId(0, 0), largeTurn(0, 0).customer};
+        const TurnStart request{{}, 0, turnId(0, 0), largeTurn(0, 0).customer};
         return store.client->client.begin(scope, request, store.client->now() + 500ms);
     });
     BOOST_REQUIRE(!read.has_value());
