--- a/src/table/event_table.h
+++ b/src/table/event_table.h
@@ -67,6 +67,9 @@
     StorageOpened,
     EvacuationChanged,
     SlowOperation,
+    PoolDecided,
+    PoolOwnerChanged,
+    PoolOwnerFailed,
 };
 
 /** Severity of an event. */
@@ -139,9 +142,12 @@
         {EventKind::StorageOpened, "storage_opened"},
         {EventKind::EvacuationChanged, "evacuation_changed"},
         {EventKind::SlowOperation, "slow_operation"},
+        {EventKind::PoolDecided, "pool_decided"},
+        {EventKind::PoolOwnerChanged, "pool_owner_changed"},
+        {EventKind::PoolOwnerFailed, "pool_owner_failed"},
     });
 };
-static_assert(isNameTableWhole(EventKind::SlowOperation));
+static_assert(isNameTableWhole(EventKind::PoolOwnerFailed));
 
 template<>
 struct NameTable<EventLevel>
