--- a/src/deployment/deployment_member_evacuation.cpp
+++ b/src/deployment/deployment_member_evacuation.cpp
@@ -57,12 +57,15 @@
 
 bool DeploymentMember::isKnownDataCentre(const std::string &dataCentre) const
 {
-    const auto &named = this->settings.dataCentres;
-    return std::find(named.begin(), named.end(), dataCentre) != named.end()
+    // A new leader may not have read the platform's list yet, but it has the one of the leader before.
+    const auto isListed = [&dataCentre](const std::vector<DeployedEndpoint> &list) {
+        return std::ranges::any_of(list, [&dataCentre](const DeployedEndpoint &endpoint) {
+            return endpoint.dataCentre == dataCentre;
+        });
+    };
+    return std::ranges::find(this->settings.dataCentres, dataCentre) != this->settings.dataCentres.end()
         || this->group.machine.evacuated.contains(dataCentre) || this->registry.hasDataCentre(dataCentre)
-        || std::ranges::any_of(this->endpoints, [&dataCentre](const DeployedEndpoint &endpoint) {
-               return endpoint.dataCentre == dataCentre;
-           });
+        || isListed(this->endpoints) || isListed(this->watcher.view.endpoints);
 }
 
 kj::Promise<BoxedResult<void>> DeploymentMember::publishEvacuations(Instant until)
