--- a/src/deployment/instance_registry_base.cpp
+++ b/src/deployment/instance_registry_base.cpp
@@ -39,8 +39,8 @@
     return std::clamp<Duration>(WaitPerGateway * gateways, MinWatchWait, MaxWatchWait);
 }
 
-bool InstanceRegistry::recordReport(
-    Instant now, const InstanceInfo &info, std::uint64_t copiedView, std::uint64_t configuration, Duration extraSilence, std::uint64_t endpoints)
+bool InstanceRegistry::recordReport(Instant now, const InstanceInfo &info, std::uint64_t copiedView,
+    std::uint64_t configuration, Duration extraSilence, std::uint64_t endpoints)
 {
     Entry &entry = this->entries[info.name];
     const bool changed = !entry.alive || entry.info != info;
--- a/src/gateway/gateway_run.cpp
+++ b/src/gateway/gateway_run.cpp
@@ -189,9 +189,9 @@
         const bool late = call.deadline - this->now() <= MinUsefulTime;
         const bool isEvacuated = this->loadBalancer.areAllEvacuated(criteria);
         const std::string_view reason = isEvacuated ? "all endpoints are evacuated"
-            : isAtLimit                       ? "all endpoints are at the limits that they name"
-            : call.version                        ? "no endpoint of the stream's version has room"
-                                                  : "no endpoint has room";
+            : isAtLimit                             ? "all endpoints are at the limits that they name"
+            : call.version                          ? "no endpoint of the stream's version has room"
+                                                    : "no endpoint has room";
         const double retryAfter = isEvacuated ? EvacuatedRetryAfterSeconds : late ? 0 : BusyRetryAfterSeconds;
         this->reject(scope, call, HttpStatus::Unavailable, late ? "no time is left" : reason, retryAfter);
         return;
--- a/tests/process/evacuation_test.cpp
+++ b/tests/process/evacuation_test.cpp
@@ -1,5 +1,5 @@
-/** @file evacuation_test.cpp  Evacuation of a data centre: three control members and two gateways as processes, with fake
- * endpoints in two data centres that record when requests arrive. */
+/** @file evacuation_test.cpp  Evacuation of a data centre: three control members and two gateways as processes, with
+ * fake endpoints in two data centres that record when requests arrive. */
 #define BOOST_TEST_MODULE evacuation
 #include <boost/test/unit_test.hpp>
 
@@ -37,7 +37,8 @@
 constexpr auto RequestInterval = 10ms; ///< Between two requests of a client.
 constexpr std::size_t ClientsPerGateway = 6; ///< More than one endpoint takes, so that requests spread over all.
 constexpr std::chrono::milliseconds ExecutionTime = 20ms;
-constexpr std::chrono::milliseconds SlowExecutionTime = 1s; ///< Time that the endpoints take for paths that end in /slow.
+constexpr std::chrono::milliseconds SlowExecutionTime =
+    1s; ///< Time that the endpoints take for paths that end in /slow.
 constexpr auto ObservationTime = 2s; ///< Longer than three reads of the platform's endpoint list.
 
 /** An endpoint that records when requests arrive. */
@@ -290,6 +291,8 @@
     const auto asked = Clock::now();
     const auto acknowledged = this->change("north/start");
     BOOST_TEST((acknowledged - asked < MaxAcknowledgementTime));
+    BOOST_TEST_MESSAGE("acknowledged after "
+        << std::chrono::duration_cast<std::chrono::milliseconds>(acknowledged - asked).count() << " ms");
     const auto start = acknowledged + Margin;
     std::this_thread::sleep_for(ObservationTime);
     BOOST_TEST(this->arrivalsInNorth(start) == 0U);
--- a/tests/unit/evacuation_test.cpp
+++ b/tests/unit/evacuation_test.cpp
@@ -110,8 +110,8 @@
     BOOST_TEST(!balancer.isEvacuated("e0"));
 }
 
-// Guards against evacuated endpoints as a last resort: when the others are tried, failed, overloaded or gone, or when the
-// evacuated ones leave, which alone would let them be used for a while.
+// Guards against evacuated endpoints as a last resort: when the others are tried, failed, overloaded or gone, or when
+// the evacuated ones leave, which alone would let them be used for a while.
 BOOST_AUTO_TEST_CASE(evacuated_endpoint_is_no_last_resort)
 {
     LoadBalancer balancer(std::chrono::seconds(3));
