--- a/tests/process/evacuation_test.cpp
+++ b/tests/process/evacuation_test.cpp
@@ -9,6 +9,7 @@
 #include <deque>
 #include <mutex>
 #include <optional>
+#include <random>
 #include <string>
 #include <thread>
 #include <vector>
@@ -39,6 +40,8 @@
 constexpr std::chrono::milliseconds ExecutionTime = 20ms;
 constexpr std::chrono::milliseconds SlowExecutionTime =
     1s; ///< Time that the endpoints take for paths that end in /slow.
+constexpr auto EvacuationBound = 5s; ///< The operators' bound, within which a disturbed deployment must keep.
+constexpr unsigned Seeds = 3; ///< Schedules of disturbances that are played.
 constexpr auto ObservationTime = 2s; ///< Longer than three reads of the platform's endpoint list.
 
 /** An endpoint that records when requests arrive. */
@@ -275,7 +278,40 @@
     std::atomic<unsigned> served = 0; ///< Requests with status 200.
 
 private:
-    std::vector<std::jthread> clients; ///< One for each gateway. Declared last, so that they end first.
+    std::vector<std::jthread> clients; ///< Declared last, so that they end first.
+};
+
+/** Kills or pauses one control member or gateway after the other while this exists; which ones and for how long follows
+ * from the seed. */
+class Disturbances
+{
+public:
+    Disturbances(Deployment &deployment, unsigned seed)
+        : thread([&deployment, seed](const std::stop_token &stop) {
+            std::mt19937 random(seed);
+            const auto milliseconds = [&random](int min, int max) {
+                return std::chrono::milliseconds(std::uniform_int_distribution<int>(min, max)(random));
+            };
+            while (!stop.stop_requested()) {
+                const std::size_t target = random() % deployment.processes.size();
+                const bool isKill = random() % 2 == 0;
+                if (isKill) {
+                    deployment.kill(target);
+                    std::this_thread::sleep_for(milliseconds(50, 1500));
+                    deployment.start(target);
+                } else {
+                    deployment.processes[target]->signal(SIGSTOP);
+                    std::this_thread::sleep_for(milliseconds(50, 1500));
+                    deployment.processes[target]->signal(SIGCONT);
+                }
+                std::this_thread::sleep_for(milliseconds(50, 800));
+            }
+        })
+    {
+    }
+
+private:
+    std::jthread thread; ///< Ends with each process running.
 };
 
 } // namespace
@@ -426,3 +462,26 @@
         return this->call(0, "/only/x").status == 200;
     }));
 }
+
+// Guards against an evacuation that is lost, or reaches a gateway late, in an order of faults that no other case has.
+BOOST_FIXTURE_TEST_CASE(evacuation_keeps_its_bound_while_processes_fail, Deployment)
+{
+    for (unsigned seed = 1; seed <= Seeds; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            Load load(*this);
+            const Disturbances disturbances(*this, seed);
+            BOOST_TEST(waitUntil([&]() {
+                return load.served > 100U;
+            }));
+            const auto start = this->change("north/start") + EvacuationBound;
+            std::this_thread::sleep_until(start + ObservationTime);
+            const auto end = Clock::now();
+            BOOST_TEST(this->arrivalsInNorth(start, end) == 0U);
+            static_cast<void>(this->change("north/end"));
+            BOOST_TEST(waitUntil([&]() {
+                return this->arrivalsInNorth(end) > 0;
+            }));
+        }
+    }
+}
