Pools of endpoints: tests of single decisions and under load; faults that these showed

A report of very many requests made each decision build a list as long; it counts up to the slots now. A prompt that was released before it was read kept its endpoint busy. A turn past its deadline could still be granted. Programs that had ended counted until the next timer.

--- a/src/dispatch/customer_share_base.h
+++ b/src/dispatch/customer_share_base.h
@@ -42,11 +42,11 @@
     }
 
 private:
-    static constexpr double LevelBase = 1.5; ///< Factor over the mean that is usual variation.
+    static constexpr double LevelBase = 2; ///< Factor over the mean that is usual variation with few turns each.
     static constexpr double LevelStep = 1.4; ///< Factor between levels.
     static constexpr int MaxLevel = 6; ///< Highest level.
     static constexpr double MinWeight = 0.01; ///< Keeps divisions defined.
-    static constexpr double DecaySeconds = 3; ///< Time constant with which service is forgotten.
+    static constexpr double DecaySeconds = 5; ///< Time constant with which service is forgotten.
     static constexpr double MinService = 1; ///< Rows with less decayed service are removed.
     static constexpr std::size_t MaxCustomers = 4096; ///< Bound of the table.
     static constexpr std::chrono::milliseconds UpdateInterval{100}; ///< Between full passes over the table.
--- a/src/dispatch/endpoint_pool_base.cpp
+++ b/src/dispatch/endpoint_pool_base.cpp
@@ -44,7 +44,7 @@
 /** For customers above their share this part falls by DemandPartStep a level, so that new programs of the others find
  * free slots; with 0, the others' programs in time fell from 83 to 43 in 100 beside a customer with 7.5 times its usual
  * load. */
-constexpr double DemandPartStep = 0.06;
+constexpr double DemandPartStep = 0.08;
 constexpr double MinDemandPart = 0.75; ///< Least value of this part.
 /** Shortest time after which a refused program may be retried, */
 constexpr double MinRetryMs = 200;
@@ -81,6 +81,8 @@
     Place *place = nullptr; ///< Where it runs; nullptr while it waits.
     Instant grantedAt; ///< When it was granted.
     Instant predictedEnd; ///< Expected end.
+    Instant readEnd; ///< When its prompt is expected to be read.
+    double readMs = 0; ///< Expected time of reading its prompt.
     double predictedMs = 0; ///< Expected time from the grant to the end.
     double uncachedTokens = 0; ///< Prompt tokens that are not cached at its endpoint.
     double readTokens = 0; ///< uncachedTokens and those that are read before.
@@ -414,6 +416,11 @@
     return std::max(0.0, freeAt[position]) + static_cast<double>(ahead / freeAt.size()) * meanMs;
 }
 
+bool EndpointPool::isTooLate(Instant now, const Turn &turn) const
+{
+    return toMs(turn.request.deadline - now) < turn.idleMs * std::min(1.0, this->bestSpeed);
+}
+
 double EndpointPool::demandExcess(std::uint64_t customer) const
 {
     std::size_t slots = 0;
@@ -472,6 +479,7 @@
     if (now >= turn.request.deadline) {
         return decision(turn, TurnVerdict::Refused, "past its deadline");
     }
+    this->demand.removeEnded(now);
     this->prepare(now, turn);
     Schedule schedule = this->makeSchedule(now);
     const UrgencyKey own = this->keyOf(now, turn);
@@ -500,8 +508,7 @@
     const double waitMs = candidate->startMs <= 0 || schedule.hasFreeSlot() ? candidate->startMs
                                                                             : this->queueWaitMs(turn, schedule, ahead);
     std::string_view refusal = this->refusalReason(now, turn, waitMs);
-    if (refusal.empty() && candidate->startMs <= 0
-        && toMs(turn.request.deadline - now) > candidate->timeMs * MinRemainingPart) {
+    if (refusal.empty() && candidate->startMs <= 0) {
         TurnDecision result = this->grant(now, turn, schedule, *candidate);
         this->turns.emplace(std::move(key), std::move(owned));
         return result;
@@ -540,6 +547,9 @@
         const std::vector<Turn *> ordered = this->orderedWaiting(now);
         for (std::size_t i = 0; i < std::min(ordered.size(), MaxLookahead) && schedule.hasFreeSlot(); ++i) {
             Turn &turn = *ordered[i];
+            if (this->isTooLate(now, turn)) {
+                continue;
+            }
             const auto candidate = this->bestCandidate(now, turn, schedule, ordered.size() > 1);
             if (!candidate) {
                 continue;
@@ -555,14 +565,13 @@
     }
     std::vector<Turn *> refused;
     for (Turn *turn : this->waiting) {
-        const double fastestMs = turn->idleMs * std::min(1.0, this->bestSpeed);
         const bool isAllowedSomewhere = std::any_of(this->places.begin(), this->places.end(), [&](const auto &place) {
             return isAllowed(*place, turn->request);
         });
         std::string_view reason;
         if (!isAllowedSomewhere) {
             reason = "no endpoint allowed";
-        } else if (toMs(turn->request.deadline - now) < fastestMs * MinRemainingPart) {
+        } else if (this->isTooLate(now, *turn)) {
             reason = "can't be served before its deadline";
         } else if (turn->target.isFirst
             && urgencyClass(this->targetAt(now, *turn), this->bestSpeed) != UrgencyClass::InTime) {
@@ -576,7 +585,7 @@
         }
     }
     for (const Turn *turn : refused) {
-        this->remove(this->turns.find({turn->request.holder, turn->request.ticket}));
+        this->remove(now, this->turns.find({turn->request.holder, turn->request.ticket}));
     }
     return result;
 }
@@ -606,7 +615,9 @@
     turn.logPace = place.speed.logPace(now);
     place.running.push_back(&turn);
     place.usedTokens += turn.memoryTokens;
-    place.readUntil = now + fromMs(backlogMs + this->costs.readMs(turn.uncachedTokens) * factor);
+    turn.readMs = this->costs.readMs(turn.uncachedTokens) * factor;
+    turn.readEnd = now + fromMs(backlogMs + turn.readMs);
+    place.readUntil = turn.readEnd;
     this->shares.charge(now, turn.request.customer, turn.request.customerWeight, timeMs);
     if (turn.request.program != 0) {
         ProgramRecord &record = this->programs.use(turn.request.program);
@@ -616,10 +627,15 @@
     }
 }
 
-void EndpointPool::unstart(Turn &turn)
+void EndpointPool::unstart(Instant now, Turn &turn)
 {
     Place &place = *turn.place;
     std::erase(place.running, &turn);
+    if (place.running.empty()) {
+        place.readUntil = now;
+    } else if (turn.readEnd > now) { // What was still to be read of its prompt no longer is.
+        place.readUntil = place.readUntil - std::min(turn.readEnd - now, fromMs(turn.readMs));
+    }
     place.usedTokens -= std::min(place.usedTokens, turn.memoryTokens);
     turn.place = nullptr;
     if (!place.isListed && place.running.empty()) {
@@ -642,7 +658,7 @@
         }
         this->learn(now, turn, outcome);
     }
-    this->remove(found);
+    this->remove(now, found);
 }
 
 void EndpointPool::learn(Instant now, const Turn &turn, const TurnOutcome &outcome)
@@ -686,11 +702,11 @@
     }
 }
 
-void EndpointPool::remove(Turns::iterator entry)
+void EndpointPool::remove(Instant now, Turns::iterator entry)
 {
     Turn &turn = *entry->second;
     if (turn.place != nullptr) {
-        this->unstart(turn);
+        this->unstart(now, turn);
     } else {
         std::erase(this->waiting, &turn);
     }
@@ -709,15 +725,15 @@
         }
     }
     for (const Turn *turn : expired) {
-        this->remove(this->turns.find({turn->request.holder, turn->request.ticket}));
+        this->remove(now, this->turns.find({turn->request.holder, turn->request.ticket}));
     }
 }
 
-void EndpointPool::cancel(Instant /*now*/, const std::string &holder, std::uint64_t ticket)
+void EndpointPool::cancel(Instant now, const std::string &holder, std::uint64_t ticket)
 {
     const auto found = this->turns.find({holder, ticket});
     if (found != this->turns.end()) {
-        this->remove(found);
+        this->remove(now, found);
     }
 }
 
@@ -729,7 +745,7 @@
         if (known->second->place != nullptr && known->second->place->endpoint.id == endpoint) {
             return;
         }
-        this->remove(known);
+        this->remove(now, known);
     }
     Place *place = this->findPlace(endpoint);
     if (place == nullptr || now >= request.deadline) {
@@ -745,7 +761,7 @@
     this->turns.emplace(std::move(key), std::move(owned));
 }
 
-void EndpointPool::dropHolder(Instant /*now*/, const std::string &holder)
+void EndpointPool::dropHolder(Instant now, const std::string &holder)
 {
     std::vector<TurnKey> keys;
     for (const auto &[key, turn] : this->turns) {
@@ -754,7 +770,7 @@
         }
     }
     for (const TurnKey &key : keys) {
-        this->remove(this->turns.find(key));
+        this->remove(now, this->turns.find(key));
     }
 }
 
@@ -771,7 +787,8 @@
         place->speed.recordPace(now, load.pacePercent / 100.0);
     }
     const double known = static_cast<double>(place->running.size());
-    const double foreign = std::max(0.0, static_cast<double>(load.running) + load.waiting - known);
+    const double foreign =
+        std::clamp(static_cast<double>(load.running) + load.waiting - known, 0.0, static_cast<double>(place->slots()));
     const double before = place->foreignNow(now);
     place->foreign = before + (foreign - before) * ForeignGain;
     place->foreignAt = now;
--- a/src/dispatch/endpoint_pool_base.h
+++ b/src/dispatch/endpoint_pool_base.h
@@ -99,6 +99,8 @@
     [[nodiscard]] std::vector<Turn *> orderedWaiting(Instant now) const;
     /** Wait of a turn that has @p ahead waiting turns before it. */
     [[nodiscard]] double queueWaitMs(const Turn &turn, const Schedule &schedule, std::size_t ahead) const;
+    /** Whether @p turn can't end before its deadline, even if it starts now. */
+    [[nodiscard]] bool isTooLate(Instant now, const Turn &turn) const;
     /** How far the demand of the programs in progress and a new one of @p customer exceeds the slots that it may take,
      * relative to these; negative if it doesn't. */
     [[nodiscard]] double demandExcess(std::uint64_t customer) const;
@@ -106,9 +108,9 @@
     [[nodiscard]] std::string_view refusalReason(Instant now, const Turn &turn, double waitMs) const;
     TurnDecision grant(Instant now, Turn &turn, const Schedule &schedule, const Candidate &candidate);
     void start(Instant now, Turn &turn, Place &place, double timeMs, double factor);
-    void unstart(Turn &turn);
+    void unstart(Instant now, Turn &turn);
     void learn(Instant now, const Turn &turn, const TurnOutcome &outcome);
-    void remove(Turns::iterator entry);
+    void remove(Instant now, Turns::iterator entry);
     void removeExpired(Instant now);
     void updateSpeeds();
     [[nodiscard]] static bool isAllowed(const Place &place, const TurnRequest &request);
--- a/tests/support/pool_simulation.h
+++ b/tests/support/pool_simulation.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cmath>
 #include <cstdint>
+#include <ctime>
 #include <deque>
 #include <functional>
 #include <map>
@@ -35,6 +36,8 @@
     int maxReleaseDelayMs = 20; ///< Outcomes are sent in batches; the delay is uniform from 1 ms.
     bool reportsPace = false; ///< Outcomes carry the endpoint's load and pace.
     std::int64_t runMs = 12000; ///< Time for which programs start.
+    std::int64_t restartMs = 0; ///< Time at which another owner takes over with an empty pool; 0 for never.
+    double lostPart = 0; ///< Part of the outcomes that never arrive.
 };
 
 /** What the callers got. */
@@ -78,18 +81,14 @@
         : scenario(std::move(given))
         , random(this->scenario.seed)
     {
-        std::vector<PoolEndpoint> list;
         for (std::size_t i = 0; i < this->scenario.speeds.size(); ++i) {
             this->engines.push_back(std::make_unique<Engine>());
             this->engines.back()->speed = this->scenario.speeds[i];
             list.push_back(
                 {"endpoint-" + std::to_string(i), this->scenario.slots, this->scenario.memoryTokens, "", true});
-            this->indexOf[list.back().id] = i;
+            this->indexOf[this->list.back().id] = i;
         }
-        PoolParameters parameters;
-        parameters.strideTokens = EventTokens;
-        this->pool.setParameters(parameters);
-        this->pool.setEndpoints(this->now(), list);
+        this->startOwner();
         this->result.turnsAt.resize(this->engines.size());
     }
 
@@ -112,6 +111,9 @@
             for (const auto &engine : this->engines) {
                 this->step(*engine);
             }
+            if (this->scenario.restartMs > 0 && this->nowMs == this->scenario.restartMs) {
+                this->replaceOwner();
+            }
             if (this->scenario.usesPool && this->nowMs % TimerMs == 0) {
                 this->takeGrants();
             }
@@ -156,6 +158,7 @@
         std::int64_t sentMs = 0;
         std::int64_t startedMs = 0; ///< When it was sent to the endpoint.
         std::size_t engine = 0;
+        bool isGranted = false;
         double readMs = 0; ///< Left to be read.
         double startMs = 0; ///< Left until the first token.
         double produced = 0;
@@ -296,12 +299,43 @@
         return request;
     }
 
+    void startOwner()
+    {
+        this->pool = std::make_unique<EndpointPool>();
+        PoolParameters parameters;
+        parameters.strideTokens = EventTokens;
+        this->pool->setParameters(parameters);
+        this->pool->setEndpoints(this->now(), this->list);
+    }
+
+    /** The gateways tell a new owner the turns that they have in flight. */
+    void replaceOwner()
+    {
+        this->startOwner();
+        const auto before = this->known;
+        for (const auto &[key, turn] : before) {
+            if (turn->isGranted) {
+                this->pool->adopt(this->now(), this->requestOf(*turn), this->list[turn->engine].id);
+            } else {
+                this->submit(turn);
+            }
+        }
+    }
+
+    /** Processor time that this thread has used; unlike the clock it doesn't depend on other processes. */
+    static std::chrono::nanoseconds processorTime()
+    {
+        timespec spec{};
+        clock_gettime(CLOCK_THREAD_CPUTIME_ID, &spec);
+        return std::chrono::seconds(spec.tv_sec) + std::chrono::nanoseconds(spec.tv_nsec);
+    }
+
     void submit(const std::shared_ptr<Turn> &turn)
     {
         this->known[{requestOf(*turn).holder, turn->ticket}] = turn;
-        const auto began = std::chrono::steady_clock::now();
-        const TurnDecision decision = this->pool.submit(this->now(), this->requestOf(*turn));
-        this->submitTime += std::chrono::steady_clock::now() - began;
+        const auto began = processorTime();
+        const TurnDecision decision = this->pool->submit(this->now(), this->requestOf(*turn));
+        this->submitTime += processorTime() - began;
         ++this->submits;
         this->handle(decision);
     }
@@ -321,6 +355,8 @@
             return;
         }
         const std::size_t engine = this->indexOf.at(decision.endpoint);
+        turn->isGranted = true;
+        turn->engine = engine;
         this->after(MessageMs, [this, turn, engine] {
             this->place(turn, engine);
         });
@@ -328,9 +364,9 @@
 
     void takeGrants()
     {
-        const auto began = std::chrono::steady_clock::now();
-        const std::vector<TurnDecision> decisions = this->pool.takeGrants(this->now());
-        this->otherTime += std::chrono::steady_clock::now() - began;
+        const auto began = processorTime();
+        const std::vector<TurnDecision> decisions = this->pool->takeGrants(this->now());
+        this->otherTime += processorTime() - began;
         for (const TurnDecision &decision : decisions) {
             this->handle(decision);
         }
@@ -468,13 +504,17 @@
                 outcome.load = ReportedLoad{static_cast<unsigned>(engine.running.size()),
                     static_cast<unsigned>(engine.queue.size()), this->scenario.slots, isDisturbed ? 250U : 100U};
             }
+            const bool isLost = this->uniform(0, 1) < this->scenario.lostPart;
             const std::int64_t delayMs =
                 1 + static_cast<std::int64_t>(this->random() % static_cast<unsigned>(this->scenario.maxReleaseDelayMs));
-            this->after(delayMs, [this, outcome] {
+            this->after(delayMs, [this, outcome, isLost] {
                 this->known.erase({outcome.holder, outcome.ticket});
-                const auto began = std::chrono::steady_clock::now();
-                this->pool.release(this->now(), outcome);
-                this->otherTime += std::chrono::steady_clock::now() - began;
+                if (isLost) {
+                    return;
+                }
+                const auto began = processorTime();
+                this->pool->release(this->now(), outcome);
+                this->otherTime += processorTime() - began;
                 ++this->releases;
                 this->takeGrants();
             });
@@ -513,7 +553,7 @@
         this->result.slotUse = this->slotsInUse
             / (static_cast<double>(this->scenario.runMs) * static_cast<double>(this->engines.size())
                 * this->scenario.slots);
-        const auto us = [](std::chrono::steady_clock::duration time, std::int64_t count) {
+        const auto us = [](std::chrono::nanoseconds time, std::int64_t count) {
             return count == 0 ? 0
                               : std::chrono::duration<double, std::micro>(time).count() / static_cast<double>(count);
         };
@@ -524,7 +564,8 @@
 
     PoolScenario scenario; ///< What is simulated.
     std::mt19937_64 random; ///< Source of all randomness.
-    EndpointPool pool; ///< Under test.
+    std::vector<PoolEndpoint> list; ///< Endpoints as the pool knows them.
+    std::unique_ptr<EndpointPool> pool; ///< Under test.
     std::vector<std::unique_ptr<Engine>> engines; ///< Simulated endpoints.
     std::map<std::string, std::size_t> indexOf; ///< Endpoints by id.
     std::multimap<std::int64_t, std::function<void()>> events; ///< Messages and pauses by their time.
@@ -535,8 +576,8 @@
     std::map<std::uint64_t, int> programsOf; ///< Programs by customer.
     std::map<std::uint64_t, int> inTimeOf; ///< Programs in time by customer.
     double slotsInUse = 0; ///< Sum over all steps.
-    std::chrono::steady_clock::duration submitTime{0}; ///< Processor time of submits.
-    std::chrono::steady_clock::duration otherTime{0}; ///< Processor time of releases and takeGrants().
+    std::chrono::nanoseconds submitTime{0}; ///< Processor time of submits.
+    std::chrono::nanoseconds otherTime{0}; ///< Processor time of releases and takeGrants().
     std::int64_t submits = 0; ///< Count of submits.
     std::int64_t releases = 0; ///< Count of releases.
     PoolResult result; ///< Filled while running.
