--- a/src/dispatch/endpoint_pool_base.cpp
+++ b/src/dispatch/endpoint_pool_base.cpp
@@ -28,6 +28,8 @@
 constexpr double ForeignHalfLifeMs = 300;
 /** Part of one report in the estimate of these requests, as reports and releases arrive with different delays. */
 constexpr double ForeignGain = 0.3;
+/** Part of a request that counts as one; less than half, as short-lived differences are no foreign requests. */
+constexpr double ForeignRounding = 0.2;
 /** Time for which such a request is expected to keep its slot. */
 constexpr double ForeignTurnMs = 150;
 /** An endpoint that gets no turns because it was slow is tried again after this time. */
@@ -36,6 +38,9 @@
 constexpr double UnknownBonusMs = 10;
 /** Weight of the time until a slot is free, as that prediction is the least certain one: outputs vary. */
 constexpr double WaitWeight = 1.5;
+/** Weight of the delay that a turn causes to each other one at its endpoint; above 1, as that delays the turns that
+ * wait behind them too. With 1 instead of 1.5, 89 instead of 93 in 100 programs were in time beside long prompts. */
+constexpr double NeighbourWeight = 1.5;
 /** Part of a program's time to spare that one of its turns may lose by going to a slow endpoint while others wait. */
 constexpr double SparePart = 0.5;
 /** Part of the slots that programs in progress may need on average when a new program is admitted. With more, they wait
@@ -296,7 +301,7 @@
         for (const Turn *turn : place->running) {
             row.freeAt.push_back(std::max(toMs(turn->predictedEnd - now), turn->predictedMs * MinRemainingPart));
         }
-        const auto foreign = static_cast<std::size_t>(place->foreignNow(now));
+        const auto foreign = static_cast<std::size_t>(place->foreignNow(now) + ForeignRounding);
         row.freeAt.insert(row.freeAt.end(), foreign, ForeignTurnMs * row.factor);
         row.freeAt.resize(std::max<std::size_t>(row.freeAt.size(), place->slots()), 0);
         std::sort(row.freeAt.begin(), row.freeAt.end());
@@ -334,7 +339,8 @@
     const auto neighbours = static_cast<double>(std::min<std::size_t>(place.running.size(), place.slots() - 1));
     candidate.timeMs = backlogMs + this->costs.totalMs(uncached, turn.expectedTokens, neighbours) * row.factor;
     candidate.cost = candidate.startMs * WaitWeight + candidate.timeMs;
-    candidate.cost += neighbours * this->costs.neighbourMs(uncached, turn.expectedTokens) * row.factor;
+    candidate.cost +=
+        NeighbourWeight * neighbours * this->costs.neighbourMs(uncached, turn.expectedTokens) * row.factor;
     if (!place.speed.isObserved()) {
         candidate.cost -= UnknownBonusMs;
     }
