--- a/tests/support/platform_process.cpp
+++ b/tests/support/platform_process.cpp
@@ -14,6 +14,8 @@
     for (const std::string &seed : instance.seeds) {
         seeds += (seeds.empty() ? "\"" : ",\"") + seed + "\"";
     }
+    const std::string share =
+        instance.processorShare > 0 ? R"(,"cpuShare":)" + std::to_string(instance.processorShare) : "";
     std::ofstream(base + ".json.new") << R"({"node":")" << instance.name << R"(","ip":")" << instance.ip
                                       << R"(","endpointSource":")" << instance.endpointSource
                                       << R"(","zone":"z","innerPorts":[)" << instance.rpcPort << R"(],"seeds":[)"
@@ -21,7 +23,7 @@
                                       << R"(,"listen":{)" << instance.listen << R"(},"dataDir":")" << base
                                       << R"(-data","cloud":{"addr":")" << instance.platformAddress
                                       << R"("},"faultTolerance":{"machines":)" << instance.toleratedFailures
-                                      << R"(},"limits":{"memoryMb":)" << instance.memoryLimitMb
+                                      << R"(},"limits":{"memoryMb":)" << instance.memoryLimitMb << share
                                       << R"(},"bounds":{"graceS":)" << instance.gracePeriodSeconds << R"(,"drainMs":)"
                                       << instance.drainPeriod.count() << "}}";
     std::filesystem::rename(base + ".json.new", base + ".json");
--- a/tests/support/small_deployment.cpp
+++ b/tests/support/small_deployment.cpp
@@ -16,7 +16,8 @@
 
 } // namespace
 
-SmallDeployment::SmallDeployment(int network, std::size_t gateways, const std::string &configuration)
+SmallDeployment::SmallDeployment(int network, std::size_t gateways, const std::string &configuration,
+    const std::vector<std::string> &gatewayFlags)
     : list(R"({"instances":[],"nextToken":null})")
     , platform("127.0.0.1", [this](const std::string & /*head*/, const std::string & /*body*/) {
         const std::lock_guard lock(this->mutex);
@@ -49,6 +50,7 @@
         add("gateway", FirstGatewayHost + i,
             R"("front":")" + this->clientAddresses.back() + R"(","ready":")" + reserveAddress(ip) + "\"");
         this->instances.back().endpointSource = ip;
+        this->instances.back().flags = gatewayFlags;
     }
     this->processes.resize(this->instances.size());
     for (std::size_t i = 0; i < this->instances.size(); ++i) {
--- a/tests/support/small_deployment.h
+++ b/tests/support/small_deployment.h
@@ -40,8 +40,9 @@
     static constexpr const char *Host = "h.example"; ///< Host of all routes.
 
     /** Starts the processes at addresses 127.0.@p network.* and waits until each gateway routes by @p configuration, a
-     * JSON document of version 1 that has a tenant with the API key `key`. */
-    SmallDeployment(int network, std::size_t gateways, const std::string &configuration);
+     * JSON document of version 1 that has a tenant with the API key `key`. The gateways get @p gatewayFlags. */
+    SmallDeployment(int network, std::size_t gateways, const std::string &configuration,
+        const std::vector<std::string> &gatewayFlags = {});
     ~SmallDeployment() = default;
     SmallDeployment(const SmallDeployment &) = delete;
     SmallDeployment &operator=(const SmallDeployment &) = delete;
