--- a/src/gateway/endpoint_pools_base.h
+++ b/src/gateway/endpoint_pools_base.h
@@ -1,5 +1,5 @@
-/** @file endpoint_pools_base.h  Which pools of endpoints exist, which gateway owns each, and which pools a request asks.
- * Does no I/O and reads no clock. */
+/** @file endpoint_pools_base.h  Which pools of endpoints exist, which gateway owns each, and which pools a request
+ * asks. Does no I/O and reads no clock. */
 #pragma once
 
 #include <cstddef>
--- a/src/gateway/gateway_pool.cpp
+++ b/src/gateway/gateway_pool.cpp
@@ -47,8 +47,7 @@
         if (placement.kind != PoolPlacement::Kind::Granted) {
             return std::nullopt;
         }
-        const DeployedEndpoint *named =
-            this->loadBalancer.findUsable(this->now(), criteria, tried, placement.endpoint);
+        const DeployedEndpoint *named = this->loadBalancer.findUsable(this->now(), criteria, tried, placement.endpoint);
         if (named != nullptr) {
             const DeployedEndpoint endpoint = *named;
             if (this->takeEndpointCredit(scope, endpoint)) {
--- a/src/gateway/load_balancer_base.h
+++ b/src/gateway/load_balancer_base.h
@@ -43,8 +43,8 @@
         Instant now, const SelectionCriteria &criteria, const std::set<std::string> &tried) const;
     /** The endpoint @p id if a request may go there now: it meets @p criteria, isn't in @p tried, doesn't leave, isn't
      * avoided because of failures and has room within its limit. @return null otherwise. */
-    [[nodiscard]] const DeployedEndpoint *findUsable(
-        Instant now, const SelectionCriteria &criteria, const std::set<std::string> &tried, const std::string &id) const;
+    [[nodiscard]] const DeployedEndpoint *findUsable(Instant now, const SelectionCriteria &criteria,
+        const std::set<std::string> &tried, const std::string &id) const;
     /** Software version of all endpoints of @p service that are listed or were in the last VersionMemory; empty if they
      * differ or one doesn't state it. As far as this process knows: it may have been restarted or out of touch. */
     [[nodiscard]] std::string commonVersion(Instant now, const std::string &service) const;
--- a/src/gateway/pool_client_base.cpp
+++ b/src/gateway/pool_client_base.cpp
@@ -111,8 +111,8 @@
             break;
         }
         if (*answer.verdict != TurnVerdict::Waiting) {
-            kind = *answer.verdict == TurnVerdict::Granted ? PoolPlacement::Kind::Granted
-                                                           : PoolPlacement::Kind::Refused;
+            kind =
+                *answer.verdict == TurnVerdict::Granted ? PoolPlacement::Kind::Granted : PoolPlacement::Kind::Refused;
             asked.answer = std::move(answer);
             reason = {};
             break;
@@ -196,8 +196,7 @@
         this->pools.recordAnswer(asked.owner);
         asked.answer = std::move(*answer);
         asked.grant = std::move(grant);
-    }
-    else {
+    } else {
         this->recordFailure(asked.owner, "no answer to a turn");
         asked.failure = "the owner didn't answer";
     }
@@ -226,8 +225,7 @@
     return peer.link;
 }
 
-kj::Promise<PoolClient::Reply> PoolClient::limit(
-    const std::string &name, kj::Promise<Reply> answered, Duration timeout)
+kj::Promise<PoolClient::Reply> PoolClient::limit(const std::string &name, kj::Promise<Reply> answered, Duration timeout)
 {
     const std::shared_ptr<RpcLink> link = this->linkTo(name);
     auto late = this->loop.kjTimer().afterDelay(kjDuration(timeout)).then([]() {
@@ -254,18 +252,17 @@
     if (link == nullptr) {
         return Reply();
     }
-    auto answered =
-        link->connection().then([this, pool, request](RpcLink::ConnectionPtr &&used) -> kj::Promise<Reply> {
-            auto call = dispatchOf(used).acquireRequest();
-            call.setPool(wireText(pool));
-            call.setSender(wireText(this->ownName));
-            writeTurn(call.initTurn(), this->now(), request);
-            return call.send()
-                .then([](auto &&response) {
-                    return Reply(readAnswer(response.getDecision()));
-                })
-                .attach(std::move(used));
-        });
+    auto answered = link->connection().then([this, pool, request](RpcLink::ConnectionPtr &&used) -> kj::Promise<Reply> {
+        auto call = dispatchOf(used).acquireRequest();
+        call.setPool(wireText(pool));
+        call.setSender(wireText(this->ownName));
+        writeTurn(call.initTurn(), this->now(), request);
+        return call.send()
+            .then([](auto &&response) {
+                return Reply(readAnswer(response.getDecision()));
+            })
+            .attach(std::move(used));
+    });
     return this->limit(name, kj::mv(answered), AcquireTimeout);
 }
 
@@ -428,8 +425,8 @@
 {
     for (const PoolOwnerChange &change : changes) {
         metrics().add(MetricKind::PoolOwnerChanges);
-        logEvent(EventKind::PoolOwnerChanged,
-            {{"pool", change.pool}, {"before", change.before}, {"after", change.after}});
+        logEvent(
+            EventKind::PoolOwnerChanged, {{"pool", change.pool}, {"before", change.before}, {"after", change.after}});
         if (change.after.empty()) {
             continue;
         }
@@ -462,9 +459,12 @@
             continue;
         }
         if (const std::shared_ptr<RpcLink> link = this->linkTo(pool.owner)) {
-            this->loop.detach(link->connection().ignoreResult().catch_([](kj::Exception && /*e*/) {
-                // The first request finds out.
-            }).attach(link));
+            this->loop.detach(link->connection()
+                                  .ignoreResult()
+                                  .catch_([](kj::Exception && /*e*/) {
+                                      // The first request finds out.
+                                  })
+                                  .attach(link));
         }
     }
 }
--- a/src/gateway/pool_client_base.h
+++ b/src/gateway/pool_client_base.h
@@ -1,5 +1,5 @@
-/** @file pool_client_base.h  Asks the owners of pools for endpoints, over RPC or directly where this gateway is the owner
- * itself, and reports what became of the requests. */
+/** @file pool_client_base.h  Asks the owners of pools for endpoints, over RPC or directly where this gateway is the
+ * owner itself, and reports what became of the requests. */
 #pragma once
 
 #include <cstdint>
--- a/src/gateway/pool_dispatcher_base.h
+++ b/src/gateway/pool_dispatcher_base.h
@@ -1,5 +1,5 @@
-/** @file pool_dispatcher_base.h  Pools of endpoints at one gateway: which services have them, the pools that it owns, and
- * the requests that it places in pools. */
+/** @file pool_dispatcher_base.h  Pools of endpoints at one gateway: which services have them, the pools that it owns,
+ * and the requests that it places in pools. */
 #pragma once
 
 #include <functional>
--- a/src/gateway/pool_owner_base.cpp
+++ b/src/gateway/pool_owner_base.cpp
@@ -97,8 +97,7 @@
     }
 }
 
-void PoolOwner::cancel(
-    const std::string &pool, const std::string &holder, const std::vector<std::uint64_t> &tickets)
+void PoolOwner::cancel(const std::string &pool, const std::string &holder, const std::vector<std::uint64_t> &tickets)
 {
     if (OwnedPool *opened = this->findOpen(pool)) {
         for (const std::uint64_t ticket : tickets) {
--- a/tests/process/endpoint_pool_test.cpp
+++ b/tests/process/endpoint_pool_test.cpp
@@ -171,9 +171,9 @@
                     const auto start = std::chrono::steady_clock::now();
                     ++outcome.sent;
                     outcome.served += this->sendOne(gateway) ? 1 : 0;
-                    const std::int64_t took = std::chrono::duration_cast<std::chrono::milliseconds>(
-                        std::chrono::steady_clock::now() - start)
-                                                  .count();
+                    const std::int64_t took =
+                        std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - start)
+                            .count();
                     std::int64_t longest = outcome.longestMs;
                     while (took > longest && !outcome.longestMs.compare_exchange_weak(longest, took)) {
                     }
@@ -210,7 +210,8 @@
         BOOST_TEST(outcome.sent == outcome.served);
         BOOST_TEST(outcome.longestMs <= std::chrono::milliseconds(MaxDelay).count());
         // One of the others has become the owner.
-        BOOST_TEST(this->countLines(others[0], "event=pool_owner_changed", "before=" + this->nameOfGateway(owner)) != 0U);
+        BOOST_TEST(
+            this->countLines(others[0], "event=pool_owner_changed", "before=" + this->nameOfGateway(owner)) != 0U);
         std::size_t granted = 0;
         for (const std::size_t gateway : others) {
             granted += this->countLines(
--- a/tests/support/small_deployment.cpp
+++ b/tests/support/small_deployment.cpp
@@ -16,8 +16,8 @@
 
 } // namespace
 
-SmallDeployment::SmallDeployment(int network, std::size_t gateways, const std::string &configuration,
-    const std::vector<std::string> &gatewayFlags)
+SmallDeployment::SmallDeployment(
+    int network, std::size_t gateways, const std::string &configuration, const std::vector<std::string> &gatewayFlags)
     : list(R"({"instances":[],"nextToken":null})")
     , platform("127.0.0.1", [this](const std::string & /*head*/, const std::string & /*body*/) {
         const std::lock_guard lock(this->mutex);
