--- a/src/gateway/gateway_pool.cpp
+++ b/src/gateway/gateway_pool.cpp
@@ -35,6 +35,9 @@
     turn.deadline = call.deadline;
     if (call.metadata.programTimeLeft) {
         turn.programDeadline = call.exchange.received + *call.metadata.programTimeLeft;
+        if (call.isNewProgram) {
+            turn.programTotal = *call.metadata.programTimeLeft;
+        }
     }
     turn.priority = this->priorityOf(call);
     turn.version = criteria.version.value_or("");
--- a/src/gateway/pool_message_func.cpp
+++ b/src/gateway/pool_message_func.cpp
@@ -25,6 +25,7 @@
     if (request.programDeadline) {
         builder.setProgramLeftUs((*request.programDeadline - now).count());
     }
+    builder.setProgramTotalMs(request.programTotal ? request.programTotal->count() : 0);
     builder.setPriority(request.priority);
     builder.setVersion(wireText(request.version));
     auto excluded = builder.initExcluded(static_cast<unsigned>(request.excluded.size()));
@@ -48,6 +49,9 @@
     if (reader.getHasProgramTime()) {
         request.programDeadline = now + Duration(reader.getProgramLeftUs());
     }
+    if (reader.getProgramTotalMs() > 0) {
+        request.programTotal = std::chrono::milliseconds(reader.getProgramTotalMs());
+    }
     request.priority = reader.getPriority();
     request.version = textOf(reader.getVersion());
     for (const auto id : reader.getExcluded()) {
--- a/src/gateway/pool_owner_base.cpp
+++ b/src/gateway/pool_owner_base.cpp
@@ -46,13 +46,14 @@
     return &pool;
 }
 
-std::optional<PoolAnswer> PoolOwner::acquire(const std::string &pool, const TurnRequest &request)
+std::optional<PoolAnswer> PoolOwner::acquire(const std::string &pool, TurnRequest request)
 {
     OwnedPool *opened = this->open(pool);
     if (opened == nullptr) {
         return std::nullopt;
     }
     opened->holders.insert(request.holder);
+    opened->totals.complete(this->now(), request);
     const TurnDecision decision = opened->pool.submit(this->now(), request);
     if (decision.verdict == TurnVerdict::Waiting) {
         opened->waiting.insert({request.holder, request.ticket});
--- a/src/gateway/pool_owner_base.h
+++ b/src/gateway/pool_owner_base.h
@@ -18,6 +18,7 @@
 #include "dispatch/endpoint_pool_base.h"
 #include "gateway/endpoint_pools_base.h"
 #include "gateway/pool_message_func.h"
+#include "gateway/program_totals_base.h"
 #include "rpc/control_loop_base.h"
 
 namespace Chestnuthook
@@ -56,7 +57,7 @@
     PoolOwner(ControlLoop &loop, const EndpointPools &pools, Describe describe);
 
     /** Places a turn. @return nothing if this gateway doesn't know the pool. */
-    [[nodiscard]] std::optional<PoolAnswer> acquire(const std::string &pool, const TurnRequest &request);
+    [[nodiscard]] std::optional<PoolAnswer> acquire(const std::string &pool, TurnRequest request);
     /** Waits at most @p wait, which is limited to MaxAwait, for the decision on a turn that waits. */
     [[nodiscard]] kj::Promise<PoolAnswer> await(
         const std::string &pool, const std::string &holder, std::uint64_t ticket, Duration wait);
@@ -82,6 +83,7 @@
     struct OwnedPool
     {
         EndpointPool pool; ///< Decides.
+        ProgramTotals totals; ///< Of the programs whose first turn was placed here.
         std::set<std::string> holders; ///< Gateways that have used it.
         std::set<TurnKey> waiting; ///< Turns without a decision.
         std::map<TurnKey, Unfetched> unfetched; ///< Decisions for which no call waits.
--- a/src/rpc/dispatch.capnp
+++ b/src/rpc/dispatch.capnp
@@ -19,6 +19,7 @@
     version @10 :Text;          # Required software version; empty for any.
     excluded @11 :List(Text);   # Endpoints that must not be used.
     customerWeight @12 :Float64;    # Rate of the customer.
+    programTotalMs @13 :Int64;      # Time of the program from its start to its deadline; 0 where the sender doesn't know.
 }
 
 enum PoolVerdict {
--- a/src/rpc/dispatch.capnp.h
+++ b/src/rpc/dispatch.capnp.h
@@ -62,7 +62,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f51bc6981670ec0f, 9, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(f51bc6981670ec0f, 10, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -404,6 +404,8 @@
 
   inline double getCustomerWeight() const;
 
+  inline  ::int64_t getProgramTotalMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -480,6 +482,9 @@
   inline double getCustomerWeight();
   inline void setCustomerWeight(double value);
 
+  inline  ::int64_t getProgramTotalMs();
+  inline void setProgramTotalMs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2400,6 +2405,20 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t PoolTurn::Reader::getProgramTotalMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t PoolTurn::Builder::getProgramTotalMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void PoolTurn::Builder::setProgramTotalMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::Chestnuthook::Wire::PoolVerdict PoolDecision::Reader::getVerdict() const {
   return _reader.getDataField< ::Chestnuthook::Wire::PoolVerdict>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
