--- a/src/gateway/gateway_pool.cpp
+++ b/src/gateway/gateway_pool.cpp
@@ -35,6 +35,9 @@
     turn.deadline = call.deadline;
     if (call.metadata.programTimeLeft) {
         turn.programDeadline = call.exchange.received + *call.metadata.programTimeLeft;
+        if (call.isNewProgram) {
+            turn.programTotal = *call.metadata.programTimeLeft;
+        }
     }
     turn.priority = this->priorityOf(call);
     turn.version = criteria.version.value_or("");
@@ -47,8 +50,7 @@
         if (placement.kind != PoolPlacement::Kind::Granted) {
             return std::nullopt;
         }
-        const DeployedEndpoint *named =
-            this->loadBalancer.findUsable(this->now(), criteria, tried, placement.endpoint);
+        const DeployedEndpoint *named = this->loadBalancer.findUsable(this->now(), criteria, tried, placement.endpoint);
         if (named != nullptr) {
             const DeployedEndpoint endpoint = *named;
             if (this->takeEndpointCredit(scope, endpoint)) {
--- a/src/gateway/pool_owner_base.cpp
+++ b/src/gateway/pool_owner_base.cpp
@@ -46,13 +46,14 @@
     return &pool;
 }
 
-std::optional<PoolAnswer> PoolOwner::acquire(const std::string &pool, const TurnRequest &request)
+std::optional<PoolAnswer> PoolOwner::acquire(const std::string &pool, TurnRequest request)
 {
     OwnedPool *opened = this->open(pool);
     if (opened == nullptr) {
         return std::nullopt;
     }
     opened->holders.insert(request.holder);
+    opened->totals.complete(this->now(), request);
     const TurnDecision decision = opened->pool.submit(this->now(), request);
     if (decision.verdict == TurnVerdict::Waiting) {
         opened->waiting.insert({request.holder, request.ticket});
@@ -97,8 +98,7 @@
     }
 }
 
-void PoolOwner::cancel(
-    const std::string &pool, const std::string &holder, const std::vector<std::uint64_t> &tickets)
+void PoolOwner::cancel(const std::string &pool, const std::string &holder, const std::vector<std::uint64_t> &tickets)
 {
     if (OwnedPool *opened = this->findOpen(pool)) {
         for (const std::uint64_t ticket : tickets) {
