--- a/src/deployment/configuration_type.h
+++ b/src/deployment/configuration_type.h
@@ -57,6 +57,7 @@
     bool retainsTurns = false; ///< Turns are stored and can be continued by their id.
     std::chrono::duration<double> retention{0}; ///< How long turns are stored, in seconds.
     bool isPublic = false; ///< Requests need no API key.
+    bool isSticky = false; ///< Endpoints are faster with objects that they have handled recently.
     bool resumable = false; ///< A broken stream may be resumed at another endpoint.
 
     /** Whether a request that may have run can be sent to an endpoint once more. */
@@ -78,6 +79,8 @@
 {
     std::string name; ///< Unique name.
     std::optional<EngineConfig> engine; ///< Set for a model service.
+    double coldSeconds = 0; ///< Time for which an endpoint is cold after its start; 0 if not stated.
+    double coldPerSecond = 0; ///< Requests per second that a cold endpoint tolerates; 0 if not stated.
 };
 
 /** Limit of requests, counted over all gateways. */
--- a/src/deployment/credit_pool_base.cpp
+++ b/src/deployment/credit_pool_base.cpp
@@ -35,7 +35,9 @@
             this->onAccountOpened(limit.name, bucket.tokens);
         }
     }
-    if (bucket.silentVersion != this->gatewaysVersion || bucket.silentOfRate != limit.ratePerSecond) {
+    if (bucket.silentVersion != this->gatewaysVersion || bucket.silentOfRate != limit.ratePerSecond
+        || bucket.silentOfBurst != limit.burst) {
+        bucket.silentOfBurst = limit.burst;
         bucket.silentOfRate = limit.ratePerSecond;
         bucket.silentRate = silentShareRate(limit, this->gateways, this->silentGateways);
         bucket.silentVersion = this->gatewaysVersion;
@@ -44,11 +46,17 @@
 }
 
 std::uint32_t CreditPool::grant(Instant now, const RateLimit &limit, const CreditRequest &request)
+{
+    return this->grant(now, limit, this->tolerance, request);
+}
+
+std::uint32_t CreditPool::grant(
+    Instant now, const RateLimit &limit, const RateTolerance &excess, const CreditRequest &request)
 {
     if (limit.ratePerSecond <= 0) {
         return request.sum();
     }
-    const RateBudget budget = rateBudget(limit, this->tolerance);
+    const RateBudget budget = rateBudget(limit, excess);
     Bucket &bucket = this->bucketOf(limit, budget);
     const auto secondsSince = [now](Instant start) {
         return std::chrono::duration<double>(now - start).count();
--- a/src/deployment/credit_pool_base.h
+++ b/src/deployment/credit_pool_base.h
@@ -52,6 +52,9 @@
      * for the running ones. A program that is unlikely to meet its deadline starts only if others don't need the
      * credit. */
     std::uint32_t grant(Instant now, const RateLimit &limit, const CreditRequest &request);
+    /** As above for a limit with a tolerance of its own. */
+    std::uint32_t grant(
+        Instant now, const RateLimit &limit, const RateTolerance &excess, const CreditRequest &request);
 
     /** Requests within one limit since the counts were last taken. */
     struct Counts
@@ -74,6 +77,7 @@
         Instant refilledAt{0}; ///< Time of the last refill of `tokens`.
         double silentRate = 0; ///< Part of the rate that silent gateways may use, in requests per second.
         double silentOfRate = 0; ///< Rate for which `silentRate` was computed.
+        double silentOfBurst = 0; ///< Burst for which `silentRate` was computed.
         std::uint64_t silentVersion = 0; ///< Value of `gatewaysVersion` for which `silentRate` was computed.
     };
 
--- a/src/deployment/deployment_member_base.cpp
+++ b/src/deployment/deployment_member_base.cpp
@@ -145,7 +145,8 @@
         for (unsigned i = 0; i < wanted.size(); ++i) {
             const CreditRequest request{wanted[i].getRequests(), wanted[i].getAhead(), 0, wanted[i].getReturned()};
             granted[i].setLimit(wanted[i].getLimit());
-            granted[i].setRequests(this->member.grantEndpointCredit(readLimit(wanted[i].getLimit()), request));
+            granted[i].setRequests(this->member.grantEndpointCredit(
+                {readLimit(wanted[i].getLimit()), request, wanted[i].getColdPerSecond()}));
         }
     }
 
@@ -321,6 +322,7 @@
     this->updateSilentGateways();
     this->dropEndedWatches();
     this->refreshConfiguration();
+    this->updateColdEndpoints();
     this->notifyInForce();
     this->planHistory();
     this->planGroup();
@@ -539,6 +541,7 @@
             list[i].setLeaving(endpoint.leaving);
             list[i].setVersion(wireText(endpoint.version));
             list[i].setLimitPerSecond(this->endpointLimits.limitOf(endpoint.id));
+            list[i].setColdPerSecond(endpoint.coldPerSecond);
         }
     }
     if (hasPart(parts, UpdatePart::Instances)) {
@@ -634,13 +637,6 @@
     }
 }
 
-std::uint32_t DeploymentMember::grantEndpointCredit(const EndpointLimitReport &report, const CreditRequest &request)
-{
-    this->recordLimit(report);
-    const double limit = this->endpointLimits.limitOf(report.endpoint);
-    return this->endpointCredits.grant(this->loop.timers().now(), endpointRateLimit(report.endpoint, limit), request);
-}
-
 std::uint32_t DeploymentMember::grantCredit(const std::string &customer, const CreditRequest &request)
 {
     this->refreshConfiguration();
--- a/src/deployment/deployment_member_base.h
+++ b/src/deployment/deployment_member_base.h
@@ -11,6 +11,8 @@
 #include <vector>
 
 #include "consensus/replica_group_base.h"
+#include "deployment/cold_endpoints_base.h"
+#include "deployment/cold_limit_func.h"
 #include "deployment/configuration_type.h"
 #include "deployment/credit_pool_base.h"
 #include "deployment/deployment_state_base.h"
@@ -32,6 +34,7 @@
     InstanceInfo self; ///< Description of this daemon; `open` sets its identity.
     std::vector<std::string> seeds; ///< RPC addresses of control members.
     RateTolerance rateTolerance; ///< Tolerated excess over the customers' rates.
+    ColdTolerance coldTolerance; ///< Requests that cold endpoints may get.
     unsigned toleratedFailures = 1; ///< Number of instances with a disk whose simultaneous loss is tolerated.
     bool isBootstrap = false; ///< The deployment starts for the first time; its seeds form the group.
 };
@@ -99,8 +102,8 @@
     [[nodiscard]] bool knowsEndpointVersions() const;
     /** Software versions of the endpoints at which streams of @p service may have begun. */
     [[nodiscard]] std::set<std::string> endpointVersions(const std::string &service) const;
-    /** Grants requests to an endpoint whose limit the gateway knows as @p report says. */
-    [[nodiscard]] std::uint32_t grantEndpointCredit(const EndpointLimitReport &report, const CreditRequest &request);
+    /** Grants requests to an endpoint whose limits are as @p known says, as far as the gateway knows. */
+    [[nodiscard]] std::uint32_t grantEndpointCredit(const EndpointCreditRequest &known);
     [[nodiscard]] std::uint32_t grantCredit(const std::string &customer, const CreditRequest &request);
 
     ReplicaNode node; ///< The replicated log.
@@ -126,6 +129,9 @@
     /** Publishes @p list once its versions are recorded. */
     void takeEndpoints(std::vector<DeployedEndpoint> list);
     void publishEndpoints(std::vector<DeployedEndpoint> list);
+    /** Publishes which endpoints are cold if that has changed since the list was published. */
+    void updateColdEndpoints();
+    void logColdChanges();
     void removeExpiredVersions();
     void recordStrikes(Wire::InstanceReport::Reader report);
     /** Records what a gateway knows of the limit of an endpoint, and tells the others if it is new. */
@@ -173,6 +179,7 @@
     CreditPool credits; ///< Rate limits of the customers.
     EndpointLimitTable endpointLimits; ///< Limits that endpoints name.
     CreditPool endpointCredits; ///< Requests to the endpoints with limits.
+    ColdEndpoints coldEndpoints; ///< Which endpoints are cold.
     LoopLag loopLag; ///< Delays of the event loop.
     Instant resignedAt{0}; ///< When this member last gave up the lead; 0 for never.
     bool isChangingGroup = false; ///< A change of the control members is in progress.
--- a/src/deployment/deployment_member_endpoints.cpp
+++ b/src/deployment/deployment_member_endpoints.cpp
@@ -1,9 +1,11 @@
 /** @file deployment_member_endpoints.cpp  The leader's endpoint list: reads it from the platform, records software
  * versions before gateways get them, and forgets versions that are no longer in use. */
+#include <algorithm>
 #include <utility>
 
 #include "deployment/deployment_member_base.h"
 #include "observe/log_func.h"
+#include "observe/metrics_base.h"
 #include "table/error_table.h"
 
 namespace Chestnuthook
@@ -74,7 +76,11 @@
     if (!this->isLeader() || !this->isVersionRecordRead) {
         return;
     }
-    this->versionExpiry.recordListed(this->loop.timers().now(), list);
+    const Instant now = this->loop.timers().now();
+    this->versionExpiry.recordListed(now, list);
+    this->refreshConfiguration();
+    this->coldEndpoints.recordListed(now, list);
+    static_cast<void>(this->coldEndpoints.mark(now, this->configuration.get(), list));
     const ServiceVersions unrecorded = unrecordedVersions(list, this->group.machine.endpointVersions);
     if (unrecorded.empty()) {
         this->publishEndpoints(std::move(list));
@@ -101,6 +107,7 @@
         return;
     }
     this->endpoints = std::move(list);
+    this->logColdChanges();
     std::set<std::string> listed;
     for (const DeployedEndpoint &endpoint : this->endpoints) {
         listed.insert(endpoint.id);
@@ -110,6 +117,42 @@
     this->notifyWatchers();
 }
 
+void DeploymentMember::updateColdEndpoints()
+{
+    const bool hasChanged =
+        this->coldEndpoints.mark(this->loop.timers().now(), this->configuration.get(), this->endpoints);
+    if (hasChanged && this->endpointsVersion != 0) {
+        this->logColdChanges();
+        ++this->endpointsVersion;
+        this->notifyWatchers();
+    }
+}
+
+void DeploymentMember::logColdChanges()
+{
+    for (const ColdEndpoints::Change &change : this->coldEndpoints.takeChanges(this->loop.timers().now())) {
+        logEvent(EventKind::EndpointColdChanged,
+            {{"endpoint", change.endpoint}, {"service", change.service},
+                {"left_ms", std::to_string(change.left.count() / 1000)}, {"cause", "list"}});
+    }
+    metrics().set(MetricKind::EndpointsCold, std::ranges::count_if(this->endpoints, [](const auto &endpoint) {
+        return endpoint.coldPerSecond > 0;
+    }));
+}
+
+std::uint32_t DeploymentMember::grantEndpointCredit(const EndpointCreditRequest &known)
+{
+    this->recordLimit(known.limit);
+    EndpointRates rates{this->endpointLimits.limitOf(known.limit.endpoint), std::max(known.coldPerSecond, 0.0)};
+    // A gateway may know less than this leader, or more: a response has told it, or this leader has no list yet.
+    const auto listed = std::ranges::find(this->endpoints, known.limit.endpoint, &DeployedEndpoint::id);
+    if (listed != this->endpoints.end() && listed->coldPerSecond > 0) {
+        rates.coldPerSecond = listed->coldPerSecond;
+    }
+    const EndpointAccount account = endpointAccount(known.limit.endpoint, rates, this->settings.coldTolerance);
+    return this->endpointCredits.grant(this->loop.timers().now(), account.limit, account.tolerance, known.wanted);
+}
+
 void DeploymentMember::removeExpiredVersions()
 {
     if (!this->isVersionRecordRead || this->isChangingVersions) {
--- a/src/deployment/deployment_watcher_base.cpp
+++ b/src/deployment/deployment_watcher_base.cpp
@@ -222,6 +222,7 @@
             this->view.endpoints.push_back({textOf(entry.getId()), textOf(entry.getService()),
                 textOf(entry.getAddress()), textOf(entry.getDataCentre()), entry.getSlots(), entry.getLeaving(),
                 textOf(entry.getVersion()), entry.getLimitPerSecond()});
+            this->view.endpoints.back().coldPerSecond = entry.getColdPerSecond();
         }
     }
     if (hasPart(parts, UpdatePart::Instances)) {
@@ -322,6 +323,7 @@
                 endpointList[i].setRequests(endpoints[i].wanted.requests);
                 endpointList[i].setAhead(endpoints[i].wanted.ahead);
                 endpointList[i].setReturned(endpoints[i].wanted.returned);
+                endpointList[i].setColdPerSecond(endpoints[i].coldPerSecond);
             }
             return request.send();
         });
--- a/src/deployment/deployment_watcher_base.h
+++ b/src/deployment/deployment_watcher_base.h
@@ -41,6 +41,7 @@
 {
     EndpointLimitReport limit; ///< The limit as far as it is known here.
     CreditRequest wanted; ///< What is requested; `late` isn't used.
+    double coldPerSecond = 0; ///< Requests per second that it tolerates while it is cold; 0 if it isn't known as cold.
 };
 
 /** What a leader has granted, in requests. */
--- a/src/deployment/endpoint_list_type.h
+++ b/src/deployment/endpoint_list_type.h
@@ -8,6 +8,7 @@
 #include <kj/async.h>
 
 #include "core/error_type.h"
+#include "core/timer_type.h"
 
 namespace Chestnuthook
 {
@@ -23,6 +24,9 @@
     std::string version = {}; ///< Version of its software; empty if the list doesn't say.
     /** Requests per second that it takes from all gateways, as gateways reported to the leader; 0 for no limit. */
     double limitPerSecond = 0;
+    /** Requests per second that it tolerates while it is cold; 0 for one that isn't cold. */
+    double coldPerSecond = 0;
+    Duration coldLeft{0}; ///< How much longer it stays cold; only in a list that was just read.
     bool operator==(const DeployedEndpoint &) const = default;
 };
 
--- a/src/gateway/gateway_base.cpp
+++ b/src/gateway/gateway_base.cpp
@@ -107,7 +107,7 @@
     , headerCodec(headerCodec)
     , configurationReader(std::move(readConfiguration))
     , settings(std::move(settings))
-    , loadBalancer(this->settings.drainPeriod)
+    , loadBalancer(this->settings.drainPeriod, hash64(this->settings.name))
     , connector(loop, {this->settings.name, this->settings.dataCentre, this->settings.endpointSource})
     , responseMemory(this->settings.memoryLimitBytes / ResponseMemoryDivisor)
     , history(loop, watcher, this->settings.dataCentre)
@@ -144,6 +144,7 @@
         for (const std::string &endpoint : this->endpointLimits.setListed(this->now(), view.endpoints)) {
             this->applyLimit(endpoint, "list");
         }
+        this->retainEndpointAccounts();
     }
     if (hasPart(parts, UpdatePart::Instances)) {
         this->gatewayNames.clear();
@@ -382,7 +383,8 @@
     std::vector<EndpointCreditRequest> endpointRequests;
     endpointRequests.reserve(endpoints.size());
     for (const auto &[endpoint, wanted] : endpoints) {
-        endpointRequests.push_back({this->endpointLimits.reportOf(this->now(), endpoint), wanted});
+        endpointRequests.push_back({this->endpointLimits.reportOf(this->now(), endpoint), wanted,
+            this->endpointRates(endpoint).coldPerSecond});
     }
     auto reply = kj::evalNow([&]() {
         return this->watcher.requestCredit(customers, endpointRequests);
@@ -486,53 +488,6 @@
     }
 }
 
-void Gateway::applyLimit(const std::string &endpoint, std::string_view cause)
-{
-    this->endpointLimiter.retain([this](const std::string &id) {
-        return this->endpointLimits.limitOf(id) > 0;
-    });
-    metrics().set(MetricKind::EndpointsLimited, static_cast<std::int64_t>(this->endpointLimits.limitedCount()));
-    logEvent(EventKind::EndpointLimitChanged,
-        {{"endpoint", endpoint}, {"limit", std::to_string(this->endpointLimits.limitOf(endpoint))},
-            {"cause", std::string(cause)}});
-}
-
-void Gateway::recordLimit(const std::string &endpoint, double perSecond)
-{
-    if (this->endpointLimits.recordResponse(this->now(), endpoint, perSecond)) {
-        this->applyLimit(endpoint, "response");
-    }
-}
-
-bool Gateway::takeEndpointCredit(kj::WaitScope &scope, const DeployedEndpoint &endpoint)
-{
-    const RateLimit limit = endpointRateLimit(endpoint.id, this->endpointLimits.limitOf(endpoint.id));
-    if (limit.ratePerSecond <= 0) {
-        return true;
-    }
-    this->endpointLimiter.recordRequest(bootClockNow(), limit);
-    while (true) {
-        LeaderState leader = this->leaderState();
-        if (!this->leaderLimitsEndpoints && leader.contact != LeaderContact::Lost) {
-            leader.contact = LeaderContact::Lost; // A leader that counts nothing is as good as none.
-        }
-        switch (this->endpointLimiter.take(bootClockNow(), limit, CreditClass::Ongoing, leader)) {
-        case CreditDecision::Admitted:
-        case CreditDecision::AdmittedIsolated:
-            this->startCreditRequest();
-            return true;
-        case CreditDecision::Refused:
-            this->loadBalancer.recordAtLimit(this->now(), endpoint.id);
-            metrics().add(MetricKind::EndpointLimitRefusals);
-            return false;
-        case CreditDecision::AwaitCredit:
-            break;
-        }
-        this->startCreditRequest();
-        this->awaitCredit(scope);
-    }
-}
-
 bool Gateway::beginTurn(kj::WaitScope &scope, Call &call)
 {
     const RouteConfig &route = *call.route;
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -32,6 +32,7 @@
     std::string endpointSource; ///< IP address from which direct connections to endpoints leave; may be empty.
     Duration drainPeriod{0}; ///< Time after which an endpoint that is known to leave must get no request.
     RateTolerance rateTolerance; ///< Tolerated excess over the customers' rates.
+    ColdTolerance coldTolerance; ///< Requests that cold endpoints may get.
     std::size_t memoryLimitBytes = 110U << 20U; ///< Memory of the process above which the platform ends it.
 };
 
@@ -130,7 +131,7 @@
         std::optional<DeployedEndpoint> endpoint; ///< Empty if there is none.
         bool isAtLimit = false; ///< There is none because of the limits that endpoints name.
     };
-    /** Chooses an endpoint that isn't in @p tried and takes credit for it if it names a limit. Requests of a running
+    /** Chooses an endpoint that isn't in @p tried and takes credit for it if it is cold or names a limit. Requests of a running
      * program wait for room within the limits, at most MaxLimitWait. */
     [[nodiscard]] EndpointChoice chooseEndpoint(
         kj::WaitScope &scope, const Call &call, const SelectionCriteria &criteria, const std::set<std::string> &tried);
@@ -162,7 +163,14 @@
     /** Waits for the reply to the credit request in flight, at most CreditReplyTimeout. */
     void awaitCredit(kj::WaitScope &scope);
     [[nodiscard]] LeaderState leaderState() const;
-    /** Takes credit for a request to an endpoint if that names a limit. @return whether it has room. */
+    /** What limits the requests to @p endpoint, as far as this gateway knows. */
+    [[nodiscard]] EndpointRates endpointRates(const std::string &endpoint) const;
+    [[nodiscard]] bool isLimited(const std::string &endpoint) const;
+    /** Drops the accounts of endpoints without a limit. */
+    void retainEndpointAccounts();
+    /** Records how much longer @p endpoint stays cold as its response says, if it does. */
+    void recordCold(const std::string &endpoint, std::optional<Milliseconds> left);
+    /** Takes credit for a request to an endpoint if that is cold or names a limit. @return whether it has room. */
     [[nodiscard]] bool takeEndpointCredit(kj::WaitScope &scope, const DeployedEndpoint &endpoint);
     /** Records the limit that a response of @p endpoint names, 0 for none. */
     void recordLimit(const std::string &endpoint, double perSecond);
--- a/src/gateway/gateway_run.cpp
+++ b/src/gateway/gateway_run.cpp
@@ -6,6 +6,7 @@
 #include "core/hash_func.h"
 #include "gateway/gateway_base.h"
 #include "gateway/gateway_call_internal.h"
+#include "gateway/request_affinity_func.h"
 #include "gateway/request_priority_func.h"
 #include "observe/log_func.h"
 #include "observe/metrics_base.h"
@@ -126,7 +127,7 @@
             continue;
         }
         const DeployedEndpoint endpoint = *chosen;
-        const bool isLimited = this->endpointLimits.limitOf(endpoint.id) > 0;
+        const bool isLimited = this->isLimited(endpoint.id);
         if (isLimited && limitsAsked == MaxLimitsAsked) {
             excluded.insert(endpoint.id);
             continue;
@@ -146,10 +147,8 @@
     const ServiceConfig &service = call.configuration->services.at(criteria.service);
     if (service.engine) {
         call.tokensPerEvent = service.engine->tokensPerEvent;
-        const std::string &affinityKey =
-            call.metadata.program.empty() ? call.metadata.requestId : call.metadata.program;
-        criteria.affinity = std::max<std::uint64_t>(hash64(affinityKey), 1);
     }
+    criteria.affinity = requestAffinity(route, service, call.metadata);
     criteria.dataCentre = this->settings.dataCentre;
     std::set<std::string> tried;
     unsigned endpointTries = 0;
@@ -185,7 +184,7 @@
     }
     if (!call.mayHaveRun) {
         const bool late = call.deadline - this->now() <= MinUsefulTime;
-        const std::string_view reason = isAtLimit ? "all endpoints are at the limits that they name"
+        const std::string_view reason = isAtLimit ? "all endpoints are at their limits"
             : call.version                        ? "no endpoint of the stream's version has room"
                                                   : "no endpoint has room";
         this->reject(
@@ -324,6 +323,7 @@
         }
         if (metadata.isSigned || (metadata.notExecuted && head.status != HttpStatus::Misdirected)) {
             this->recordLimit(endpoint.id, metadata.limitPerSecond);
+            this->recordCold(endpoint.id, metadata.coldLeft);
         }
         const bool isOwnResponse = metadata.requestId == call.metadata.requestId;
         if (!isOwnResponse && !metadata.notExecuted && head.status != HttpStatus::Misdirected) {
--- a/src/gateway/header_codec_type.h
+++ b/src/gateway/header_codec_type.h
@@ -28,6 +28,7 @@
     std::uint32_t expectedTokens = 0; ///< Likely number of generated tokens; 0 if the client doesn't say.
     std::uint32_t promptParts = 0; ///< Number of parts of the prompt that can be cached separately.
     std::string previousTurn; ///< Request id of the turn that the request continues; empty for none.
+    std::string object; ///< Object that the request concerns; empty if the client doesn't say.
     std::string lastEventId; ///< Last event that the client received of a stream that it resumes.
     std::string resumedRequest; ///< Request id of the attempt that received the first event of that stream.
 };
@@ -61,6 +62,7 @@
     bool notExecuted = false; ///< The endpoint did not execute the request and never will.
     std::optional<EndpointLoad> load; ///< Empty if not reported.
     bool isLeaving = false; ///< The endpoint shuts down soon.
+    std::optional<Milliseconds> coldLeft; ///< How much longer the endpoint stays cold; empty if not reported.
     double limitPerSecond =
         0; ///< Requests per second that the endpoint takes from all gateways; 0 if it names no limit.
 };
--- a/src/gateway/load_balancer_base.cpp
+++ b/src/gateway/load_balancer_base.cpp
@@ -140,6 +140,7 @@
         bool unhealthy = false; ///< The endpoint is in backoff or ejected.
         double utilization = 0; ///< See LoadBalancer::utilization.
         std::uint64_t affinityHash = 0; ///< Rendezvous hash of endpoint and affinity; also breaks ties.
+        bool isCold = false; ///< The endpoint is cold.
     };
     std::vector<Candidate> candidates;
     std::vector<Candidate> lastResorts;
@@ -149,7 +150,9 @@
             continue;
         }
         const bool unhealthy = std::max(state.backoffUntil, state.ejectedUntil) > now;
-        const Candidate candidate{&state, unhealthy, utilization(now, state), hash64(id, criteria.affinity)};
+        const bool isCold = state.isCold(now);
+        const std::uint64_t affinity = isCold && criteria.affinity == 0 ? this->salt : criteria.affinity;
+        const Candidate candidate{&state, unhealthy, utilization(now, state), hash64(id, affinity), isCold};
         if (!state.isLeaving()) {
             candidates.push_back(candidate);
         } else if (this->isLastResort(now, state)) {
@@ -164,7 +167,7 @@
     }
     if (criteria.affinity != 0) {
         std::sort(candidates.begin(), candidates.end(), [](const Candidate &a, const Candidate &b) {
-            return a.affinityHash > b.affinityHash;
+            return std::tuple(!a.isCold, a.affinityHash) > std::tuple(!b.isCold, b.affinityHash);
         });
         for (const Candidate &candidate : candidates) {
             if (!candidate.unhealthy && candidate.utilization < MaxAffinityUtilization) {
@@ -172,6 +175,14 @@
             }
         }
     }
+    const bool hasWarmRoom = std::ranges::any_of(candidates, [](const Candidate &candidate) {
+        return !candidate.isCold && !candidate.unhealthy && candidate.utilization < MaxWarmUtilization;
+    });
+    if (hasWarmRoom) {
+        std::erase_if(candidates, [](const Candidate &candidate) {
+            return candidate.isCold;
+        });
+    }
     const auto best =
         std::min_element(candidates.begin(), candidates.end(), [&](const Candidate &a, const Candidate &b) {
             const bool aRemote = a.state->endpoint.dataCentre != criteria.dataCentre;
@@ -182,6 +193,19 @@
     return &best->state->endpoint;
 }
 
+const DeployedEndpoint *LoadBalancer::findCold(Instant now, const std::string &id) const
+{
+    const auto state = this->states.find(id);
+    return state == this->states.end() || !state->second.isCold(now) ? nullptr : &state->second.endpoint;
+}
+
+std::size_t LoadBalancer::coldCount(Instant now) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(this->states, [now](const auto &entry) {
+        return entry.second.isCold(now);
+    }));
+}
+
 std::string LoadBalancer::describeLoad(Instant now, const std::string &id) const
 {
     const auto found = this->states.find(id);
@@ -205,6 +229,14 @@
     return text;
 }
 
+bool LoadBalancer::recordCold(Instant now, const std::string &id, Duration left)
+{
+    State &state = this->states[id];
+    const bool wasCold = state.isCold(now);
+    state.coldUntil = now + left;
+    return !wasCold && state.isCold(now);
+}
+
 void LoadBalancer::recordRequestStart(const std::string &id)
 {
     ++this->states[id].inFlight;
--- a/src/gateway/load_balancer_base.h
+++ b/src/gateway/load_balancer_base.h
@@ -28,22 +28,27 @@
 class LoadBalancer
 {
 public:
-    /** @param drainPeriod time after which an endpoint that is known to leave must get no request. */
-    explicit LoadBalancer(Duration drainPeriod = Duration(0))
+    /** @param drainPeriod time after which an endpoint that is known to leave must get no request.
+     * @param salt differs between gateways, so that they don't all prefer the same one of several cold endpoints. */
+    explicit LoadBalancer(Duration drainPeriod = Duration(0), std::uint64_t salt = 0)
         : drainPeriod(drainPeriod)
+        , salt(salt)
     {
     }
 
     /** Replaces the list of endpoints by the platform's current one. */
     void setEndpoints(Instant now, const std::vector<DeployedEndpoint> &list);
 
-    /** Selects an endpoint whose id isn't in @p tried. One that leaves is selected only if there is no other, and only
+    /** Selects an endpoint whose id isn't in @p tried. A cold one is selected only if no warm one has room. One that leaves is selected only if there is no other, and only
      * in the first half of its drain period. @return null if there is none. */
     [[nodiscard]] const DeployedEndpoint *choose(
         Instant now, const SelectionCriteria &criteria, const std::set<std::string> &tried) const;
     /** Software version of all endpoints of @p service that are listed or were in the last VersionMemory; empty if they
      * differ or one doesn't state it. As far as this process knows: it may have been restarted or out of touch. */
     [[nodiscard]] std::string commonVersion(Instant now, const std::string &service) const;
+    /** The listed entry of @p id if it is cold, else null. */
+    [[nodiscard]] const DeployedEndpoint *findCold(Instant now, const std::string &id) const;
+    [[nodiscard]] std::size_t coldCount(Instant now) const;
     /** Whether @p id is listed and isn't known to leave. */
     [[nodiscard]] bool isUsable(const std::string &id) const;
 
@@ -58,6 +63,9 @@
     /** Records that the endpoint has stated itself that it leaves. That holds until it is no longer listed, whatever
      * state the list shows. @return whether it wasn't known. */
     [[nodiscard]] bool recordLeaving(Instant now, const std::string &id);
+    /** Records that the endpoint has stated itself that it stays cold for @p left. @return whether it wasn't known as
+     * cold. */
+    [[nodiscard]] bool recordCold(Instant now, const std::string &id, Duration left);
     void recordRequestStart(const std::string &id);
     void recordRequestEnd(const std::string &id);
     void recordLoad(Instant now, const std::string &id, const EndpointLoad &load);
@@ -91,6 +99,8 @@
      * slots. Queueing for a short time costs less than processing the prompts of a program again at another endpoint,
      * which delays all other requests there. */
     static constexpr double MaxAffinityUtilization = 1.8;
+    /** Without affinity, a warm endpoint has room as long as it has a free slot. */
+    static constexpr double MaxWarmUtilization = 1;
 
     /** Weight of the latest result in the moving average of an endpoint's error rate. */
     static constexpr double ErrorRateWeight = 0.12;
@@ -113,6 +123,7 @@
         double errorRate = 0; ///< Exponential moving average of failed results, 0 to 1.
         Instant ejectedUntil{0}; ///< End of the ejection because of the error rate.
         Instant atLimitUntil{0}; ///< Left out until then; see `recordAtLimit`.
+        Instant coldUntil{0}; ///< Cold until then as the endpoint stated itself; see `recordCold`.
         bool hasStatedLeaving = false; ///< See `recordLeaving`.
         std::optional<Instant> leavingSince; ///< When it became known that the endpoint leaves; see `isLeaving`.
         bool wasListedReady = false; ///< Known before it was leaving, so that `leavingSince` is when that began.
@@ -121,6 +132,10 @@
         {
             return this->hasStatedLeaving || this->endpoint.leaving;
         }
+        [[nodiscard]] bool isCold(Instant now) const
+        {
+            return this->endpoint.coldPerSecond > 0 || now < this->coldUntil;
+        }
     };
 
     /** Adds a result, 1 for a failure and 0 for a success, to the error rate and ejects the endpoint if it is an
@@ -139,6 +154,7 @@
     [[nodiscard]] bool isLastResort(Instant now, const State &state) const;
 
     Duration drainPeriod; ///< See the constructor.
+    std::uint64_t salt; ///< See the constructor.
     std::map<std::string, std::vector<std::string>> idsByService; ///< All listed endpoints.
 };
 
--- a/src/gateway/rate_limiter_base.cpp
+++ b/src/gateway/rate_limiter_base.cpp
@@ -66,9 +66,10 @@
     return unused;
 }
 
-bool RateLimiter::takeIsolated(Instant now, Account &account, const RateLimit &limit, const LeaderState &leader) const
+bool RateLimiter::takeIsolated(Instant now, Account &account, const RateLimit &limit, const RateTolerance &excess,
+    const LeaderState &leader) const
 {
-    const IsolatedShare share = isolatedShare(limit, this->tolerance, this->name, leader.gateways);
+    const IsolatedShare share = isolatedShare(limit, excess, this->name, leader.gateways);
     if (leader.contact == LeaderContact::Lost) {
         if (account.shareRefilledAt < leader.lostSince) {
             account.shareTokens = 0;
@@ -82,11 +83,11 @@
             return true;
         }
     }
-    std::erase_if(account.isolatedAdmissions, [this, now](Instant time) {
-        return now - time > this->tolerance.window;
+    std::erase_if(account.isolatedAdmissions, [&excess, now](Instant time) {
+        return now - time > excess.window;
     });
     const bool mayAdmit =
-        now - this->startedAt > this->tolerance.window && account.isolatedAdmissions.size() < share.requestsPerWindow;
+        now - this->startedAt > excess.window && account.isolatedAdmissions.size() < share.requestsPerWindow;
     if (mayAdmit) {
         account.isolatedAdmissions.push_back(now);
     }
@@ -95,6 +96,12 @@
 
 CreditDecision RateLimiter::take(
     Instant now, const RateLimit &limit, CreditClass creditClass, const LeaderState &leader)
+{
+    return this->take(now, limit, this->tolerance, creditClass, leader);
+}
+
+CreditDecision RateLimiter::take(Instant now, const RateLimit &limit, const RateTolerance &excess,
+    CreditClass creditClass, const LeaderState &leader)
 {
     if (limit.ratePerSecond <= 0) {
         return CreditDecision::Admitted;
@@ -127,7 +134,7 @@
         }
         return CreditDecision::AwaitCredit;
     }
-    return this->takeIsolated(now, account, limit, leader) ? CreditDecision::AdmittedIsolated : CreditDecision::Refused;
+    return this->takeIsolated(now, account, limit, excess, leader) ? CreditDecision::AdmittedIsolated : CreditDecision::Refused;
 }
 
 std::map<std::string, CreditRequest> RateLimiter::creditRequests(Instant now)
--- a/src/gateway/rate_limiter_base.h
+++ b/src/gateway/rate_limiter_base.h
@@ -66,6 +66,10 @@
     [[nodiscard]] CreditDecision take(
         Instant now, const RateLimit &limit, CreditClass creditClass, const LeaderState &leader);
 
+    /** As above for a limit with a tolerance of its own. */
+    [[nodiscard]] CreditDecision take(Instant now, const RateLimit &limit, const RateTolerance &excess,
+        CreditClass creditClass, const LeaderState &leader);
+
     /** Credit to request from the leader now, by the name of the limit; empty if there is enough of each. */
     [[nodiscard]] std::map<std::string, CreditRequest> creditRequests(Instant now);
     /** Applies the leader's reply to the credit request @p requested, which was sent at @p sentAt. */
@@ -125,8 +129,8 @@
 
     static void dropExpiredCredit(Instant now, Account &account);
     [[nodiscard]] static bool takeCredit(Account &account, CreditClass creditClass);
-    [[nodiscard]] bool takeIsolated(
-        Instant now, Account &account, const RateLimit &limit, const LeaderState &leader) const;
+    [[nodiscard]] bool takeIsolated(Instant now, Account &account, const RateLimit &limit, const RateTolerance &excess,
+        const LeaderState &leader) const;
     /** Removes credit that is older than CreditReturnAge. @return how much. */
     static std::uint32_t takeUnusedCredit(Instant now, Account &account);
 
--- a/src/rpc/deployment.capnp
+++ b/src/rpc/deployment.capnp
@@ -124,6 +124,7 @@
     requests @1 :UInt32;        # Wanted or granted.
     ahead @2 :UInt32;           # Wanted ahead of need; given only out of a good supply.
     returned @3 :UInt32;        # Granted earlier and not used.
+    coldPerSecond @4 :Float64;  # Requests a second that it takes while it is cold, as the caller knows it; 0 if not cold.
 }
 
 interface Deployment {
--- a/src/rpc/deployment.capnp.h
+++ b/src/rpc/deployment.capnp.h
@@ -233,7 +233,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f6875abc82804858, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(f6875abc82804858, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1793,6 +1793,8 @@
 
   inline  ::uint32_t getReturned() const;
 
+  inline double getColdPerSecond() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1837,6 +1839,9 @@
   inline  ::uint32_t getReturned();
   inline void setReturned( ::uint32_t value);
 
+  inline double getColdPerSecond();
+  inline void setColdPerSecond(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4864,6 +4869,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline double EndpointCredit::Reader::getColdPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double EndpointCredit::Builder::getColdPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void EndpointCredit::Builder::setColdPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Deployment::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/table/event_table.cpp
+++ b/src/table/event_table.cpp
@@ -51,6 +51,7 @@
     {EventKind::EndpointDown, EventLevel::Warning},
     {EventKind::EndpointLeaving, EventLevel::Info},
     {EventKind::EndpointLimitChanged, EventLevel::Info},
+    {EventKind::EndpointColdChanged, EventLevel::Info},
     {EventKind::EndpointVersion, EventLevel::Info},
     {EventKind::EndpointLinkDown, EventLevel::Warning},
     {EventKind::EndpointLinkUp, EventLevel::Info},
--- a/src/table/metric_table.cpp
+++ b/src/table/metric_table.cpp
@@ -66,6 +66,8 @@
         "Endpoints that name a limit of their requests per second."},
     {MetricKind::EndpointLimitRefusals, "chestnuthook_endpoint_limit_refusals_total", MetricType::Counter, "",
         "Times that a request went to another endpoint, waited or was refused because of an endpoint's limit."},
+    {MetricKind::EndpointsCold, "chestnuthook_endpoints_cold", MetricType::Gauge, "",
+        "Endpoints that are cold and get few requests."},
 });
 
 constexpr bool isTableComplete()
--- a/src/table/metric_table.h
+++ b/src/table/metric_table.h
@@ -40,8 +40,9 @@
     ConfigurationBytesSent,
     EndpointsLimited,
     EndpointLimitRefusals,
+    EndpointsCold,
 };
-inline constexpr std::size_t MetricCount = static_cast<std::size_t>(MetricKind::EndpointLimitRefusals) + 1;
+inline constexpr std::size_t MetricCount = static_cast<std::size_t>(MetricKind::EndpointsCold) + 1;
 
 /** Type of a metric, as in the Prometheus text format. */
 enum class MetricType : std::uint8_t { Counter, Gauge, Histogram };
