--- a/src/deployment/cold_endpoints_base.cpp
+++ b/src/deployment/cold_endpoints_base.cpp
@@ -7,6 +7,17 @@
 namespace Chestnuthook
 {
 
+void ColdEndpoints::adopt(Instant now, const std::vector<DeployedEndpoint> &list)
+{
+    for (const DeployedEndpoint &endpoint : list) {
+        if (endpoint.coldPerSecond > 0) {
+            Entry &entry = this->entries[endpoint.id];
+            entry.service = endpoint.service;
+            entry.until = std::max(entry.until, now + ListLag);
+        }
+    }
+}
+
 void ColdEndpoints::recordListed(Instant now, const std::vector<DeployedEndpoint> &list)
 {
     std::set<std::string> listed;
--- a/src/deployment/cold_endpoints_base.h
+++ b/src/deployment/cold_endpoints_base.h
@@ -26,6 +26,8 @@
         Duration left{0}; ///< How much longer it stays cold; 0 if it has become warm.
     };
 
+    /** Takes over what a former leader has published of @p list. Its endpoints count as cold for ListLag. */
+    void adopt(Instant now, const std::vector<DeployedEndpoint> &list);
     /** Takes what a list that was just read says and forgets the endpoints that it doesn't name. */
     void recordListed(Instant now, const std::vector<DeployedEndpoint> &list);
     /** Whether @p endpoint is cold. */
--- a/src/deployment/deployment_member_base.cpp
+++ b/src/deployment/deployment_member_base.cpp
@@ -236,6 +236,7 @@
         && this->watcher.followedFor() >= this->settings.rateTolerance.window;
     this->credits.beginTerm(now, followedPredecessor);
     this->endpointCredits.beginTerm(now, followedPredecessor);
+    this->coldEndpoints.adopt(now, this->watcher.view.endpoints);
     for (const DeployedEndpoint &endpoint : this->watcher.view.endpoints) {
         static_cast<void>(this->endpointLimits.record(now, {endpoint.id, endpoint.limitPerSecond, AdoptedLimitAge}));
     }
--- a/src/gateway/endpoint_limits_base.cpp
+++ b/src/gateway/endpoint_limits_base.cpp
@@ -32,7 +32,7 @@
 
 EndpointLimitReport EndpointLimits::reportOf(Instant now, const std::string &endpoint) const
 {
-    return {endpoint, this->table.limitOf(endpoint), this->table.ageOf(now, endpoint).value_or(Duration(0))};
+    return {endpoint, this->table.limitOf(endpoint), this->table.ageOf(now, endpoint).value_or(UnknownAge)};
 }
 
 std::vector<EndpointLimitReport> EndpointLimits::takeReports(Instant now)
--- a/src/gateway/endpoint_limits_base.h
+++ b/src/gateway/endpoint_limits_base.h
@@ -39,6 +39,9 @@
 private:
     /** The list may be older than what a response said within this time. */
     static constexpr Duration ListDelay = std::chrono::milliseconds(1500);
+    /** Age of what is reported of an endpoint without a known limit, so that it replaces nothing that the leader knows.
+     * Credit for a cold endpoint is requested without such knowledge. */
+    static constexpr Duration UnknownAge = std::chrono::hours(1);
 
     EndpointLimitTable table; ///< Limits of the listed endpoints.
     std::set<std::string> unreported; ///< Endpoints whose limit has changed since the last report.
--- a/src/gateway/load_balancer_base.cpp
+++ b/src/gateway/load_balancer_base.cpp
@@ -175,7 +175,8 @@
             }
         }
     }
-    const bool hasWarmRoom = std::ranges::any_of(candidates, [](const Candidate &candidate) {
+    const bool hasCold = std::ranges::any_of(candidates, &Candidate::isCold);
+    const bool hasWarmRoom = hasCold && std::ranges::any_of(candidates, [](const Candidate &candidate) {
         return !candidate.isCold && !candidate.unhealthy && candidate.utilization < MaxWarmUtilization;
     });
     if (hasWarmRoom) {
--- a/tests/unit/rate_sum_test.cpp
+++ b/tests/unit/rate_sum_test.cpp
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "deployment/cold_limit_func.h"
 #include "deployment/credit_pool_base.h"
 #include "deployment/endpoint_limit_type.h"
 #include "deployment/instance_registry_base.h"
@@ -34,6 +35,9 @@
 constexpr Duration CallTimeout = CreditTtl; ///< Of DeploymentWatcher::requestCredit.
 constexpr Duration ContactTimeout = std::chrono::seconds(1); ///< Of DeploymentWatcher::hasLeaderContact.
 
+/** Tolerance of other limits that the same limiter and pool count; it must have no effect. */
+constexpr RateTolerance OtherTolerance{std::chrono::seconds(9), 9, 9000};
+
 /** What happens in one simulated deployment. */
 struct Scenario
 {
@@ -46,6 +50,8 @@
     double slowShare = 0; ///< Part of the time in which a leader is slow.
     double cutShare = 0; ///< Part of the gateways that have no contact to a leader in each second.
     Duration watchWait{0}; ///< Time for which the leader holds watches; 0 for reports in each step.
+    Duration demandTime{0}; ///< Requests are sent for this long, then as long not; 0 to send them all the time.
+    Duration arrivalJitter{0}; ///< Longest time from the admission of a request to its arrival at the endpoint.
 };
 
 /** A request that was admitted. */
@@ -61,11 +67,11 @@
     Simulation(const Scenario &scenario, unsigned seed)
         : scenario(scenario)
         , random(seed)
-        , pool(scenario.tolerance)
+        , pool(OtherTolerance)
     {
         for (std::size_t i = 0; i < scenario.gateways; ++i) {
             this->names.push_back("gateway-" + std::to_string(i));
-            this->gateways.emplace_back(this->names.back(), scenario.tolerance);
+            this->gateways.emplace_back(this->names.back(), OtherTolerance);
         }
         this->pool.setGateways(this->names, {});
         this->pool.beginTerm(this->now, true);
@@ -83,15 +89,20 @@
             }
             this->now += Step;
         }
+        std::ranges::sort(this->admitted, {}, &Admission::run);
     }
 
     /** Largest number of requests that ran in one window that begins with one of them. */
     [[nodiscard]] std::size_t mostRunInWindow() const
+    {
+        return this->mostRunInWindow(this->scenario.tolerance.window);
+    }
+    [[nodiscard]] std::size_t mostRunInWindow(Duration window) const
     {
         std::size_t most = 0;
         std::size_t first = 0;
         for (std::size_t last = 0; last < this->admitted.size(); ++last) {
-            while (this->admitted[last].run - this->admitted[first].run > this->scenario.tolerance.window) {
+            while (this->admitted[last].run - this->admitted[first].run > window) {
                 ++first;
             }
             most = std::max(most, last - first + 1);
@@ -112,7 +123,7 @@
         return most;
     }
 
-    std::vector<Admission> admitted; ///< In the order in which they ran.
+    std::vector<Admission> admitted; ///< In the order in which they ran, after `run`.
     std::size_t refused = 0; ///< Requests that were refused.
 
 private:
@@ -204,6 +215,10 @@
 
     void sendRequests()
     {
+        const Duration phase(this->now.us % std::max<std::int64_t>(2 * this->scenario.demandTime.count(), 1));
+        if (phase > this->scenario.demandTime) {
+            return;
+        }
         const double mean = this->scenario.demand * std::chrono::duration<double>(Step).count();
         const int count = std::poisson_distribution<int>(mean)(this->random);
         for (int i = 0; i < count; ++i) {
@@ -241,10 +256,11 @@
             if (leader.contact != LeaderContact::Reachable) {
                 request.maxWait = MaxLeaderWait + extraSilenceOf(this->scenario.watchWait);
             }
-            switch (gateway.limiter.take(this->now, this->scenario.limit, CreditClass::Ongoing, leader)) {
+            switch (gateway.limiter.take(
+                this->now, this->scenario.limit, this->scenario.tolerance, CreditClass::Ongoing, leader)) {
             case CreditDecision::Admitted:
             case CreditDecision::AdmittedIsolated:
-                this->admitted.push_back({request.sent, this->now});
+                this->admitted.push_back({request.sent, this->now + this->upTo(this->scenario.arrivalJitter)});
                 break;
             case CreditDecision::AwaitCredit:
                 still.push_back(request);
@@ -292,7 +308,8 @@
         if (!call.isHandled && this->now >= call.reachesLeaderAt && !isCut) {
             if (this->isLed && call.term == this->term) {
                 for (const auto &[name, wish] : call.wanted) {
-                    call.granted[name] = this->pool.grant(this->now, this->scenario.limit, wish);
+                    call.granted[name] = this->pool.grant(
+                        this->now, this->scenario.limit, this->scenario.tolerance, wish);
                 }
                 call.isHandled = true;
             }
@@ -415,3 +432,107 @@
                     << "; limit " << perSecond << ", " << scenario.gateways << " gateways");
     }
 }
+
+namespace
+{
+
+/** A deployment of 54 to 210 gateways with one cold endpoint, which gets more requests than it tolerates. */
+Scenario coldScenario(unsigned seed, const EndpointRates &rates, const ColdTolerance &tolerance)
+{
+    std::mt19937 random(seed * 7919);
+    const auto msBetween = [&random](int low, int high) {
+        return std::chrono::milliseconds(std::uniform_int_distribution<int>(low, high)(random));
+    };
+    Scenario scenario = randomScenario(seed);
+    scenario.gateways = 50 + scenario.gateways * 2;
+    scenario.watchWait = gatewayWatchWait(scenario.gateways);
+    const EndpointAccount account = endpointAccount("i-1", rates, tolerance);
+    scenario.limit = account.limit;
+    scenario.tolerance = account.tolerance;
+    scenario.demand = rates.coldPerSecond * std::uniform_real_distribution<double>(1, 6)(random);
+    scenario.demandTime = seed % 2 == 0 ? msBetween(100, 3000) : std::chrono::milliseconds(0);
+    scenario.arrivalJitter = msBetween(0, 100);
+    return scenario;
+}
+
+} // namespace
+
+// Guards against crashes of cold endpoints: whoever leads and whichever gateways are cut off, no window of 1 s may hold
+// more than the settings allow.
+BOOST_AUTO_TEST_CASE(cold_endpoint_stays_within_what_it_tolerates_in_each_second)
+{
+    constexpr double PerSecond = 25;
+    std::size_t most = 0;
+    for (unsigned seed = 1; seed <= 24; ++seed) {
+        const Scenario scenario = coldScenario(seed, {0, PerSecond}, ColdTolerance{});
+        BOOST_REQUIRE((scenario.gateways >= 54 && scenario.gateways <= 210));
+        BOOST_REQUIRE((scenario.tolerance.window == std::chrono::seconds(1)));
+        Simulation simulation(scenario, seed);
+        simulation.run();
+        most = std::max(most, simulation.mostRunInWindow());
+        const double allowed = PerSecond * 1.5 + 5;
+        BOOST_TEST(static_cast<double>(simulation.mostRunInWindow()) <= allowed,
+            "seed " << seed << ": " << simulation.mostRunInWindow() << " requests in a second, allowed " << allowed
+                    << "; " << scenario.gateways << " gateways");
+    }
+    BOOST_TEST_MESSAGE("most requests in a second: " << most);
+}
+
+// Guards against budgets that hold only for the usual rate and bounds.
+BOOST_AUTO_TEST_CASE(cold_endpoint_of_other_rates_and_bounds_stays_within_them)
+{
+    for (unsigned seed = 1; seed <= 24; ++seed) {
+        std::mt19937 random(seed);
+        const double perSecond = std::pow(10, std::uniform_real_distribution<double>(0, 2)(random)); // 1 to 100.
+        ColdTolerance tolerance;
+        tolerance.factor = std::uniform_real_distribution<double>(1, 2)(random);
+        tolerance.requests = std::uniform_real_distribution<double>(2, 8)(random);
+        const Scenario scenario = coldScenario(seed, {0, perSecond}, tolerance);
+        Simulation simulation(scenario, seed);
+        simulation.run();
+        const double allowed = perSecond * tolerance.factor + tolerance.requests;
+        BOOST_TEST(static_cast<double>(simulation.mostRunInWindow()) <= allowed,
+            "seed " << seed << ": " << simulation.mostRunInWindow() << " requests in a second, allowed " << allowed
+                    << "; rate " << perSecond << ", " << scenario.gateways << " gateways");
+    }
+}
+
+// Guards against a cold endpoint that gets more than the lower limit that it names itself, counted in windows of 4 s.
+BOOST_AUTO_TEST_CASE(cold_endpoint_that_names_a_limit_stays_within_both)
+{
+    for (unsigned seed = 1; seed <= 16; ++seed) {
+        constexpr double ColdPerSecond = 25;
+        std::mt19937 random(seed);
+        const double named = std::pow(10, std::uniform_real_distribution<double>(-0.5, 1.35)(random)); // 0.3 to 22.
+        const Scenario scenario = coldScenario(seed, {named, ColdPerSecond}, ColdTolerance{});
+        Simulation simulation(scenario, seed);
+        simulation.run();
+        const double allowed = 1.5 * named * 4 + 5;
+        BOOST_TEST(static_cast<double>(simulation.mostRunInWindow(std::chrono::seconds(4))) <= allowed,
+            "seed " << seed << ": " << simulation.mostRunInWindow(std::chrono::seconds(4))
+                    << " requests in 4 s, allowed " << allowed << "; limit " << named);
+        BOOST_TEST(static_cast<double>(simulation.mostRunInWindow()) <= ColdPerSecond * 1.5 + 5);
+    }
+}
+
+// Guards against a cold endpoint that is kept from what it tolerates, so that others are overloaded.
+BOOST_AUTO_TEST_CASE(cold_endpoint_gets_most_of_what_it_tolerates)
+{
+    constexpr double PerSecond = 25;
+    std::size_t admitted = 0;
+    constexpr unsigned Seeds = 4;
+    for (unsigned seed = 1; seed <= Seeds; ++seed) {
+        Scenario scenario = coldScenario(seed, {0, PerSecond}, ColdTolerance{});
+        scenario.leaderTime = RunTime;
+        scenario.slowShare = 0;
+        scenario.cutShare = 0;
+        scenario.demand = PerSecond * 4;
+        scenario.demandTime = Duration(0);
+        Simulation simulation(scenario, seed);
+        simulation.run();
+        admitted += simulation.admitted.size();
+    }
+    const double tolerated = PerSecond * Seeds * std::chrono::duration<double>(RunTime).count();
+    BOOST_TEST_MESSAGE(admitted << " of " << tolerated << " tolerated requests");
+    BOOST_TEST(static_cast<double>(admitted) >= tolerated * 0.7);
+}
