--- a/src/deployment/cold_endpoints_base.h
+++ b/src/deployment/cold_endpoints_base.h
@@ -39,8 +39,8 @@
     /** Endpoints that have become cold or warm since the last call. */
     [[nodiscard]] std::vector<Change> takeChanges(Instant now);
 
-    /** The list may lag and come from replicas of different age. An endpoint that has been listed as cold counts as warm
-     * before its end only if all lists read for this long say so. */
+    /** The list may lag and come from replicas of different age. An endpoint that has been listed as cold counts as
+     * warm before its end only if all lists read for this long say so. */
     static constexpr Duration ListLag = std::chrono::seconds(2);
 
 private:
--- a/src/deployment/cold_limit_func.cpp
+++ b/src/deployment/cold_limit_func.cpp
@@ -49,8 +49,7 @@
 
 } // namespace
 
-EndpointAccount endpointAccount(
-    const std::string &endpoint, const EndpointRates &rates, const ColdTolerance &tolerance)
+EndpointAccount endpointAccount(const std::string &endpoint, const EndpointRates &rates, const ColdTolerance &tolerance)
 {
     if (rates.coldPerSecond > 0) {
         return coldAccount(endpoint, rates, tolerance);
--- a/src/deployment/credit_pool_base.h
+++ b/src/deployment/credit_pool_base.h
@@ -53,8 +53,7 @@
      * credit. */
     std::uint32_t grant(Instant now, const RateLimit &limit, const CreditRequest &request);
     /** As above for a limit with a tolerance of its own. */
-    std::uint32_t grant(
-        Instant now, const RateLimit &limit, const RateTolerance &excess, const CreditRequest &request);
+    std::uint32_t grant(Instant now, const RateLimit &limit, const RateTolerance &excess, const CreditRequest &request);
 
     /** Requests within one limit since the counts were last taken. */
     struct Counts
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -131,8 +131,8 @@
         std::optional<DeployedEndpoint> endpoint; ///< Empty if there is none.
         bool isAtLimit = false; ///< There is none because of the limits that endpoints name.
     };
-    /** Chooses an endpoint that isn't in @p tried and takes credit for it if it is cold or names a limit. Requests of a running
-     * program wait for room within the limits, at most MaxLimitWait. */
+    /** Chooses an endpoint that isn't in @p tried and takes credit for it if it is cold or names a limit. Requests of a
+     * running program wait for room within the limits, at most MaxLimitWait. */
     [[nodiscard]] EndpointChoice chooseEndpoint(
         kj::WaitScope &scope, const Call &call, const SelectionCriteria &criteria, const std::set<std::string> &tried);
     void runAtEndpoints(kj::WaitScope &scope, Call &call);
--- a/src/gateway/gateway_limits.cpp
+++ b/src/gateway/gateway_limits.cpp
@@ -18,8 +18,7 @@
         // The response of an endpoint may say that it is cold before the list does.
         if (rates.coldPerSecond <= 0 && this->configuration != nullptr) {
             const auto service = this->configuration->services.find(cold->service);
-            rates.coldPerSecond =
-                service == this->configuration->services.end() ? 0 : service->second.coldPerSecond;
+            rates.coldPerSecond = service == this->configuration->services.end() ? 0 : service->second.coldPerSecond;
         }
     }
     return rates;
--- a/src/gateway/load_balancer_base.h
+++ b/src/gateway/load_balancer_base.h
@@ -39,8 +39,9 @@
     /** Replaces the list of endpoints by the platform's current one. */
     void setEndpoints(Instant now, const std::vector<DeployedEndpoint> &list);
 
-    /** Selects an endpoint whose id isn't in @p tried. A cold one is selected only if no warm one has room. One that leaves is selected only if there is no other, and only
-     * in the first half of its drain period. @return null if there is none. */
+    /** Selects an endpoint whose id isn't in @p tried. A cold one is selected only if no warm one has room. One that
+     * leaves is selected only if there is no other, and only in the first half of its drain period. @return null if
+     * there is none. */
     [[nodiscard]] const DeployedEndpoint *choose(
         Instant now, const SelectionCriteria &criteria, const std::set<std::string> &tried) const;
     /** Software version of all endpoints of @p service that are listed or were in the last VersionMemory; empty if they
--- a/src/gateway/rate_limiter_base.cpp
+++ b/src/gateway/rate_limiter_base.cpp
@@ -66,8 +66,8 @@
     return unused;
 }
 
-bool RateLimiter::takeIsolated(Instant now, Account &account, const RateLimit &limit, const RateTolerance &excess,
-    const LeaderState &leader) const
+bool RateLimiter::takeIsolated(
+    Instant now, Account &account, const RateLimit &limit, const RateTolerance &excess, const LeaderState &leader) const
 {
     const IsolatedShare share = isolatedShare(limit, excess, this->name, leader.gateways);
     if (leader.contact == LeaderContact::Lost) {
@@ -134,7 +134,8 @@
         }
         return CreditDecision::AwaitCredit;
     }
-    return this->takeIsolated(now, account, limit, excess, leader) ? CreditDecision::AdmittedIsolated : CreditDecision::Refused;
+    return this->takeIsolated(now, account, limit, excess, leader) ? CreditDecision::AdmittedIsolated
+                                                                   : CreditDecision::Refused;
 }
 
 std::map<std::string, CreditRequest> RateLimiter::creditRequests(Instant now)
--- a/tests/unit/platform_decode_test.cpp
+++ b/tests/unit/platform_decode_test.cpp
@@ -262,6 +262,75 @@
     }
 }
 
+// Guards against a list entry that is skipped, with its endpoint, because of a field that only matters while it is
+// cold.
+BOOST_AUTO_TEST_CASE(time_that_an_endpoint_stays_cold_is_decoded)
+{
+    const auto coldOf = [](const std::string &field) {
+        const auto page = readEndpointPage(
+            R"({"instances":[{"id":"i1","service":"s","addr":"1.2.3.4:5","zone":"z","slots":8,"state":"ready")" + field
+            + R"(}],"nextToken":null})");
+        BOOST_REQUIRE(page.has_value());
+        BOOST_REQUIRE(page->endpoints.size() == 1U);
+        return page->endpoints[0].coldLeft.count() / 1000;
+    };
+    BOOST_TEST(coldOf("") == 0);
+    BOOST_TEST(coldOf(R"(,"coldLeftMs":0)") == 0);
+    BOOST_TEST(coldOf(R"(,"coldLeftMs":4200)") == 4200);
+    BOOST_TEST(coldOf(R"(,"coldLeftMs":0.5)") == 1);
+    BOOST_TEST(coldOf(R"(,"coldLeftMs":-5)") == 0);
+    BOOST_TEST(coldOf(R"(,"coldLeftMs":1e300)") == 3600000);
+    BOOST_TEST(coldOf(R"(,"coldLeftMs":"soon")") == 0);
+    BOOST_TEST(coldOf(R"(,"coldLeftMs":null)") == 0);
+
+    const PlatformHeaderCodec headerCodec;
+    ResponseHead head;
+    BOOST_TEST(!headerCodec.readResponseMetadata(head).coldLeft.has_value());
+    head.fields.entries = {{"x-cold-ms", "1500"}};
+    BOOST_TEST(headerCodec.readResponseMetadata(head).coldLeft->count() == 1500);
+    head.fields.entries = {{"X-Cold-Ms", "0"}};
+    BOOST_TEST(headerCodec.readResponseMetadata(head).coldLeft->count() == 0);
+    head.fields.entries = {{"X-Cold-Ms", "soon"}};
+    BOOST_TEST(!headerCodec.readResponseMetadata(head).coldLeft.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(cold_rates_of_services_and_sticky_routes_are_decoded)
+{
+    const auto read = readConfiguration(replaceFirst(configurationDocument(Route), R"("services":[{)",
+        R"("services":[{"name":"s3","coldS":20,"coldPerS":25.5},{"name":"s4","engine":{"coldS":2.5,"coldPerS":4}},{)"));
+    BOOST_REQUIRE(read.has_value());
+    const auto &services = (*read)->services;
+    BOOST_TEST(services.at("s3").coldSeconds == 20);
+    BOOST_TEST(services.at("s3").coldPerSecond == 25.5);
+    BOOST_TEST(services.at("s4").coldSeconds == 2.5);
+    BOOST_TEST(services.at("s4").coldPerSecond == 4);
+    BOOST_TEST(services.at("s2").coldPerSecond == 0);
+    BOOST_TEST((*read)->findRoute("a.example", "/p/x")->isSticky);
+    const auto plain = readConfiguration(configurationDocument(replaceFirst(Route, R"("sticky":true,)", "")));
+    BOOST_REQUIRE(plain.has_value());
+    BOOST_TEST(!(*plain)->findRoute("a.example", "/p/x")->isSticky);
+}
+
+BOOST_AUTO_TEST_CASE(object_of_a_request_is_decoded)
+{
+    const PlatformHeaderCodec headerCodec;
+    const auto objectOf = [&headerCodec](const std::vector<std::string> &cookies) {
+        std::vector<HttpFields::Field> fields;
+        for (const std::string &cookie : cookies) {
+            fields.push_back({"cookie", cookie});
+        }
+        return headerCodec.readRequestMetadata(requestHead(fields))->object;
+    };
+    BOOST_TEST(objectOf({"X-Affinity-Key=o-17"}) == "o-17");
+    BOOST_TEST(objectOf({"a=b; X-Affinity-Key=o=1 ;c=d"}) == "o=1");
+    BOOST_TEST(objectOf({"a=b", "c=d;X-Affinity-Key=o"}) == "o");
+    for (const std::string value : {"", ";", "X-Affinity-Key", "X-Affinity-Key=", "Y-X-Affinity-Key=o",
+             "a=X-Affinity-Key=o", "X-Affinity-Keys=o", "; ; "}) {
+        BOOST_TEST(objectOf({value}).empty(), "the field '" << value << "'");
+    }
+    BOOST_TEST(objectOf({}).empty());
+}
+
 BOOST_AUTO_TEST_CASE(capacity_of_an_engine_is_decoded)
 {
     const auto engineOf = [](const std::string &facts) {
--- a/tests/unit/rate_sum_test.cpp
+++ b/tests/unit/rate_sum_test.cpp
@@ -308,8 +308,8 @@
         if (!call.isHandled && this->now >= call.reachesLeaderAt && !isCut) {
             if (this->isLed && call.term == this->term) {
                 for (const auto &[name, wish] : call.wanted) {
-                    call.granted[name] = this->pool.grant(
-                        this->now, this->scenario.limit, this->scenario.tolerance, wish);
+                    call.granted[name] =
+                        this->pool.grant(this->now, this->scenario.limit, this->scenario.tolerance, wish);
                 }
                 call.isHandled = true;
             }
