--- a/tests/support/small_deployment.cpp
+++ b/tests/support/small_deployment.cpp
@@ -90,7 +90,8 @@
     for (const ListedEndpoint &endpoint : endpoints) {
         entries += (entries.empty() ? R"({"id":")" : R"(,{"id":")") + endpoint.id + R"(","service":")"
             + endpoint.service + R"(","addr":")" + endpoint.address
-            + R"(","zone":"z","version":"v1","slots":8,"state":"ready"})";
+            + R"(","zone":"z","version":"v1","slots":8,"state":"ready","coldLeftMs":)"
+            + std::to_string(endpoint.coldLeftMs) + "}";
     }
     const std::lock_guard lock(this->mutex);
     this->list = R"({"instances":[)" + entries + R"(],"nextToken":null})";
--- a/tests/support/small_deployment.h
+++ b/tests/support/small_deployment.h
@@ -22,6 +22,7 @@
     std::string id; ///< Id of the endpoint.
     std::string service; ///< Name of its service.
     std::string address; ///< Address as ip:port.
+    unsigned coldLeftMs = 0; ///< How much longer it stays cold.
 };
 
 /** A client's request. */
--- a/tests/unit/platform_decode_test.cpp
+++ b/tests/unit/platform_decode_test.cpp
@@ -117,6 +117,12 @@
     BOOST_TEST(read->toleratedFailures == 2U);
     BOOST_TEST(read->gracePeriod.count() == 6500000);
     BOOST_TEST(read->dataDirectory.empty());
+    BOOST_TEST(read->coldTolerance.factor == 1.5);
+    BOOST_TEST(read->coldTolerance.requests == 5);
+    const auto strict = readSettings(replaceFirst(good, R"("graceS":6.5)", R"("coldOver":1.25,"coldSlack":3)"));
+    BOOST_REQUIRE(strict.has_value());
+    BOOST_TEST(strict->coldTolerance.factor == 1.25);
+    BOOST_TEST(strict->coldTolerance.requests == 3);
     const auto bad = readSettings(replaceFirst(good, "innerPorts", "outerPorts"));
     BOOST_REQUIRE(!bad.has_value());
     BOOST_TEST((bad.error().kind == ErrorKind::BadSetting));
