--- a/src/deployment/deployment_member_base.cpp
+++ b/src/deployment/deployment_member_base.cpp
@@ -142,7 +142,8 @@
         for (unsigned i = 0; i < wanted.size(); ++i) {
             const CreditRequest request{wanted[i].getRequests(), wanted[i].getAhead(), 0, wanted[i].getReturned()};
             granted[i].setLimit(wanted[i].getLimit());
-            granted[i].setRequests(this->member.grantEndpointCredit(readLimit(wanted[i].getLimit()), request));
+            granted[i].setRequests(this->member.grantEndpointCredit(
+                {readLimit(wanted[i].getLimit()), request, wanted[i].getColdPerSecond()}));
         }
     }
 
@@ -232,6 +233,7 @@
         && this->watcher.followedFor() >= this->settings.rateTolerance.window;
     this->credits.beginTerm(now, followedPredecessor);
     this->endpointCredits.beginTerm(now, followedPredecessor);
+    this->coldEndpoints.adopt(now, this->watcher.view.endpoints);
     for (const DeployedEndpoint &endpoint : this->watcher.view.endpoints) {
         static_cast<void>(this->endpointLimits.record(now, {endpoint.id, endpoint.limitPerSecond, AdoptedLimitAge}));
     }
@@ -320,6 +322,7 @@
     this->dropEndedWatches();
     this->refreshConfiguration();
     this->refreshEvacuations();
+    this->updateColdEndpoints();
     this->notifyInForce();
     this->planHistory();
     this->planGroup();
@@ -540,6 +543,7 @@
             list[i].setVersion(wireText(endpoint.version));
             list[i].setLimitPerSecond(this->endpointLimits.limitOf(endpoint.id));
             list[i].setEvacuated(endpoint.evacuated);
+            list[i].setColdPerSecond(endpoint.coldPerSecond);
         }
     }
     if (hasPart(parts, UpdatePart::Instances)) {
@@ -636,13 +640,6 @@
     }
 }
 
-std::uint32_t DeploymentMember::grantEndpointCredit(const EndpointLimitReport &report, const CreditRequest &request)
-{
-    this->recordLimit(report);
-    const double limit = this->endpointLimits.limitOf(report.endpoint);
-    return this->endpointCredits.grant(this->loop.timers().now(), endpointRateLimit(report.endpoint, limit), request);
-}
-
 std::uint32_t DeploymentMember::grantCredit(const std::string &customer, const CreditRequest &request)
 {
     this->refreshConfiguration();
--- a/src/table/metric_table.cpp
+++ b/src/table/metric_table.cpp
@@ -80,6 +80,8 @@
         "Requests to pooled services for which this gateway chose an endpoint by itself."},
     {MetricKind::PoolOwnerChanges, "chestnuthook_pool_owner_changes_total", MetricType::Counter, "",
         "Changes of the owner of a pool, as this gateway sees it."},
+    {MetricKind::EndpointsCold, "chestnuthook_endpoints_cold", MetricType::Gauge, "",
+        "Endpoints that are cold and get few requests."},
 });
 
 constexpr bool isTableComplete()
