--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -33,6 +33,7 @@
     std::string endpointSource; ///< IP address from which direct connections to endpoints leave; may be empty.
     Duration drainPeriod{0}; ///< Time after which an endpoint that is known to leave must get no request.
     RateTolerance rateTolerance; ///< Tolerated excess over the customers' rates.
+    ColdTolerance coldTolerance; ///< Requests that cold endpoints may get.
     std::size_t memoryLimitBytes = 110U << 20U; ///< Memory of the process above which the platform ends it.
 };
 
@@ -138,13 +139,16 @@
         std::unique_ptr<PoolGrant> grant = nullptr; ///< Held during the attempt if a pool has named the endpoint.
         std::optional<Duration> refusedFor = std::nullopt; ///< Set if a pool has refused the request.
     };
-    /** Chooses an endpoint that isn't in @p tried and takes credit for it if it names a limit. Requests of a running
-     * program wait for room within the limits, at most MaxLimitWait. */
+    /** Chooses an endpoint that isn't in @p tried and takes credit for it if it is cold or names a limit. Requests of a
+     * running program wait for room within the limits, at most MaxLimitWait. */
     [[nodiscard]] EndpointChoice chooseEndpoint(
         kj::WaitScope &scope, const Call &call, const SelectionCriteria &criteria, const std::set<std::string> &tried);
     /** Asks the pools of the service for an endpoint. @return nothing if this gateway has to choose by itself. */
     [[nodiscard]] std::optional<EndpointChoice> choosePooled(
         kj::WaitScope &scope, const Call &call, const SelectionCriteria &criteria, const std::set<std::string> &tried);
+    /** Chooses a cold endpoint with room for a request that the pools of its service refuse. */
+    [[nodiscard]] std::optional<DeployedEndpoint> chooseCold(
+        kj::WaitScope &scope, const SelectionCriteria &criteria, const std::set<std::string> &tried);
     /** Reports to its pool how the attempt at the endpoint that @p grant names has ended. */
     void releaseGrant(const Call &call, PoolGrant &grant, AttemptResult result) const;
     void runAtEndpoints(kj::WaitScope &scope, Call &call);
@@ -176,7 +180,14 @@
     /** Waits for the reply to the credit request in flight, at most CreditReplyTimeout. */
     void awaitCredit(kj::WaitScope &scope);
     [[nodiscard]] LeaderState leaderState() const;
-    /** Takes credit for a request to an endpoint if that names a limit. @return whether it has room. */
+    /** What limits the requests to @p endpoint, as far as this gateway knows. */
+    [[nodiscard]] EndpointRates endpointRates(const std::string &endpoint) const;
+    [[nodiscard]] bool isLimited(const std::string &endpoint) const;
+    /** Drops the accounts of endpoints without a limit. */
+    void retainEndpointAccounts();
+    /** Records how much longer @p endpoint stays cold as its response says, if it does. */
+    void recordCold(const std::string &endpoint, std::optional<Milliseconds> left);
+    /** Takes credit for a request to an endpoint if that is cold or names a limit. @return whether it has room. */
     [[nodiscard]] bool takeEndpointCredit(kj::WaitScope &scope, const DeployedEndpoint &endpoint);
     /** Records the limit that a response of @p endpoint names, 0 for none. */
     void recordLimit(const std::string &endpoint, double perSecond);
--- a/src/gateway/gateway_pool.cpp
+++ b/src/gateway/gateway_pool.cpp
@@ -1,4 +1,6 @@
 /** @file gateway_pool.cpp  Asks the pools of endpoints for the endpoint of a request, and reports outcomes to them. */
+#include <algorithm>
+
 #include "core/hash_func.h"
 #include "gateway/gateway_base.h"
 #include "gateway/gateway_call_internal.h"
@@ -12,6 +14,8 @@
 
 /** Endpoints that pools name and this gateway can't use are given back and excluded this often for one attempt. */
 constexpr unsigned MaxGrantsReturned = 2;
+/** Cold endpoints that are asked for room before a request is refused. */
+constexpr std::size_t MaxColdAsked = 2;
 
 } // namespace
 
@@ -42,9 +46,14 @@
     turn.priority = this->priorityOf(call);
     turn.version = criteria.version.value_or("");
     turn.excluded.assign(tried.begin(), tried.end());
+    // A pool may lack endpoints that a repetition or a resumed stream needs, while others have them.
+    const bool mayRefuse = !call.mayHaveRun && tried.empty() && !criteria.version;
     for (unsigned returned = 0; returned <= MaxGrantsReturned; ++returned) {
         PoolPlacement placement = this->dispatcher.place(scope, query);
-        if (placement.kind == PoolPlacement::Kind::Refused && !call.mayHaveRun) {
+        if (placement.kind == PoolPlacement::Kind::Refused && mayRefuse && returned == 0) {
+            if (auto cold = this->chooseCold(scope, criteria, tried)) {
+                return EndpointChoice{std::move(cold), false, nullptr, std::nullopt};
+            }
             return EndpointChoice{std::nullopt, false, nullptr, placement.retryAfter};
         }
         if (placement.kind != PoolPlacement::Kind::Granted) {
@@ -62,6 +71,31 @@
     return std::nullopt;
 }
 
+std::optional<DeployedEndpoint> Gateway::chooseCold(
+    kj::WaitScope &scope, const SelectionCriteria &criteria, const std::set<std::string> &tried)
+{
+    if (this->loadBalancer.coldCount(this->now()) == 0) {
+        return std::nullopt;
+    }
+    std::vector<DeployedEndpoint> cold;
+    for (const DeployedEndpoint &listed : this->watcher.view.endpoints) {
+        const DeployedEndpoint *usable = this->loadBalancer.findUsable(this->now(), criteria, tried, listed.id);
+        if (usable != nullptr && this->loadBalancer.findCold(this->now(), listed.id) != nullptr) {
+            cold.push_back(*usable);
+        }
+    }
+    std::ranges::sort(cold, {}, [&criteria](const DeployedEndpoint &endpoint) {
+        return hash64(endpoint.id, criteria.affinity);
+    });
+    cold.resize(std::min<std::size_t>(cold.size(), MaxColdAsked));
+    for (const DeployedEndpoint &endpoint : cold) {
+        if (this->takeEndpointCredit(scope, endpoint)) {
+            return endpoint;
+        }
+    }
+    return std::nullopt;
+}
+
 void Gateway::releaseGrant(const Call &call, PoolGrant &grant, AttemptResult result) const
 {
     TurnOutcome outcome;
--- a/src/gateway/pool_owner_base.cpp
+++ b/src/gateway/pool_owner_base.cpp
@@ -19,6 +19,7 @@
     pool.pool.setParameters(description.parameters);
     pool.pool.setEndpoints(this->now(), description.endpoints);
     pool.refreshedAt = this->now();
+    pool.hasUsable = std::ranges::any_of(description.endpoints, &PoolEndpoint::isUsable);
 }
 
 PoolOwner::OwnedPool *PoolOwner::findOpen(const std::string &id)
@@ -52,6 +53,11 @@
     if (opened == nullptr) {
         return std::nullopt;
     }
+    if (!opened->hasUsable) {
+        PoolAnswer answer;
+        answer.reason = "no endpoint of the pool is usable";
+        return answer;
+    }
     opened->holders.insert(request.holder);
     opened->totals.complete(this->now(), request);
     const TurnDecision decision = opened->pool.submit(this->now(), request);
--- a/src/table/metric_table.h
+++ b/src/table/metric_table.h
@@ -40,6 +40,7 @@
     ConfigurationBytesSent,
     EndpointsLimited,
     EndpointLimitRefusals,
+    EndpointsCold,
     PoolGrants,
     PoolWaits,
     PoolRefusals,
