--- a/src/dispatch/endpoint_pool_base.cpp
+++ b/src/dispatch/endpoint_pool_base.cpp
@@ -44,11 +44,11 @@
 /** Part of a program's time to spare that one of its turns may lose by going to a slow endpoint while others wait. */
 constexpr double SparePart = 0.5;
 /** Part of the slots that programs in progress may need on average when a new program is admitted. With more, they wait
- * for each other before every turn: 1.05 gave a third more late programs at a load of 1.7. */
+ * for each other before every turn: with 1.05, 80 instead of 43 in 1,000 programs were late at a load of 1.7. */
 constexpr double MaxDemandPart = 1;
 /** For customers above their share this part falls by DemandPartStep a level, so that new programs of the others find
- * free slots; with 0, the others' programs in time fell from 83 to 43 in 100 beside a customer with 7.5 times its usual
- * load. */
+ * free slots; with 0, 46 instead of 76 in 100 programs of the worst of the others were in time beside one that
+ * sends 7.5 times its usual load, at a load of 1.45. */
 constexpr double DemandPartStep = 0.08;
 constexpr double MinDemandPart = 0.75; ///< Least value of this part.
 /** Shortest time after which a refused program may be retried, */
@@ -419,7 +419,8 @@
     const double meanMs = this->costs.totalMs(turn.request.promptTokens, turn.expectedTokens,
                               static_cast<double>(freeAt.size()) / static_cast<double>(rows) - 1)
         * factors / static_cast<double>(rows);
-    return std::max(0.0, freeAt[position]) + static_cast<double>(ahead / freeAt.size()) * meanMs;
+    const std::size_t rounds = ahead / freeAt.size();
+    return std::max(0.0, freeAt[position]) + static_cast<double>(rounds) * meanMs;
 }
 
 bool EndpointPool::isTooLate(Instant now, const Turn &turn) const
--- a/tests/unit/endpoint_pool_test.cpp
+++ b/tests/unit/endpoint_pool_test.cpp
@@ -109,6 +109,7 @@
 {
     Fixture fixture(2, 3);
     std::vector<TurnDecision> decisions;
+    decisions.reserve(8);
     for (int i = 0; i < 8; ++i) {
         decisions.push_back(fixture.pool.submit(fixture.now, fixture.request()));
     }
