--- a/src/gateway/gateway_base.cpp
+++ b/src/gateway/gateway_base.cpp
@@ -110,7 +110,9 @@
     , loadBalancer(this->settings.drainPeriod, hash64(this->settings.name))
     , dispatcher(loop, this->settings.name,
           [this](const std::string &endpoint) {
-              return this->loadBalancer.isUsable(endpoint);
+              // Cold endpoints get few requests, which each gateway sends by itself.
+              return this->loadBalancer.isUsable(endpoint)
+                  && this->loadBalancer.findCold(this->now(), endpoint) == nullptr;
           })
     , connector(loop, {this->settings.name, this->settings.dataCentre, this->settings.endpointSource})
     , responseMemory(this->settings.memoryLimitBytes / ResponseMemoryDivisor)
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -146,6 +146,9 @@
     /** Asks the pools of the service for an endpoint. @return nothing if this gateway has to choose by itself. */
     [[nodiscard]] std::optional<EndpointChoice> choosePooled(
         kj::WaitScope &scope, const Call &call, const SelectionCriteria &criteria, const std::set<std::string> &tried);
+    /** Chooses a cold endpoint with room for a request that the pools of its service refuse. */
+    [[nodiscard]] std::optional<DeployedEndpoint> chooseCold(
+        kj::WaitScope &scope, const SelectionCriteria &criteria, const std::set<std::string> &tried);
     /** Reports to its pool how the attempt at the endpoint that @p grant names has ended. */
     void releaseGrant(const Call &call, PoolGrant &grant, AttemptResult result) const;
     void runAtEndpoints(kj::WaitScope &scope, Call &call);
--- a/src/gateway/pool_client_base.cpp
+++ b/src/gateway/pool_client_base.cpp
@@ -66,11 +66,11 @@
         return this->conclude(query, std::move(first), PoolPlacement::Kind::Unplaced, reason);
     }
     const bool isLongWait = first.is(TurnVerdict::Waiting) && first.answer.predictedWait > MaxFirstWait;
-    if (order.size() > 1 && (isLongWait || first.is(TurnVerdict::Refused))) {
+    if (order.size() > 1 && (isLongWait || first.is(TurnVerdict::Refused) || !first.answer.verdict)) {
         Asked second = this->ask(scope, order[1], query);
         const bool isBetter = second.is(TurnVerdict::Granted)
             || (second.is(TurnVerdict::Waiting)
-                && (first.is(TurnVerdict::Refused) || second.predictedEnd() < first.predictedEnd()));
+                && (!first.is(TurnVerdict::Waiting) || second.predictedEnd() < first.predictedEnd()));
         if (isBetter) {
             std::swap(first, second);
         }
@@ -81,6 +81,9 @@
     if (first.is(TurnVerdict::Refused)) {
         return this->conclude(query, std::move(first), PoolPlacement::Kind::Refused, {});
     }
+    if (!first.answer.verdict) {
+        return this->conclude(query, std::move(first), PoolPlacement::Kind::Unplaced, {});
+    }
     return this->awaitGrant(scope, query, std::move(first));
 }
 
--- a/src/gateway/pool_dispatcher_base.cpp
+++ b/src/gateway/pool_dispatcher_base.cpp
@@ -154,6 +154,7 @@
 {
     this->configuration = std::move(current);
     this->owner.refresh();
+    this->prepare();
 }
 
 void PoolDispatcher::setEndpoints(const std::vector<DeployedEndpoint> &list)
@@ -184,20 +185,24 @@
 
 void PoolDispatcher::prepare()
 {
-    for (const std::string &service : this->pacedServices) {
-        if (this->isPooled(service)) {
-            this->client.prepare(service);
+    if (this->configuration == nullptr) {
+        return;
+    }
+    for (const auto &[name, service] : this->configuration->services) {
+        if (this->isPooled(name)) {
+            this->client.prepare(name);
         }
     }
 }
 
 bool PoolDispatcher::isPooled(const std::string &service) const
 {
-    if (this->configuration == nullptr || !this->pacedServices.contains(service)) {
+    if (this->configuration == nullptr) {
         return false;
     }
     const auto found = this->configuration->services.find(service);
-    return found != this->configuration->services.end() && found->second.engine.has_value();
+    return found != this->configuration->services.end() && found->second.engine.has_value()
+        && (found->second.coldSeconds > 0 || this->pacedServices.contains(service));
 }
 
 Wire::GatewayPeer::Client PoolDispatcher::makePeer(EndpointRelay &relay)
--- a/src/gateway/pool_owner_base.h
+++ b/src/gateway/pool_owner_base.h
@@ -56,7 +56,8 @@
 
     PoolOwner(ControlLoop &loop, const EndpointPools &pools, Describe describe);
 
-    /** Places a turn. @return nothing if this gateway doesn't know the pool. */
+    /** Places a turn. The answer has no verdict if no endpoint of the pool is usable.
+     * @return nothing if this gateway doesn't know the pool. */
     [[nodiscard]] std::optional<PoolAnswer> acquire(const std::string &pool, TurnRequest request);
     /** Waits at most @p wait, which is limited to MaxAwait, for the decision on a turn that waits. */
     [[nodiscard]] kj::Promise<PoolAnswer> await(
@@ -84,6 +85,7 @@
     {
         EndpointPool pool; ///< Decides.
         ProgramTotals totals; ///< Of the programs whose first turn was placed here.
+        bool hasUsable = false; ///< An endpoint of it is usable.
         std::set<std::string> holders; ///< Gateways that have used it.
         std::set<TurnKey> waiting; ///< Turns without a decision.
         std::map<TurnKey, Unfetched> unfetched; ///< Decisions for which no call waits.
--- a/src/table/metric_table.cpp
+++ b/src/table/metric_table.cpp
@@ -70,6 +70,8 @@
         "Data centres that are evacuated, as a control member has applied it."},
     {MetricKind::EndpointsEvacuated, "chestnuthook_endpoints_evacuated", MetricType::Gauge, "",
         "Endpoints that get no request from this gateway because their data centre is evacuated."},
+    {MetricKind::EndpointsCold, "chestnuthook_endpoints_cold", MetricType::Gauge, "",
+        "Endpoints that are cold and get few requests."},
     {MetricKind::PoolGrants, "chestnuthook_pool_grants_total", MetricType::Counter, "",
         "Requests of this gateway for which the owner of a pool named an endpoint."},
     {MetricKind::PoolWaits, "chestnuthook_pool_waits_total", MetricType::Counter, "",
@@ -80,8 +82,6 @@
         "Requests to pooled services for which this gateway chose an endpoint by itself."},
     {MetricKind::PoolOwnerChanges, "chestnuthook_pool_owner_changes_total", MetricType::Counter, "",
         "Changes of the owner of a pool, as this gateway sees it."},
-    {MetricKind::EndpointsCold, "chestnuthook_endpoints_cold", MetricType::Gauge, "",
-        "Endpoints that are cold and get few requests."},
 });
 
 constexpr bool isTableComplete()
--- a/src/table/metric_table.h
+++ b/src/table/metric_table.h
@@ -42,14 +42,14 @@
     EndpointLimitRefusals,
     EvacuationsInForce,
     EndpointsEvacuated,
+    EndpointsCold,
     PoolGrants,
     PoolWaits,
     PoolRefusals,
     PoolFallbacks,
     PoolOwnerChanges,
-    EndpointsCold,
 };
-inline constexpr std::size_t MetricCount = static_cast<std::size_t>(MetricKind::EndpointsCold) + 1;
+inline constexpr std::size_t MetricCount = static_cast<std::size_t>(MetricKind::PoolOwnerChanges) + 1;
 
 /** Type of a metric, as in the Prometheus text format. */
 enum class MetricType : std::uint8_t { Counter, Gauge, Histogram };
