--- a/tests/process/evacuation_test.cpp
+++ b/tests/process/evacuation_test.cpp
@@ -485,3 +485,24 @@
         }
     }
 }
+
+// Guards against an acknowledgement before the change is on the disks of a majority.
+BOOST_FIXTURE_TEST_CASE(acknowledged_evacuation_survives_the_death_of_all_processes, Deployment)
+{
+    static_cast<void>(this->change("north/start"));
+    for (const std::unique_ptr<ChildProcess> &process : this->processes) {
+        process->signal(SIGKILL);
+    }
+    const auto start = Clock::now() + Margin;
+    for (std::size_t i = 0; i < this->processes.size(); ++i) {
+        this->kill(i);
+        this->start(i);
+    }
+    this->waitUntilServed();
+    {
+        const Load load(*this);
+        std::this_thread::sleep_for(ObservationTime);
+    }
+    BOOST_TEST(this->arrivalsInNorth(start) == 0U);
+    BOOST_TEST(this->call(0, "/only/x").status == 503);
+}
