--- a/src/deployment/deployment_member_base.cpp
+++ b/src/deployment/deployment_member_base.cpp
@@ -216,6 +216,7 @@
 void DeploymentMember::startLeaderTerm()
 {
     const Instant now = this->loop.timers().now();
+    this->rememberEndpoints();
     this->leaderTerm = this->node.term();
     this->leaderSince = now;
     this->registry = InstanceRegistry();
--- a/src/deployment/deployment_member_base.h
+++ b/src/deployment/deployment_member_base.h
@@ -154,6 +154,8 @@
     [[nodiscard]] kj::Promise<BoxedResult<void>> publishEvacuations(Instant until);
     /** Marks the endpoints of evacuated data centres in @p list. */
     void markEvacuated(std::vector<DeployedEndpoint> &list) const;
+    /** Keeps the newest list of the terms before as `formerEndpoints`. Must be called when a term as leader starts. */
+    void rememberEndpoints();
     /** Publishes the list again if the evacuations have changed. Publishes the list of the leader before if this one
      * can't read the platform's: the evacuations must not wait for that. */
     void refreshEvacuations();
@@ -233,6 +235,8 @@
     std::vector<PendingChange> pendingChanges; ///< See `awaitInForce` and `publishEvacuations`.
     std::set<std::string> reportedEvacuations; ///< Evacuations that were last logged.
     std::set<std::string> publishedEvacuations; ///< Evacuations that `endpoints` shows.
+    std::vector<DeployedEndpoint> formerEndpoints; ///< List that this member last published or got in an earlier term.
+    std::uint64_t formerTerm = 0; ///< Term of `formerEndpoints`; 0 for none.
     std::vector<kj::Own<kj::PromiseFulfiller<void>>> pendingWatches; ///< Wakes the watches that wait for an update.
     /** As `pendingWatches`, of gateways of a large fleet: a new list of instances can wait until they end. */
     std::vector<kj::Own<kj::PromiseFulfiller<void>>> slowWatches;
--- a/src/deployment/deployment_member_evacuation.cpp
+++ b/src/deployment/deployment_member_evacuation.cpp
@@ -16,7 +16,7 @@
 
 constexpr auto ListPollInterval = 20 * kj::MILLISECONDS;
 constexpr Duration MaxPublicationTime = std::chrono::milliseconds(600); ///< As MaxInForceWait.
-/** A new leader that hasn't read the platform's list after this long publishes the list that it got from the leader
+/** A new leader that hasn't read the platform's list after this long publishes the newest list of the terms
  * before. The platform usually answers within some milliseconds. */
 constexpr Duration ListAdoptionDelay = std::chrono::milliseconds(300);
 
@@ -65,7 +65,7 @@
     };
     return std::ranges::find(this->settings.dataCentres, dataCentre) != this->settings.dataCentres.end()
         || this->group.machine.evacuated.contains(dataCentre) || this->registry.hasDataCentre(dataCentre)
-        || isListed(this->endpoints) || isListed(this->watcher.view.endpoints);
+        || isListed(this->endpoints) || isListed(this->formerEndpoints);
 }
 
 kj::Promise<BoxedResult<void>> DeploymentMember::publishEvacuations(Instant until)
@@ -101,6 +101,22 @@
     }
 }
 
+void DeploymentMember::rememberEndpoints()
+{
+    if (this->endpointsVersion != 0 && this->leaderTerm > this->formerTerm) {
+        this->formerEndpoints = this->endpoints;
+        this->formerTerm = this->leaderTerm;
+    }
+    const DeploymentView &view = this->watcher.view; // Not updated while this member leads.
+    if (!view.endpoints.empty() && view.term > this->formerTerm) {
+        this->formerEndpoints = view.endpoints;
+        for (DeployedEndpoint &endpoint : this->formerEndpoints) {
+            endpoint.leaving = endpoint.leaving && !endpoint.evacuated; // See `writeUpdate`.
+        }
+        this->formerTerm = view.term;
+    }
+}
+
 void DeploymentMember::refreshEvacuations()
 {
     if (!this->isLeader() || !this->isVersionRecordRead) {
@@ -114,12 +130,8 @@
         return;
     }
     const bool hasWaited = this->loop.timers().now() - this->leaderSince >= ListAdoptionDelay;
-    if (hasWaited && !state.evacuated.empty() && !this->watcher.view.endpoints.empty()) {
-        std::vector<DeployedEndpoint> list = this->watcher.view.endpoints;
-        for (DeployedEndpoint &endpoint : list) {
-            endpoint.leaving = endpoint.leaving && !endpoint.evacuated; // See `writeUpdate`.
-        }
-        this->takeEndpoints(std::move(list));
+    if (hasWaited && !state.evacuated.empty() && !this->formerEndpoints.empty()) {
+        this->takeEndpoints(this->formerEndpoints);
     }
 }
 
