HTTP ports limit the memory of connections and requests

Clients ended processes by bodies, heads and connections that were held in memory without a common limit. RequestIntake claims from it before a request takes memory: large bodies wait and evict one another when they make no progress, small requests come last, a request that is handled is never evicted. Also: connection limit, 256 header fields, large bodies that aren't needed aren't read, minimum transfer rate of bodies, 16 KiB of read-ahead, small kernel receive buffers, time-out of writes, freed memory is returned to the system after evictions.

The write time-out and the field limit have no unit test.

--- a/src/gateway/gateway_base.cpp
+++ b/src/gateway/gateway_base.cpp
@@ -288,6 +288,11 @@
             return false;
         }
     }
+    if (call.exchange.bodyDropped) {
+        this->reject(
+            scope, call, HttpStatus::Unavailable, "the configuration changed meanwhile", ShortRetryAfterSeconds);
+        return false;
+    }
     call.deadline =
         call.exchange.received + std::min(call.metadata.timeLeft.value_or(call.route->timeout), call.route->timeout);
     const std::string customer = call.customer == nullptr ? std::string() : call.customer->name;
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -75,6 +75,8 @@
         return this->configuration != nullptr && !this->draining;
     }
     [[nodiscard]] HttpLimits limits() const;
+    /** A large body isn't read if its request will be refused. While memory is short it waits until the deadline. */
+    [[nodiscard]] BodyPlan planBody(const RequestHead &head) const;
     /** Schedule of a stop with the configuration in force. */
     [[nodiscard]] ShutdownSchedule shutdownSchedule(Duration grace) const;
     /** Reports this gateway as not ready from now on. Requests that still arrive are served. */
--- a/src/http/http_reader_base.cpp
+++ b/src/http/http_reader_base.cpp
@@ -19,6 +19,9 @@
 constexpr std::size_t MaxResponseHeaderBytes = 64U << 10U;
 /** Maximum ratio of the received size of a chunked body to its content. A chunk of one byte takes six. */
 constexpr std::uint64_t MaxBytesPerBodyByte = 8;
+/** Maximum number of header fields of a request. Clients send some 10 to 40. A parsed field takes up to 200 bytes of
+ * memory, however short it is. */
+constexpr std::size_t MaxRequestFields = 256;
 
 template<typename Message>
 void copyFields(const Message &message, HttpFields &fields)
@@ -29,15 +32,19 @@
 }
 
 /** Feeds @p parser from @p input until @p done returns true. The parser keeps no part of a token that is incomplete,
- * for example of a chunk extension; @p maxTokenBytes is the maximum size of one. */
-template<typename Parser, typename Done>
-HttpReadResult parseUntil(
-    kj::WaitScope &scope, HttpInputStream &input, Parser &parser, std::size_t maxTokenBytes, const Done &done)
+ * for example of a chunk extension; @p maxTokenBytes is the maximum size of one. @p check is called each time before
+ * the parser takes bytes, and ends the read if it returns another result than Done. */
+template<typename Parser, typename Done, typename Check>
+HttpReadResult parseUntil(kj::WaitScope &scope, HttpInputStream &input, Parser &parser, std::size_t maxTokenBytes,
+    const Done &done, const Check &check)
 {
     while (!done()) {
         boost::system::error_code error;
-        const std::string_view bytes = input.unreadBytes();
-        if (!bytes.empty()) {
+        if (!input.unreadBytes().empty()) {
+            if (const HttpReadResult checked = check(); checked != HttpReadResult::Done) {
+                return checked;
+            }
+            const std::string_view bytes = input.unreadBytes();
             const std::size_t used = parser.put(boost::asio::const_buffer(bytes.data(), bytes.size()), error);
             input.consume(used);
             if (error == Beast::error::header_limit) { // Also for a trailer.
@@ -73,6 +80,11 @@
     return HttpReadResult::Done;
 }
 
+HttpReadResult noCheck()
+{
+    return HttpReadResult::Done;
+}
+
 } // namespace
 
 HttpInputStream::HttpInputStream(kj::AsyncIoStream &stream)
@@ -150,7 +162,7 @@
 
 kj::Promise<void> HttpInputStream::whenClosed()
 {
-    constexpr std::size_t MaxReadAheadBytes = 256U << 10U;
+    constexpr std::size_t MaxReadAheadBytes = 16U << 10U;
     if (this->unreadBytes().size() > MaxReadAheadBytes) {
         return kj::NEVER_DONE;
     }
@@ -169,6 +181,16 @@
     }
 }
 
+void HttpInputStream::releaseBuffers()
+{
+    if (this->buffer.empty()) {
+        this->buffer = std::string();
+    }
+    if (!this->isReading) {
+        this->readBuffer.reset();
+    }
+}
+
 struct HttpRequestReader::Parser
 {
     Beast::request_parser<Beast::string_body> beast;
@@ -177,6 +199,7 @@
 HttpRequestReader::HttpRequestReader(HttpInputStream &input, std::size_t maxHeaderBytes, std::size_t maxBodyBytes)
     : input(input)
     , maxHeaderBytes(maxHeaderBytes)
+    , scannedTo(input.consumedBytes())
     , parser(std::make_unique<Parser>())
 {
     this->parser->beast.header_limit(static_cast<std::uint32_t>(maxHeaderBytes));
@@ -185,31 +208,82 @@
 
 HttpRequestReader::~HttpRequestReader() = default;
 
-HttpReadResult HttpRequestReader::readHead(kj::WaitScope &scope, RequestHead &head)
+HttpReadResult HttpRequestReader::readHead(kj::WaitScope &scope, RequestHead &head, const OnProgress &onProgress)
 {
     auto &beastParser = this->parser->beast;
-    const HttpReadResult read = parseUntil(scope, this->input, beastParser, this->maxHeaderBytes, [&beastParser]() {
-        return beastParser.is_header_done();
-    });
+    const HttpReadResult read = parseUntil(
+        scope, this->input, beastParser, this->maxHeaderBytes,
+        [&beastParser]() {
+            return beastParser.is_header_done();
+        },
+        [&]() {
+            if (this->hasTooManyFields()) {
+                return HttpReadResult::HeadTooLarge;
+            }
+            return !onProgress || onProgress(this->input.bufferedBytes()) ? HttpReadResult::Done
+                                                                          : HttpReadResult::Interrupted;
+        });
     if (read != HttpReadResult::Done) {
         return read;
     }
-    const auto &message = beastParser.get();
+    auto &message = beastParser.get();
     head.method = std::string(message.method_string());
     head.target = std::string(message.target());
     head.keepAlive = beastParser.keep_alive();
     copyFields(message, head.fields);
+    message.base().clear();
+    this->bodyStart = this->input.consumedBytes();
     return read;
 }
 
-HttpReadResult HttpRequestReader::readBody(kj::WaitScope &scope, std::string &body)
+bool HttpRequestReader::hasTooManyFields()
+{
+    const std::string_view bytes = this->input.unreadBytes();
+    const std::uint64_t consumed = this->input.consumedBytes();
+    while (!this->isHeadScanned) {
+        const std::size_t at = bytes.find('\n', static_cast<std::size_t>(this->scannedTo - consumed));
+        if (at == std::string_view::npos) {
+            this->scannedTo = consumed + bytes.size();
+            return false;
+        }
+        const std::uint64_t lineEnd = consumed + at + 1;
+        this->isHeadScanned = this->lineCount != 0 && lineEnd == this->lineStart + 2 && bytes[at - 1] == '\r';
+        this->lineStart = lineEnd;
+        this->scannedTo = lineEnd;
+        if (++this->lineCount > MaxRequestFields + 2) { // With the request line and the empty line.
+            return true;
+        }
+    }
+    return false;
+}
+
+std::optional<std::uint64_t> HttpRequestReader::declaredBodyBytes() const
+{
+    const auto length = this->parser->beast.content_length();
+    return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+}
+
+HttpReadResult HttpRequestReader::readBody(kj::WaitScope &scope, std::string &body, const OnProgress &onProgress)
 {
     auto &beastParser = this->parser->beast;
     beastParser.eager(true);
-    const HttpReadResult read = parseUntil(scope, this->input, beastParser, this->maxHeaderBytes, [&beastParser]() {
-        return beastParser.is_done();
-    });
-    body = std::move(beastParser.get().body());
+    std::string &content = beastParser.get().body();
+    const HttpReadResult read = parseUntil(
+        scope, this->input, beastParser, this->maxHeaderBytes,
+        [&beastParser]() {
+            return beastParser.is_done();
+        },
+        [&]() {
+            const std::uint64_t received = this->input.consumedBytes() - this->bodyStart;
+            if (received > this->maxHeaderBytes + MaxBytesPerBodyByte * content.size()) {
+                return HttpReadResult::BodyTooLarge;
+            }
+            if (onProgress && !onProgress(content.size())) {
+                return HttpReadResult::Interrupted;
+            }
+            return HttpReadResult::Done;
+        });
+    body = std::move(content);
     return read == HttpReadResult::Closed ? HttpReadResult::Truncated : read;
 }
 
@@ -241,10 +315,12 @@
     const std::uint64_t start = this->input.consumedBytes();
     while (true) {
         auto &beastParser = this->parser->beast;
-        const HttpReadResult read =
-            parseUntil(scope, this->input, beastParser, MaxResponseHeaderBytes, [&beastParser]() {
+        const HttpReadResult read = parseUntil(
+            scope, this->input, beastParser, MaxResponseHeaderBytes,
+            [&beastParser]() {
                 return beastParser.is_header_done();
-            });
+            },
+            &noCheck);
         if (read != HttpReadResult::Done) {
             return read;
         }
@@ -279,10 +355,12 @@
     auto &beastParser = this->parser->beast;
     beastParser.eager(true);
     std::string &body = beastParser.get().body();
-    const HttpReadResult read =
-        parseUntil(scope, this->input, beastParser, MaxResponseHeaderBytes, [&beastParser, &body]() {
+    const HttpReadResult read = parseUntil(
+        scope, this->input, beastParser, MaxResponseHeaderBytes,
+        [&beastParser, &body]() {
             return beastParser.is_done() || !body.empty();
-        });
+        },
+        &noCheck);
     part = std::exchange(body, {});
     this->bodyBytes += part.size();
     const std::uint64_t received = this->input.consumedBytes() - this->bodyStart;
--- a/src/http/http_reader_base.h
+++ b/src/http/http_reader_base.h
@@ -4,7 +4,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -24,6 +26,7 @@
     Malformed, ///< The bytes are not a valid HTTP message.
     HeadTooLarge, ///< The head exceeds its size limit.
     BodyTooLarge, ///< The body exceeds its size limit, by its declared length or by what was received.
+    Interrupted, ///< The caller's `OnProgress` has ended the read.
 };
 
 /** Maximum size of a response body. Endpoints send bodies of up to some KB; a request body has the same limit by
@@ -63,11 +66,18 @@
         return std::string_view(this->buffer).substr(this->consumed);
     }
     void consume(std::size_t count);
+    /** Frees the buffers of a connection that waits for its next request. Unread bytes are kept. */
+    void releaseBuffers();
     /** Number of bytes in memory, parsed or not. */
     [[nodiscard]] std::size_t bufferedBytes() const
     {
         return this->buffer.size();
     }
+    /** Number of all bytes that were received, parsed or not. */
+    [[nodiscard]] std::uint64_t receivedBytes() const
+    {
+        return this->totalConsumed + this->unreadBytes().size();
+    }
     /** Number of all bytes that were parsed. */
     [[nodiscard]] std::uint64_t consumedBytes() const
     {
@@ -110,14 +120,28 @@
     HttpRequestReader(const HttpRequestReader &) = delete;
     HttpRequestReader &operator=(const HttpRequestReader &) = delete;
 
-    [[nodiscard]] HttpReadResult readHead(kj::WaitScope &scope, RequestHead &head);
+    /** Called each time bytes have arrived, with the size of the head as far as it was received, or of the body as far
+     * as it was parsed. Returns false to end the read. May block the fiber. */
+    using OnProgress = std::function<bool(std::size_t heldBytes)>;
+
+    [[nodiscard]] HttpReadResult readHead(kj::WaitScope &scope, RequestHead &head, const OnProgress &onProgress = {});
     /** Reads the complete body. */
-    [[nodiscard]] HttpReadResult readBody(kj::WaitScope &scope, std::string &body);
+    [[nodiscard]] HttpReadResult readBody(kj::WaitScope &scope, std::string &body, const OnProgress &onProgress = {});
+    /** Content-Length of a request whose head was read; empty for a chunked body. */
+    [[nodiscard]] std::optional<std::uint64_t> declaredBodyBytes() const;
 
 private:
     struct Parser;
+    /** Counts the lines of the head that have arrived. */
+    [[nodiscard]] bool hasTooManyFields();
+
     HttpInputStream &input; ///< Must outlive this object.
     std::size_t maxHeaderBytes; ///< Of the request line and all fields together, and of the trailer.
+    std::uint64_t scannedTo; ///< Position up to which lines were counted.
+    std::uint64_t lineStart = 0; ///< Position of the first line whose end hasn't been found.
+    std::size_t lineCount = 0; ///< Lines found, including the request line.
+    bool isHeadScanned = false; ///< The empty line at the end of the head was found.
+    std::uint64_t bodyStart = 0; ///< Position of the body in the input.
     std::unique_ptr<Parser> parser;
 };
 
--- a/src/http/http_server_base.cpp
+++ b/src/http/http_server_base.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "observe/log_func.h"
+#include "observe/metrics_base.h"
 #include "rpc/connection_acceptor_base.h"
 
 namespace Chestnuthook
@@ -16,18 +17,34 @@
 
 /** Limits of what is read from a connection after its last response. */
 constexpr auto MaxDiscardTime = 1 * kj::SECONDS;
-constexpr std::size_t MaxDiscardedBytes = 64UL << 20U;
+constexpr std::size_t MaxDiscardedBytes = 16UL << 20U;
 
-/** Number of idle connections that are closed at a time while new ones wait for descriptors. */
+/** What is discarded is read at up to 50 MB/s a connection: reading costs processor time, of which other requests would
+ * get less. */
+constexpr std::size_t DiscardedPartBytes = 512UL << 10U;
+constexpr auto DiscardedPartDelay = 10 * kj::MILLISECONDS;
+
+/** Number of connections that are closed at a time while new ones wait for descriptors. */
 constexpr std::size_t MaxClosedAtOnce = 4;
-/** A connection that became idle more recently is not closed for others, as its next request may be on its way. */
-constexpr Duration MinIdleTime = std::chrono::milliseconds(500);
+
+/** A client must take each part of a response within a time, so that the slowest rate is 6.4 KB/s. */
+constexpr std::size_t WrittenPartBytes = 64UL << 10U;
+constexpr auto WriteTimeout = 10 * kj::SECONDS;
+
+/** At most one line in this time tells that connections were dropped. */
+constexpr Duration DroppedLogInterval = std::chrono::seconds(1);
+constexpr std::size_t DefaultMemoryLimitBytes = 110UL << 20U;
+constexpr std::size_t DefaultMaxDescriptors = 3000;
 
 } // namespace
 
 void HttpExchange::write(kj::WaitScope &scope, std::string_view bytes)
 {
-    this->stream.write(bytes.data(), bytes.size()).wait(scope);
+    while (!bytes.empty()) {
+        const std::string_view part = bytes.substr(0, WrittenPartBytes);
+        this->timer.timeoutAfter(WriteTimeout, this->stream.write(part.data(), part.size())).wait(scope);
+        bytes.remove_prefix(part.size());
+    }
 }
 
 void HttpExchange::respond(kj::WaitScope &scope, ResponseHead response, std::string_view content)
@@ -87,8 +104,11 @@
     , handler(std::move(handler))
     , fibers(StackBytes)
     , stopped(nullptr)
+    , ownMemory(std::make_unique<RequestMemory>(DefaultMemoryLimitBytes, DefaultMaxDescriptors))
+    , memory(this->ownMemory.get())
     , tasks(*this)
 {
+    this->fibers.setMaxFreelist(MaxUnusedStacks);
     auto pair = kj::newPromiseAndFulfiller<void>();
     this->stopFulfiller = kj::mv(pair.fulfiller);
     this->stopped = pair.promise.fork();
@@ -113,7 +133,7 @@
                 this->addConnection(kj::mv(stream));
             },
             [this]() {
-                this->closeIdleConnections();
+                this->memory->closeConnections(this->loop.timers().now(), MaxClosedAtOnce);
             });
         auto acceptsUntilStopped = acceptor->run().exclusiveJoin(this->stopped.addBranch());
         return acceptsUntilStopped.attach(kj::mv(acceptor), kj::mv(parsed));
@@ -123,6 +143,7 @@
 void HttpServer::addConnection(kj::Own<kj::AsyncIoStream> stream)
 {
     kj::AsyncIoStream &connection = *stream;
+    setReceiveBuffer(connection, SmallReceiveBufferBytes);
     this->tasks.add(this->fibers
                         .startFiber([this, &connection](kj::WaitScope &scope) {
                             this->serveConnection(scope, connection);
@@ -133,48 +154,51 @@
 void HttpServer::serveConnection(kj::WaitScope &scope, kj::AsyncIoStream &stream)
 {
     HttpInputStream input(stream);
-    while (this->awaitRequest(scope, input)) {
-        if (!this->serveRequest(scope, stream, input)) {
-            this->finishConnection(scope, stream, input);
+    RequestMemory::Share share(*this->memory, this->loop.timers().now(), [&input]() {
+        input.interrupt();
+    });
+    if (!share.isEvicted()) {
+        this->serveRequests(scope, stream, input, share);
+    }
+    if (share.isEvicted()) {
+        this->recordDropped();
+    }
+}
+
+void HttpServer::serveRequests(
+    kj::WaitScope &scope, kj::AsyncIoStream &stream, HttpInputStream &input, RequestMemory::Share &share)
+{
+    while (this->awaitRequest(scope, input, share)) {
+        if (!this->serveRequest(scope, stream, input, share)) {
+            if (!share.isEvicted()) { // Its memory is no longer counted, so it is closed at once.
+                this->finishConnection(scope, stream, input);
+            }
             return;
         }
     }
 }
 
-bool HttpServer::awaitRequest(kj::WaitScope &scope, HttpInputStream &input)
+bool HttpServer::awaitRequest(kj::WaitScope &scope, HttpInputStream &input, RequestMemory::Share &share)
 {
+    if (share.isEvicted()) {
+        return false;
+    }
     if (!input.unreadBytes().empty()) {
         return true;
     }
     if (!this->accepting) {
         return false;
     }
+    input.releaseBuffers();
     kj::Timer &timer = this->loop.kjTimer();
     input.setDeadline(timer, timer.now() + kjDuration(this->limits().idleTimeout));
     auto stop = this->stopped.addBranch().then([]() {
         return false;
     });
-    auto closing = kj::newPromiseAndFulfiller<bool>();
-    const auto position = this->idleConnections.insert(
-        this->idleConnections.end(), IdleConnection{this->loop.timers().now(), kj::mv(closing.fulfiller)});
-    KJ_DEFER(this->idleConnections.erase(position));
-    auto ended = kj::mv(closing.promise).exclusiveJoin(kj::mv(stop));
-    if (!input.readMore().exclusiveJoin(kj::mv(ended)).wait(scope)) {
+    if (!input.readMore().exclusiveJoin(kj::mv(stop)).wait(scope)) {
         kj::evalLater([]() {}).wait(scope); // Completes a read that has already taken bytes from the socket.
     }
-    return !input.unreadBytes().empty();
-}
-
-void HttpServer::closeIdleConnections()
-{
-    const Instant latestStart = this->loop.timers().now() - MinIdleTime;
-    std::size_t count = 0;
-    for (IdleConnection &connection : this->idleConnections) {
-        if (connection.since > latestStart || ++count > MaxClosedAtOnce) {
-            return;
-        }
-        connection.closing->fulfill(false);
-    }
+    return !input.unreadBytes().empty() && !share.isEvicted();
 }
 
 void HttpServer::finishConnection(kj::WaitScope &scope, kj::AsyncIoStream &stream, HttpInputStream &input)
@@ -189,42 +213,40 @@
     kj::Timer &timer = this->loop.kjTimer();
     input.setDeadline(timer, timer.now() + MaxDiscardTime);
     std::size_t discardedBytes = 0;
+    std::size_t pausedAt = 0;
     do {
         discardedBytes += input.unreadBytes().size();
         input.consume(input.unreadBytes().size());
+        if (discardedBytes - pausedAt >= DiscardedPartBytes) {
+            pausedAt = discardedBytes;
+            timer.afterDelay(DiscardedPartDelay).wait(scope);
+        }
     } while (discardedBytes <= MaxDiscardedBytes && input.readMore().wait(scope));
 }
 
-bool HttpServer::serveRequest(kj::WaitScope &scope, kj::AsyncIoStream &stream, HttpInputStream &input)
+bool HttpServer::serveRequest(
+    kj::WaitScope &scope, kj::AsyncIoStream &stream, HttpInputStream &input, RequestMemory::Share &share)
 {
     ++this->activeRequests;
     KJ_DEFER(--this->activeRequests);
-    const HttpLimits currentLimits = this->limits();
-    kj::Timer &timer = this->loop.kjTimer();
-    HttpRequestReader reader(input, currentLimits.maxHeaderBytes, currentLimits.maxBodyBytes);
-    RequestHead head;
-    input.setDeadline(timer, timer.now() + kjDuration(currentLimits.headerTimeout));
-    HttpReadResult read = reader.readHead(scope, head);
-    HttpExchange exchange(stream, std::move(head), this->loop.timers().now());
-    if (read == HttpReadResult::Done) {
-        input.setDeadline(timer, timer.now() + kjDuration(currentLimits.bodyTimeout));
-        read = reader.readBody(scope, exchange.body);
+    KJ_DEFER(share.endRequest(this->loop.timers().now()));
+    HttpExchange exchange(stream, this->loop.kjTimer());
+    HttpReadResult read = HttpReadResult::Done;
+    {
+        const HttpLimits currentLimits = this->limits();
+        RequestIntake intake(this->loop, stream, input, share, currentLimits, this->planBody);
+        read = intake.read(scope, exchange.head, exchange.body, exchange.received);
+        exchange.bodyDropped = intake.isBodyDropped();
     }
     if (read != HttpReadResult::Done) {
-        exchange.closeAfterResponse = true;
-        if (input.hasTimedOut()) {
-            exchange.respond(scope, HttpStatus::RequestTimeout);
-        } else if (read == HttpReadResult::HeadTooLarge) {
-            exchange.respond(scope, HttpStatus::HeaderTooLarge);
-        } else if (read == HttpReadResult::BodyTooLarge) {
-            exchange.respond(scope, HttpStatus::BodyTooLarge);
-        } else if (read == HttpReadResult::Malformed) {
-            exchange.respond(scope, HttpStatus::BadRequest);
-        }
+        exchange.body = std::string();
+        share.endRequest(this->loop.timers().now());
+        this->refuse(scope, exchange, read, input.hasTimedOut());
         return false;
     }
+    share.beginHandling();
     input.clearDeadline();
-    exchange.closeAfterResponse = this->draining || !exchange.head.keepAlive;
+    exchange.closeAfterResponse = this->draining || !exchange.head.keepAlive || exchange.bodyDropped;
     auto clientClosed = input.whenClosed().then([]() {
         return false;
     });
@@ -237,6 +259,43 @@
     return keepConnection && exchange.isComplete() && !exchange.closeAfterResponse;
 }
 
+void HttpServer::refuse(kj::WaitScope &scope, HttpExchange &exchange, HttpReadResult read, bool isTimedOut)
+{
+    constexpr const char *RetryAfterSeconds = "1";
+    exchange.closeAfterResponse = true;
+    if (read == HttpReadResult::Interrupted) {
+        this->recordDropped();
+        HttpFields fields;
+        fields.add("Retry-After", RetryAfterSeconds);
+        exchange.respond(scope, HttpStatus::Unavailable, std::move(fields));
+    } else if (isTimedOut) {
+        exchange.respond(scope, HttpStatus::RequestTimeout);
+    } else if (read == HttpReadResult::HeadTooLarge) {
+        exchange.respond(scope, HttpStatus::HeaderTooLarge);
+    } else if (read == HttpReadResult::BodyTooLarge) {
+        exchange.respond(scope, HttpStatus::BodyTooLarge);
+    } else if (read == HttpReadResult::Malformed) {
+        exchange.respond(scope, HttpStatus::BadRequest);
+    }
+}
+
+void HttpServer::recordDropped()
+{
+    metrics().add(MetricKind::ConnectionsDropped);
+    ++this->droppedCount;
+    const Instant now = this->loop.timers().now();
+    if (this->droppedLoggedAt && now - *this->droppedLoggedAt < DroppedLogInterval) {
+        return;
+    }
+    this->droppedLoggedAt = now;
+    logEvent(EventKind::ConnectionsDropped,
+        {{"count", std::to_string(std::exchange(this->droppedCount, 0))},
+            {"connections", std::to_string(this->memory->connectionCount())},
+            {"max_connections", std::to_string(this->memory->maxConnectionCount())},
+            {"claimed_kb", std::to_string(this->memory->claimedBytes() >> 10U)},
+            {"max_claimed_kb", std::to_string(this->memory->maxClaimedBytes() >> 10U)}});
+}
+
 void HttpServer::handle(kj::WaitScope &scope, HttpExchange &exchange)
 {
     std::optional<std::string> failure;
--- a/src/http/http_server_base.h
+++ b/src/http/http_server_base.h
@@ -3,37 +3,28 @@
 
 #include <cstddef>
 #include <functional>
-#include <list>
+#include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
 #include <kj/async-io.h>
 
 #include "core/timer_base.h"
-#include "http/http_reader_base.h"
+#include "http/request_intake_base.h"
+#include "http/request_memory_base.h"
 #include "rpc/control_loop_base.h"
 
 namespace Chestnuthook
 {
 
-/** Size limits and timeouts of a connection. */
-struct HttpLimits
-{
-    std::size_t maxHeaderBytes = 16384; ///< Of the request line and all fields together.
-    std::size_t maxBodyBytes = 4U << 20U; ///< Of a request body.
-    Duration headerTimeout = std::chrono::seconds(3); ///< From the first byte of a request to the end of its head.
-    Duration bodyTimeout = std::chrono::seconds(10); ///< From the end of the head to the end of the body.
-    Duration idleTimeout = std::chrono::seconds(15); ///< From the end of a response to the next request.
-};
-
 /** A request and its response. */
 class HttpExchange
 {
 public:
-    HttpExchange(kj::AsyncIoStream &stream, RequestHead request, Instant receivedAt)
-        : head(std::move(request))
-        , received(receivedAt)
-        , stream(stream)
+    HttpExchange(kj::AsyncIoStream &stream, kj::Timer &timer)
+        : stream(stream)
+        , timer(timer)
     {
     }
 
@@ -57,14 +48,17 @@
     }
 
     RequestHead head; ///< Of the request.
-    std::string body; ///< Complete request body.
+    std::string body; ///< Complete request body; empty if it was dropped.
+    bool bodyDropped = false; ///< The body wasn't read; see `HttpServer::planBody`.
     Instant received{0}; ///< When the head of the request was received.
     bool closeAfterResponse = false; ///< Sends `Connection: close` and closes the connection after the response.
 
 private:
+    /** @throws kj::Exception if the connection fails or the client doesn't read. */
     void write(kj::WaitScope &scope, std::string_view bytes);
 
     kj::AsyncIoStream &stream; ///< Connection to the client.
+    kj::Timer &timer; ///< Must outlive this object.
     bool started = false; ///< Sending of the response head has started.
     bool complete = false; ///< The complete response was sent.
 };
@@ -81,6 +75,17 @@
     /** Uses the default limits. */
     HttpServer(ControlLoop &loop, Handler handler);
 
+    /** Asked before a large body is read, whether the handler will use it. If not, the handler is called at once
+     * with an empty body and `bodyDropped` set, and the connection is closed after the response. */
+    BodyPlanner planBody;
+
+    /** Shares the memory for connections and requests with other servers of the process. Without a call, this server
+     * alone has that of a process with 110 MB. @p memory must outlive this object. */
+    void setMemory(RequestMemory &memory)
+    {
+        this->memory = &memory;
+    }
+
     /** Accepts connections at @p address. The promise resolves when `stopAccepting` is called; it is rejected if the
      * address can't be bound, and for no other reason. */
     [[nodiscard]] kj::Promise<void> listen(const std::string &address);
@@ -103,30 +108,31 @@
     }
 
 private:
-    /** A connection that waits for its next request. */
-    struct IdleConnection
-    {
-        Instant since{0}; ///< When it began to wait.
-        kj::Own<kj::PromiseFulfiller<bool>> closing; ///< Fulfilled with false to close it.
-    };
-
     void addConnection(kj::Own<kj::AsyncIoStream> stream);
     /** Waits for the first bytes of a request. @return false if the connection is to be closed. */
-    bool awaitRequest(kj::WaitScope &scope, HttpInputStream &input);
-    /** Closes those that have been idle for the longest time, to make room for new ones. */
-    void closeIdleConnections();
+    bool awaitRequest(kj::WaitScope &scope, HttpInputStream &input, RequestMemory::Share &share);
+    /** Serves the requests of a connection until it is to be closed. */
+    void serveRequests(
+        kj::WaitScope &scope, kj::AsyncIoStream &stream, HttpInputStream &input, RequestMemory::Share &share);
     void serveConnection(kj::WaitScope &scope, kj::AsyncIoStream &stream);
     /** Ends the connection after its last response. Closing it while the client still sends would reset it, and the
      * client might lose the response. */
     void finishConnection(kj::WaitScope &scope, kj::AsyncIoStream &stream, HttpInputStream &input);
     /** Reads and serves one request. @return whether the connection can be reused. */
-    bool serveRequest(kj::WaitScope &scope, kj::AsyncIoStream &stream, HttpInputStream &input);
+    bool serveRequest(
+        kj::WaitScope &scope, kj::AsyncIoStream &stream, HttpInputStream &input, RequestMemory::Share &share);
+    /** Responds to a request that wasn't received completely. */
+    void refuse(kj::WaitScope &scope, HttpExchange &exchange, HttpReadResult read, bool isTimedOut);
+    /** Counts a connection that was closed, or a request that was refused, for lack of memory or connections. */
+    void recordDropped();
     /** Runs the handler. If it throws before it has started a response, the client gets one with status 500. */
     void handle(kj::WaitScope &scope, HttpExchange &exchange);
     void taskFailed(kj::Exception &&exception) override;
 
     /** Stack size of each fiber; only the pages that are touched take memory. */
     static constexpr std::size_t StackBytes = 256U << 10U;
+    /** Number of unused stacks that are kept. Each takes the pages that were ever touched. */
+    static constexpr std::size_t MaxUnusedStacks = 64;
 
     ControlLoop &loop; ///< Must outlive this object.
     std::function<HttpLimits()> limits; ///< Called for each request, so that changed limits apply to the next one.
@@ -137,7 +143,10 @@
     kj::Own<kj::PromiseFulfiller<void>> stopFulfiller; ///< Resolves `stopped`.
     kj::ForkedPromise<void> stopped; ///< Resolves when `stopAccepting` is called.
     std::size_t activeRequests = 0; ///< See `activeRequestCount`.
-    std::list<IdleConnection> idleConnections; ///< In the order in which they became idle.
+    std::unique_ptr<RequestMemory> ownMemory; ///< Used without a call of `setMemory`.
+    RequestMemory *memory; ///< Accounts for connections and requests.
+    std::optional<Instant> droppedLoggedAt; ///< When `recordDropped` has logged.
+    unsigned droppedCount = 0; ///< Not logged yet.
     kj::TaskSet tasks; ///< One task per connection. Declared last, so that the tasks are cancelled first.
 };
 
--- a/src/table/event_table.cpp
+++ b/src/table/event_table.cpp
@@ -70,6 +70,7 @@
     {EventKind::MembershipChanged, EventLevel::Info},
     {EventKind::SnapshotTaken, EventLevel::Info},
     {EventKind::ConnectionFailed, EventLevel::Warning},
+    {EventKind::ConnectionsDropped, EventLevel::Warning},
     {EventKind::StorageOpened, EventLevel::Info},
     {EventKind::SlowOperation, EventLevel::Warning},
 });
--- a/src/table/event_table.h
+++ b/src/table/event_table.h
@@ -64,6 +64,7 @@
     MembershipChanged,
     SnapshotTaken,
     ConnectionFailed,
+    ConnectionsDropped,
     StorageOpened,
     SlowOperation,
 };
@@ -135,6 +136,7 @@
         {EventKind::MembershipChanged, "membership_changed"},
         {EventKind::SnapshotTaken, "snapshot_taken"},
         {EventKind::ConnectionFailed, "connection_failed"},
+        {EventKind::ConnectionsDropped, "connections_dropped"},
         {EventKind::StorageOpened, "storage_opened"},
         {EventKind::SlowOperation, "slow_operation"},
     });
--- a/src/table/metric_table.cpp
+++ b/src/table/metric_table.cpp
@@ -54,6 +54,8 @@
         "Endpoints that stated in a response that they leave."},
     {MetricKind::ResponsesEndedByClose, "chestnuthook_responses_ended_by_close_total", MetricType::Counter, "",
         "Responses of endpoints that had neither a length nor chunks."},
+    {MetricKind::ConnectionsDropped, "chestnuthook_connections_dropped_total", MetricType::Counter, "",
+        "Client connections that were closed for lack of memory or to make room for others."},
     {MetricKind::ConnectionsRelayed, "chestnuthook_connections_relayed_total", MetricType::Counter, "",
         "Connections to endpoints that were opened for other gateways."},
     {MetricKind::LinksDown, "chestnuthook_endpoint_links_down", MetricType::Gauge, "",
--- a/src/table/metric_table.h
+++ b/src/table/metric_table.h
@@ -34,6 +34,7 @@
     StrikesTotal,
     EndpointsLeaving,
     ResponsesEndedByClose,
+    ConnectionsDropped,
     ConnectionsRelayed,
     LinksDown,
     RequestsAdmittedIsolated,
