--- a/src/gateway/pool_client_base.cpp
+++ b/src/gateway/pool_client_base.cpp
@@ -98,17 +98,12 @@
     while (this->now() < lastStart) {
         const Duration wait = std::min<Duration>(AwaitTime, lastStart - this->now());
         Reply reply = this->callAwait(asked.owner, asked.poolId, ticket, wait).wait(scope);
-        PoolAnswer answer;
-        bool hasAnswer = false;
-        KJ_IF_MAYBE (received, reply) {
-            answer = std::move(*received);
-            hasAnswer = true;
-        }
-        if (!hasAnswer) {
+        if (!reply) {
             this->recordFailure(asked.owner, "no answer to a turn that waits");
             reason = "the owner didn't answer";
             break;
         }
+        PoolAnswer &answer = *reply;
         if (!answer.verdict) {
             reason = "the owner has forgotten the turn";
             break;
@@ -195,9 +190,9 @@
     this->pools.recordAsked(name);
     KJ_DEFER(this->pools.recordEnded(name));
     Reply reply = this->callAcquire(asked.owner, poolId, request).wait(scope);
-    KJ_IF_MAYBE (answer, reply) {
+    if (reply) {
         this->pools.recordAnswer(asked.owner);
-        asked.answer = std::move(*answer);
+        asked.answer = std::move(*reply);
         asked.grant = std::move(grant);
     } else {
         this->recordFailure(asked.owner, "no answer to a turn");
@@ -232,7 +227,7 @@
 {
     const std::shared_ptr<RpcLink> link = this->linkTo(name);
     auto late = this->loop.kjTimer().afterDelay(kjDuration(timeout)).then([]() {
-        return Reply();
+        return Reply(std::nullopt);
     });
     return answered
         .then([this, name](Reply &&reply) {
@@ -243,7 +238,7 @@
             if (link != nullptr && exception.getType() == kj::Exception::Type::DISCONNECTED) {
                 link->reset();
             }
-            return Reply();
+            return Reply(std::nullopt);
         })
         .exclusiveJoin(kj::mv(late));
 }
@@ -253,7 +248,7 @@
 {
     const std::shared_ptr<RpcLink> link = this->linkTo(name);
     if (link == nullptr) {
-        return Reply();
+        return Reply(std::nullopt);
     }
     auto answered = link->connection().then([this, pool, request](RpcLink::ConnectionPtr &&used) -> kj::Promise<Reply> {
         auto call = dispatchOf(used).acquireRequest();
@@ -279,7 +274,7 @@
     }
     const std::shared_ptr<RpcLink> link = this->linkTo(name);
     if (link == nullptr) {
-        return Reply();
+        return Reply(std::nullopt);
     }
     auto answered =
         link->connection().then([this, pool, ticket, wait](RpcLink::ConnectionPtr &&used) -> kj::Promise<Reply> {
