--- a/src/gateway/pool_client_base.cpp
+++ b/src/gateway/pool_client_base.cpp
@@ -98,7 +98,7 @@
     while (this->now() < lastStart) {
         const Duration wait = std::min<Duration>(AwaitTime, lastStart - this->now());
         Reply reply = this->callAwait(asked.owner, asked.poolId, ticket, wait).wait(scope);
-        if (!reply) {
+        if (reply == nullptr) {
             this->recordFailure(asked.owner, "no answer to a turn that waits");
             reason = "the owner didn't answer";
             break;
@@ -190,7 +190,7 @@
     this->pools.recordAsked(name);
     KJ_DEFER(this->pools.recordEnded(name));
     Reply reply = this->callAcquire(asked.owner, poolId, request).wait(scope);
-    if (reply) {
+    if (reply != nullptr) {
         this->pools.recordAnswer(asked.owner);
         asked.answer = std::move(*reply);
         asked.grant = std::move(grant);
@@ -227,7 +227,7 @@
 {
     const std::shared_ptr<RpcLink> link = this->linkTo(name);
     auto late = this->loop.kjTimer().afterDelay(kjDuration(timeout)).then([]() {
-        return Reply(std::nullopt);
+        return Reply();
     });
     return answered
         .then([this, name](Reply &&reply) {
@@ -238,7 +238,7 @@
             if (link != nullptr && exception.getType() == kj::Exception::Type::DISCONNECTED) {
                 link->reset();
             }
-            return Reply(std::nullopt);
+            return Reply();
         })
         .exclusiveJoin(kj::mv(late));
 }
@@ -248,7 +248,7 @@
 {
     const std::shared_ptr<RpcLink> link = this->linkTo(name);
     if (link == nullptr) {
-        return Reply(std::nullopt);
+        return Reply();
     }
     auto answered = link->connection().then([this, pool, request](RpcLink::ConnectionPtr &&used) -> kj::Promise<Reply> {
         auto call = dispatchOf(used).acquireRequest();
@@ -257,7 +257,7 @@
         writeTurn(call.initTurn(), this->now(), request);
         return call.send()
             .then([](auto &&response) {
-                return Reply(readAnswer(response.getDecision()));
+                return std::make_unique<PoolAnswer>(readAnswer(response.getDecision()));
             })
             .attach(std::move(used));
     });
@@ -269,12 +269,12 @@
 {
     if (name == this->ownName) {
         return this->owner.await(pool, name, ticket, wait).then([](PoolAnswer &&answer) {
-            return Reply(std::move(answer));
+            return std::make_unique<PoolAnswer>(std::move(answer));
         });
     }
     const std::shared_ptr<RpcLink> link = this->linkTo(name);
     if (link == nullptr) {
-        return Reply(std::nullopt);
+        return Reply();
     }
     auto answered =
         link->connection().then([this, pool, ticket, wait](RpcLink::ConnectionPtr &&used) -> kj::Promise<Reply> {
@@ -285,7 +285,7 @@
             call.setWaitMs(static_cast<std::uint32_t>(wait.count() / 1000));
             return call.send()
                 .then([](auto &&response) {
-                    return Reply(readAnswer(response.getDecision()));
+                    return std::make_unique<PoolAnswer>(readAnswer(response.getDecision()));
                 })
                 .attach(std::move(used));
         });
--- a/src/gateway/pool_client_base.h
+++ b/src/gateway/pool_client_base.h
@@ -148,7 +148,7 @@
         bool isSending = false; ///< Reports are under way.
         Instant lastAnswer{0}; ///< When it answered last, or was first asked.
     };
-    using Reply = std::optional<PoolAnswer>; ///< Nothing if the owner didn't answer.
+    using Reply = std::unique_ptr<PoolAnswer>; ///< Null if the owner didn't answer.
 
     [[nodiscard]] Asked ask(kj::WaitScope &scope, const std::string &poolId, const PoolQuery &query);
     [[nodiscard]] PoolPlacement awaitGrant(kj::WaitScope &scope, const PoolQuery &query, Asked asked);
