--- a/src/gateway/pool_dispatcher_base.h
+++ b/src/gateway/pool_dispatcher_base.h
@@ -25,7 +25,8 @@
     /** Whether an endpoint may get requests, as this gateway sees it. */
     using IsUsable = std::function<bool(const std::string &endpoint)>;
 
-    PoolDispatcher(ControlLoop &loop, const std::string &ownName, IsUsable isUsable);
+    /** @p poolsAllEngines says that the engines of all services are pooled, whether they report their pace or not. */
+    PoolDispatcher(ControlLoop &loop, const std::string &ownName, bool poolsAllEngines, IsUsable isUsable);
 
     void setConfiguration(ConfigurationPtr current);
     void setEndpoints(const std::vector<DeployedEndpoint> &list);
@@ -47,6 +48,7 @@
     [[nodiscard]] PoolOwner::Description describe(const PoolInfo &pool) const;
     void prepare();
 
+    bool poolsAllEngines; ///< See the constructor.
     IsUsable isUsable; ///< See IsUsable.
     ConfigurationPtr configuration; ///< Configuration in force; null before the first one.
     std::set<std::string> pacedServices; ///< Services whose endpoints report their pace.
