--- a/src/gateway/gateway_base.cpp
+++ b/src/gateway/gateway_base.cpp
@@ -108,7 +108,7 @@
     , configurationReader(std::move(readConfiguration))
     , settings(std::move(settings))
     , loadBalancer(this->settings.drainPeriod, hash64(this->settings.name))
-    , dispatcher(loop, this->settings.name, this->settings.poolsAllEngines,
+    , dispatcher(loop, this->settings.name,
           [this](const std::string &endpoint) {
               // Cold endpoints get few requests, which each gateway sends by itself.
               return this->loadBalancer.isUsable(endpoint)
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -35,7 +35,6 @@
     RateTolerance rateTolerance; ///< Tolerated excess over the customers' rates.
     ColdTolerance coldTolerance; ///< Requests that cold endpoints may get.
     std::size_t memoryLimitBytes = 110U << 20U; ///< Memory of the process above which the platform ends it.
-    bool poolsAllEngines = false; ///< Requests compete for the memory of engines, so all of them are pooled.
 };
 
 /** Settles the token claim of a turn, at the latest on destruction, with the number of tokens delivered to the client.
--- a/src/gateway/pool_dispatcher_base.cpp
+++ b/src/gateway/pool_dispatcher_base.cpp
@@ -113,9 +113,8 @@
 
 } // namespace
 
-PoolDispatcher::PoolDispatcher(ControlLoop &loop, const std::string &ownName, bool poolsAllEngines, IsUsable isUsable)
-    : poolsAllEngines(poolsAllEngines)
-    , isUsable(std::move(isUsable))
+PoolDispatcher::PoolDispatcher(ControlLoop &loop, const std::string &ownName, IsUsable isUsable)
+    : isUsable(std::move(isUsable))
     , loop(loop)
     , owner(loop, this->pools,
           [this](const PoolInfo &pool) {
@@ -203,7 +202,7 @@
     }
     const auto found = this->configuration->services.find(service);
     return found != this->configuration->services.end() && found->second.engine.has_value()
-        && (this->poolsAllEngines || this->pacedServices.contains(service));
+        && (found->second.coldSeconds > 0 || this->pacedServices.contains(service));
 }
 
 Wire::GatewayPeer::Client PoolDispatcher::makePeer(EndpointRelay &relay)
--- a/src/gateway/pool_dispatcher_base.h
+++ b/src/gateway/pool_dispatcher_base.h
@@ -25,8 +25,7 @@
     /** Whether an endpoint may get requests, as this gateway sees it. */
     using IsUsable = std::function<bool(const std::string &endpoint)>;
 
-    /** @p poolsAllEngines says that the engines of all services are pooled, whether they report their pace or not. */
-    PoolDispatcher(ControlLoop &loop, const std::string &ownName, bool poolsAllEngines, IsUsable isUsable);
+    PoolDispatcher(ControlLoop &loop, const std::string &ownName, IsUsable isUsable);
 
     void setConfiguration(ConfigurationPtr current);
     void setEndpoints(const std::vector<DeployedEndpoint> &list);
@@ -48,7 +47,6 @@
     [[nodiscard]] PoolOwner::Description describe(const PoolInfo &pool) const;
     void prepare();
 
-    bool poolsAllEngines; ///< See the constructor.
     IsUsable isUsable; ///< See IsUsable.
     ConfigurationPtr configuration; ///< Configuration in force; null before the first one.
     std::set<std::string> pacedServices; ///< Services whose endpoints report their pace.
