Pools: owned by large gateways only, and only where endpoints report their pace

Change: owners need half of the largest processor share of their candidates; pools need reports of the pace.

--- a/src/gateway/endpoint_pools_base.cpp
+++ b/src/gateway/endpoint_pools_base.cpp
@@ -26,19 +26,27 @@
     return owners;
 }
 
-/** Processor shares by gateway; those that state none get the mean of the others. */
+/** Part of the largest processor share that the owner of a pool needs. In a burst, owners with 0.09 of a core beside
+ * ones with 0.3 used all of it, and gateways that got no answer in time placed turns by themselves. */
+constexpr double MinShareOfLargest = 0.5;
+
+/** Processor shares by gateway; those that state none get the mean of the others, and those that are too small to own
+ * a pool get 0. */
 std::map<std::string, double> weightsOf(const std::vector<const InstanceInfo *> &candidates)
 {
     double sum = 0;
     double stated = 0;
+    double largest = 0;
     for (const InstanceInfo *candidate : candidates) {
         sum += std::max(candidate->processorShare, 0.0);
+        largest = std::max(largest, candidate->processorShare);
         stated += candidate->processorShare > 0 ? 1 : 0;
     }
     const double mean = stated > 0 ? sum / stated : 1;
     std::map<std::string, double> weights;
     for (const InstanceInfo *candidate : candidates) {
-        weights[candidate->name] = candidate->processorShare > 0 ? candidate->processorShare : mean;
+        const double share = candidate->processorShare > 0 ? candidate->processorShare : mean;
+        weights[candidate->name] = share < MinShareOfLargest * largest ? 0 : share;
     }
     return weights;
 }
--- a/src/gateway/pool_dispatcher_base.cpp
+++ b/src/gateway/pool_dispatcher_base.cpp
@@ -202,7 +202,7 @@
     }
     const auto found = this->configuration->services.find(service);
     return found != this->configuration->services.end() && found->second.engine.has_value()
-        && (found->second.coldSeconds > 0 || this->pacedServices.contains(service));
+        && this->pacedServices.contains(service);
 }
 
 Wire::GatewayPeer::Client PoolDispatcher::makePeer(EndpointRelay &relay)
