--- a/tests/unit/platform_decode_test.cpp
+++ b/tests/unit/platform_decode_test.cpp
@@ -322,6 +322,7 @@
     const PlatformHeaderCodec headerCodec;
     const auto objectOf = [&headerCodec](const std::vector<std::string> &cookies) {
         std::vector<HttpFields::Field> fields;
+        fields.reserve(cookies.size());
         for (const std::string &cookie : cookies) {
             fields.push_back({"cookie", cookie});
         }
