--- a/tests/support/pool_simulation.h
+++ b/tests/support/pool_simulation.h
@@ -92,6 +92,15 @@
         this->result.turnsAt.resize(this->engines.size());
     }
 
+    PoolSimulation(const PoolSimulation &) = delete;
+    PoolSimulation &operator=(const PoolSimulation &) = delete;
+    ~PoolSimulation()
+    {
+        for (const auto &program : this->programs) {
+            program->turns.clear(); // Turns refer to their program.
+        }
+    }
+
     PoolResult run()
     {
         const std::int64_t endMs = this->scenario.runMs + DrainMs;
@@ -239,6 +248,7 @@
     void startProgram()
     {
         auto program = std::make_shared<Program>();
+        this->programs.push_back(program);
         program->id = ++this->lastProgram;
         const double others = Customers - 1;
         program->customer = this->uniform(0, others + this->scenario.floodFactor) < this->scenario.floodFactor
@@ -570,6 +580,7 @@
     std::map<std::string, std::size_t> indexOf; ///< Endpoints by id.
     std::multimap<std::int64_t, std::function<void()>> events; ///< Messages and pauses by their time.
     std::map<std::pair<std::string, std::uint64_t>, std::shared_ptr<Turn>> known; ///< Turns at the pool.
+    std::vector<std::shared_ptr<Program>> programs; ///< All programs.
     std::int64_t nowMs = 0; ///< Simulated time.
     std::uint64_t lastProgram = 0; ///< Id of the last program.
     std::uint64_t lastTicket = 0; ///< Last ticket.
