--- a/src/gateway/pool_client_base.cpp
+++ b/src/gateway/pool_client_base.cpp
@@ -422,9 +422,6 @@
 void PoolClient::applyOwnerChanges(const std::vector<PoolOwnerChange> &changes)
 {
     for (const PoolOwnerChange &change : changes) {
-        metrics().add(MetricKind::PoolOwnerChanges);
-        logEvent(
-            EventKind::PoolOwnerChanged, {{"pool", change.pool}, {"before", change.before}, {"after", change.after}});
         if (change.after.empty()) {
             continue;
         }
--- a/src/gateway/pool_dispatcher_base.cpp
+++ b/src/gateway/pool_dispatcher_base.cpp
@@ -5,6 +5,8 @@
 
 #include <kj/debug.h>
 
+#include "observe/log_func.h"
+#include "observe/metrics_base.h"
 #include "rpc/message_func.h"
 
 namespace Chestnuthook
@@ -159,14 +161,14 @@
 
 void PoolDispatcher::setEndpoints(const std::vector<DeployedEndpoint> &list)
 {
-    this->client.applyOwnerChanges(this->pools.setEndpoints(list));
+    this->applyOwnerChanges(this->pools.setEndpoints(list));
     this->owner.refresh();
     this->prepare();
 }
 
 void PoolDispatcher::setInstances(const std::vector<InstanceInfo> &list)
 {
-    this->client.applyOwnerChanges(this->pools.setInstances(list));
+    this->applyOwnerChanges(this->pools.setInstances(list));
     this->client.dropUnusedLinks();
     std::set<std::string> alive;
     for (const InstanceInfo &instance : list) {
@@ -178,8 +180,32 @@
 
 void PoolDispatcher::recordLoad(const std::string &service, const EndpointLoad &load)
 {
-    if (load.pace > 0 && this->pacedServices.insert(service).second) {
-        this->prepare();
+    if (load.pace == 0 || !this->pacedServices.insert(service).second) {
+        return;
+    }
+    this->prepare();
+    for (const auto &[id, pool] : this->pools.all()) {
+        if (pool.service == service && this->isPooled(service)) {
+            logOwnerChange({id, {}, pool.owner});
+        }
+    }
+}
+
+void PoolDispatcher::logOwnerChange(const PoolOwnerChange &change)
+{
+    metrics().add(MetricKind::PoolOwnerChanges);
+    logEvent(EventKind::PoolOwnerChanged, {{"pool", change.pool}, {"before", change.before}, {"after", change.after}});
+}
+
+void PoolDispatcher::applyOwnerChanges(const std::vector<PoolOwnerChange> &changes)
+{
+    this->client.applyOwnerChanges(changes);
+    for (const PoolOwnerChange &change : changes) {
+        // Pools exist for all services, as another gateway may know earlier that a service reports its pace.
+        const PoolInfo *pool = this->pools.find(change.pool);
+        if (pool != nullptr && this->isPooled(pool->service)) {
+            logOwnerChange(change);
+        }
     }
 }
 
--- a/src/gateway/pool_dispatcher_base.h
+++ b/src/gateway/pool_dispatcher_base.h
@@ -46,6 +46,9 @@
 private:
     [[nodiscard]] PoolOwner::Description describe(const PoolInfo &pool) const;
     void prepare();
+    /** Tells new owners of the turns in flight, and logs the changes of pools that are in use. */
+    void applyOwnerChanges(const std::vector<PoolOwnerChange> &changes);
+    static void logOwnerChange(const PoolOwnerChange &change);
 
     IsUsable isUsable; ///< See IsUsable.
     ConfigurationPtr configuration; ///< Configuration in force; null before the first one.
--- a/tests/process/endpoint_pool_test.cpp
+++ b/tests/process/endpoint_pool_test.cpp
@@ -109,6 +109,7 @@
         for (std::size_t i = 0; i < this->engines.size(); ++i) {
             list.push_back({"i-" + std::to_string(i), "app", this->engines[i].server.address});
         }
+        list.push_back({"i-other", "other", "127.0.0.1:1"});
         this->deployment.setEndpoints(list);
         for (std::size_t gateway = 0; gateway < GatewayCount; ++gateway) {
             BOOST_REQUIRE(waitUntil([&]() {
@@ -252,6 +253,14 @@
     }
 }
 
+BOOST_FIXTURE_TEST_CASE(owners_are_logged_for_pooled_services_only, Fixture)
+{
+    for (std::size_t gateway = 0; gateway < GatewayCount; ++gateway) {
+        BOOST_TEST(this->countLines(gateway, "event=pool_owner_changed", "pool=app/") != 0U);
+        BOOST_TEST(this->countLines(gateway, "event=pool_owner_changed", "pool=other/") == 0U);
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(no_request_fails_when_the_owner_is_killed, Fixture)
 {
     this->checkSignal(SIGKILL);
