--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -374,6 +374,12 @@
     folder = os.path.dirname(os.path.abspath(sys.argv[0]))
     record = Record(os.path.join(folder, "record.txt"))
     code = 2
+
+    def terminate(number, frame):
+        raise CannotRun("the script was ended by a signal")
+
+    signal.signal(signal.SIGTERM, terminate)
+    signal.signal(signal.SIGINT, terminate)
     try:
         record("trouble", "on" if TROUBLE else "off")
         held = run(record)
