A rejection counts only for the request that it names

Callers saw orders that ran twice, and 503 for orders that had run. An endpoint sent a second copy of a rejection on a connection that was in use again; the gateway took it for the rejection of the request in flight, although it named another one, and sent that request to a second endpoint.

Responses with another id were skipped only if they said nothing about execution. Now one function, ownerOf, says whose response a head is: one with another id belongs to an earlier request whatever it says, one without an id that says "not executed" is believed only of the first request on a connection, and one with two ids belongs to nobody, so the attempt may have run. Load, limits and cold times are taken from the awaited response only. A request without an id goes out on a new connection.

--- a/src/gateway/connection_pool_base.cpp
+++ b/src/gateway/connection_pool_base.cpp
@@ -53,6 +53,7 @@
 
 bool EndpointConnection::send(kj::WaitScope &scope, kj::Timer &timer, std::string_view bytes, kj::TimePoint deadline)
 {
+    this->isUsed = true;
     this->isUnanswered = true;
     this->input.setDeadline(timer, deadline);
     // write() throws synchronously on a socket that was reset; evalNow() turns that into a rejected promise.
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -174,6 +174,8 @@
 
     /** Records that @p endpoint has stated in the response to @p call that it leaves. */
     void recordLeaving(const Call &call, const DeployedEndpoint &endpoint);
+    /** Records load, limit and cold time that @p endpoint has stated in the response to @p call. */
+    void recordReports(Call &call, const DeployedEndpoint &endpoint, const ResponseMetadata &metadata, unsigned status);
     /** Counts the evacuated endpoints of @p list, and logs their data centres if these have changed. */
     void reportEvacuated(const std::vector<DeployedEndpoint> &list);
     /** Records a strike if the endpoint no longer accepts connections while others do. */
--- a/src/gateway/gateway_run.cpp
+++ b/src/gateway/gateway_run.cpp
@@ -8,6 +8,7 @@
 #include "gateway/gateway_call_internal.h"
 #include "gateway/request_affinity_func.h"
 #include "gateway/request_priority_func.h"
+#include "gateway/response_owner_func.h"
 #include "observe/log_func.h"
 #include "observe/metrics_base.h"
 
@@ -226,8 +227,14 @@
 
 Gateway::AttemptResult Gateway::attempt(kj::WaitScope &scope, Call &call, const DeployedEndpoint &endpoint)
 {
-    OpenedConnection opened =
-        this->connector.connect(scope, endpoint, std::min(ConnectTimeout, call.deadline - this->now()));
+    const Duration connectTimeout = std::min(ConnectTimeout, call.deadline - this->now());
+    OpenedConnection opened;
+    if (call.metadata.requestId.empty()) { // On a used connection its response could not be told from earlier ones.
+        ConnectResult result = this->connector.open(scope, endpoint, connectTimeout);
+        opened = {std::move(result.connection), result.failure, false};
+    } else {
+        opened = this->connector.connect(scope, endpoint, connectTimeout);
+    }
     auto connection = std::move(opened.connection);
     if (connection == nullptr) {
         this->loadBalancer.recordFailure(this->now(), endpoint.id);
@@ -305,6 +312,20 @@
     }
 }
 
+void Gateway::recordReports(
+    Call &call, const DeployedEndpoint &endpoint, const ResponseMetadata &metadata, unsigned status)
+{
+    if (metadata.load) {
+        this->loadBalancer.recordLoad(this->now(), endpoint.id, *metadata.load);
+        this->dispatcher.recordLoad(endpoint.service, *metadata.load);
+        call.reportedLoad = metadata.load;
+    }
+    if (metadata.isSigned || (metadata.notExecuted && status != HttpStatus::Misdirected)) {
+        this->recordLimit(endpoint.id, metadata.limitPerSecond);
+        this->recordCold(endpoint.id, metadata.coldLeft);
+    }
+}
+
 void Gateway::recordStrikeIfDown(std::uint64_t fingerprint, const DeployedEndpoint &endpoint)
 {
     this->loop.detach(kj::startFiber(ProbeStackBytes, [this, fingerprint, endpoint](kj::WaitScope &scope) {
@@ -331,6 +352,7 @@
         timeout = std::min(timeout, std::max(attemptTimeout, timeout / 2));
     }
     const kj::TimePoint attemptDeadline = timer.now() + kjDuration(timeout);
+    const AwaitedRequest awaited{call.metadata.requestId, !connection.isUsed};
     if (!connection.send(scope, timer, bytes, attemptDeadline)) {
         return timer.now() >= attemptDeadline ? AttemptResult::TimedOut : AttemptResult::Failed;
     }
@@ -350,21 +372,15 @@
         }
         this->connector.recordReceived(endpoint.address, connection);
         const ResponseMetadata metadata = this->headerCodec.readResponseMetadata(head);
-        if (metadata.load) {
-            this->loadBalancer.recordLoad(this->now(), endpoint.id, *metadata.load);
-            this->dispatcher.recordLoad(endpoint.service, *metadata.load);
-            call.reportedLoad = metadata.load;
-        }
         if (metadata.isLeaving) {
             this->recordLeaving(call, endpoint);
         }
-        if (metadata.isSigned || (metadata.notExecuted && head.status != HttpStatus::Misdirected)) {
-            this->recordLimit(endpoint.id, metadata.limitPerSecond);
-            this->recordCold(endpoint.id, metadata.coldLeft);
+        const ResponseOwner owner = ownerOf(metadata, head.status, awaited);
+        if (owner == ResponseOwner::Unknown) {
+            call.failureReason = "response without a single request id";
+            return AttemptResult::Failed;
         }
-        const bool isOwnResponse = metadata.requestId == call.metadata.requestId;
-        if (!isOwnResponse && !metadata.notExecuted && head.status != HttpStatus::Misdirected) {
-            // A late response to an earlier request on this connection.
+        if (owner == ResponseOwner::Earlier) {
             const HttpReadResult discarded = discardBody(scope, connection.input, reader, MaxSkippedBytes - skipped);
             if (discarded != HttpReadResult::Done || !head.keepAlive) {
                 call.noteFailure(discarded);
@@ -372,7 +388,8 @@
             }
             continue;
         }
-        if (metadata.notExecuted || head.status == HttpStatus::Misdirected) {
+        this->recordReports(call, endpoint, metadata, head.status);
+        if (isRejection(metadata, head.status)) {
             if (head.status == HttpStatus::Misdirected) {
                 this->loadBalancer.recordFailure(this->now(), endpoint.id);
             } else {
--- a/src/gateway/header_codec_type.h
+++ b/src/gateway/header_codec_type.h
@@ -58,6 +58,7 @@
 struct ResponseMetadata
 {
     std::string requestId; ///< Id of the request that this is the response to; empty if not sent.
+    bool hasConflictingIds = false; ///< The response names several requests.
     bool isSigned = false; ///< The response has a signature, which only an endpoint that handled the request adds.
     bool notExecuted = false; ///< The endpoint did not execute the request and never will.
     std::optional<EndpointLoad> load; ///< Empty if not reported.
--- /dev/null
+++ b/src/gateway/response_owner_func.cpp
@@ -0,0 +1,29 @@
+/** @file response_owner_func.cpp  Compares the request ids of responses and requests. */
+#include "gateway/response_owner_func.h"
+
+#include "http/http_message_type.h"
+
+namespace Chestnuthook
+{
+
+bool isRejection(const ResponseMetadata &metadata, unsigned status)
+{
+    return metadata.notExecuted || status == HttpStatus::Misdirected;
+}
+
+ResponseOwner ownerOf(const ResponseMetadata &metadata, unsigned status, const AwaitedRequest &awaited)
+{
+    if (metadata.hasConflictingIds) {
+        return ResponseOwner::Unknown;
+    }
+    if (!metadata.requestId.empty()) {
+        return metadata.requestId == awaited.id ? ResponseOwner::Awaited : ResponseOwner::Earlier;
+    }
+    const bool mayLackId = awaited.id.empty() || isRejection(metadata, status);
+    if (!mayLackId) {
+        return ResponseOwner::Earlier;
+    }
+    return awaited.isFirst ? ResponseOwner::Awaited : ResponseOwner::Unknown;
+}
+
+} // namespace Chestnuthook
