The index of a history member is bounded whatever ids clients choose

Clients could not continue any turn: a tenant that sent turns with ids of 14,000 bytes, within maxHeaderBytes and its rate, took all history members over their memory, again at each start.

The index counted 400 bytes a record whatever its ids take, and holds an id up to five times. It now holds a digest of ids above 128 bytes, which refuses nobody, and counts what its entries take. The log keeps turns with their ids as sent; a claim is logged in the index's form, which older builds read. Turns of programs that have begun, and turns without a token budget, were stored without a bound: from half of the memory (7/8 of the disk) on all turns are refused before they run, and new programs from a third on also without a budget. A member whose log holds more than that leaves out at its start what had expired when the last record was written.

--- a/src/gateway/gateway_base.cpp
+++ b/src/gateway/gateway_base.cpp
@@ -507,22 +507,23 @@
 {
     const RouteConfig &route = *call.route;
     const bool isProgramTurn = route.kind == RouteKind::Stream && !call.metadata.program.empty();
-    if (!isProgramTurn) {
+    if (!isProgramTurn && !route.retainsTurns) {
         return true;
     }
     TurnStart start;
+    start.isKept = route.retainsTurns;
     start.customer = call.customer == nullptr ? std::string() : call.customer->name;
     start.previous = route.retainsTurns ? call.metadata.previousTurn : std::string();
     const auto now = static_cast<std::uint64_t>(wallMsNow());
     call.retentionMs = static_cast<std::uint64_t>(route.retention.count() * 1000);
-    if (call.metadata.programTokens) {
+    if (call.metadata.programTokens && isProgramTurn) {
         start.budget = *call.metadata.programTokens;
         start.claim.program = start.customer + "/" + call.metadata.program;
         start.claim.claim = TokenClaim{call.metadata.requestId, call.metadata.outputTokens, false};
         start.claim.keepMs = call.retentionMs + ClaimExtraRetentionMs;
         start.claim.expiresMs = now + start.claim.keepMs;
     }
-    if (start.previous.empty() && start.claim.program.empty()) {
+    if (!start.isKept && start.claim.program.empty()) {
         return true;
     }
     call.settlement = std::make_unique<TokenSettlement>(this->history, start.claim);
--- a/src/history/history_client_base.cpp
+++ b/src/history/history_client_base.cpp
@@ -289,11 +289,12 @@
 {
     const auto shared = std::make_shared<const TurnStart>(start); // QuorumCallPtr may outlive this fiber.
     const bool claims = !start.claim.program.empty();
+    const bool asksAll = claims || start.isKept;
     quorumCall->startTry(this->watcher.view.history);
     quorumCall->needsWrite = claims;
     bool withChain = !start.previous.empty() && quorumCall->chain.turns.empty();
     for (const HistoryMember &member : this->membersByPreference()) {
-        if (!withChain && !claims) {
+        if (!withChain && !asksAll) {
             break;
         }
         if (quorumCall->needsCall(member)) {
@@ -306,7 +307,7 @@
         this->waitForCall(scope, quorumCall, std::min(until, this->loop.timers().now() + PreferredChainTimeout));
         quorumCall->chainAwaited = false;
     }
-    return !claims || this->waitForCall(scope, quorumCall, until);
+    return !asksAll || this->waitForCall(scope, quorumCall, until);
 }
 
 Result<void> HistoryClient::checkBudget(const QuorumCall &quorumCall, const TurnStart &start, TurnContext &context)
--- a/src/history/history_client_base.h
+++ b/src/history/history_client_base.h
@@ -28,6 +28,7 @@
     std::uint64_t budget = 0; ///< Token budget of the program.
     std::string previous; ///< Id of the turn that it continues; empty for none.
     std::string customer; ///< Customer that owns the turn.
+    bool isKept = false; ///< The turn will be stored, so the members must have room for it.
 };
 
 /** State read from the history store when a turn starts. */
--- a/src/history/history_log_base.cpp
+++ b/src/history/history_log_base.cpp
@@ -72,6 +72,19 @@
     return this->startSegment();
 }
 
+Result<void> HistoryLog::forEachRecord(const RecordVisitor &onRecord)
+{
+    for (const Segment &known : this->segments) {
+        Segment segment;
+        segment.number = known.number;
+        const Result<bool> isWhole = this->readRecords(segment, onRecord);
+        if (!isWhole) {
+            return tl::unexpected(isWhole.error());
+        }
+    }
+    return {};
+}
+
 Result<bool> HistoryLog::readRecords(Segment &segment, const RecordVisitor &onRecord)
 {
     const std::string path = this->pathOf(segment.number);
--- a/src/history/history_log_base.h
+++ b/src/history/history_log_base.h
@@ -44,6 +44,10 @@
     [[nodiscard]] Result<void> open(
         const std::string &dataFolder, const std::function<std::uint64_t(std::string_view)> &onRecord);
 
+    /** Passes each stored record to @p onRecord once more, in the same order; only directly after `open`. Errors:
+     * StorageFailed. */
+    [[nodiscard]] Result<void> forEachRecord(const RecordVisitor &onRecord);
+
     /** Buffers a record until the next `sync`. @return where that writes it. */
     RecordLocation append(std::string_view record, std::uint64_t expiresMs);
     /** Reads a synced record; any thread may call it. Errors: StorageFailed, StorageCorrupt. */
--- a/src/history/history_member_base.cpp
+++ b/src/history/history_member_base.cpp
@@ -6,6 +6,7 @@
 
 #include "consensus/raft_storage_base.h"
 #include "core/hash_func.h"
+#include "history/record_id_func.h"
 #include "observe/log_func.h"
 #include "rpc/message_func.h"
 #include "table/error_table.h"
@@ -26,6 +27,16 @@
 constexpr std::size_t CopyResponseBytes = 256U << 10U;
 constexpr auto CopyRetryDelay = 150 * kj::MILLISECONDS;
 
+/** How long a member keeps @p record from its arrival on, in milliseconds; 0 if it isn't known. */
+std::uint64_t keepMsOf(const HistoryRecord &record)
+{
+    if (const auto *turn = std::get_if<KeptTurn>(&record)) {
+        return turn->keepMs;
+    }
+    const auto *claim = std::get_if<ProgramClaim>(&record);
+    return claim == nullptr ? 0 : claim->keepMs;
+}
+
 std::uint64_t randomStartId()
 {
     constexpr std::size_t IdBytes = sizeof(std::uint64_t);
@@ -49,20 +60,18 @@
             return kj::READY_NOW;
         }
         const HistoryRecord record = readRecord(params.getClaim());
-        if (const auto *claim = std::get_if<ProgramClaim>(&record); claim != nullptr && !claim->program.empty()) {
-            const bool isNewProgram = params.getPrevious().size() == 0 && !this->member.table.hasClaims(claim->program);
-            if (isNewProgram && this->member.isFull()) {
-                results.setStatus(Wire::HistoryStatus::FULL);
-                return kj::READY_NOW;
-            }
+        const auto *claim = std::get_if<ProgramClaim>(&record);
+        const bool hasClaim = claim != nullptr && !claim->program.empty();
+        const bool isNewProgram =
+            params.getPrevious().size() == 0 && !(hasClaim && this->member.table.hasClaims(claim->program));
+        const HistoryRoom room = this->member.room();
+        if (room == HistoryRoom::None || (room == HistoryRoom::Scarce && isNewProgram)) {
+            results.setStatus(Wire::HistoryStatus::FULL);
+            return kj::READY_NOW;
+        }
+        if (hasClaim) {
             this->member.addRecord(record);
-            const auto claims = this->member.table.claimsOf(claim->program);
-            auto list = results.initClaims(static_cast<unsigned>(claims.size()));
-            for (unsigned i = 0; i < claims.size(); ++i) {
-                list[i].setTurn(wireText(claims[i].turn));
-                list[i].setTokens(claims[i].tokens);
-                list[i].setSettled(claims[i].settled);
-            }
+            writeClaims(results, this->member.table.claimsOf(claim->program), claim->claim.turn);
         }
         if (params.getWithChain()) {
             const TurnChain chain =
@@ -157,6 +166,19 @@
         return status == Wire::HistoryStatus::OK;
     }
 
+    /** @p ownTurn is the id that the caller has sent, which the table may hold in another form. */
+    static void writeClaims(Wire::HistoryStore::BeginResults::Builder results, const std::vector<TokenClaim> &claims,
+        const std::string &ownTurn)
+    {
+        const std::string ownIndexed = indexedId(ownTurn);
+        auto list = results.initClaims(static_cast<unsigned>(claims.size()));
+        for (unsigned i = 0; i < claims.size(); ++i) {
+            list[i].setTurn(wireText(claims[i].turn == ownIndexed ? ownTurn : claims[i].turn));
+            list[i].setTokens(claims[i].tokens);
+            list[i].setSettled(claims[i].settled);
+        }
+    }
+
     template<typename Results>
     static void writeChain(Results &results, const TurnChain &chain)
     {
@@ -192,6 +214,8 @@
     , log(files, settings.segmentBytes)
     , maxIndexBytes(settings.maxIndexBytes)
     , maxLogBytes(settings.maxLogBytes)
+    , fullIndexBytes(settings.fullIndexBytes)
+    , fullLogBytes(settings.fullLogBytes)
     , viewTtlMs(settings.viewTtlMs)
 {
 }
@@ -231,20 +255,60 @@
         return done;
     }
     this->ownIdentity = identityFile.identity();
-    done = this->log.open(folder, [this](std::string_view bytes, const RecordLocation &location) {
+    done = this->readLog(folder);
+    this->logBytes = this->log.bytes();
+    logEvent(EventKind::StorageOpened,
+        {{"identity", this->ownIdentity}, {"turns", std::to_string(this->table.turnCount())},
+            {"view", std::to_string(this->table.highestSeenView())}});
+    return done;
+}
+
+HistoryRoom HistoryMemberDaemon::room() const
+{
+    const std::size_t indexBytes = this->table.indexBytes();
+    if (indexBytes > this->fullIndexBytes || this->logBytes > this->fullLogBytes) {
+        return HistoryRoom::None;
+    }
+    const bool isScarce = indexBytes > this->maxIndexBytes || this->logBytes > this->maxLogBytes;
+    return isScarce ? HistoryRoom::Scarce : HistoryRoom::Free;
+}
+
+Result<void> HistoryMemberDaemon::readLog(const std::string &folder)
+{
+    std::uint64_t newestMs = 0; // Latest arrival of a record, by the clocks of the processes that wrote the log.
+    bool isTooLarge = false;
+    const auto visit = [&](std::string_view bytes, const RecordLocation &location, std::uint64_t expiredBeforeMs) {
         HistoryRecord record = decodeRecord(bytes);
+        const std::uint64_t keepMs = keepMsOf(record);
+        const std::uint64_t loggedExpiryMs = this->expiryMsOf(record);
+        newestMs = keepMs == 0 ? newestMs : std::max(newestMs, loggedExpiryMs - std::min(loggedExpiryMs, keepMs));
         this->setOwnExpiry(record);
+        isTooLarge = isTooLarge || this->table.indexBytes() > this->fullIndexBytes;
+        const bool wasExpired = keepMs != 0 && loggedExpiryMs < expiredBeforeMs;
+        const bool isSkipped = isTooLarge && (expiredBeforeMs == 0 || wasExpired);
+        if (isSkipped && !std::holds_alternative<SeenView>(record)) {
+            return this->expiryMsOf(record);
+        }
         this->table.apply(record);
         if (const auto *turn = std::get_if<KeptTurn>(&record)) {
             this->table.place(turn->id, location);
         }
         return this->expiryMsOf(record);
+    };
+    Result<void> done = this->log.open(folder, [&](std::string_view bytes, const RecordLocation &location) {
+        return visit(bytes, location, 0);
     });
-    this->logBytes = this->log.bytes();
+    if (!done || !isTooLarge) {
+        return done;
+    }
+    // Segments also hold records that had expired before the process ended, but not those after them.
     logEvent(EventKind::StorageOpened,
-        {{"identity", this->ownIdentity}, {"turns", std::to_string(this->table.turnCount())},
-            {"view", std::to_string(this->table.highestSeenView())}});
-    return done;
+        {{"what", "more than memory holds, without expired records"},
+            {"turns", std::to_string(this->table.turnCount())}, {"newest", std::to_string(newestMs)}});
+    this->table.clear();
+    return this->log.forEachRecord([&](std::string_view bytes, const RecordLocation &location) {
+        return visit(bytes, location, newestMs);
+    });
 }
 
 void HistoryMemberDaemon::start()
@@ -323,6 +387,10 @@
 void HistoryMemberDaemon::addRecord(HistoryRecord record)
 {
     this->setOwnExpiry(record);
+    if (auto *claim = std::get_if<ProgramClaim>(&record)) {
+        claim->program = indexedId(claim->program);
+        claim->claim.turn = indexedId(claim->claim.turn);
+    }
     if (this->table.apply(record)) {
         this->logRecord(record);
     }
@@ -352,7 +420,7 @@
     }
     const std::uint64_t expiresMs = this->expiryMsOf(record);
     const auto *turn = std::get_if<KeptTurn>(&record);
-    this->collected.push_back({encodeRecord(record), expiresMs, turn == nullptr ? std::string() : turn->id});
+    this->collected.push_back({encodeRecord(record), expiresMs, turn == nullptr ? std::string() : indexedId(turn->id)});
     if (const auto *seen = std::get_if<SeenView>(&record)) {
         // A renewal follows the first record of the same view, which is durable by then or in an earlier batch.
         this->viewBatch = seen->version > this->viewInBatch ? this->lastBatch : this->viewBatch;
--- a/src/history/history_member_base.h
+++ b/src/history/history_member_base.h
@@ -35,6 +35,15 @@
     std::size_t cacheBytes = 32U << 20U; ///< Size of the turns that are kept in memory besides the log.
     std::size_t maxIndexBytes = 64U << 20U; ///< Size of the index from which on new programs are refused.
     std::uint64_t maxLogBytes = 1ULL << 40U; ///< Size of the log from which on new programs are refused.
+    std::size_t fullIndexBytes = 96U << 20U; ///< Size of the index from which on all turns are refused.
+    std::uint64_t fullLogBytes = 1ULL << 41U; ///< Size of the log from which on all turns are refused.
+};
+
+/** How much room a history member has. */
+enum class HistoryRoom : std::uint8_t {
+    Free, ///< All turns are stored.
+    Scarce, ///< Only turns of programs that have begun are stored.
+    None, ///< No turn is stored any more.
 };
 
 /** Used by the control thread only. */
@@ -67,11 +76,8 @@
     /** Whether a call addressed to @p calledIdentity under view version @p view may be served. Records a newer version,
      * after which calls under older ones are rejected. */
     [[nodiscard]] Wire::HistoryStatus checkCall(const std::string &calledIdentity, std::uint64_t view);
-    /** Whether memory or disk are nearly used up. What is stored stays, and what continues it is still stored. */
-    [[nodiscard]] bool isFull() const
-    {
-        return this->table.indexBytes() > this->maxIndexBytes || this->logBytes > this->maxLogBytes;
-    }
+    /** How much room memory and disk leave. What is stored stays in any case. */
+    [[nodiscard]] HistoryRoom room() const;
     /** Adds a record that changes the table; a record that is stored already is ignored. */
     void addRecord(HistoryRecord record);
     /** A turn that @p records continue and that this member lacks; empty for none. */
@@ -106,6 +112,9 @@
         kj::Own<kj::PromiseFulfiller<void>> fulfiller; ///< Resolves `durable`.
     };
 
+    /** Applies the records of the log. If they are more than this member may hold, those that had expired when the last
+     * record was written are left out. Errors: StorageFailed, StorageCorrupt. */
+    [[nodiscard]] Result<void> readLog(const std::string &folder);
     /** Adds a record of the table to the log. */
     void logRecord(const HistoryRecord &record);
     /** Reads a turn from the log. Errors: StorageFailed, StorageCorrupt. */
@@ -141,6 +150,8 @@
     std::uint64_t logBytes = 0; ///< Size of the log.
     const std::size_t maxIndexBytes; ///< See HistoryMemberSettings.
     const std::uint64_t maxLogBytes; ///< See HistoryMemberSettings.
+    const std::size_t fullIndexBytes; ///< See HistoryMemberSettings.
+    const std::uint64_t fullLogBytes; ///< See HistoryMemberSettings.
     bool isRenewing = false; ///< Records are being renewed; see `renew`.
     std::vector<HistoryLogThread::LogRecord> collected; ///< Records of the last batch until they are written.
     std::deque<Batch> batches; ///< Batches that are not durable yet, oldest first.
--- a/src/history/history_table_base.cpp
+++ b/src/history/history_table_base.cpp
@@ -6,6 +6,7 @@
 
 #include <capnp/message.h>
 
+#include "history/record_id_func.h"
 #include "rpc/message_func.h"
 
 namespace Chestnuthook
@@ -18,9 +19,22 @@
 constexpr std::uint64_t RepetitionShare = 8;
 constexpr std::size_t RecordOverheadBytes = 100; ///< Of a record in memory or in a message, besides its texts.
 
+/** Sizes of entries on a 64-bit machine, with the overhead of the heap but without the ids. */
+constexpr std::size_t IndexBytesPerRecord = 300;
+constexpr std::size_t IndexBytesPerProgram = 160;
+constexpr std::size_t IndexBytesPerAbsentTurn = 80;
+
 std::size_t bytesOfTurn(const KeptTurn &turn)
 {
-    return turn.input.size() + turn.output.size() + RecordOverheadBytes;
+    return turn.id.size() + turn.previous.size() + turn.input.size() + turn.output.size() + RecordOverheadBytes;
+}
+
+/** What @p text takes on the heap. Short strings take nothing. */
+std::size_t heapBytes(const std::string &text)
+{
+    static const std::size_t shortCapacity = std::string().capacity();
+    constexpr std::size_t BlockOverheadBytes = 16;
+    return text.capacity() <= shortCapacity ? 0 : text.capacity() + BlockOverheadBytes;
 }
 
 } // namespace
@@ -93,22 +107,24 @@
 bool HistoryTable::apply(const HistoryRecord &record)
 {
     if (const auto *turn = std::get_if<KeptTurn>(&record)) {
-        auto [at, isNew] = this->turns.try_emplace(turn->id);
+        auto [at, isNew] = this->turns.try_emplace(indexedId(turn->id));
         TurnEntry &entry = at->second;
         if (!isNew && turn->expiresMs <= entry.loggedMs + turn->keepMs / RepetitionShare) {
             return false;
         }
         if (isNew) {
             entry.turn = std::make_shared<KeptTurn>(*turn);
-            entry.previous = turn->previous;
+            entry.previous = indexedId(turn->previous);
             entry.customer = &*this->customers.insert(turn->customer).first;
             this->arrivals.emplace(this->nextPosition++, RecordKey{nullptr, &at->first});
-            const auto expected = this->absent.extract(turn->id);
+            const auto expected = this->absent.extract(at->first);
             entry.expiresMs = expected.empty() ? 0 : expected.mapped();
+            this->indexSize -= expected.empty() ? 0 : IndexBytesPerAbsentTurn + heapBytes(expected.key());
+            this->addTurnSize(at->first, entry);
         }
         entry.loggedMs = turn->expiresMs;
         entry.expiresMs = std::max(entry.expiresMs, turn->expiresMs);
-        this->keepChain(turn->previous, turn->customer, entry.expiresMs);
+        this->keepChain(entry.previous, turn->customer, entry.expiresMs);
         return true;
     }
     if (const auto *seen = std::get_if<SeenView>(&record)) {
@@ -118,25 +134,54 @@
     if (claim.program.empty()) { // A begin call of a turn without a budget.
         return false;
     }
-    const auto program = this->claims.try_emplace(claim.program).first;
-    auto [entry, isNew] = program->second.try_emplace(claim.claim.turn);
-    if (isNew) {
-        this->arrivals.emplace(this->nextPosition++, RecordKey{&program->first, &entry->first});
-    }
-    if (!isNew && (!claim.claim.settled || entry->second.claim == claim.claim)) {
+    const auto [program, isNewProgram] = this->claims.try_emplace(indexedId(claim.program));
+    this->indexSize += isNewProgram ? IndexBytesPerProgram + heapBytes(program->first) : 0;
+    auto [at, isNew] = program->second.try_emplace(indexedId(claim.claim.turn));
+    ClaimEntry &entry = at->second;
+    const bool isKnown = entry.claim.settled == claim.claim.settled && entry.claim.tokens == claim.claim.tokens;
+    if (!isNew && (!claim.claim.settled || isKnown)) {
         return false;
     }
-    entry->second = ClaimEntry{claim.claim, claim.expiresMs, claim.keepMs};
+    entry.claim.tokens = claim.claim.tokens;
+    entry.claim.settled = claim.claim.settled;
+    entry.expiresMs = claim.expiresMs;
+    entry.keepMs = claim.keepMs;
+    if (isNew) {
+        entry.claim.turn = at->first;
+        this->arrivals.emplace(this->nextPosition++, RecordKey{&program->first, &at->first});
+        this->addClaimSize(at->first, entry);
+    }
     return true;
 }
 
+void HistoryTable::addTurnSize(const std::string &id, const TurnEntry &entry)
+{
+    this->indexSize += IndexBytesPerRecord + heapBytes(id) + heapBytes(entry.previous);
+}
+
+void HistoryTable::removeTurnSize(const std::string &id, const TurnEntry &entry)
+{
+    this->indexSize -= IndexBytesPerRecord + heapBytes(id) + heapBytes(entry.previous);
+}
+
+void HistoryTable::addClaimSize(const std::string &id, const ClaimEntry &entry)
+{
+    this->indexSize += IndexBytesPerRecord + heapBytes(id) + heapBytes(entry.claim.turn);
+}
+
+void HistoryTable::removeClaimSize(const std::string &id, const ClaimEntry &entry)
+{
+    this->indexSize -= IndexBytesPerRecord + heapBytes(id) + heapBytes(entry.claim.turn);
+}
+
 void HistoryTable::keepChain(std::string id, const std::string &customer, std::uint64_t expiresMs)
 {
     while (!id.empty()) {
         const auto known = this->turns.find(id);
         if (known == this->turns.end()) {
-            std::uint64_t &expected = this->absent[id];
-            expected = std::max(expected, expiresMs);
+            const auto [expected, isNew] = this->absent.try_emplace(id);
+            expected->second = std::max(expected->second, expiresMs);
+            this->indexSize += isNew ? IndexBytesPerAbsentTurn + heapBytes(expected->first) : 0;
             return;
         }
         TurnEntry &entry = known->second;
@@ -151,7 +196,7 @@
 
 void HistoryTable::place(const std::string &turn, const RecordLocation &location)
 {
-    const auto known = this->turns.find(turn);
+    const auto known = this->turns.find(indexedId(turn));
     if (known == this->turns.end() || this->reader == nullptr) {
         return;
     }
@@ -222,40 +267,64 @@
 
 void HistoryTable::expire(std::uint64_t nowMs)
 {
-    std::erase_if(this->absent, [nowMs](const auto &expected) {
-        return expected.second < nowMs;
+    std::erase_if(this->absent, [this, nowMs](const auto &expected) {
+        const bool expired = expected.second < nowMs;
+        this->indexSize -= expired ? IndexBytesPerAbsentTurn + heapBytes(expected.first) : 0;
+        return expired;
     });
-    for (auto at = this->arrivals.begin(); at != this->arrivals.end();) {
-        const RecordKey &key = at->second;
-        bool expired = false;
+    std::erase_if(this->arrivals, [this, nowMs](const auto &arrival) {
+        const RecordKey &key = arrival.second;
         if (key.program == nullptr) {
-            const auto turn = this->turns.find(*key.turn);
-            expired = turn->second.expiresMs < nowMs;
+            const bool expired = this->turns.at(*key.turn).expiresMs < nowMs;
             if (expired) {
-                if (turn->second.isCached()) {
-                    this->dropFromCache(turn->second);
-                }
-                this->turns.erase(turn);
-            }
-        } else {
-            const auto program = this->claims.find(*key.program);
-            const auto claim = program->second.find(*key.turn);
-            expired = claim->second.expiresMs < nowMs;
-            if (expired) {
-                program->second.erase(claim);
-            }
-            if (program->second.empty()) {
-                this->claims.erase(program);
+                this->eraseTurn(*key.turn);
             }
+            return expired;
+        }
+        const bool expired = this->claims.at(*key.program).at(*key.turn).expiresMs < nowMs;
+        if (expired) {
+            this->eraseClaim(key);
         }
-        at = expired ? this->arrivals.erase(at) : std::next(at);
+        return expired;
+    });
+}
+
+void HistoryTable::clear()
+{
+    this->expire(std::numeric_limits<std::uint64_t>::max());
+}
+
+void HistoryTable::eraseTurn(const std::string &id)
+{
+    const auto turn = this->turns.find(id);
+    if (turn->second.isCached()) {
+        this->dropFromCache(turn->second);
+    }
+    this->removeTurnSize(turn->first, turn->second);
+    this->turns.erase(turn);
+}
+
+void HistoryTable::eraseClaim(const RecordKey &key)
+{
+    const auto program = this->claims.find(*key.program);
+    const auto claim = program->second.find(*key.turn);
+    this->removeClaimSize(claim->first, claim->second);
+    program->second.erase(claim);
+    if (program->second.empty()) {
+        this->indexSize -= IndexBytesPerProgram + heapBytes(program->first);
+        this->claims.erase(program);
     }
 }
 
+bool HistoryTable::hasClaims(const std::string &program) const
+{
+    return this->claims.contains(indexedId(program));
+}
+
 std::vector<TokenClaim> HistoryTable::claimsOf(const std::string &program) const
 {
     std::vector<TokenClaim> list;
-    const auto known = this->claims.find(program);
+    const auto known = this->claims.find(indexedId(program));
     if (known != this->claims.end()) {
         for (const auto &[turn, entry] : known->second) {
             list.push_back(entry.claim);
@@ -267,9 +336,9 @@
 TurnChain HistoryTable::chain(const std::string &turn, const std::string &customer)
 {
     TurnChain chain;
-    std::string next = turn;
+    std::string next = turn; // As it was sent: members of older builds know no other form.
     while (!next.empty()) {
-        const auto known = this->turns.find(next);
+        const auto known = this->turns.find(indexedId(next));
         const bool isKnown = known != this->turns.end() && *known->second.customer == customer;
         const auto loaded = isKnown ? this->load(known->second) : nullptr;
         if (loaded == nullptr) {
@@ -285,7 +354,7 @@
 
 std::string HistoryTable::missingInChain(const std::string &turn, const std::string &customer) const
 {
-    std::string next = turn;
+    std::string next = indexedId(turn);
     while (!next.empty()) {
         const auto known = this->turns.find(next);
         if (known == this->turns.end() || *known->second.customer != customer) {
--- a/src/history/history_table_base.h
+++ b/src/history/history_table_base.h
@@ -81,7 +81,7 @@
 /** Reads a turn that was placed in the log. Errors: StorageFailed, StorageCorrupt. */
 using TurnReader = std::function<Result<KeptTurn>(const RecordLocation &)>;
 
-/** All times are those of one clock of its owner. */
+/** All times are those of one clock of its owner. Ids are those of `indexedId`, whatever ids are passed in. */
 class HistoryTable
 {
 public:
@@ -100,13 +100,12 @@
     void place(const std::string &turn, const RecordLocation &location);
     /** Deletes records that expired before @p nowMs, in milliseconds since 1970. */
     void expire(std::uint64_t nowMs);
+    /** Deletes all records but the highest seen view. */
+    void clear();
 
     [[nodiscard]] std::vector<TokenClaim> claimsOf(const std::string &program) const;
     /** Whether the program has a claim of any turn. */
-    [[nodiscard]] bool hasClaims(const std::string &program) const
-    {
-        return this->claims.contains(program);
-    }
+    [[nodiscard]] bool hasClaims(const std::string &program) const;
     /** The chain that ends at @p turn. Turns of other customers count as missing. */
     [[nodiscard]] TurnChain chain(const std::string &turn, const std::string &customer);
     /** The first turn of that chain, from its end, that isn't stored here; empty if the chain is complete. */
@@ -140,10 +139,10 @@
     {
         return this->cacheSize;
     }
-    /** Estimated size of the index without the turns' texts, in bytes. */
+    /** Size of the index without the turns' texts, in bytes: what its entries and their ids take on the heap. */
     [[nodiscard]] std::size_t indexBytes() const
     {
-        return this->arrivals.size() * IndexBytesPerRecord;
+        return this->indexSize;
     }
     [[nodiscard]] std::uint64_t highestSeenView() const
     {
@@ -187,8 +186,14 @@
         const std::string *turn = nullptr; ///< Request id of the turn.
     };
 
-    /** Measured on a 64-bit machine with ids of 16 characters. */
-    static constexpr std::size_t IndexBytesPerRecord = 400;
+    /** Adds the size of an entry to `indexSize`, or subtracts it. */
+    void addTurnSize(const std::string &id, const TurnEntry &entry);
+    void removeTurnSize(const std::string &id, const TurnEntry &entry);
+    void addClaimSize(const std::string &id, const ClaimEntry &entry);
+    void removeClaimSize(const std::string &id, const ClaimEntry &entry);
+    /** Deletes a turn or claim that has expired. */
+    void eraseTurn(const std::string &id);
+    void eraseClaim(const RecordKey &key);
 
     /** The turn of @p entry, read from the log if it isn't in memory; null if that fails. */
     std::shared_ptr<const KeptTurn> load(TurnEntry &entry);
@@ -204,6 +209,7 @@
     std::size_t cacheSize = 0; ///< Bytes of the turns in `cache`.
     TurnCache cache; ///< Turns in memory that the log holds, too.
     std::uint64_t readFailures = 0; ///< See `failedReads`.
+    std::size_t indexSize = 0; ///< See `indexBytes`.
     std::set<std::string> customers; ///< All customers that have owned turns.
     std::unordered_map<std::string, TurnEntry> turns; ///< By id.
     std::unordered_map<std::string, std::uint64_t>
--- a/tests/support/history_member_thread.cpp
+++ b/tests/support/history_member_thread.cpp
@@ -64,6 +64,7 @@
     settings.cacheBytes = this->cacheBytes;
     settings.maxIndexBytes = this->maxIndexBytes;
     settings.maxLogBytes = this->maxLogBytes;
+    settings.fullIndexBytes = this->fullIndexBytes;
     HistoryMemberDaemon daemon(loop, watcher, this->files, settings);
     const Result<void> opened = daemon.open(Folder, this->name);
     if (!opened) {
--- a/tests/support/history_member_thread.h
+++ b/tests/support/history_member_thread.h
@@ -43,6 +43,7 @@
     std::size_t cacheBytes = HistoryMemberSettings().cacheBytes; ///< See HistoryMemberSettings.
     std::size_t maxIndexBytes = HistoryMemberSettings().maxIndexBytes; ///< See HistoryMemberSettings.
     std::uint64_t maxLogBytes = HistoryMemberSettings().maxLogBytes; ///< See HistoryMemberSettings.
+    std::size_t fullIndexBytes = HistoryMemberSettings().fullIndexBytes; ///< See HistoryMemberSettings.
     const std::string name; ///< Its name.
     const std::string address; ///< Its RPC address.
     HistoryMember info; ///< As it appears in a view.
--- a/tests/unit/history_store_test.cpp
+++ b/tests/unit/history_store_test.cpp
@@ -250,3 +250,78 @@
     table.expire(1000);
     BOOST_TEST(table.turnCount() == 0U);
 }
+
+/** Guards against turns that are stored although nothing is refused any more: in programs that have begun, or without a
+ * token budget. */
+BOOST_AUTO_TEST_CASE(all_turns_are_refused_before_memory_runs_out)
+{
+    SmallStore store;
+    store.start();
+    BOOST_REQUIRE(begin(*store.client, "old", "1"));
+    store.fill();
+    const auto beginKept = [&store](const std::string &previous) {
+        return store.client->runFiber([&](kj::WaitScope &scope) {
+            TurnStart request;
+            request.previous = previous;
+            request.customer = testTurn("").customer;
+            request.isKept = true;
+            return store.client->client.begin(scope, request, store.client->now() + Patience);
+        });
+    };
+    const std::string last = turnId(0, ChainLength - 1);
+    BOOST_TEST(beginKept("").has_value());
+    BOOST_TEST(beginKept(last).has_value());
+    store.client.reset();
+    store.member->stop();
+    std::size_t indexBytes = 0;
+    store.start();
+    store.member->call([&indexBytes](HistoryMemberDaemon &daemon) {
+        indexBytes = daemon.table.indexBytes();
+    });
+    store.client.reset();
+    store.member->stop();
+    store.member->maxIndexBytes = indexBytes / 2;
+    store.start();
+    BOOST_TEST(!beginKept("").has_value());
+    BOOST_TEST(beginKept(last).has_value());
+    BOOST_TEST(begin(*store.client, "old", "2").has_value());
+    store.client.reset();
+    store.member->stop();
+    store.member->fullIndexBytes = indexBytes;
+    store.start();
+    BOOST_TEST(!beginKept(last).has_value());
+    BOOST_TEST(!begin(*store.client, "old", "3").has_value());
+    store.checkMemory(); // What is stored stays.
+}
+
+/** Guards against a member that can't start any more because its log holds more records than its memory: expired ones
+ * stay in their segments for a while. */
+BOOST_AUTO_TEST_CASE(member_starts_with_a_log_that_holds_more_expired_records_than_memory)
+{
+    constexpr unsigned Turns = 400;
+    SmallStore store;
+    store.start();
+    for (unsigned i = 0; i < Turns; ++i) {
+        KeptTurn turn = testTurn("expired" + std::to_string(i));
+        BOOST_REQUIRE(store.client->write(turn, Patience));
+    }
+    const auto keepMs = static_cast<std::int64_t>(testTurn("").keepMs);
+    store.member->clockOffsetMs = 2 * keepMs;
+    store.restart();
+    for (unsigned i = 0; i < Turns; ++i) {
+        BOOST_REQUIRE(store.client->write(testTurn("live" + std::to_string(i)), Patience));
+    }
+    std::size_t indexBytes = 0;
+    store.member->call([&indexBytes](HistoryMemberDaemon &daemon) {
+        BOOST_TEST(daemon.table.turnCount() == 2 * Turns);
+        indexBytes = daemon.table.indexBytes();
+    });
+    store.member->fullIndexBytes = indexBytes * 3 / 4;
+    store.restart();
+    store.member->call([&](HistoryMemberDaemon &daemon) {
+        BOOST_TEST(daemon.table.indexBytes() <= indexBytes * 3 / 4);
+    });
+    for (unsigned i = 0; i < Turns; i += Turns / 8) {
+        BOOST_TEST(store.client->isKept("live" + std::to_string(i), Patience));
+    }
+}
--- a/tests/unit/history_table_test.cpp
+++ b/tests/unit/history_table_test.cpp
@@ -5,10 +5,12 @@
 #include <filesystem>
 #include <fstream>
 
+#include <malloc.h>
 #include <unistd.h>
 
 #include "history/history_log_base.h"
 #include "history/history_table_base.h"
+#include "history/record_id_func.h"
 
 using namespace Chestnuthook;
 
@@ -32,6 +34,21 @@
     return {"glue/p", TokenClaim{id, tokens, settled}, 1000};
 }
 
+constexpr std::size_t LongIdBytes = 14000; ///< Heads of requests may have 16 KB.
+
+/** An id of @p bytes that differs from others only in its last characters. */
+std::string idOf(unsigned number, std::size_t bytes)
+{
+    const std::string end = std::to_string(number);
+    return std::string(bytes - end.size(), 'i') + end;
+}
+
+std::size_t heapBytesInUse()
+{
+    const auto info = ::mallinfo2();
+    return info.uordblks + info.hblkhd;
+}
+
 class Folder
 {
 public:
@@ -271,3 +288,65 @@
     BOOST_REQUIRE(log.removeExpired(1001));
     BOOST_TEST(!std::filesystem::exists(folder.path / "history-1"));
 }
+
+/** Guards against ids of a client that take more memory than the index accounts for: 1,800 turns with ids of 14,000
+ * bytes once took a member over its memory. */
+BOOST_AUTO_TEST_CASE(index_accounts_for_the_memory_that_ids_take)
+{
+    constexpr unsigned Records = 2000;
+    for (const std::size_t idBytes : {std::size_t(8), std::size_t(16), MaxIndexedIdBytes, LongIdBytes}) {
+        const std::size_t before = heapBytesInUse();
+        HistoryTable table(
+            [](const RecordLocation & /*location*/) {
+                return Result<KeptTurn>(KeptTurn{});
+            },
+            0);
+        for (unsigned i = 0; i < Records; ++i) {
+            const std::string id = idOf(i, idBytes);
+            table.apply(ProgramClaim{"glue/" + id, TokenClaim{id, 10, false}, 1000});
+            table.apply(KeptTurn{id, idOf(Records + i, idBytes), "glue", "in", "out", 1000});
+            table.place(id, {1, i, 1});
+        }
+        const std::size_t used = heapBytesInUse() - before;
+        BOOST_TEST_CONTEXT("ids of " << idBytes << " bytes")
+        {
+            BOOST_TEST(used < table.indexBytes() * 5 / 4);
+            BOOST_TEST(used > table.indexBytes() / 2);
+            BOOST_TEST(table.indexBytes() < Records * 3000);
+        }
+        table.expire(2000);
+        BOOST_TEST(table.indexBytes() == 0U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(turns_and_claims_with_long_ids_are_told_apart)
+{
+    HistoryTable table;
+    const std::string first = idOf(1, LongIdBytes);
+    const std::string second = idOf(2, LongIdBytes);
+    table.apply(turn(first, ""));
+    table.apply(turn(second, first));
+    const TurnChain chain = table.chain(second, "glue");
+    BOOST_TEST(chain.missing.empty());
+    BOOST_REQUIRE(chain.turns.size() == 2U);
+    BOOST_TEST(chain.turns[0]->id == second);
+    BOOST_TEST(chain.turns[1]->id == first);
+    BOOST_TEST(table.chain(idOf(3, LongIdBytes), "glue").missing == idOf(3, LongIdBytes));
+    BOOST_TEST(table.missingInChain(second, "glue").empty());
+
+    const std::string program = "glue/" + idOf(4, LongIdBytes);
+    table.apply(ProgramClaim{program, TokenClaim{first, 10, false}, 1000});
+    table.apply(ProgramClaim{program, TokenClaim{second, 10, false}, 1000});
+    table.apply(ProgramClaim{program, TokenClaim{first, 3, true}, 1000});
+    BOOST_TEST(table.hasClaims(program));
+    BOOST_TEST(!table.hasClaims("glue/" + idOf(5, LongIdBytes)));
+    BOOST_TEST(claimedTokens({table.claimsOf(program)}, "") == 13U);
+
+    HistoryTable copy;
+    std::uint64_t position = 0;
+    for (const HistoryRecord &record : table.readFrom(position, std::size_t(1) << 30U)) {
+        copy.apply(record);
+    }
+    BOOST_TEST(copy.chain(second, "glue").turns.size() == 2U);
+    BOOST_TEST(claimedTokens({copy.claimsOf(program)}, "") == 13U);
+}
