Events keep at most 256 bytes of a value

A gateway of 88 MB could be taken over its memory by ids of 12,000 bytes: the ring of the latest 8,192 events and the queue of the log held every field whole. Longer values are cut, with a note of their size; the queue has 16,384 lines.

--- a/src/observe/log_func.cpp
+++ b/src/observe/log_func.cpp
@@ -31,7 +31,7 @@
 namespace
 {
 
-constexpr std::size_t MaxQueuedLines = 65536; ///< Per sink; further lines are dropped if the output is too slow.
+constexpr std::size_t MaxQueuedLines = 16384; ///< Per sink; further lines are dropped if the output is too slow.
 
 using Sink = boost::log::sinks::asynchronous_sink<boost::log::sinks::text_ostream_backend,
     boost::log::sinks::bounded_fifo_queue<MaxQueuedLines, boost::log::sinks::drop_on_overflow>>;
@@ -74,7 +74,7 @@
     event.kind = kind;
     event.fields.reserve(fields.size());
     for (const Field &field : fields) {
-        event.fields.emplace_back(std::string(field.name), field.value);
+        event.fields.emplace_back(std::string(field.name), loggedText(field.value));
     }
     if (state.started && eventLevel(kind) >= state.level) {
         const std::string line = formatEvent(event, static_cast<int>(getpid()));
@@ -166,6 +166,14 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
 }
 
+std::string loggedText(std::string_view value)
+{
+    if (value.size() <= MaxLoggedBytes) {
+        return std::string(value);
+    }
+    return std::string(value.substr(0, MaxLoggedBytes)) + "...(" + std::to_string(value.size()) + " bytes)";
+}
+
 std::string formatEvent(const Event &event, int pid)
 {
     std::string line = "time=" + isoTime(event.wallMs) + " hlc=" + event.hybridTime.toText()
--- a/src/observe/log_func.h
+++ b/src/observe/log_func.h
@@ -47,6 +47,11 @@
 /** Wall clock in milliseconds since 1970 UTC; only for records and display, never as a basis for decisions. */
 [[nodiscard]] std::int64_t wallMsNow();
 
+/** Longer values of fields are cut in log lines and in the ring of events. Clients choose some of them, such as ids. */
+constexpr std::size_t MaxLoggedBytes = 256;
+
+/** @p value, or its first MaxLoggedBytes and a note of its size if it is longer. */
+[[nodiscard]] std::string loggedText(std::string_view value);
 /** Formats @p event as a log line without a line break. */
 [[nodiscard]] std::string formatEvent(const Event &event, int pid);
 /** @p value, quoted and escaped if it is empty or contains spaces, quotes, `=`, `\` or control characters. */
--- a/tests/unit/log_test.cpp
+++ b/tests/unit/log_test.cpp
@@ -80,3 +80,15 @@
     hybridObserve(remote);
     BOOST_TEST((remote < hybridNow()));
 }
+
+/** Guards against events that keep ids of a client whole: 8,192 of them once took 100 MB. */
+BOOST_AUTO_TEST_CASE(long_values_are_cut_in_the_ring_of_events)
+{
+    const std::string longValue(12000, 'i');
+    BOOST_TEST(loggedText("short") == "short");
+    BOOST_TEST(loggedText(longValue) == std::string(MaxLoggedBytes, 'i') + "...(12000 bytes)");
+    logEvent(EventKind::CallEnded, {{"request", longValue}});
+    const auto events = processEvents().since(0, 100);
+    BOOST_REQUIRE(!events.empty());
+    BOOST_TEST(events.back().fields.front().second == loggedText(longValue));
+}
