A rejection without an id is believed once on a kept connection

A copy of such a rejection can only follow a response without an id, and no connection is used again after one, so the first one on a connection is believed and a second one isn't.

--- a/src/gateway/connection_pool_base.cpp
+++ b/src/gateway/connection_pool_base.cpp
@@ -53,7 +53,6 @@
 
 bool EndpointConnection::send(kj::WaitScope &scope, kj::Timer &timer, std::string_view bytes, kj::TimePoint deadline)
 {
-    this->isUsed = true;
     this->isUnanswered = true;
     this->input.setDeadline(timer, deadline);
     // write() throws synchronously on a socket that was reset; evalNow() turns that into a rejected promise.
@@ -155,7 +154,8 @@
 {
     auto &list = this->idle[address];
     this->removeUnusable(list);
-    if (!connection->input.unreadBytes().empty() || list.size() >= MaxIdleConnections) {
+    const bool isClean = connection->input.unreadBytes().empty() && !connection->hasResponseWithoutId;
+    if (!isClean || list.size() >= MaxIdleConnections) {
         return;
     }
     connection->isUnanswered = false;
--- a/src/gateway/connection_pool_base.h
+++ b/src/gateway/connection_pool_base.h
@@ -48,7 +48,7 @@
     kj::Maybe<kj::Promise<void>> closeWatch; ///< While idle, detects that the endpoint closes it or sends data.
     std::string relay; ///< Name of the gateway that relays it; empty for a direct connection.
     std::shared_ptr<void> relayUse; ///< Counts the connection at that gateway while it exists.
-    bool isUsed = false; ///< A request was sent on it.
+    bool hasResponseWithoutId = false; ///< A response that names no request was received; it must not be reused.
     bool isUnanswered = false; ///< Bytes were sent, and none received since.
     bool isInterrupted = false; ///< Its request was given up because the link to the endpoint hangs.
     bool unusable = false; ///< The endpoint closed it, or sent data that belongs to no request.
--- a/src/gateway/gateway_run.cpp
+++ b/src/gateway/gateway_run.cpp
@@ -352,7 +352,6 @@
         timeout = std::min(timeout, std::max(attemptTimeout, timeout / 2));
     }
     const kj::TimePoint attemptDeadline = timer.now() + kjDuration(timeout);
-    const AwaitedRequest awaited{call.metadata.requestId, !connection.isUsed};
     if (!connection.send(scope, timer, bytes, attemptDeadline)) {
         return timer.now() >= attemptDeadline ? AttemptResult::TimedOut : AttemptResult::Failed;
     }
@@ -375,7 +374,9 @@
         if (metadata.isLeaving) {
             this->recordLeaving(call, endpoint);
         }
-        const ResponseOwner owner = ownerOf(metadata, head.status, awaited);
+        const ResponseOwner owner =
+            ownerOf(metadata, head.status, {call.metadata.requestId, connection.hasResponseWithoutId});
+        connection.hasResponseWithoutId = connection.hasResponseWithoutId || metadata.requestId.empty();
         if (owner == ResponseOwner::Unknown) {
             call.failureReason = "response without a single request id";
             return AttemptResult::Failed;
--- a/src/gateway/response_owner_func.cpp
+++ b/src/gateway/response_owner_func.cpp
@@ -23,7 +23,7 @@
     if (!mayLackId) {
         return ResponseOwner::Earlier;
     }
-    return awaited.isFirst ? ResponseOwner::Awaited : ResponseOwner::Unknown;
+    return awaited.followsResponseWithoutId ? ResponseOwner::Unknown : ResponseOwner::Awaited;
 }
 
 } // namespace Chestnuthook
--- a/src/gateway/response_owner_func.h
+++ b/src/gateway/response_owner_func.h
@@ -30,15 +30,15 @@
 struct AwaitedRequest
 {
     std::string_view id; ///< Request id; empty if the client sent none.
-    bool isFirst = false; ///< No other request was sent on its connection before.
+    bool followsResponseWithoutId = false; ///< A response without an id was received on its connection before.
 };
 
 /** Whether a response with @p metadata and @p status says that its request was not executed and never will be. */
 [[nodiscard]] bool isRejection(const ResponseMetadata &metadata, unsigned status);
 
 /** @return the owner of a response with @p metadata and @p status that arrives while the one to @p awaited is due. An
- * endpoint that can't read a request rejects it without an id; that is believed only of the first request on a
- * connection, since a rejection of an earlier request may arrive a second time. */
+ * endpoint may reject a request without an id, as it can't read it. A second copy of such a rejection can't be told
+ * from one of the next request, so it is believed only once on a connection. */
 [[nodiscard]] ResponseOwner ownerOf(const ResponseMetadata &metadata, unsigned status, const AwaitedRequest &awaited);
 
 } // namespace Chestnuthook
