A turn without a budget doesn't wait for silent history members

Since such a turn asked whether members have room, and waited up to 1.6 s for members that stood still (turn_is_kept_if_the_history_answers_just_before_the_deadline failed). It now waits for 60 ms at most and is refused only if members say that they are full. The new test asks after the connection is made, as the answer may not take longer than that.

--- a/src/history/history_client_base.cpp
+++ b/src/history/history_client_base.cpp
@@ -307,7 +307,12 @@
         this->waitForCall(scope, quorumCall, std::min(until, this->loop.timers().now() + PreferredChainTimeout));
         quorumCall->chainAwaited = false;
     }
-    return !asksAll || this->waitForCall(scope, quorumCall, until);
+    if (claims || !asksAll) {
+        return !claims || this->waitForCall(scope, quorumCall, until);
+    }
+    // Only members that say that they have no room refuse a turn that claims nothing.
+    this->waitForCall(scope, quorumCall, std::min(until, this->loop.timers().now() + PreferredChainTimeout));
+    return !quorumCall->view.hasReadQuorum(quorumCall->full);
 }
 
 Result<void> HistoryClient::checkBudget(const QuorumCall &quorumCall, const TurnStart &start, TurnContext &context)
--- a/tests/unit/history_store_test.cpp
+++ b/tests/unit/history_store_test.cpp
@@ -282,15 +282,16 @@
     store.member->stop();
     store.member->maxIndexBytes = indexBytes / 2;
     store.start();
-    BOOST_TEST(!beginKept("").has_value());
-    BOOST_TEST(beginKept(last).has_value());
     BOOST_TEST(begin(*store.client, "old", "2").has_value());
+    BOOST_TEST(beginKept(last).has_value());
+    BOOST_TEST(!beginKept("").has_value());
     store.client.reset();
     store.member->stop();
     store.member->fullIndexBytes = indexBytes;
     store.start();
-    BOOST_TEST(!beginKept(last).has_value());
     BOOST_TEST(!begin(*store.client, "old", "3").has_value());
+    BOOST_TEST(!beginKept(last).has_value());
+    BOOST_TEST(!beginKept("").has_value());
     store.checkMemory(); // What is stored stays.
 }
 
