All daemons reach a new leader, also of a large fleet

Callers got 404 for routes that were there, and a third of the fleet served by an old configuration until its processes ended: after a change of the leader 80 of 202 daemons never reached the new one. A daemon gave up a connection that was being made after 0.1 to 0.45 s and began another one; the leader's port serves its queue in order, so that each connection had been given up when its turn came. A trial counted 350 connections accepted and challenged, and not one that proved itself.

Attempts to connect go on when their caller gives up, connections are replaced only after they were silent for the time of a watch, and daemons connect to the other control members ahead; configurations are fetched on these connections, and from any control member while no leader is heard.

--- a/src/deployment/configuration_fetcher_base.cpp
+++ b/src/deployment/configuration_fetcher_base.cpp
@@ -42,9 +42,24 @@
     }
 }
 
+void ConfigurationFetcher::poll()
+{
+    if (!this->isFetching) {
+        this->isFetching = true;
+        this->loop.detach(this->askNext(this->fetched + 1)
+                              .catch_([](kj::Exception && /*exception*/) {
+                                  // Another member is asked next time.
+                              })
+                              .then([this]() {
+                                  this->isFetching = false;
+                                  this->fetch(this->wanted);
+                              }));
+    }
+}
+
 kj::Promise<void> ConfigurationFetcher::fetchLoop()
 {
-    return this->askNext()
+    return this->askNext(this->wanted)
         .catch_([](kj::Exception &&exception) {
             logEvent(
                 EventKind::FreshnessLost, {{"what", "configuration"}, {"error", exception.getDescription().cStr()}});
@@ -60,34 +75,40 @@
         });
 }
 
-kj::Promise<void> ConfigurationFetcher::askNext()
+kj::Promise<void> ConfigurationFetcher::askNext(std::uint64_t version)
 {
     const std::vector<std::string> addresses = this->sources();
     if (addresses.empty()) {
         return kj::READY_NOW;
     }
-    auto link = std::make_shared<RpcLink>(this->loop.rpc(), addresses[this->nextSource++ % addresses.size()]);
-    auto answered = link->services().then([this](OfferedServices &&services) {
+    const std::string address = addresses[this->nextSource++ % addresses.size()];
+    auto answered = this->links.services(address).then([version](OfferedServices &&services) {
         auto request = services.deployment.castAs<Wire::Deployment>().configurationRequest();
-        request.setAtLeast(this->wanted);
+        request.setAtLeast(version);
         return request.send();
     });
     return this->loop.kjTimer()
         .timeoutAfter(AnswerTimeout, kj::mv(answered))
-        .then([this](auto &&response) {
-            if (response.getVersion() <= this->fetched) {
-                return; // The member doesn't have the version yet.
-            }
-            Result<std::string> document = decompressDocument(bytesOf(response.getCompressed()));
-            if (!document) {
-                logEvent(EventKind::FreshnessLost, {{"what", "configuration"}, {"error", errorText(document.error())}});
-                return;
-            }
-            this->fetched = response.getVersion();
-            this->nextSource = 0;
-            this->onFetched(this->fetched, std::move(*document));
-        })
-        .attach(std::shared_ptr<RpcLink>(link));
+        .then(
+            [this, address](auto &&response) {
+                this->links.recordAnswer(address);
+                if (response.getVersion() <= this->fetched) {
+                    return; // The member doesn't have the version yet.
+                }
+                Result<std::string> document = decompressDocument(bytesOf(response.getCompressed()));
+                if (!document) {
+                    logEvent(
+                        EventKind::FreshnessLost, {{"what", "configuration"}, {"error", errorText(document.error())}});
+                    return;
+                }
+                this->fetched = response.getVersion();
+                this->nextSource = 0;
+                this->onFetched(this->fetched, std::move(*document));
+            },
+            [this, address](kj::Exception &&exception) {
+                this->links.recordFailure(address, exception, SilenceTimeout);
+                kj::throwRecoverableException(kj::mv(exception));
+            });
 }
 
 } // namespace Chestnuthook
--- a/src/deployment/configuration_fetcher_base.h
+++ b/src/deployment/configuration_fetcher_base.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "deployment/control_links_base.h"
 #include "deployment/instance_registry_base.h"
 #include "rpc/control_loop_base.h"
 
@@ -23,8 +24,10 @@
 class ConfigurationFetcher
 {
 public:
-    explicit ConfigurationFetcher(ControlLoop &loop)
+    /** @p links must outlive this object. */
+    ConfigurationFetcher(ControlLoop &loop, ControlLinks &links)
         : loop(loop)
+        , links(links)
     {
     }
     ConfigurationFetcher(const ConfigurationFetcher &) = delete;
@@ -32,6 +35,9 @@
 
     /** Asks one control member after another until `onFetched` was called for @p version or a newer one. */
     void fetch(std::uint64_t version);
+    /** Asks one control member for a version newer than the last one fetched. For daemons without contact to a leader,
+     * which would tell them: followers may know less, but are asked again and again. */
+    void poll();
 
     std::function<std::vector<std::string>()> sources; ///< RPC addresses in the order in which to ask them.
     std::function<void(std::uint64_t version, std::string document)> onFetched; ///< Called for each new version.
@@ -39,16 +45,20 @@
 private:
     /** Time limit for the answer of one member, including the connection. */
     static constexpr auto AnswerTimeout = 800 * kj::MILLISECONDS;
+    /** A connection on which nothing was answered for this long is replaced. */
+    static constexpr Duration SilenceTimeout = std::chrono::milliseconds(800);
     /** Pause after a member that doesn't have the version yet, or can't be reached. */
     static constexpr auto RetryDelay = 30 * kj::MILLISECONDS;
 
     kj::Promise<void> fetchLoop();
-    kj::Promise<void> askNext();
+    /** Asks the next member for @p version or a newer one. */
+    kj::Promise<void> askNext(std::uint64_t version);
 
     ControlLoop &loop; ///< Must outlive this object.
+    ControlLinks &links; ///< Connections to control members.
     std::uint64_t wanted = 0; ///< Newest version that is known to exist.
     std::uint64_t fetched = 0; ///< Newest version that was fetched.
-    bool isFetching = false; ///< `fetchLoop` runs.
+    bool isFetching = false; ///< `fetchLoop` runs, or a call of `poll`.
     std::size_t nextSource = 0; ///< Index of the source to ask next, modulo their number.
 };
 
--- a/src/deployment/deployment_watcher_base.cpp
+++ b/src/deployment/deployment_watcher_base.cpp
@@ -24,7 +24,8 @@
 } // namespace
 
 DeploymentWatcher::DeploymentWatcher(ControlLoop &loop, std::vector<std::string> seeds)
-    : loop(loop)
+    : links(loop)
+    , loop(loop)
     , seeds(std::move(seeds))
 {
 }
@@ -61,13 +62,16 @@
     return this->hasLeaderContact() ? this->view.instances : std::vector<InstanceInfo>();
 }
 
-RpcLink &DeploymentWatcher::linkTo(const std::string &address)
+std::vector<std::string> DeploymentWatcher::controlAddresses() const
 {
-    auto &link = this->links[address];
-    if (link == nullptr) {
-        link = std::make_unique<RpcLink>(this->loop.rpc(), address);
+    const std::string own = this->describeSelf().rpcAddress;
+    std::vector<std::string> addresses;
+    for (const InstanceInfo &instance : this->view.instances) {
+        if (instance.role == Wire::InstanceRole::CONTROL && instance.rpcAddress != own) {
+            addresses.push_back(instance.rpcAddress);
+        }
     }
-    return *link;
+    return addresses;
 }
 
 void DeploymentWatcher::selectNextTarget()
@@ -88,6 +92,26 @@
     }
 }
 
+void DeploymentWatcher::handleFailure(const kj::Exception &exception)
+{
+    const Instant now = this->loop.timers().now();
+    const bool isDropped =
+        this->links.recordFailure(this->target, exception, SilenceTimeout + (this->watchWait - MinWatchWait));
+    const bool wasLeader = this->view.leader == this->target;
+    if (wasLeader || now - this->failureLoggedAt >= FailureLogInterval) {
+        this->failureLoggedAt = wasLeader ? this->failureLoggedAt : now;
+        logEvent(EventKind::PeerLost,
+            {{"peer", this->target}, {"role", wasLeader ? "control leader" : "control member"},
+                {"cause", exception.getDescription().cStr()}, {"connection", isDropped ? "dropped" : "kept"}});
+    }
+    this->answerDue = Instant(0);
+    if (wasLeader) {
+        this->view.leader.clear();
+    }
+    this->failedProbes = std::min(this->failedProbes + 1, MaxProbeSteps);
+    this->selectNextTarget();
+}
+
 kj::Promise<void> DeploymentWatcher::watchLoop()
 {
     if (this->isPaused && this->isPaused()) {
@@ -98,15 +122,7 @@
     }
     return this->watchOnce()
         .catch_([this](kj::Exception &&exception) {
-            this->answerDue = Instant(0);
-            this->linkTo(this->target).reset();
-            if (this->view.leader == this->target) {
-                logEvent(EventKind::PeerLost,
-                    {{"peer", this->target}, {"role", "control leader"}, {"cause", exception.getDescription().cStr()}});
-                this->view.leader.clear();
-            }
-            this->failedProbes = std::min(this->failedProbes + 1, MaxProbeSteps);
-            this->selectNextTarget();
+            this->handleFailure(exception);
             return this->loop.kjTimer().afterDelay(RetryDelay);
         })
         .then([this]() {
@@ -118,7 +134,7 @@
 {
     const bool waits = this->target == this->view.leader && !this->isReportPending;
     this->isReportPending = false;
-    auto called = this->linkTo(this->target).services().then([this, waits](OfferedServices &&services) {
+    auto called = this->links.services(this->target).then([this, waits](OfferedServices &&services) {
         auto request = services.deployment.castAs<Wire::Deployment>().watchRequest();
         const InstanceInfo info = this->describeSelf();
         auto report = request.initReport();
@@ -172,6 +188,7 @@
                         .timeoutAfter(kjDuration(left), kj::mv(called))
                         .then([this](auto &&response) -> kj::Promise<void> {
                             this->answerDue = Instant(0);
+                            this->links.recordAnswer(this->target);
                             const auto update = response.getUpdate();
                             if (update.getTerm() != 0 && update.getTerm() >= this->view.term) {
                                 this->applyUpdate(update);
@@ -244,6 +261,7 @@
     if (isNewer && !hasPart(parts, UpdatePart::Configuration) && this->onNewConfiguration) {
         this->onNewConfiguration(this->view.newestConfiguration);
     }
+    this->links.connectAhead(this->controlAddresses());
 }
 
 void DeploymentWatcher::applyInstances(Wire::Update::Reader update)
@@ -284,8 +302,7 @@
 kj::Promise<std::set<std::string>> DeploymentWatcher::requestServiceVersions(const std::string &service)
 {
     KJ_REQUIRE(!this->view.leader.empty(), "no leader of the control members is known");
-    return this->linkTo(this->view.leader)
-        .services()
+    return this->links.services(this->view.leader)
         .then([service](OfferedServices &&services) {
             auto request = services.deployment.castAs<Wire::Deployment>().serviceVersionsRequest();
             request.setService(wireText(service));
@@ -306,7 +323,7 @@
 {
     KJ_REQUIRE(!this->view.leader.empty(), "no leader of the control members is known");
     auto called =
-        this->linkTo(this->view.leader).services().then([this, customers, endpoints](OfferedServices &&services) {
+        this->links.services(this->view.leader).then([this, customers, endpoints](OfferedServices &&services) {
             auto request = services.deployment.castAs<Wire::Deployment>().creditRequest();
             request.setInstance(wireText(this->describeSelf().name));
             auto list = request.initWanted(static_cast<unsigned>(customers.size()));
--- a/src/deployment/deployment_watcher_base.h
+++ b/src/deployment/deployment_watcher_base.h
@@ -11,6 +11,7 @@
 
 #include "core/timer_base.h"
 #include "deployment/configuration_type.h"
+#include "deployment/control_links_base.h"
 #include "deployment/credit_pool_base.h"
 #include "deployment/endpoint_limit_type.h"
 #include "deployment/endpoint_list_type.h"
@@ -120,6 +121,7 @@
     std::function<void(std::uint32_t)> onUpdate; ///< Called with the UpdatePart bits that changed. May be empty.
 
     DeploymentView view; ///< Read by the daemon; modified only here.
+    ControlLinks links; ///< Connections to control members.
 
 private:
     /** Contact timeout while watches wait for MinWatchWait. */
@@ -135,6 +137,9 @@
     static constexpr Duration ProbeTimeout = std::chrono::milliseconds(100);
     static constexpr Duration ProbeTimeoutStep = std::chrono::milliseconds(50);
     static constexpr unsigned MaxProbeSteps = 8;
+    /** A connection on which nothing was answered for this long is replaced, while watches wait for MinWatchWait. */
+    static constexpr Duration SilenceTimeout = WatchTimeout;
+    static constexpr Duration FailureLogInterval = std::chrono::seconds(1);
     static constexpr auto RetryDelay = 20 * kj::MILLISECONDS;
     /** A later answer would bring credit that has expired. */
     static constexpr Duration CreditTimeout = CreditTtl;
@@ -143,14 +148,17 @@
     kj::Promise<void> watchOnce();
     void applyUpdate(Wire::Update::Reader update);
     void applyInstances(Wire::Update::Reader update);
+    /** RPC addresses of the control members, as last received, without this daemon's own. */
+    [[nodiscard]] std::vector<std::string> controlAddresses() const;
     void selectNextTarget();
-    RpcLink &linkTo(const std::string &address);
+    /** Records that the watch at `target` failed, and turns to another member. */
+    void handleFailure(const kj::Exception &exception);
 
     ControlLoop &loop; ///< Must outlive this object.
     std::vector<std::string> seeds; ///< RPC addresses of control members, from the settings.
     std::string target; ///< RPC address of the member to call next.
     std::size_t nextCandidate = 0; ///< Index of the known address to try next, modulo their number.
-    std::map<std::string, std::unique_ptr<RpcLink>> links; ///< Connections by RPC address.
+    Instant failureLoggedAt{0}; ///< When a failure of a member that isn't known to lead was last logged.
     std::uint64_t endpointsVersion = 0; ///< Valid within `view.term`.
     std::uint64_t instancesVersion = 0; ///< Valid within `view.term`.
     std::uint64_t quarantineVersion = 0; ///< Valid within `view.term`.
--- a/src/gateway/gateway_base.cpp
+++ b/src/gateway/gateway_base.cpp
@@ -270,6 +270,22 @@
     call.exchange.respond(scope, status, std::move(fields));
 }
 
+bool Gateway::isConfigurationCurrent() const
+{
+    return this->watcher.hasLeaderContact() && this->configuration != nullptr
+        && this->configuration->version >= this->watcher.view.newestConfiguration;
+}
+
+void Gateway::rejectDisallowed(kj::WaitScope &scope, Call &call, unsigned status, std::string_view reason)
+{
+    if (this->isConfigurationCurrent()) {
+        this->reject(scope, call, status, reason, 0);
+    } else {
+        this->reject(scope, call, HttpStatus::Unavailable,
+            std::string(reason) + ", in a configuration that may be outdated", ShortRetryAfterSeconds);
+    }
+}
+
 bool Gateway::admit(kj::WaitScope &scope, Call &call)
 {
     if (call.configuration == nullptr) {
@@ -289,13 +305,13 @@
     const std::string *host = call.exchange.head.fields.find("Host");
     call.route = host == nullptr ? nullptr : call.configuration->findRoute(*host, call.exchange.head.path());
     if (call.route == nullptr) {
-        this->reject(scope, call, HttpStatus::NotFound, "no route", 0);
+        this->rejectDisallowed(scope, call, HttpStatus::NotFound, "no route");
         return false;
     }
     if (!call.configuration->customers.empty()) {
         call.customer = call.configuration->findCustomer(call.metadata.key);
         if (call.customer == nullptr && !call.route->isPublic) {
-            this->reject(scope, call, HttpStatus::Unauthorized, "unknown key", 0);
+            this->rejectDisallowed(scope, call, HttpStatus::Unauthorized, "unknown key");
             return false;
         }
     }
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -72,9 +72,10 @@
     /** Handles a client request and sends its response. */
     void handleRequest(kj::WaitScope &scope, HttpExchange &exchange);
 
+    /** Whether this gateway knows the configuration and the endpoints, and isn't stopping. */
     [[nodiscard]] bool isReady() const
     {
-        return this->configuration != nullptr && !this->draining;
+        return this->configuration != nullptr && this->watcher.view.term != 0 && !this->draining;
     }
     [[nodiscard]] HttpLimits limits() const;
     /** A large body isn't read if its request will be refused. While memory is short it waits until the deadline. */
@@ -127,6 +128,11 @@
     };
 
     [[nodiscard]] bool admit(kj::WaitScope &scope, Call &call);
+    /** Rejects a request that the configuration in force doesn't allow; with a status that lets the client try again if
+     * there may be a newer configuration. */
+    void rejectDisallowed(kj::WaitScope &scope, Call &call, unsigned status, std::string_view reason);
+    /** Whether the configuration in force is the newest one, as far as a leader has told lately. */
+    [[nodiscard]] bool isConfigurationCurrent() const;
     /** Selects the service of the request, and for a resumed stream the version at which it may go on. */
     [[nodiscard]] bool selectOrigin(kj::WaitScope &scope, Call &call);
     /** Service and version at which every stream of @p route began, if the leader confirms that there is only one. */
--- a/src/rpc/connection_acceptor_base.cpp
+++ b/src/rpc/connection_acceptor_base.cpp
@@ -67,6 +67,7 @@
             }
             this->handler(kj::mv(stream));
             this->isFailing = false;
+            this->isShort = this->isShort && mustWait;
             return mustWait;
         })
         .catch_([this](kj::Exception &&exception) {
@@ -84,8 +85,22 @@
         });
 }
 
+void ConnectionAcceptor::logShortage()
+{
+    if (!std::exchange(this->isShort, true)) {
+        rlimit limit{};
+        ::getrlimit(RLIMIT_NOFILE, &limit);
+        const int next = ::fcntl(STDERR_FILENO, F_DUPFD_CLOEXEC, 0);
+        ::close(next);
+        logEvent(EventKind::ConnectionFailed,
+            {{"peer", "not accepted yet"}, {"error", "descriptors are short"}, {"next", std::to_string(next)},
+                {"limit", std::to_string(limit.rlim_cur)}});
+    }
+}
+
 kj::Promise<void> ConnectionAcceptor::awaitDescriptors()
 {
+    this->logShortage();
     return this->timer.afterDelay(RetryDelay).then([this]() {
         if (!areDescriptorsShort()) {
             return kj::Promise<void>(kj::READY_NOW);
--- a/src/rpc/connection_acceptor_base.h
+++ b/src/rpc/connection_acceptor_base.h
@@ -31,11 +31,13 @@
     /** Resolves once enough descriptors are free again. */
     [[nodiscard]] kj::Promise<void> awaitDescriptors();
     void logFailure(const kj::Exception &exception);
+    void logShortage();
 
     kj::Timer &timer; ///< Must outlive this object.
     kj::Own<kj::ConnectionReceiver> receiver; ///< The listening socket.
     Handler handler;
     std::function<void()> onShortage; ///< May be empty.
+    bool isShort = false; ///< Connections wait for descriptors, which has been logged.
     bool isFailing = false; ///< The last connection could not be accepted, which has been logged.
 };
 
--- a/src/rpc/rpc_link_base.cpp
+++ b/src/rpc/rpc_link_base.cpp
@@ -12,8 +12,6 @@
 namespace
 {
 
-/** Limit for connecting, including TLS and authentication. */
-constexpr auto ConnectTimeout = 700 * kj::MILLISECONDS;
 /** Limit for the TCP handshake alone, which the kernel of the other instance answers. A SYN that was lost, for example
  * because that instance was still starting, is retransmitted only after 1 s; a new socket is faster. */
 constexpr auto TcpConnectTimeout = 150 * kj::MILLISECONDS;
@@ -127,9 +125,10 @@
     OfferedServices offered; ///< Set once both sides are authenticated.
 };
 
-RpcLink::RpcLink(RpcContext &context, std::string address)
+RpcLink::RpcLink(RpcContext &context, std::string address, kj::Duration connectTimeout)
     : context(context)
     , address(std::move(address))
+    , connectTimeout(connectTimeout)
 {
 }
 
@@ -187,7 +186,7 @@
         ++this->attempt;
         this->attemptFailed = false;
         this->connecting =
-            this->context.timer.timeoutAfter(ConnectTimeout, this->connect())
+            this->context.timer.timeoutAfter(this->connectTimeout, this->connect())
                 .then(
                     [this, number = this->attempt](ConnectionPtr &&made) -> kj::Promise<ConnectionPtr> {
                         if (number == this->attempt) {
--- a/src/rpc/rpc_link_base.h
+++ b/src/rpc/rpc_link_base.h
@@ -28,7 +28,10 @@
 class RpcLink
 {
 public:
-    RpcLink(RpcContext &context, std::string address);
+    /** Limit for connecting, including TLS and authentication. */
+    static constexpr auto ConnectTimeout = 700 * kj::MILLISECONDS;
+
+    RpcLink(RpcContext &context, std::string address, kj::Duration connectTimeout = ConnectTimeout);
     RpcLink(const RpcLink &) = delete;
     RpcLink &operator=(const RpcLink &) = delete;
 
@@ -38,13 +41,22 @@
     using ConnectionPtr = std::shared_ptr<Connection>;
 
     /** The connection of the link; connects and authenticates first if needed. The promise fails if that takes longer
-     * than ConnectTimeout or a proof is wrong. */
+     * than the limit or a proof is wrong. */
     [[nodiscard]] kj::Promise<ConnectionPtr> connection();
     [[nodiscard]] static OfferedServices servicesOf(const ConnectionPtr &connection);
     [[nodiscard]] bool isCurrent(const ConnectionPtr &used) const
     {
         return this->current == used;
     }
+    /** Whether there is a connection, or one is being made. */
+    [[nodiscard]] bool isConnected() const
+    {
+        return this->current != nullptr;
+    }
+    [[nodiscard]] bool isConnecting() const
+    {
+        return this->connecting != nullptr && !this->attemptFailed;
+    }
     /** Drops @p used unless the link has another connection by now; the next `connection` makes a new one. */
     void drop(const ConnectionPtr &used);
 
@@ -74,6 +86,7 @@
 
     RpcContext &context; ///< Outlives the link.
     std::string address; ///< ip:port of the other end.
+    const kj::Duration connectTimeout; ///< See ConnectTimeout.
     ConnectionPtr current; ///< The authenticated connection; null if there is none.
     kj::Maybe<kj::ForkedPromise<ConnectionPtr>> connecting; ///< The attempt in progress.
     bool attemptFailed = false; ///< The attempt in `connecting` has failed.
--- a/tests/support/small_deployment.cpp
+++ b/tests/support/small_deployment.cpp
@@ -102,9 +102,9 @@
 Response SmallDeployment::send(
     std::size_t gateway, const ClientRequest &request, std::chrono::milliseconds idleTimeout) const
 {
-    std::string bytes = request.method + " " + request.path + " HTTP/1.1\r\nHost: " + Host
-        + "\r\nX-Request-Id: " + request.id + "\r\nX-Deadline-Ms: 3000\r\nAuthorization: Bearer key\r\n"
-        + "Connection: close\r\nContent-Length: " + std::to_string(request.body.size()) + "\r\n";
+    std::string bytes = request.method + " " + request.path + " HTTP/1.1\r\nHost: " + Host + "\r\nX-Request-Id: "
+        + request.id + "\r\nX-Deadline-Ms: " + std::to_string(request.deadlineMs) + "\r\nAuthorization: Bearer "
+        + request.key + "\r\nConnection: close\r\nContent-Length: " + std::to_string(request.body.size()) + "\r\n";
     for (const auto &[name, value] : request.fields) {
         bytes.append(name).append(": ").append(value).append("\r\n");
     }
--- a/tests/support/small_deployment.h
+++ b/tests/support/small_deployment.h
@@ -33,6 +33,8 @@
     std::string method = "POST"; ///< HTTP method.
     Headers fields = {}; ///< Further header fields.
     std::string body = "x"; ///< Request body.
+    std::string key = "key"; ///< API key.
+    unsigned deadlineMs = 3000; ///< How long the client waits.
 };
 
 class SmallDeployment
--- /dev/null
+++ b/tests/unit/deployment_watcher_test.cpp
@@ -0,0 +1,164 @@
+/** @file deployment_watcher_test.cpp  Daemons that look for the leader of the control members and for configurations,
+ * with a mock of a control member. */
+#define BOOST_TEST_MODULE deployment_watcher
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+#include <future>
+#include <thread>
+
+#include "deployment/configuration_fetcher_base.h"
+#include "deployment/deployment_watcher_base.h"
+#include "deployment/document_compression_func.h"
+#include "rpc/message_func.h"
+#include "support/faulty_link.h"
+#include "support/process_fleet.h"
+
+using namespace Chestnuthook;
+using Testing::FaultyLink;
+using Testing::LinkFault;
+using Testing::reserveAddress;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr const char *Secret = "secret";
+constexpr std::uint64_t Version = 5; ///< Version of the mock's configuration.
+
+/** A control member that leads, or only holds a configuration. Answers at once. */
+class MockMember
+{
+public:
+    explicit MockMember(bool isLeading)
+        : isLeading(isLeading)
+    {
+        std::promise<void> ready;
+        auto started = ready.get_future();
+        this->thread = std::thread([this, &ready]() {
+            ControlLoop loop(Secret, "member");
+            loop.detach(
+                serveRpc(loop.rpc(), this->address, OfferedServices{nullptr, nullptr, kj::heap<Server>(*this)}));
+            this->loop = &loop;
+            ready.set_value();
+            loop.run();
+        });
+        started.wait();
+    }
+    ~MockMember()
+    {
+        this->loop->call([this]() {
+            this->loop->stop();
+        });
+        this->thread.join();
+    }
+    MockMember(const MockMember &) = delete;
+    MockMember &operator=(const MockMember &) = delete;
+
+    const std::string address = reserveAddress("127.0.0.1"); ///< RPC address.
+    const bool isLeading; ///< Answers watches as a leader.
+    std::atomic<unsigned> watches = 0; ///< Number of watches.
+
+private:
+    class Server final : public Wire::Deployment::Server
+    {
+    public:
+        explicit Server(MockMember &member)
+            : member(member)
+        {
+        }
+        kj::Promise<void> watch(WatchContext context) override
+        {
+            ++this->member.watches;
+            context.getResults().initUpdate().setTerm(this->member.isLeading ? 1 : 0);
+            return kj::READY_NOW;
+        }
+        kj::Promise<void> configuration(ConfigurationContext context) override
+        {
+            if (context.getParams().getAtLeast() <= Version) {
+                context.getResults().setVersion(Version);
+                context.getResults().setCompressed(dataOf(compressDocument("document")));
+            }
+            return kj::READY_NOW;
+        }
+
+    private:
+        MockMember &member; ///< Must outlive this object.
+    };
+
+    ControlLoop *loop = nullptr; ///< Loop of the thread.
+    std::thread thread; ///< Runs the member.
+};
+
+/** A daemon that knows one control member. */
+struct Daemon
+{
+    explicit Daemon(const std::string &seed)
+        : watcher(this->loop, {seed})
+    {
+        this->watcher.describeSelf = []() {
+            return InstanceInfo();
+        };
+    }
+
+    /** Runs the event loop for @p duration. */
+    void run(kj::Duration duration)
+    {
+        this->loop.wait(this->loop.kjTimer().afterDelay(duration));
+    }
+
+    ControlLoop loop{Secret, "daemon"}; ///< Loop of the test's thread.
+    DeploymentWatcher watcher; ///< Looks for the leader.
+};
+
+} // namespace
+
+/** Guards against attempts to connect that are given up and begun anew while the leader is busy: all daemons turned to
+ * a new leader at once, each attempt was accepted after its end, and 80 of 202 daemons never reached it. */
+BOOST_AUTO_TEST_CASE(leader_that_is_slow_to_connect_is_reached)
+{
+    MockMember member(true);
+    FaultyLink link(member.address); // Each of the round trips of a new connection and a watch takes 160 ms.
+    link.setFault(LinkFault::Delay);
+    Daemon daemon(link.address);
+    daemon.watcher.start();
+    daemon.run(4 * kj::SECONDS);
+    BOOST_TEST(daemon.watcher.hasLeaderContact());
+    BOOST_TEST(member.watches > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(silent_connection_to_the_leader_is_replaced)
+{
+    MockMember member(true);
+    FaultyLink link(member.address);
+    Daemon daemon(link.address);
+    daemon.watcher.start();
+    daemon.run(500 * kj::MILLISECONDS);
+    BOOST_REQUIRE(daemon.watcher.hasLeaderContact());
+    link.silenceConnections();
+    daemon.run(900 * kj::MILLISECONDS);
+    const unsigned watches = member.watches;
+    daemon.run(500 * kj::MILLISECONDS);
+    BOOST_TEST(member.watches > watches);
+    BOOST_TEST(daemon.watcher.hasLeaderContact());
+}
+
+BOOST_AUTO_TEST_CASE(configuration_is_found_without_a_leader)
+{
+    MockMember follower(false);
+    Daemon daemon(follower.address);
+    ConfigurationFetcher fetcher(daemon.loop, daemon.watcher.links);
+    fetcher.sources = [&follower]() {
+        return std::vector<std::string>{follower.address};
+    };
+    std::vector<std::uint64_t> versions;
+    fetcher.onFetched = [&versions](std::uint64_t version, std::string document) {
+        BOOST_TEST(document == "document");
+        versions.push_back(version);
+    };
+    for (int i = 0; i < 3; ++i) {
+        fetcher.poll();
+        daemon.run(200 * kj::MILLISECONDS);
+    }
+    BOOST_TEST(versions == std::vector<std::uint64_t>{Version});
+}
