A stopping gateway takes no request that it may have to cut

Requests that may not be repeated were taken in the first 2.2 s of a planned stop whatever their deadline, ran, and were cut at its end. A request whose deadline is after the end of the grace is now rejected at once, not run; one that may be repeated gets a deadline there.

--- a/src/gateway/gateway_base.cpp
+++ b/src/gateway/gateway_base.cpp
@@ -191,11 +191,12 @@
     return Chestnuthook::shutdownSchedule(grace, longestRequest);
 }
 
-void Gateway::drain()
+void Gateway::drain(Duration grace)
 {
     this->draining = true;
     this->connector.relay.stopAccepting();
     this->drainStartedAt = this->now();
+    this->drainAnswerBy = this->drainStartedAt + this->shutdownSchedule(grace).answerBy;
 }
 
 std::string Gateway::sinceDrainMs(Instant time) const
@@ -322,6 +323,14 @@
     }
     call.deadline =
         call.exchange.received + std::min(call.metadata.timeLeft.value_or(call.route->timeout), call.route->timeout);
+    if (this->draining && call.deadline > this->drainAnswerBy) {
+        if (!call.route->isRepeatable()) {
+            this->reject(scope, call, HttpStatus::Unavailable, "the gateway stops before the request's deadline",
+                ShortRetryAfterSeconds);
+            return false;
+        }
+        call.deadline = this->drainAnswerBy;
+    }
     const std::string customer = call.customer == nullptr ? std::string() : call.customer->name;
     logEvent(EventKind::CallAccepted,
         {{"request", call.metadata.requestId}, {"route", call.route->name}, {"customer", customer},
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -82,8 +82,9 @@
     [[nodiscard]] BodyPlan planBody(const RequestHead &head) const;
     /** Schedule of a stop with the configuration in force. */
     [[nodiscard]] ShutdownSchedule shutdownSchedule(Duration grace) const;
-    /** Reports this gateway as not ready from now on. Requests that still arrive are served. */
-    void drain();
+    /** Reports this gateway as not ready from now on. Requests that still arrive are served if they end within @p
+     * grace; those that may be repeated are cut short, others are rejected at once. */
+    void drain(Duration grace);
     /** Rejects requests that arrive from now on; those that are active go on. */
     void stopAccepting()
     {
@@ -239,6 +240,7 @@
     bool draining = false; ///< See `drain`.
     bool accepting = true; ///< See `stopAccepting`.
     Instant drainStartedAt{0}; ///< When `drain` was called.
+    Instant drainAnswerBy{0}; ///< By then requests that arrive while draining must have been answered.
     Instant lastDrainArrival{0}; ///< When the last request arrived while draining; 0 for none.
     unsigned drainArrivals = 0; ///< Number of requests that arrived while draining.
 };
--- a/src/gateway/shutdown_schedule_func.cpp
+++ b/src/gateway/shutdown_schedule_func.cpp
@@ -27,8 +27,9 @@
     const Duration listTtl = gatewayListTtl(grace);
     ShutdownSchedule schedule;
     schedule.endAfter = std::max(grace - KillMargin, Duration(0));
+    schedule.answerBy = std::max(schedule.endAfter - ResponseMargin, Duration(0));
     // A request that is accepted last must reach its deadline before the process ends.
-    const Duration lastAcceptance = schedule.endAfter - longestRequest - ResponseMargin;
+    const Duration lastAcceptance = schedule.answerBy - longestRequest;
     const Duration allListsExpired = listTtl * MaxTtlOverrunFactor + ArrivalMargin;
     // With very long requests most clients would still hold a list that names this gateway.
     const Duration mostListsExpired = listTtl + ArrivalMargin;
--- a/src/gateway/shutdown_schedule_func.h
+++ b/src/gateway/shutdown_schedule_func.h
@@ -14,6 +14,7 @@
     Duration endIdleAfter{0}; ///< From then on the process ends as soon as no request is active.
     Duration acceptFor{0}; ///< New requests are accepted until then; never before `endIdleAfter`.
     Duration endAfter{0}; ///< The process ends by then, even if requests are active; never before `acceptFor`.
+    Duration answerBy{0}; ///< By then accepted requests must have been answered; a little before `endAfter`.
 
     [[nodiscard]] bool isDone(Duration elapsed, std::size_t activeRequests) const
     {
