--- a/src/history/history_table_base.cpp
+++ b/src/history/history_table_base.cpp
@@ -32,9 +32,9 @@
 /** What @p text takes on the heap. Short strings take nothing. */
 std::size_t heapBytes(const std::string &text)
 {
-    static const std::size_t shortCapacity = std::string().capacity();
+    static const std::size_t ShortCapacity = std::string().capacity();
     constexpr std::size_t BlockOverheadBytes = 16;
-    return text.capacity() <= shortCapacity ? 0 : text.capacity() + BlockOverheadBytes;
+    return text.capacity() <= ShortCapacity ? 0 : text.capacity() + BlockOverheadBytes;
 }
 
 } // namespace
--- a/tests/unit/platform_decode_test.cpp
+++ b/tests/unit/platform_decode_test.cpp
@@ -189,23 +189,30 @@
         std::string(Depth, '{'),
         "",
     };
+    const std::string first = entry("first", sound);
+    const std::string last = entry("last", sound + R"(,"models":[{"name":"m"},{"name":"n"}])");
+    const auto pageWith = [](const std::string &entries) {
+        return readEndpointPage(R"({"instances":[)" + entries + R"(],"nextToken":"p-50"})");
+    };
+    const auto checkPages = [&](const std::string &odd) {
+        const std::vector<std::string> lists = {first + "," + odd + "," + last, odd + "," + first + "," + last};
+        for (const std::string &list : lists) {
+            const auto page = pageWith(list);
+            BOOST_REQUIRE(page.has_value());
+            BOOST_REQUIRE(page->endpoints.size() == 2U);
+            BOOST_TEST(page->endpoints[0].id == "first");
+            BOOST_TEST(page->endpoints[1].id == "last");
+            BOOST_TEST(page->nextPage == "p-50");
+        }
+        const auto page =
+            readEndpointPage(R"({"nextToken":"p-50","instances":[)" + first + "," + last + "," + odd + "]}");
+        BOOST_REQUIRE(page.has_value());
+        BOOST_TEST(page->endpoints.size() == 2U);
+    };
     for (const std::string &odd : oddEntries) {
-        const std::string first = entry("first", sound);
-        const std::string last = entry("last", sound + R"(,"models":[{"name":"m"},{"name":"n"}])");
         BOOST_TEST_CONTEXT("entry " << odd.substr(0, 100))
         {
-            for (const std::string &list : {first + "," + odd + "," + last, odd + "," + first + "," + last}) {
-                const auto page = readEndpointPage(R"({"instances":[)" + list + R"(],"nextToken":"p-50"})");
-                BOOST_REQUIRE(page.has_value());
-                BOOST_REQUIRE(page->endpoints.size() == 2U);
-                BOOST_TEST(page->endpoints[0].id == "first");
-                BOOST_TEST(page->endpoints[1].id == "last");
-                BOOST_TEST(page->nextPage == "p-50");
-            }
-            const auto page =
-                readEndpointPage(R"({"nextToken":"p-50","instances":[)" + first + "," + last + "," + odd + "]}");
-            BOOST_REQUIRE(page.has_value());
-            BOOST_TEST(page->endpoints.size() == 2U);
+            checkPages(odd);
         }
     }
 }
