--- a/src/consensus/raft_core_base.cpp
+++ b/src/consensus/raft_core_base.cpp
@@ -224,6 +224,11 @@
     this->beginBatch();
 }
 
+void RaftCore::setElectionTicks(unsigned ticks)
+{
+    this->settings.electionTicks = ticks;
+}
+
 void RaftCore::resetElectionTimer()
 {
     this->electionElapsed = 0;
--- a/src/consensus/raft_core_base.h
+++ b/src/consensus/raft_core_base.h
@@ -47,6 +47,9 @@
     /** Gives up the lead, so that another member is elected. This one doesn't stand for election for @p ticks unless
      * there is another leader before. */
     void resign(unsigned ticks);
+    /** Changes the minimum election timeout, from the next timeout on. It must not fall below that in the settings with
+     * which the members began: leases rely on it. */
+    void setElectionTicks(unsigned ticks);
 
     /** Registers a snapshot of the applied state at @p index and drops entries before @p keepFrom. */
     void compact(std::uint64_t index, std::string data, std::uint64_t keepFrom);
@@ -171,7 +174,7 @@
     /** The highest value that a quorum has reached, given the values of all voters. */
     [[nodiscard]] std::uint64_t quorumValue(std::vector<std::uint64_t> values) const;
 
-    const RaftSettings settings; ///< Protocol parameters.
+    RaftSettings settings; ///< Protocol parameters; only `electionTicks` changes.
     const std::string self; ///< Identity of this member.
     std::mt19937_64 random; ///< Randomizes election timeouts.
     RaftHardState currentHardState; ///< Current term and vote.
--- a/src/consensus/replica_node_base.cpp
+++ b/src/consensus/replica_node_base.cpp
@@ -197,6 +197,11 @@
     this->scheduleFlush();
 }
 
+void ReplicaNode::scaleElectionTimeout(unsigned factor)
+{
+    this->core->setElectionTicks(this->settings.raft.electionTicks * factor);
+}
+
 void ReplicaNode::scheduleFlush()
 {
     if (this->flushScheduled) {
--- a/src/consensus/replica_node_base.h
+++ b/src/consensus/replica_node_base.h
@@ -98,6 +98,8 @@
 
     /** Gives up the lead; see RaftCore::resign. */
     void resign();
+    /** Multiplies the election timeout of the settings by @p factor, at least 1. */
+    void scaleElectionTimeout(unsigned factor);
 
     /** Creates the capability for the other members. */
     [[nodiscard]] Wire::Member::Client makeService();
--- a/src/deployment/configuration_fetcher_base.cpp
+++ b/src/deployment/configuration_fetcher_base.cpp
@@ -81,7 +81,7 @@
     if (addresses.empty()) {
         return kj::READY_NOW;
     }
-    const std::string address = addresses[this->nextSource++ % addresses.size()];
+    const std::string &address = addresses[this->nextSource++ % addresses.size()];
     auto answered = this->links.services(address).then([version](OfferedServices &&services) {
         auto request = services.deployment.castAs<Wire::Deployment>().configurationRequest();
         request.setAtLeast(version);
--- a/src/deployment/deployment_member_base.cpp
+++ b/src/deployment/deployment_member_base.cpp
@@ -33,13 +33,17 @@
 
 /** All daemons of a large fleet answer an update at once, so they get it in groups: the leader's heartbeats must not
  * wait behind hundreds of calls. */
-constexpr std::size_t WatchesEndedAtOnce = 16;
+constexpr std::size_t WatchesEndedAtOnce = 4;
 constexpr auto WatchEndInterval = 5 * kj::MILLISECONDS;
 
 /** Election timeout in ticks of 25 ms. Data centres are only a few milliseconds apart, so a leader that stops
  * responding can be replaced after 200 to 400 ms. */
 constexpr unsigned ElectionTicks = 8;
 constexpr unsigned HeartbeatTicks = 2;
+/** A new leader of a large fleet is asked for lists by all daemons at once, and its heartbeats wait behind them. So the
+ * election timeout grows with the fleet. */
+constexpr std::size_t GatewaysPerElectionTimeout = 40;
+constexpr std::size_t MaxElectionTimeoutFactor = 3;
 /** Members that have acknowledged the leader elect no other one for ElectionTicks; their clocks may differ a little. */
 constexpr Duration LeaderLease = std::chrono::milliseconds(150);
 
@@ -306,6 +310,11 @@
 void DeploymentMember::runLeaderTasks()
 {
     this->reportEvacuations();
+    const auto gateways = static_cast<std::size_t>(
+        std::ranges::count(this->instances(), Wire::InstanceRole::GATEWAY, &InstanceInfo::role));
+    const std::size_t factor =
+        std::clamp<std::size_t>(gateways / GatewaysPerElectionTimeout, 1, MaxElectionTimeoutFactor);
+    this->node.scaleElectionTimeout(static_cast<unsigned>(factor));
     if (!this->isLeader()) {
         return;
     }
@@ -514,8 +523,10 @@
     ++this->load.watches;
     this->load.instanceLists += hasPart(parts, UpdatePart::Instances) ? 1 : 0;
     this->load.endpointLists += hasPart(parts, UpdatePart::Endpoints) ? 1 : 0;
-    const bool isGateway = report.getRole() == Wire::InstanceRole::GATEWAY;
-    const Duration wait = isGateway ? gatewayWatchWait(this->gatewayCount) : MinWatchWait;
+    const bool isStandby = report.getRole() == Wire::InstanceRole::HISTORY
+        && !this->group.machine.view.isMember(textOf(report.getIdentity()));
+    const bool waitsLong = isStandby || report.getRole() == Wire::InstanceRole::GATEWAY;
+    const Duration wait = waitsLong ? gatewayWatchWait(this->gatewayCount) : MinWatchWait;
     update.setWatchMs(static_cast<std::uint32_t>(std::chrono::duration_cast<Milliseconds>(wait).count()));
     update.setTerm(this->leaderTerm);
     update.setHas(parts);
--- a/src/deployment/deployment_watcher_base.cpp
+++ b/src/deployment/deployment_watcher_base.cpp
@@ -47,7 +47,9 @@
 
 void DeploymentWatcher::verifyLeader()
 {
-    if (this->answerDue - this->loop.timers().now() > WatchTimeout) {
+    const Instant now = this->loop.timers().now();
+    if (this->answerDue - now > WatchTimeout && now - this->verifiedAt >= VerificationInterval) {
+        this->verifiedAt = now;
         this->reportNow();
     }
 }
@@ -171,7 +173,9 @@
         held.setTakesChanges(true);
         const auto wait = std::chrono::duration_cast<Milliseconds>(this->watchWait);
         request.setWaitMs(waits ? static_cast<std::uint32_t>(wait.count()) : 0);
-        return request.send();
+        auto sent = request.send();
+        this->lastWatch = nullptr;
+        return sent;
     });
     auto pair = kj::newPromiseAndFulfiller<void>();
     this->interrupt = kj::mv(pair.fulfiller);
@@ -192,6 +196,7 @@
                             const auto update = response.getUpdate();
                             if (update.getTerm() != 0 && update.getTerm() >= this->view.term) {
                                 this->applyUpdate(update);
+                                this->lastWatch = kj::mv(response);
                                 return kj::READY_NOW;
                             }
                             const std::string leader = textOf(update.getLeader());
@@ -343,9 +348,11 @@
                 endpointList[i].setReturned(endpoints[i].wanted.returned);
                 endpointList[i].setColdPerSecond(endpoints[i].coldPerSecond);
             }
-            return request.send();
+            auto sent = request.send();
+            this->lastCredit = nullptr;
+            return sent;
         });
-    return this->loop.kjTimer().timeoutAfter(kjDuration(CreditTimeout), kj::mv(called)).then([](auto &&response) {
+    return this->loop.kjTimer().timeoutAfter(kjDuration(CreditTimeout), kj::mv(called)).then([this](auto &&response) {
         KJ_REQUIRE(response.getLeading(), "the control member is no longer the leader");
         CreditReply reply;
         for (const auto entry : response.getGranted()) {
@@ -355,6 +362,7 @@
             reply.endpoints[textOf(entry.getLimit().getEndpoint())] = entry.getRequests();
         }
         reply.limitsEndpoints = response.getLimitsEndpoints();
+        this->lastCredit = kj::mv(response);
         return reply;
     });
 }
--- a/src/deployment/deployment_watcher_base.h
+++ b/src/deployment/deployment_watcher_base.h
@@ -19,6 +19,7 @@
 #include "deployment/instance_registry_base.h"
 #include "deployment/strike_tracker_base.h"
 #include "rpc/control_loop_base.h"
+#include "rpc/deployment.capnp.h"
 
 namespace Chestnuthook
 {
@@ -94,6 +95,11 @@
     {
         return ShortContactTimeout + extraSilenceOf(this->watchWait);
     }
+    /** Longest time for which the leader holds a watch of this daemon; grows with the fleet. */
+    [[nodiscard]] Duration currentWatchWait() const
+    {
+        return this->watchWait;
+    }
     /** Whether a leader has answered within leaderContactTimeout(). */
     [[nodiscard]] bool hasLeaderContact() const;
     /** Makes the leader answer within WatchTimeout, as it didn't answer another call in time. */
@@ -140,6 +146,9 @@
     /** A connection on which nothing was answered for this long is replaced, while watches wait for MinWatchWait. */
     static constexpr Duration SilenceTimeout = WatchTimeout;
     static constexpr Duration FailureLogInterval = std::chrono::seconds(1);
+    /** Least time between two watches that are interrupted because of other calls. Many calls fail at once where the
+     * leader is busy. */
+    static constexpr Duration VerificationInterval = 3 * MaxWatchWait;
     static constexpr auto RetryDelay = 20 * kj::MILLISECONDS;
     /** A later answer would bring credit that has expired. */
     static constexpr Duration CreditTimeout = CreditTtl;
@@ -166,6 +175,11 @@
     Instant lastAnswer{0}; ///< Time of the last answer of a leader.
     kj::Own<kj::PromiseFulfiller<void>> interrupt; ///< Ends the current watch.
     bool isReportPending = false; ///< The next watch returns at once instead of waiting for an update.
+    /** The last responses are held until the next call of their kind is sent: the message that releases one then
+     * arrives together with that call, which saves the leader a wake-up for each call. */
+    kj::Maybe<capnp::Response<Wire::Deployment::WatchResults>> lastWatch;
+    kj::Maybe<capnp::Response<Wire::Deployment::CreditResults>> lastCredit;
+    Instant verifiedAt{0}; ///< When `verifyLeader` last interrupted a watch.
     Instant answerDue{0}; ///< When the first unanswered watch must be answered at the latest; 0 if there is none.
     Duration watchWait = MinWatchWait; ///< Longest time for which the leader holds a watch without an update.
     unsigned failedProbes = 0; ///< Failed calls since a leader answered, at most MaxProbeSteps.
--- a/src/gateway/gateway_base.cpp
+++ b/src/gateway/gateway_base.cpp
@@ -24,8 +24,8 @@
 constexpr std::size_t ResponseMemoryDivisor = 4;
 constexpr double ShortRetryAfterSeconds = 0.2; ///< Used if another instance, or this one, can serve the request soon.
 constexpr double QuarantineRetryAfterSeconds = 10; ///< Used for quarantined requests, which crash endpoints.
-/** After this long without a reply to a credit request the leader is considered unreachable. */
-constexpr auto CreditReplyTimeout = 80 * kj::MILLISECONDS;
+/** After this long without a reply to a credit request the leader is considered unreachable, in a small fleet. */
+constexpr Duration CreditReplyTimeout = std::chrono::milliseconds(80);
 /** After a failed credit request the gateway uses its own share of the rate for this long. */
 constexpr Duration CreditFailureBackoff = std::chrono::milliseconds(100);
 /** Requests that don't start a program wait this long for the rate limit before they are rejected. */
@@ -461,7 +461,10 @@
 {
     kj::Promise<void> fetched = this->loop.kjTimer().afterDelay(PollInterval);
     KJ_IF_MAYBE (fetch, this->pendingCreditRequest) {
-        fetched = fetch->addBranch().exclusiveJoin(this->loop.kjTimer().afterDelay(CreditReplyTimeout).then([this]() {
+        // The leader of a large fleet may take longer at times; without it a gateway admits next to nothing.
+        const Duration extra = extraSilenceOf(this->watcher.currentWatchWait()) / 2;
+        const Duration timeout = std::min(CreditReplyTimeout + extra, CreditTtl);
+        fetched = fetch->addBranch().exclusiveJoin(this->loop.kjTimer().afterDelay(kjDuration(timeout)).then([this]() {
             this->creditRetryAt = this->now() + CreditFailureBackoff;
         }));
     }
@@ -495,13 +498,14 @@
         creditClass = isLate ? CreditClass::LateNewProgram : CreditClass::NewProgram;
     }
     Duration maxWait = MaxRateWait;
+    bool isAsked = false;
     while (true) {
         const LeaderState leader = this->leaderState();
         const bool isReachable = leader.contact == LeaderContact::Reachable;
         if (!isReachable) {
             maxWait = this->watcher.leaderContactTimeout() + LeaderWaitMargin;
         }
-        switch (this->rateLimiter.take(bootClockNow(), *call.customer, creditClass, leader)) {
+        switch (this->rateLimiter.take(bootClockNow(), *call.customer, creditClass, leader, isAsked)) {
         case CreditDecision::Admitted:
             this->startCreditRequest();
             return true;
--- a/src/gateway/gateway_limits.cpp
+++ b/src/gateway/gateway_limits.cpp
@@ -72,13 +72,14 @@
         return true;
     }
     this->endpointLimiter.recordRequest(bootClockNow(), account.limit);
+    bool isAsked = false;
     while (true) {
         LeaderState leader = this->leaderState();
         if (!this->leaderLimitsEndpoints && leader.contact != LeaderContact::Lost) {
             leader.contact = LeaderContact::Lost; // A leader that counts nothing is as good as none.
         }
         switch (this->endpointLimiter.take(
-            bootClockNow(), account.limit, account.tolerance, CreditClass::Ongoing, leader)) {
+            bootClockNow(), account.limit, account.tolerance, CreditClass::Ongoing, leader, isAsked)) {
         case CreditDecision::Admitted:
         case CreditDecision::AdmittedIsolated:
             this->startCreditRequest();
--- a/src/gateway/rate_limiter_base.cpp
+++ b/src/gateway/rate_limiter_base.cpp
@@ -95,13 +95,13 @@
 }
 
 CreditDecision RateLimiter::take(
-    Instant now, const RateLimit &limit, CreditClass creditClass, const LeaderState &leader)
+    Instant now, const RateLimit &limit, CreditClass creditClass, const LeaderState &leader, bool &isAsked)
 {
-    return this->take(now, limit, this->tolerance, creditClass, leader);
+    return this->take(now, limit, this->tolerance, creditClass, leader, isAsked);
 }
 
 CreditDecision RateLimiter::take(Instant now, const RateLimit &limit, const RateTolerance &excess,
-    CreditClass creditClass, const LeaderState &leader)
+    CreditClass creditClass, const LeaderState &leader, bool &isAsked)
 {
     if (limit.ratePerSecond <= 0) {
         return CreditDecision::Admitted;
@@ -121,6 +121,10 @@
         if (isRefused) {
             return CreditDecision::Refused;
         }
+        if (isAsked && (account.requestPending || account.unsentRequests.sum() != 0)) {
+            return CreditDecision::AwaitCredit; // Credit that is asked for twice would expire unused.
+        }
+        isAsked = true;
         switch (creditClass) {
         case CreditClass::Ongoing:
             ++account.unsentRequests.requests;
--- a/src/gateway/rate_limiter_base.h
+++ b/src/gateway/rate_limiter_base.h
@@ -62,13 +62,14 @@
 
     /** Records a request for the forecast of the demand, once however often `take` is called for it. */
     void recordRequest(Instant now, const RateLimit &limit);
-    /** Takes credit for one request. */
+    /** Takes credit for one request. @p isAsked belongs to the request, false at first: whether credit for it is part
+     * of a credit request that hasn't been answered. */
     [[nodiscard]] CreditDecision take(
-        Instant now, const RateLimit &limit, CreditClass creditClass, const LeaderState &leader);
+        Instant now, const RateLimit &limit, CreditClass creditClass, const LeaderState &leader, bool &isAsked);
 
     /** As above for a limit with a tolerance of its own. */
     [[nodiscard]] CreditDecision take(Instant now, const RateLimit &limit, const RateTolerance &excess,
-        CreditClass creditClass, const LeaderState &leader);
+        CreditClass creditClass, const LeaderState &leader, bool &isAsked);
 
     /** Credit to request from the leader now, by the name of the limit; empty if there is enough of each. */
     [[nodiscard]] std::map<std::string, CreditRequest> creditRequests(Instant now);
--- a/tests/unit/credit_test.cpp
+++ b/tests/unit/credit_test.cpp
@@ -59,9 +59,10 @@
     bool poll(std::size_t gateway, CreditClass use, bool inTouch = true)
     {
         RateLimiter &share = this->shares[gateway];
+        bool isAsked = false;
         for (int i = 0; i < 3; ++i) {
             const LeaderState leader{inTouch ? LeaderContact::Reachable : LeaderContact::Lost, Instant(1), this->names};
-            switch (share.take(this->now, this->rule, use, leader)) {
+            switch (share.take(this->now, this->rule, use, leader, isAsked)) {
             case CreditDecision::Admitted:
             case CreditDecision::AdmittedIsolated:
                 ++this->admitted;
@@ -289,3 +290,48 @@
         BOOST_TEST(with > without);
     }
 }
+
+/** Guards against credit that is asked for again each time a waiting request looks for it: what nobody uses expires,
+ * and requests within the rate were refused. */
+BOOST_AUTO_TEST_CASE(credit_is_asked_for_once_for_each_request)
+{
+    const CustomerConfig rule = customer(100, 100);
+    RateLimiter share("gateway", tolerance(), Instant(0));
+    const LeaderState leader;
+    Instant now(1);
+    const auto take = [&](bool &isAsked) {
+        return share.take(now, rule, CreditClass::Ongoing, leader, isAsked);
+    };
+    bool isFirstAsked = false;
+    bool isSecondAsked = false;
+    BOOST_CHECK(take(isFirstAsked) == CreditDecision::AwaitCredit);
+    const auto firstWish = share.creditRequests(now);
+    BOOST_REQUIRE(firstWish.size() == 1U);
+    BOOST_TEST(firstWish.begin()->second.sum() == 1U);
+    for (int i = 0; i < 5; ++i) { // Both look again while the leader hasn't answered.
+        now = now + Step;
+        BOOST_CHECK(take(isFirstAsked) == CreditDecision::AwaitCredit);
+        BOOST_CHECK(take(isSecondAsked) == CreditDecision::AwaitCredit);
+    }
+    share.grant(now, now, firstWish, {{rule.name, 1}});
+    BOOST_CHECK(take(isSecondAsked) == CreditDecision::Admitted); // It happens to look first.
+    BOOST_CHECK(take(isFirstAsked) == CreditDecision::AwaitCredit);
+    const auto secondWish = share.creditRequests(now);
+    BOOST_REQUIRE(secondWish.size() == 1U);
+    BOOST_TEST(secondWish.begin()->second.sum() == 1U);
+    share.grant(now, now, secondWish, {{rule.name, 1}});
+    BOOST_CHECK(take(isFirstAsked) == CreditDecision::Admitted);
+    BOOST_TEST(share.creditRequests(now).empty());
+}
+
+BOOST_AUTO_TEST_CASE(request_whose_credit_request_failed_is_asked_for_again)
+{
+    const CustomerConfig rule = customer(100, 100);
+    RateLimiter share("gateway", tolerance(), Instant(0));
+    const LeaderState leader;
+    bool isAsked = false;
+    BOOST_CHECK(share.take(Instant(1), rule, CreditClass::Ongoing, leader, isAsked) == CreditDecision::AwaitCredit);
+    share.requestFailed(share.creditRequests(Instant(1)));
+    BOOST_CHECK(share.take(Instant(2), rule, CreditClass::Ongoing, leader, isAsked) == CreditDecision::AwaitCredit);
+    BOOST_TEST(share.creditRequests(Instant(2)).begin()->second.sum() == 1U);
+}
--- a/tests/unit/rate_sum_test.cpp
+++ b/tests/unit/rate_sum_test.cpp
@@ -141,6 +141,7 @@
     {
         Instant sent{0}; ///< When the client sent it.
         Duration maxWait = MaxWait; ///< Time after which it is refused.
+        bool isAsked = false; ///< See RateLimiter::take.
     };
     struct Gateway
     {
@@ -256,8 +257,8 @@
             if (leader.contact != LeaderContact::Reachable) {
                 request.maxWait = MaxLeaderWait + extraSilenceOf(this->scenario.watchWait);
             }
-            switch (gateway.limiter.take(
-                this->now, this->scenario.limit, this->scenario.tolerance, CreditClass::Ongoing, leader)) {
+            switch (gateway.limiter.take(this->now, this->scenario.limit, this->scenario.tolerance,
+                CreditClass::Ongoing, leader, request.isAsked)) {
             case CreditDecision::Admitted:
             case CreditDecision::AdmittedIsolated:
                 this->admitted.push_back({request.sent, this->now + this->upTo(this->scenario.arrivalJitter)});
