--- a/src/gateway/rate_limiter_base.cpp
+++ b/src/gateway/rate_limiter_base.cpp
@@ -119,6 +119,7 @@
     }
     if (isReachable) {
         if (isRefused) {
+            isAsked = false; // It has been answered.
             return CreditDecision::Refused;
         }
         if (isAsked && (account.requestPending || account.unsentRequests.sum() != 0)) {
--- a/tests/unit/credit_test.cpp
+++ b/tests/unit/credit_test.cpp
@@ -335,3 +335,23 @@
     BOOST_CHECK(share.take(Instant(2), rule, CreditClass::Ongoing, leader, isAsked) == CreditDecision::AwaitCredit);
     BOOST_TEST(share.creditRequests(Instant(2)).begin()->second.sum() == 1U);
 }
+
+BOOST_AUTO_TEST_CASE(request_that_was_refused_credit_is_asked_for_again)
+{
+    const CustomerConfig rule = customer(100, 100);
+    RateLimiter share("gateway", tolerance(), Instant(0));
+    const LeaderState leader;
+    Instant now(1);
+    bool isAsked = false;
+    const auto take = [&](bool &isRequestAsked) {
+        return share.take(now, rule, CreditClass::Ongoing, leader, isRequestAsked);
+    };
+    BOOST_CHECK(take(isAsked) == CreditDecision::AwaitCredit);
+    share.grant(now, now, share.creditRequests(now), {{rule.name, 0}});
+    BOOST_CHECK(take(isAsked) == CreditDecision::Refused);
+    now = now + std::chrono::seconds(1);
+    bool isOtherAsked = false;
+    BOOST_CHECK(take(isOtherAsked) == CreditDecision::AwaitCredit);
+    BOOST_CHECK(take(isAsked) == CreditDecision::AwaitCredit);
+    BOOST_TEST(share.creditRequests(now).begin()->second.sum() == 2U);
+}
