--- a/tests/process/stale_configuration_test.cpp
+++ b/tests/process/stale_configuration_test.cpp
@@ -55,8 +55,7 @@
 
 } // namespace
 
-/** Guards against 404 and 401 for routes and keys of a configuration that a gateway hasn't been told of: clients give
- * up on them. */
+/** Guards against 404 and 401 by a configuration that may not be the newest one: clients give up on them. */
 BOOST_FIXTURE_TEST_CASE(gateway_out_of_touch_denies_nothing_that_a_newer_configuration_may_allow, Fixture)
 {
     BOOST_TEST(this->statusOf("/new/x") == 404);
--- a/tests/unit/credit_test.cpp
+++ b/tests/unit/credit_test.cpp
@@ -291,8 +291,7 @@
     }
 }
 
-/** Guards against credit that is asked for again each time a waiting request looks for it: what nobody uses expires,
- * and requests within the rate were refused. */
+/** Guards against credit that is granted twice for one waiting request and expires unused. */
 BOOST_AUTO_TEST_CASE(credit_is_asked_for_once_for_each_request)
 {
     const CustomerConfig rule = customer(100, 100);
--- a/tests/unit/deployment_watcher_test.cpp
+++ b/tests/unit/deployment_watcher_test.cpp
@@ -113,8 +113,7 @@
 
 } // namespace
 
-/** Guards against attempts to connect that are given up and begun anew while the leader is busy: all daemons turned to
- * a new leader at once, each attempt was accepted after its end, and 80 of 202 daemons never reached it. */
+/** Guards against attempts to connect to a busy leader that are given up before it accepts them. */
 BOOST_AUTO_TEST_CASE(leader_that_is_slow_to_connect_is_reached)
 {
     MockMember member(true);
--- a/tests/unit/history_store_test.cpp
+++ b/tests/unit/history_store_test.cpp
@@ -251,8 +251,7 @@
     BOOST_TEST(table.turnCount() == 0U);
 }
 
-/** Guards against turns that are stored although nothing is refused any more: in programs that have begun, or without a
- * token budget. */
+/** Guards against programs that have begun, and turns without a budget, being stored without a bound. */
 BOOST_AUTO_TEST_CASE(all_turns_are_refused_before_memory_runs_out)
 {
     SmallStore store;
@@ -295,8 +294,7 @@
     store.checkMemory(); // What is stored stays.
 }
 
-/** Guards against a member that can't start any more because its log holds more records than its memory: expired ones
- * stay in their segments for a while. */
+/** Guards against a member that can't start any more, as its log holds more records than its memory. */
 BOOST_AUTO_TEST_CASE(member_starts_with_a_log_that_holds_more_expired_records_than_memory)
 {
     constexpr unsigned Turns = 400;
--- a/tests/unit/history_table_test.cpp
+++ b/tests/unit/history_table_test.cpp
@@ -289,8 +289,7 @@
     BOOST_TEST(!std::filesystem::exists(folder.path / "history-1"));
 }
 
-/** Guards against ids of a client that take more memory than the index accounts for: 1,800 turns with ids of 14,000
- * bytes once took a member over its memory. */
+/** Guards against ids of a client that take more memory than the index accounts for. */
 BOOST_AUTO_TEST_CASE(index_accounts_for_the_memory_that_ids_take)
 {
     constexpr unsigned Records = 2000;
--- a/tests/unit/log_test.cpp
+++ b/tests/unit/log_test.cpp
@@ -81,7 +81,7 @@
     BOOST_TEST((remote < hybridNow()));
 }
 
-/** Guards against events that keep ids of a client whole: 8,192 of them once took 100 MB. */
+/** Guards against events that keep long ids of a client whole. */
 BOOST_AUTO_TEST_CASE(long_values_are_cut_in_the_ring_of_events)
 {
     const std::string longValue(12000, 'i');
--- a/tests/unit/response_owner_test.cpp
+++ b/tests/unit/response_owner_test.cpp
@@ -39,8 +39,7 @@
 
 } // namespace
 
-/** Guards against a late copy of another request's rejection that counts for the request in flight, which then runs a
- * second time or is reported as not executed. */
+/** Guards against a late copy of another request's rejection that counts for the request in flight. */
 BOOST_AUTO_TEST_CASE(response_with_another_id_belongs_to_an_earlier_request_whatever_it_says)
 {
     for (const auto *kinds : {&Rejections, &Others}) {
