What requests wait for, and a leader's processor time and waits, are logged

At the usual level of the log nothing said whether requests waited for credit, the history, an endpoint or a connection, nor whether a slow leader lacked processor time, waited for the round that renews its lease or was reached late.

--- a/src/core/boot_clock_func.h
+++ b/src/core/boot_clock_func.h
@@ -1,5 +1,5 @@
 /** @file boot_clock_func.h  Clock of leases: unlike the monotonic clock of the timer service, it counts the time in
- * which the machine is suspended. */
+ * which the machine is suspended. Also the processor time of the process. */
 #pragma once
 
 #include "core/timer_type.h"
@@ -9,5 +9,7 @@
 
 /** Time since the machine was started; not comparable with that of other machines. */
 [[nodiscard]] Instant bootClockNow();
+/** Processor time that this process has used. */
+[[nodiscard]] Duration processorTimeNow();
 
 } // namespace Chestnuthook
--- a/src/deployment/deployment_member_base.cpp
+++ b/src/deployment/deployment_member_base.cpp
@@ -90,8 +90,9 @@
 
     kj::Promise<void> credit(CreditContext context) override
     {
-        this->member.recordCreditCall();
-        return this->member.confirmLead().then([this, context](bool isLeading) mutable {
+        const Instant start = bootClockNow();
+        return this->member.confirmLead().then([this, context, start](bool isLeading) mutable {
+            this->member.recordCreditCall(bootClockNow() - start);
             auto results = context.getResults();
             results.setLeading(isLeading);
             if (isLeading) {
@@ -342,6 +343,8 @@
 void DeploymentMember::resignIfOverloaded()
 {
     const Instant now = this->loop.timers().now();
+    this->load.recordDelay(now - this->lagRecordedAt - LoopLag::Interval);
+    this->lagRecordedAt = now;
     this->loopLag.record(now);
     const bool mayResign = this->resignedAt.us == 0 || now - this->resignedAt >= MinResignationInterval;
     const bool hasOthers = this->node.members().size() > 1;
@@ -369,13 +372,11 @@
                     {"granted", std::to_string(counts.granted)}, {"term", std::to_string(this->leaderTerm)}});
         }
     }
-    const auto work = std::exchange(this->load, {});
-    if (work.watches + work.credits != 0) {
-        logEvent(EventKind::LeaderLoad,
-            {{"watches", std::to_string(work.watches)}, {"credits", std::to_string(work.credits)},
-                {"instance_lists", std::to_string(work.instanceLists)},
-                {"endpoint_lists", std::to_string(work.endpointLists)},
-                {"daemons", std::to_string(this->registry.alive().size())}});
+    const bool isIdle = this->load.isIdle();
+    std::vector<Field> work = this->load.takeFields(processorTimeNow());
+    if (!isIdle) {
+        work.push_back({"daemons", std::to_string(this->registry.alive().size())});
+        logEvent(EventKind::LeaderLoad, work);
     }
     const auto sent = std::exchange(this->configurationsSent, {});
     if (sent.receivers != 0) {
@@ -520,9 +521,7 @@
     if (held.getFetches()) {
         parts &= ~static_cast<std::uint32_t>(UpdatePart::Configuration);
     }
-    ++this->load.watches;
-    this->load.instanceLists += hasPart(parts, UpdatePart::Instances) ? 1 : 0;
-    this->load.endpointLists += hasPart(parts, UpdatePart::Endpoints) ? 1 : 0;
+    this->load.recordWatch(hasPart(parts, UpdatePart::Instances), hasPart(parts, UpdatePart::Endpoints));
     const bool isStandby = report.getRole() == Wire::InstanceRole::HISTORY
         && !this->group.machine.view.isMember(textOf(report.getIdentity()));
     const bool waitsLong = isStandby || report.getRole() == Wire::InstanceRole::GATEWAY;
@@ -605,15 +604,11 @@
 void DeploymentMember::recordConfigurationSent(std::size_t bytes)
 {
     ++this->configurationsSent.receivers;
+    this->load.recordConfiguration();
     this->configurationsSent.bytes += bytes;
     metrics().add(MetricKind::ConfigurationBytesSent, static_cast<std::int64_t>(bytes));
 }
 
-void DeploymentMember::recordCreditCall()
-{
-    ++this->load.credits;
-}
-
 kj::Promise<bool> DeploymentMember::confirmLead()
 {
     const Instant start = bootClockNow();
@@ -624,6 +619,7 @@
         auto renewal = this->group.confirmRead()
                            .then([this, start, term = this->leaderTerm](Result<void> &&confirmed) {
                                this->leaseRenewal = nullptr;
+                               this->load.recordRenewal(bootClockNow() - start);
                                const bool isLeading = confirmed && this->isLeader() && term == this->leaderTerm;
                                if (isLeading) {
                                    this->leaseEnd = start + LeaderLease;
--- a/src/deployment/deployment_member_base.h
+++ b/src/deployment/deployment_member_base.h
@@ -21,6 +21,7 @@
 #include "deployment/endpoint_list_type.h"
 #include "deployment/endpoint_versions_type.h"
 #include "deployment/instance_registry_base.h"
+#include "deployment/leader_load_base.h"
 #include "deployment/loop_lag_base.h"
 #include "deployment/strike_tracker_base.h"
 
@@ -103,7 +104,11 @@
     {
         return this->node.isLeader();
     }
-    void recordCreditCall();
+    /** Counts a credit call that is answered after @p waited. */
+    void recordCreditCall(Duration waited)
+    {
+        this->load.recordCredit(waited);
+    }
     /** Whether this member is the leader, and no other one can have been elected so far. */
     [[nodiscard]] kj::Promise<bool> confirmLead();
     /** The document of the newest configuration that this member has applied, compressed. */
@@ -209,6 +214,7 @@
     CreditPool endpointCredits; ///< Requests to the endpoints with limits.
     ColdEndpoints coldEndpoints; ///< Which endpoints are cold.
     LoopLag loopLag; ///< Delays of the event loop.
+    Instant lagRecordedAt{0}; ///< When `loopLag` was last told the time.
     Instant resignedAt{0}; ///< When this member last gave up the lead; 0 for never.
     bool isChangingGroup = false; ///< A change of the control members is in progress.
     bool isChangingView = false; ///< A change of the history view is in progress.
@@ -220,14 +226,7 @@
         std::uint64_t bytes = 0; ///< Their size.
     } configurationsSent;
 
-    /** Work of the leader for other daemons since the last report. */
-    struct
-    {
-        std::uint64_t watches = 0; ///< Calls of `watch` that were answered.
-        std::uint64_t credits = 0; ///< Calls of `credit`.
-        std::uint64_t instanceLists = 0; ///< Answers that held the list of instances.
-        std::uint64_t endpointLists = 0; ///< Answers that held the list of endpoints.
-    } load;
+    LeaderLoad load; ///< Work of the leader for other daemons since the last report.
 
     ConfigurationPtr configuration; ///< Parsed from the replicated state; null until there is one.
     std::uint64_t compressedVersion = 0; ///< Version of `compressed`; 0 for none.
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -18,6 +18,7 @@
 #include "gateway/load_balancer_base.h"
 #include "gateway/pool_dispatcher_base.h"
 #include "gateway/rate_limiter_base.h"
+#include "gateway/request_waits_base.h"
 #include "gateway/response_memory_base.h"
 #include "gateway/shutdown_schedule_func.h"
 #include "history/history_client_base.h"
@@ -139,6 +140,8 @@
     /** Service and version at which every stream of @p route began, if the leader confirms that there is only one. */
     [[nodiscard]] std::optional<StreamOrigin> findOnlyOrigin(kj::WaitScope &scope, const RouteConfig &route);
     [[nodiscard]] bool applyRateLimit(kj::WaitScope &scope, Call &call);
+    /** Waits for credit of the request's customer. @return why there is none. */
+    [[nodiscard]] std::optional<std::string_view> takeCustomerCredit(kj::WaitScope &scope, Call &call);
     [[nodiscard]] bool beginTurn(kj::WaitScope &scope, Call &call);
     /** Endpoint for an attempt. */
     struct EndpointChoice
@@ -151,7 +154,7 @@
     /** Chooses an endpoint that isn't in @p tried and takes credit for it if it is cold or names a limit. Requests of a
      * running program wait for room within the limits, at most MaxLimitWait. */
     [[nodiscard]] EndpointChoice chooseEndpoint(
-        kj::WaitScope &scope, const Call &call, const SelectionCriteria &criteria, const std::set<std::string> &tried);
+        kj::WaitScope &scope, Call &call, const SelectionCriteria &criteria, const std::set<std::string> &tried);
     /** Asks the pools of the service for an endpoint. @return nothing if this gateway has to choose by itself. */
     [[nodiscard]] std::optional<EndpointChoice> choosePooled(
         kj::WaitScope &scope, const Call &call, const SelectionCriteria &criteria, const std::set<std::string> &tried);
@@ -233,6 +236,7 @@
     bool leaderLimitsEndpoints = true; ///< The leader counts the requests to endpoints, as far as is known.
     std::vector<std::string> gatewayNames; ///< Live gateways including this one; empty if not known yet.
     kj::Maybe<kj::ForkedPromise<void>> pendingCreditRequest; ///< Credit request to the leader that is in flight.
+    RequestWaits waits; ///< What requests wait for.
     Instant creditRetryAt{0}; ///< After a failed credit request, the leader is considered unreachable until then.
     std::vector<EndpointStrike> strikes; ///< Not reported yet.
     std::set<std::string> reportedEvacuations; ///< Evacuated data centres that were last logged.
--- a/src/gateway/gateway_call_internal.h
+++ b/src/gateway/gateway_call_internal.h
@@ -70,6 +70,7 @@
     std::string service; ///< Service that runs the request.
     std::optional<std::string> version; ///< Software version at which the stream began; empty before it has begun.
     std::uint64_t fingerprint = 0; ///< Hash of customer, target and body.
+    WaitTimes waits{}; ///< What the request has waited for.
     bool isAdmittedIsolated = false; ///< Admitted without credit of the leader.
     bool isNewProgram = false; ///< This is the first turn of its program.
     std::string historyPrefix; ///< Inputs and outputs of the turns that the request continues.
--- a/src/gateway/gateway_run.cpp
+++ b/src/gateway/gateway_run.cpp
@@ -115,8 +115,9 @@
 }
 
 Gateway::EndpointChoice Gateway::chooseEndpoint(
-    kj::WaitScope &scope, const Call &call, const SelectionCriteria &criteria, const std::set<std::string> &tried)
+    kj::WaitScope &scope, Call &call, const SelectionCriteria &criteria, const std::set<std::string> &tried)
 {
+    const RequestWaits::Scope wait(this->waits, call.waits, WaitCause::Endpoint);
     const bool mayWait = !call.isNewProgram; // The work of a program that has begun would be lost.
     const Instant waitEnd = std::min(this->now() + MaxLimitWait, call.deadline - MinUsefulTime);
     std::set<std::string> excluded = tried;
@@ -229,12 +230,14 @@
 {
     const Duration connectTimeout = std::min(ConnectTimeout, call.deadline - this->now());
     OpenedConnection opened;
+    std::optional<RequestWaits::Scope> wait(std::in_place, this->waits, call.waits, WaitCause::Connection);
     if (call.metadata.requestId.empty()) { // On a used connection its response could not be told from earlier ones.
         ConnectResult result = this->connector.open(scope, endpoint, connectTimeout);
         opened = {std::move(result.connection), result.failure, false};
     } else {
         opened = this->connector.connect(scope, endpoint, connectTimeout);
     }
+    wait.reset();
     auto connection = std::move(opened.connection);
     if (connection == nullptr) {
         this->loadBalancer.recordFailure(this->now(), endpoint.id);
@@ -255,6 +258,7 @@
             {"credit", call.isAdmittedIsolated ? "isolated" : "leader"},
             {"load", this->loadBalancer.describeLoad(this->now(), endpoint.id)},
             {"leaving", this->loadBalancer.describeLeaving(this->now(), endpoint.service)},
+            {"waited", waitText(call.waits)},
             {"ms", std::to_string((this->now() - call.exchange.received).count() / 1000)}});
     if (!call.metadata.lastEventId.empty() || call.exchange.hasStarted()) {
         logEvent(EventKind::StreamResumed,
--- a/src/table/event_table.cpp
+++ b/src/table/event_table.cpp
@@ -45,6 +45,7 @@
     {EventKind::CallResent, EventLevel::Warning},
     {EventKind::StreamResumed, EventLevel::Info},
     {EventKind::CallRefused, EventLevel::Info},
+    {EventKind::RequestWaits, EventLevel::Info},
     {EventKind::CallAborted, EventLevel::Warning},
     {EventKind::AttemptFailed, EventLevel::Warning},
     {EventKind::EndpointUp, EventLevel::Info},
--- a/src/table/metric_table.cpp
+++ b/src/table/metric_table.cpp
@@ -84,6 +84,8 @@
         "Requests to pooled services for which this gateway chose an endpoint by itself."},
     {MetricKind::PoolOwnerChanges, "chestnuthook_pool_owner_changes_total", MetricType::Counter, "",
         "Changes of the owner of a pool, as this gateway sees it."},
+    {MetricKind::RequestWaitMs, "chestnuthook_request_wait_ms", MetricType::Histogram, "cause",
+        "What a request of a gateway waited for before an attempt at an endpoint, in milliseconds."},
 });
 
 constexpr bool isTableComplete()
--- a/src/table/metric_table.h
+++ b/src/table/metric_table.h
@@ -49,8 +49,9 @@
     PoolRefusals,
     PoolFallbacks,
     PoolOwnerChanges,
+    RequestWaitMs,
 };
-inline constexpr std::size_t MetricCount = static_cast<std::size_t>(MetricKind::PoolOwnerChanges) + 1;
+inline constexpr std::size_t MetricCount = static_cast<std::size_t>(MetricKind::RequestWaitMs) + 1;
 
 /** Type of a metric, as in the Prometheus text format. */
 enum class MetricType : std::uint8_t { Counter, Gauge, Histogram };
