An endpoint's refusal that doesn't say "not executed" promises the client nothing

Clients saw 503, 429 or 408, which promise that a request has not run, for requests that an endpoint had begun: on a resumable route the first endpoint broke off before its first event and the next one answered a signed 503 without X-Not-Executed; on all routes a first answer of that kind was passed on as it was.

Only X-Not-Executed and 421 say that an endpoint has not run a request. Other responses with a status that promises it to clients now count as a failed attempt: the request goes on where its route allows, else the client gets 502.

--- a/src/gateway/gateway_run.cpp
+++ b/src/gateway/gateway_run.cpp
@@ -415,6 +415,10 @@
         if (!metadata.isSigned || head.fields.find("Content-Encoding") != nullptr) {
             return AttemptResult::Failed;
         }
+        if (promisesNotExecuted(head.status)) {
+            call.failureReason = "refusal that doesn't say whether the request ran";
+            return AttemptResult::Failed;
+        }
         call.framing = head.framing;
         const bool isStream = call.route->kind == RouteKind::Stream && isSuccess(head.status);
         if (!isStream && call.exchange.hasStarted()) {
--- a/src/gateway/response_owner_func.cpp
+++ b/src/gateway/response_owner_func.cpp
@@ -11,6 +11,12 @@
     return metadata.notExecuted || status == HttpStatus::Misdirected;
 }
 
+bool promisesNotExecuted(unsigned status)
+{
+    return status == HttpStatus::RequestTimeout || status == HttpStatus::Misdirected
+        || status == HttpStatus::TooManyRequests || status == HttpStatus::Unavailable;
+}
+
 ResponseOwner ownerOf(const ResponseMetadata &metadata, unsigned status, const AwaitedRequest &awaited)
 {
     if (metadata.hasConflictingIds) {
--- a/src/gateway/response_owner_func.h
+++ b/src/gateway/response_owner_func.h
@@ -35,6 +35,8 @@
 
 /** Whether a response with @p metadata and @p status says that its request was not executed and never will be. */
 [[nodiscard]] bool isRejection(const ResponseMetadata &metadata, unsigned status);
+/** Whether @p status promises a client that its request has not run. A gateway may send it only if it knows that. */
+[[nodiscard]] bool promisesNotExecuted(unsigned status);
 
 /** @return the owner of a response with @p metadata and @p status that arrives while the one to @p awaited is due. An
  * endpoint may reject a request without an id, as it can't read it. A second copy of such a rejection can't be told
