Heartbeats renew the lease under which a leader grants credit

The round was asked for only when the lease of 150 ms had ended. Heartbeats go to all members each 50 ms anyway; each now counts as a round, and the lease runs from the start of the last one that a quorum has acknowledged. A round of its own is needed only while that is older. The start is taken before the messages are sent, by the boot clock, and rounds of an earlier term don't count.

The new case of consensus_test checks over 40 seeds that the last confirmed round of a leader that is cut off began an election timeout before another member leads.

--- a/src/consensus/raft_core_base.cpp
+++ b/src/consensus/raft_core_base.cpp
@@ -77,6 +77,7 @@
     }
     if (this->currentRole == RaftRole::Leader && this->heartbeatElapsed >= this->settings.heartbeatTicks) {
         this->heartbeatElapsed = 0;
+        this->readRound += this->committedInTerm() ? 1 : 0;
         this->broadcast(BroadcastReason::Heartbeat);
     }
 }
--- a/src/consensus/raft_core_base.h
+++ b/src/consensus/raft_core_base.h
@@ -95,6 +95,16 @@
     /** Whether this member leads and has committed an entry of its own term, as reads and membership changes require.
      */
     [[nodiscard]] bool committedInTerm() const;
+    /** Number of the latest round of messages to all members; heartbeats and reads begin rounds. */
+    [[nodiscard]] std::uint64_t startedRound() const
+    {
+        return this->readRound;
+    }
+    /** Latest round that a quorum has acknowledged while this member led in its current term; 0 for none. */
+    [[nodiscard]] std::uint64_t confirmedRound() const
+    {
+        return this->currentRole == RaftRole::Leader ? this->quorumRound : 0;
+    }
 
 private:
     /** Replication state of another member at the leader. */
@@ -203,6 +213,7 @@
 
     std::uint64_t nextRead = 1; ///< Id of the next read.
     std::uint64_t readRound = 0; ///< Latest read round.
+    std::uint64_t quorumRound = 0; ///< See `confirmedRound`.
     std::vector<PendingRead> reads; ///< Unconfirmed reads.
     RaftSnapshot incomingSnapshot; ///< Partially received snapshot.
     RaftActions actions; ///< Actions since the last takeActions.
--- a/src/consensus/raft_election.cpp
+++ b/src/consensus/raft_election.cpp
@@ -94,6 +94,7 @@
     this->currentRole = RaftRole::Leader;
     this->leaderId = this->self;
     this->heartbeatElapsed = 0;
+    this->quorumRound = 0;
     this->quorumElapsed = 0;
     this->progress.clear();
     this->updateProgress();
--- a/src/consensus/raft_read.cpp
+++ b/src/consensus/raft_read.cpp
@@ -48,6 +48,7 @@
         }
     }
     const std::uint64_t confirmed = this->quorumValue(std::move(rounds));
+    this->quorumRound = confirmed;
     std::erase_if(this->reads, [this, confirmed](const PendingRead &read) {
         const bool done = read.context != 0 && read.context <= confirmed;
         if (done) {
--- a/src/consensus/replica_node_base.cpp
+++ b/src/consensus/replica_node_base.cpp
@@ -5,6 +5,7 @@
 
 #include <capnp/message.h>
 
+#include "core/boot_clock_func.h"
 #include "observe/log_func.h"
 #include "rpc/message_func.h"
 
@@ -216,15 +217,30 @@
 
 void ReplicaNode::flush()
 {
+    const Instant start = bootClockNow();
     RaftActions actions = this->core->takeActions();
     this->executeActions(std::move(actions));
     this->handleRoleChange();
+    this->recordRounds(start);
     this->transport.flush();
     if (this->appliedIndex >= this->core->snapshot().index + this->settings.snapshotEntries) {
         this->takeSnapshot();
     }
 }
 
+void ReplicaNode::recordRounds(Instant start)
+{
+    const std::uint64_t started = this->core->startedRound();
+    if (this->isLeader() && started > this->recordedRound) {
+        this->rounds.emplace_back(started, start);
+    }
+    this->recordedRound = started;
+    while (!this->rounds.empty() && this->rounds.front().first <= this->core->confirmedRound()) {
+        this->lastQuorumContact = this->rounds.front().second;
+        this->rounds.pop_front();
+    }
+}
+
 void ReplicaNode::executeActions(RaftActions actions)
 {
     auto messages = std::exchange(actions.messages, {});
@@ -323,6 +339,8 @@
         if (role != RaftRole::Leader || this->term() != this->reportedTerm) {
             this->failPending();
         }
+        this->rounds.clear();
+        this->lastQuorumContact = Instant(0);
         this->reportedRole = role;
         this->reportedTerm = this->term();
         this->leadershipReported = false;
--- a/src/consensus/replica_node_base.h
+++ b/src/consensus/replica_node_base.h
@@ -114,6 +114,12 @@
     {
         return this->core->hardState().term;
     }
+    /** When the last round of messages began that a quorum has acknowledged while this member leads in its current
+     * term; of the boot clock, 0 for none. No other member is elected within the election timeout after that. */
+    [[nodiscard]] Instant quorumContactAt() const
+    {
+        return this->lastQuorumContact;
+    }
     /** Address of the leader; empty if unknown. */
     [[nodiscard]] std::string leaderAddress() const;
     [[nodiscard]] std::vector<MemberView> members() const;
@@ -146,6 +152,9 @@
     /** Executes the core's actions, handles a role change, sends messages and takes a snapshot if one is due. */
     void flush();
     void executeActions(RaftActions actions);
+    /** Records that the round that the core has just started, if any, began at @p start, and which ones are confirmed.
+     */
+    void recordRounds(Instant start);
     void apply(const RaftEntry &entry);
     std::string applyCommand(const RaftEntry &entry);
     void answerReads(const std::vector<RaftRead> &confirmed);
@@ -179,6 +188,9 @@
     RaftRole reportedRole = RaftRole::Follower; ///< Last role handled by handleRoleChange.
     std::uint64_t reportedTerm = 0; ///< Last term handled by handleRoleChange.
     bool leadershipReported = false; ///< Whether onBecameLeader was called in this term.
+    std::deque<std::pair<std::uint64_t, Instant>> rounds; ///< Unconfirmed rounds of this term and when they began.
+    std::uint64_t recordedRound = 0; ///< Latest round that `rounds` has held, or that began before this term.
+    Instant lastQuorumContact{0}; ///< See `quorumContactAt`.
     bool flushScheduled = false; ///< A flush will run later in the event loop.
     bool bootstrapping = false; ///< Waiting for hello replies of the other members.
     TimerSubscription tickTimer; ///< Runs the ticks of the core.
--- a/src/deployment/deployment_member_base.cpp
+++ b/src/deployment/deployment_member_base.cpp
@@ -612,7 +612,8 @@
 kj::Promise<bool> DeploymentMember::confirmLead()
 {
     const Instant start = bootClockNow();
-    if (!this->isLeader() || start < this->leaseEnd) {
+    const Instant heldUntil = std::max(this->leaseEnd, this->node.quorumContactAt() + LeaderLease);
+    if (!this->isLeader() || start < heldUntil) {
         return this->isLeader();
     }
     if (this->leaseRenewal == nullptr) { // One round to the other members serves all who wait.
--- a/tests/unit/consensus_test.cpp
+++ b/tests/unit/consensus_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -273,3 +274,36 @@
         BOOST_TEST(cluster.violations.empty());
     }
 }
+
+/** Guards against a lease that a leader renews with heartbeats beyond the election of another one. */
+BOOST_AUTO_TEST_CASE(round_confirmed_by_heartbeats_began_an_election_timeout_before_another_member_leads)
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        const RaftSettings settings = smallSettings();
+        RaftCluster cluster(seed, 5, settings);
+        cluster.runWithoutFaults(100);
+        const std::string leader = cluster.leader();
+        BOOST_REQUIRE(!leader.empty());
+        const RaftCore &core = *cluster.nodes.at(leader).core;
+        std::map<std::uint64_t, unsigned> startedIn; // Tick in which each round began.
+        unsigned tick = 0;
+        const auto run = [&]() {
+            ++tick;
+            cluster.runWithoutFaults(1);
+            startedIn.try_emplace(core.startedRound(), tick);
+        };
+        const std::uint64_t before = core.confirmedRound();
+        for (unsigned i = 0; i < 5 * settings.heartbeatTicks; ++i) {
+            run();
+        }
+        BOOST_TEST(core.confirmedRound() >= before + 4); // Without any read.
+        cluster.isolate(leader);
+        std::uint64_t confirmed = 0;
+        while (cluster.leader() == leader && tick < 1000) {
+            confirmed = std::max(confirmed, core.confirmedRound());
+            run();
+        }
+        BOOST_REQUIRE(startedIn.contains(confirmed));
+        BOOST_TEST(tick - startedIn.at(confirmed) >= settings.electionTicks);
+    }
+}
