Gateways of a large fleet request credit through control members that don't lead

Each of 167 gateways has a credit call under way, 820 to 1,050 a second were answered, and no more: a closed loop at the leader's processor (0.15 of a core, some 0.115 ms a call), which doesn't drain by itself. Under more load waits grow with the number of gateways, whatever the leader is.

Gateways whose leader holds watches longer than the shortest time (more than 50 gateways) now ask a control member of their data centre that doesn't lead. It sends all requests that arrive while its last call is under way, and for as long again after it, as one (CreditBatch, CreditRelay), and divides what is granted: running programs first, then by arrival. So the leader has at most one call of each member, and a slow one gets fewer. Accounts, leases and the sum over leaders and gateways are the same; credit ages from the gateway's request as before. After a failed call a gateway asks another member, after two the leader itself, for a second. Requests to endpoints with limits go to the leader as before. Members announce relaysCredit; with a leader or members of earlier builds gateways ask the leader.

Weighed: accounts with owners on all control members (a second kind of lease), credit without a round trip for customers far below their limits (167 gateways before 140 customers exceed the tolerated excess with one request each).

--- a/src/deployment/deployment_member_base.cpp
+++ b/src/deployment/deployment_member_base.cpp
@@ -70,6 +70,16 @@
         textOf(limit.getEndpoint()), std::max(limit.getPerSecond(), 0.0), std::chrono::milliseconds(limit.getAgeMs())};
 }
 
+CreditRequests readCredit(capnp::List<Wire::CustomerCredit>::Reader wanted)
+{
+    CreditRequests requests;
+    for (const auto entry : wanted) {
+        requests[textOf(entry.getCustomer())] = {
+            entry.getRequests(), entry.getAhead(), entry.getLate(), entry.getReturned()};
+    }
+    return requests;
+}
+
 class DeploymentServer final : public Wire::Deployment::Server
 {
 public:
@@ -102,6 +112,19 @@
         });
     }
 
+    kj::Promise<void> relayCredit(RelayCreditContext context) override
+    {
+        return this->member.relayCredit(readCredit(context.getParams().getWanted()))
+            .then([context](BoxedGrants &&granted) mutable {
+                auto list = context.getResults().initGranted(static_cast<unsigned>(granted->size()));
+                unsigned position = 0;
+                for (const auto &[customer, requests] : *granted) {
+                    list[position].setCustomer(wireText(customer));
+                    list[position++].setRequests(requests);
+                }
+            });
+    }
+
     kj::Promise<void> configuration(ConfigurationContext context) override
     {
         if (this->member.configurationVersion() >= context.getParams().getAtLeast()) {
@@ -130,12 +153,12 @@
 private:
     void grantCredit(capnp::List<Wire::CustomerCredit>::Reader wanted, Wire::Deployment::CreditResults::Builder results)
     {
-        auto granted = results.initGranted(wanted.size());
-        for (unsigned i = 0; i < wanted.size(); ++i) {
-            const CreditRequest request{
-                wanted[i].getRequests(), wanted[i].getAhead(), wanted[i].getLate(), wanted[i].getReturned()};
-            granted[i].setCustomer(wanted[i].getCustomer());
-            granted[i].setRequests(this->member.grantCredit(textOf(wanted[i].getCustomer()), request));
+        const CreditRequests requests = readCredit(wanted);
+        auto granted = results.initGranted(static_cast<unsigned>(requests.size()));
+        unsigned position = 0;
+        for (const auto &[customer, request] : requests) {
+            granted[position].setCustomer(wireText(customer));
+            granted[position++].setRequests(this->member.grantCredit(customer, request));
         }
     }
 
@@ -159,7 +182,7 @@
 {
     return {textOf(report.getName()), report.getRole(), textOf(report.getDataCentre()),
         textOf(report.getCallerAddress()), textOf(report.getRpcAddress()), textOf(report.getIdentity()),
-        report.getReady(), report.getCutOff(), report.getProcessorShare()};
+        report.getReady(), report.getCutOff(), report.getProcessorShare(), report.getRelaysCredit()};
 }
 
 } // namespace
@@ -175,7 +198,11 @@
     , watcher(loop, this->settings.seeds)
     , credits(this->settings.rateTolerance)
     , endpointCredits(endpointLimitTolerance())
+    , creditRelay(loop, [this](const CreditRequests &requests) {
+        return this->requestCredit(requests);
+    })
 {
+    this->settings.self.relaysCredit = true;
     this->credits.onAccountOpened = [this](const std::string &customer, double tokens) {
         logEvent(EventKind::CreditAccountOpened,
             {{"customer", customer}, {"tokens", std::to_string(static_cast<std::int64_t>(tokens))},
@@ -592,6 +619,7 @@
         list[i].setCutOff(listed[i].isCutOff);
         list[i].setProcessorShare(listed[i].processorShare);
         list[i].setIdentity(wireText(listed[i].identity));
+        list[i].setRelaysCredit(listed[i].relaysCredit);
     }
     if (changes) {
         auto gone = update.initInstancesGone(static_cast<unsigned>(changes->gone.size()));
@@ -649,6 +677,29 @@
     }
 }
 
+kj::Promise<BoxedGrants> DeploymentMember::relayCredit(const CreditRequests &requests)
+{
+    return this->creditRelay.request(requests);
+}
+
+kj::Promise<BoxedGrants> DeploymentMember::requestCredit(const CreditRequests &requests)
+{
+    if (!this->isLeader()) {
+        this->creditRelay.setRelayCount(std::max<std::size_t>(this->node.members().size(), 2) - 1);
+        return this->watcher.requestCreditAt(this->node.leaderAddress(), requests, {}).then([](CreditReply &&reply) {
+            return std::make_unique<CreditGrants>(std::move(reply.customers));
+        });
+    }
+    return this->confirmLead().then([this, requests](bool isLeading) {
+        KJ_REQUIRE(isLeading, "the control member is no longer the leader");
+        auto granted = std::make_unique<CreditGrants>();
+        for (const auto &[customer, request] : requests) {
+            (*granted)[customer] = this->grantCredit(customer, request);
+        }
+        return granted;
+    });
+}
+
 std::uint32_t DeploymentMember::grantCredit(const std::string &customer, const CreditRequest &request)
 {
     this->refreshConfiguration();
--- a/src/deployment/deployment_member_base.h
+++ b/src/deployment/deployment_member_base.h
@@ -15,6 +15,7 @@
 #include "deployment/cold_limit_func.h"
 #include "deployment/configuration_type.h"
 #include "deployment/credit_pool_base.h"
+#include "deployment/credit_relay_base.h"
 #include "deployment/deployment_state_base.h"
 #include "deployment/deployment_watcher_base.h"
 #include "deployment/endpoint_limit_type.h"
@@ -124,10 +125,14 @@
     /** Grants requests to an endpoint whose limits are as @p known says, as far as the gateway knows. */
     [[nodiscard]] std::uint32_t grantEndpointCredit(const EndpointCreditRequest &known);
     [[nodiscard]] std::uint32_t grantCredit(const std::string &customer, const CreditRequest &request);
+    /** Requests credit from the leader for a gateway; see CreditRelay. */
+    [[nodiscard]] kj::Promise<BoxedGrants> relayCredit(const CreditRequests &requests);
 
     ReplicaNode node; ///< The replicated log.
 
 private:
+    /** Requests credit from the leader, which may be this member. */
+    [[nodiscard]] kj::Promise<BoxedGrants> requestCredit(const CreditRequests &requests);
     void startLeaderTerm();
     void notifyWatchers();
     /** Ends the next of `endingWatches`, and the others soon. */
@@ -212,6 +217,7 @@
     CreditPool credits; ///< Rate limits of the customers.
     EndpointLimitTable endpointLimits; ///< Limits that endpoints name.
     CreditPool endpointCredits; ///< Requests to the endpoints with limits.
+    CreditRelay creditRelay; ///< Requests credit for gateways.
     ColdEndpoints coldEndpoints; ///< Which endpoints are cold.
     LoopLag loopLag; ///< Delays of the event loop.
     Instant lagRecordedAt{0}; ///< When `loopLag` was last told the time.
--- a/src/deployment/deployment_watcher_base.cpp
+++ b/src/deployment/deployment_watcher_base.cpp
@@ -21,6 +21,18 @@
     builder.setAgeMs(static_cast<std::uint32_t>(report.age.count() / 1000));
 }
 
+void writeCredit(capnp::List<Wire::CustomerCredit>::Builder list, const CreditRequests &requests)
+{
+    unsigned position = 0;
+    for (const auto &[customer, requested] : requests) {
+        list[position].setCustomer(wireText(customer));
+        list[position].setRequests(requested.requests);
+        list[position].setAhead(requested.ahead);
+        list[position].setReturned(requested.returned);
+        list[position++].setLate(requested.late);
+    }
+}
+
 } // namespace
 
 DeploymentWatcher::DeploymentWatcher(ControlLoop &loop, std::vector<std::string> seeds)
@@ -149,6 +161,7 @@
         report.setReady(info.ready);
         report.setCutOff(info.isCutOff);
         report.setProcessorShare(info.processorShare);
+        report.setRelaysCredit(info.relaysCredit);
         report.setCopiedView(this->copiedView ? this->copiedView() : 0);
         const auto strikes = this->takeStrikes ? this->takeStrikes() : std::vector<EndpointStrike>();
         auto list = report.initStrikes(static_cast<unsigned>(strikes.size()));
@@ -284,7 +297,7 @@
         instances.insert_or_assign(textOf(entry.getName()),
             InstanceInfo{textOf(entry.getName()), entry.getRole(), textOf(entry.getDataCentre()),
                 textOf(entry.getCallerAddress()), textOf(entry.getRpcAddress()), textOf(entry.getIdentity()),
-                entry.getReady(), entry.getCutOff(), entry.getProcessorShare()});
+                entry.getReady(), entry.getCutOff(), entry.getProcessorShare(), entry.getRelaysCredit()});
     }
     this->view.instances.clear();
     for (auto &[name, instance] : instances) {
@@ -324,34 +337,33 @@
 }
 
 kj::Promise<CreditReply> DeploymentWatcher::requestCredit(
-    const std::map<std::string, CreditRequest> &customers, const std::vector<EndpointCreditRequest> &endpoints)
+    const CreditRequests &customers, const std::vector<EndpointCreditRequest> &endpoints)
 {
-    KJ_REQUIRE(!this->view.leader.empty(), "no leader of the control members is known");
-    auto called =
-        this->links.services(this->view.leader).then([this, customers, endpoints](OfferedServices &&services) {
-            auto request = services.deployment.castAs<Wire::Deployment>().creditRequest();
-            request.setInstance(wireText(this->describeSelf().name));
-            auto list = request.initWanted(static_cast<unsigned>(customers.size()));
-            unsigned position = 0;
-            for (const auto &[customer, requested] : customers) {
-                list[position].setCustomer(wireText(customer));
-                list[position].setRequests(requested.requests);
-                list[position].setAhead(requested.ahead);
-                list[position].setReturned(requested.returned);
-                list[position++].setLate(requested.late);
-            }
-            auto endpointList = request.initEndpoints(static_cast<unsigned>(endpoints.size()));
-            for (unsigned i = 0; i < endpoints.size(); ++i) {
-                writeLimit(endpointList[i].initLimit(), endpoints[i].limit);
-                endpointList[i].setRequests(endpoints[i].wanted.requests);
-                endpointList[i].setAhead(endpoints[i].wanted.ahead);
-                endpointList[i].setReturned(endpoints[i].wanted.returned);
-                endpointList[i].setColdPerSecond(endpoints[i].coldPerSecond);
-            }
-            auto sent = request.send();
-            this->lastCredit = nullptr;
-            return sent;
-        });
+    const std::string relay = endpoints.empty() ? this->findCreditRelay() : std::string();
+    return relay.empty() ? this->requestCreditAt(this->view.leader, customers, endpoints)
+                         : this->requestRelayedCredit(relay, customers);
+}
+
+kj::Promise<CreditReply> DeploymentWatcher::requestCreditAt(
+    const std::string &leader, const CreditRequests &customers, const std::vector<EndpointCreditRequest> &endpoints)
+{
+    KJ_REQUIRE(!leader.empty(), "no leader of the control members is known");
+    auto called = this->links.services(leader).then([this, customers, endpoints](OfferedServices &&services) {
+        auto request = services.deployment.castAs<Wire::Deployment>().creditRequest();
+        request.setInstance(wireText(this->describeSelf().name));
+        writeCredit(request.initWanted(static_cast<unsigned>(customers.size())), customers);
+        auto endpointList = request.initEndpoints(static_cast<unsigned>(endpoints.size()));
+        for (unsigned i = 0; i < endpoints.size(); ++i) {
+            writeLimit(endpointList[i].initLimit(), endpoints[i].limit);
+            endpointList[i].setRequests(endpoints[i].wanted.requests);
+            endpointList[i].setAhead(endpoints[i].wanted.ahead);
+            endpointList[i].setReturned(endpoints[i].wanted.returned);
+            endpointList[i].setColdPerSecond(endpoints[i].coldPerSecond);
+        }
+        auto sent = request.send();
+        this->lastCredit = nullptr;
+        return sent;
+    });
     return this->loop.kjTimer().timeoutAfter(kjDuration(CreditTimeout), kj::mv(called)).then([this](auto &&response) {
         KJ_REQUIRE(response.getLeading(), "the control member is no longer the leader");
         CreditReply reply;
@@ -367,4 +379,43 @@
     });
 }
 
+kj::Promise<CreditReply> DeploymentWatcher::requestRelayedCredit(
+    const std::string &relay, const CreditRequests &customers)
+{
+    auto called = this->links.services(relay).then([this, customers](OfferedServices &&services) {
+        auto request = services.deployment.castAs<Wire::Deployment>().relayCreditRequest();
+        writeCredit(request.initWanted(static_cast<unsigned>(customers.size())), customers);
+        auto sent = request.send();
+        this->lastRelayedCredit = nullptr;
+        return sent;
+    });
+    return this->loop.kjTimer()
+        .timeoutAfter(kjDuration(CreditTimeout), kj::mv(called))
+        .then(
+            [this](auto &&response) {
+                CreditReply reply;
+                for (const auto entry : response.getGranted()) {
+                    reply.customers[textOf(entry.getCustomer())] = entry.getRequests();
+                }
+                this->creditRelays.recordAnswer();
+                this->lastRelayedCredit = kj::mv(response);
+                return reply;
+            },
+            [this, relay](kj::Exception &&exception) -> CreditReply {
+                this->creditRelays.recordFailure(this->loop.timers().now());
+                this->links.recordFailure(relay, exception, SilenceTimeout);
+                kj::throwFatalException(kj::mv(exception));
+            });
+}
+
+std::string DeploymentWatcher::findCreditRelay() const
+{
+    if (this->watchWait <= MinWatchWait || !this->describeSelf) {
+        return {}; // The leader of a small fleet answers each gateway itself, one hop less away.
+    }
+    const InstanceInfo self = this->describeSelf();
+    return this->creditRelays.choose(
+        this->loop.timers().now(), {self.name, self.dataCentre}, this->view.instances, this->view.leader);
+}
+
 } // namespace Chestnuthook
--- a/src/deployment/deployment_watcher_base.h
+++ b/src/deployment/deployment_watcher_base.h
@@ -12,7 +12,9 @@
 #include "core/timer_base.h"
 #include "deployment/configuration_type.h"
 #include "deployment/control_links_base.h"
+#include "deployment/credit_batch_type.h"
 #include "deployment/credit_pool_base.h"
+#include "deployment/credit_relay_choice_base.h"
 #include "deployment/endpoint_limit_type.h"
 #include "deployment/endpoint_list_type.h"
 #include "deployment/history_view_type.h"
@@ -81,9 +83,13 @@
     /** Sends a report at once, interrupting the current watch. */
     void reportNow();
 
-    /** Requests credit from the leader. The promise fails if it doesn't answer or is no longer the leader. */
+    /** Requests credit from the leader, in a large fleet through another control member that asks for many gateways.
+     * The promise fails if it doesn't answer or is no longer the leader. */
     [[nodiscard]] kj::Promise<CreditReply> requestCredit(
-        const std::map<std::string, CreditRequest> &customers, const std::vector<EndpointCreditRequest> &endpoints);
+        const CreditRequests &customers, const std::vector<EndpointCreditRequest> &endpoints);
+    /** As above from the control member at @p leader itself. */
+    [[nodiscard]] kj::Promise<CreditReply> requestCreditAt(const std::string &leader, const CreditRequests &customers,
+        const std::vector<EndpointCreditRequest> &endpoints);
 
     /** Asks the leader for the software versions of the endpoints at which streams of @p service may have begun, as of
      * a time after the call. The promise fails if it doesn't answer, isn't the leader, or can't be certain. */
@@ -153,6 +159,10 @@
     /** A later answer would bring credit that has expired. */
     static constexpr Duration CreditTimeout = CreditTtl;
 
+    [[nodiscard]] kj::Promise<CreditReply> requestRelayedCredit(
+        const std::string &relay, const CreditRequests &customers);
+    /** RPC address of the control member through which credit is requested; empty if the leader is asked itself. */
+    [[nodiscard]] std::string findCreditRelay() const;
     kj::Promise<void> watchLoop();
     kj::Promise<void> watchOnce();
     void applyUpdate(Wire::Update::Reader update);
@@ -179,6 +189,8 @@
      * arrives together with that call, which saves the leader a wake-up for each call. */
     kj::Maybe<capnp::Response<Wire::Deployment::WatchResults>> lastWatch;
     kj::Maybe<capnp::Response<Wire::Deployment::CreditResults>> lastCredit;
+    kj::Maybe<capnp::Response<Wire::Deployment::RelayCreditResults>> lastRelayedCredit;
+    CreditRelayChoice creditRelays; ///< Chooses the control member through which credit is requested.
     Instant verifiedAt{0}; ///< When `verifyLeader` last interrupted a watch.
     Instant answerDue{0}; ///< When the first unanswered watch must be answered at the latest; 0 if there is none.
     Duration watchWait = MinWatchWait; ///< Longest time for which the leader holds a watch without an update.
--- a/src/deployment/instance_registry_base.h
+++ b/src/deployment/instance_registry_base.h
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -27,6 +28,7 @@
     bool ready = false; ///< A gateway that accepts client requests.
     bool isCutOff = false; ///< A gateway that needs others to reach most endpoints of a service.
     double processorShare = 0; ///< Cores that the process may use; 0 if it doesn't say.
+    bool relaysCredit = false; ///< A control member that requests credit for gateways.
     bool operator==(const InstanceInfo &) const = default;
 };
 
--- a/src/rpc/deployment.capnp
+++ b/src/rpc/deployment.capnp
@@ -36,6 +36,7 @@
     limits @10 :List(EndpointLimit);    # Changed since the last report.
     cutOff @9 :Bool;            # A gateway that reaches less than half of a service's endpoints by its own links.
     processorShare @11 :Float64;    # Cores that the process may use; 0 where it doesn't say.
+    relaysCredit @12 :Bool;     # A control member that offers relayCredit.
 }
 
 struct EndpointEntry {
@@ -74,6 +75,7 @@
     identity @6 :Text;          # Of the data folder.
     cutOff @7 :Bool;            # As the daemon reported it.
     processorShare @8 :Float64; # As the daemon reported it.
+    relaysCredit @9 :Bool;      # As the daemon reported it.
 }
 
 # Software version of an endpoint of a service.
@@ -140,6 +142,9 @@
     # Software versions of the endpoints at which streams of a service may have begun.
     # `known` is false where this member doesn't lead or can't be certain.
     serviceVersions @3 (service :Text) -> (known :Bool, versions :List(Text));
+    # As credit for customers, at any control member that offers it: it asks the leader for many gateways at once.
+    # Fails where the leader doesn't answer.
+    relayCredit @4 (wanted :List(CustomerCredit)) -> (granted :List(CustomerCredit));
 }
 
 # A command of the deployment's replicated state.
--- a/src/rpc/deployment.capnp.h
+++ b/src/rpc/deployment.capnp.h
@@ -47,6 +47,8 @@
 CAPNP_DECLARE_SCHEMA(b0d8e1b4038dec52);
 CAPNP_DECLARE_SCHEMA(ed4fce162ea40d74);
 CAPNP_DECLARE_SCHEMA(ff246fc45c33b825);
+CAPNP_DECLARE_SCHEMA(a58f21befadffafc);
+CAPNP_DECLARE_SCHEMA(b65a2727ca7f25e2);
 CAPNP_DECLARE_SCHEMA(c1238814cfeff460);
 CAPNP_DECLARE_SCHEMA(dc567af51f1799e8);
 CAPNP_DECLARE_SCHEMA(df49bc569d55d68a);
@@ -256,6 +258,8 @@
   struct ConfigurationResults;
   struct ServiceVersionsParams;
   struct ServiceVersionsResults;
+  struct RelayCreditParams;
+  struct RelayCreditResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -385,6 +389,36 @@
   };
 };
 
+struct Deployment::RelayCreditParams {
+  RelayCreditParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a58f21befadffafc, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Deployment::RelayCreditResults {
+  RelayCreditResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b65a2727ca7f25e2, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct DeploymentCommand {
   DeploymentCommand() = delete;
 
@@ -682,6 +716,8 @@
 
   inline double getProcessorShare() const;
 
+  inline bool getRelaysCredit() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -774,6 +810,9 @@
   inline double getProcessorShare();
   inline void setProcessorShare(double value);
 
+  inline bool getRelaysCredit();
+  inline void setRelaysCredit(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1183,6 +1222,8 @@
 
   inline double getProcessorShare() const;
 
+  inline bool getRelaysCredit() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1258,6 +1299,9 @@
   inline double getProcessorShare();
   inline void setProcessorShare(double value);
 
+  inline bool getRelaysCredit();
+  inline void setRelaysCredit(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1896,6 +1940,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::Chestnuthook::Wire::Deployment::ServiceVersionsParams,  ::Chestnuthook::Wire::Deployment::ServiceVersionsResults> serviceVersionsRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Chestnuthook::Wire::Deployment::RelayCreditParams,  ::Chestnuthook::Wire::Deployment::RelayCreditResults> relayCreditRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1928,6 +1974,10 @@
   typedef  ::Chestnuthook::Wire::Deployment::ServiceVersionsResults ServiceVersionsResults;
   typedef ::capnp::CallContext<ServiceVersionsParams, ServiceVersionsResults> ServiceVersionsContext;
   virtual ::kj::Promise<void> serviceVersions(ServiceVersionsContext context);
+  typedef  ::Chestnuthook::Wire::Deployment::RelayCreditParams RelayCreditParams;
+  typedef  ::Chestnuthook::Wire::Deployment::RelayCreditResults RelayCreditResults;
+  typedef ::capnp::CallContext<RelayCreditParams, RelayCreditResults> RelayCreditContext;
+  virtual ::kj::Promise<void> relayCredit(RelayCreditContext context);
 
   inline  ::Chestnuthook::Wire::Deployment::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -2652,6 +2702,168 @@
 };
 #endif  // !CAPNP_LITE
 
+class Deployment::RelayCreditParams::Reader {
+public:
+  typedef RelayCreditParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWanted() const;
+  inline  ::capnp::List< ::Chestnuthook::Wire::CustomerCredit,  ::capnp::Kind::STRUCT>::Reader getWanted() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Deployment::RelayCreditParams::Builder {
+public:
+  typedef RelayCreditParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWanted();
+  inline  ::capnp::List< ::Chestnuthook::Wire::CustomerCredit,  ::capnp::Kind::STRUCT>::Builder getWanted();
+  inline void setWanted( ::capnp::List< ::Chestnuthook::Wire::CustomerCredit,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Chestnuthook::Wire::CustomerCredit,  ::capnp::Kind::STRUCT>::Builder initWanted(unsigned int size);
+  inline void adoptWanted(::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::CustomerCredit,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::CustomerCredit,  ::capnp::Kind::STRUCT>> disownWanted();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Deployment::RelayCreditParams::Pipeline {
+public:
+  typedef RelayCreditParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Deployment::RelayCreditResults::Reader {
+public:
+  typedef RelayCreditResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasGranted() const;
+  inline  ::capnp::List< ::Chestnuthook::Wire::CustomerCredit,  ::capnp::Kind::STRUCT>::Reader getGranted() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Deployment::RelayCreditResults::Builder {
+public:
+  typedef RelayCreditResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasGranted();
+  inline  ::capnp::List< ::Chestnuthook::Wire::CustomerCredit,  ::capnp::Kind::STRUCT>::Builder getGranted();
+  inline void setGranted( ::capnp::List< ::Chestnuthook::Wire::CustomerCredit,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Chestnuthook::Wire::CustomerCredit,  ::capnp::Kind::STRUCT>::Builder initGranted(unsigned int size);
+  inline void adoptGranted(::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::CustomerCredit,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::CustomerCredit,  ::capnp::Kind::STRUCT>> disownGranted();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Deployment::RelayCreditResults::Pipeline {
+public:
+  typedef RelayCreditResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class DeploymentCommand::Reader {
 public:
   typedef DeploymentCommand Reads;
@@ -3508,6 +3720,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool InstanceReport::Reader::getRelaysCredit() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+
+inline bool InstanceReport::Builder::getRelaysCredit() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+inline void InstanceReport::Builder::setRelaysCredit(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool EndpointEntry::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4158,6 +4384,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool InstanceEntry::Reader::getRelaysCredit() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+
+inline bool InstanceEntry::Builder::getRelaysCredit() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+inline void InstanceEntry::Builder::setRelaysCredit(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ServiceVersion::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5384,6 +5624,74 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Deployment::RelayCreditParams::Reader::hasWanted() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Deployment::RelayCreditParams::Builder::hasWanted() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Chestnuthook::Wire::CustomerCredit,  ::capnp::Kind::STRUCT>::Reader Deployment::RelayCreditParams::Reader::getWanted() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::CustomerCredit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Chestnuthook::Wire::CustomerCredit,  ::capnp::Kind::STRUCT>::Builder Deployment::RelayCreditParams::Builder::getWanted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::CustomerCredit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Deployment::RelayCreditParams::Builder::setWanted( ::capnp::List< ::Chestnuthook::Wire::CustomerCredit,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::CustomerCredit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Chestnuthook::Wire::CustomerCredit,  ::capnp::Kind::STRUCT>::Builder Deployment::RelayCreditParams::Builder::initWanted(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::CustomerCredit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Deployment::RelayCreditParams::Builder::adoptWanted(
+    ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::CustomerCredit,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::CustomerCredit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::CustomerCredit,  ::capnp::Kind::STRUCT>> Deployment::RelayCreditParams::Builder::disownWanted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::CustomerCredit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Deployment::RelayCreditResults::Reader::hasGranted() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Deployment::RelayCreditResults::Builder::hasGranted() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Chestnuthook::Wire::CustomerCredit,  ::capnp::Kind::STRUCT>::Reader Deployment::RelayCreditResults::Reader::getGranted() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::CustomerCredit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Chestnuthook::Wire::CustomerCredit,  ::capnp::Kind::STRUCT>::Builder Deployment::RelayCreditResults::Builder::getGranted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::CustomerCredit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Deployment::RelayCreditResults::Builder::setGranted( ::capnp::List< ::Chestnuthook::Wire::CustomerCredit,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::CustomerCredit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Chestnuthook::Wire::CustomerCredit,  ::capnp::Kind::STRUCT>::Builder Deployment::RelayCreditResults::Builder::initGranted(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::CustomerCredit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Deployment::RelayCreditResults::Builder::adoptGranted(
+    ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::CustomerCredit,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::CustomerCredit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::CustomerCredit,  ::capnp::Kind::STRUCT>> Deployment::RelayCreditResults::Builder::disownGranted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::CustomerCredit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::Chestnuthook::Wire::DeploymentCommand::Which DeploymentCommand::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
