--- a/tests/process/second_response_test.cpp
+++ b/tests/process/second_response_test.cpp
@@ -177,12 +177,16 @@
         const bool isStream = std::ranges::find(StreamRoutes, name) != StreamRoutes.end();
         const bool isResumable = name.starts_with("resume");
         const bool mayRepeat = isResumable || name == "safe";
-        routes += std::string(routes.empty() ? "" : ",") + R"({"name":")" + name
-            + R"(","host":"h.example","pathPrefix":"/)" + name + R"(/","timeoutMs":3000,"targetLatencyMs":100,)"
-            + R"("service":")" + name + R"(","kind":")" + (isStream ? "stream" : name) + R"(","maxAttempts":)"
-            + (mayRepeat ? "3" : "1") + (isResumable ? R"(,"resumable":true)" : "")
-            + (name.ends_with("turn") ? R"(,"retain":true,"retentionS":60)" : "") + "}";
-        services += std::string(services.empty() ? "" : ",") + R"({"name":")" + name + R"("})";
+        if (!routes.empty()) {
+            routes += ',';
+            services += ',';
+        }
+        routes.append(R"({"name":")").append(name).append(R"(","host":"h.example","pathPrefix":"/)").append(name);
+        routes.append(R"(/","timeoutMs":3000,"targetLatencyMs":100,"service":")").append(name);
+        routes.append(R"(","kind":")").append(isStream ? "stream" : name).append(R"(","maxAttempts":)");
+        routes.append(mayRepeat ? "3" : "1").append(isResumable ? R"(,"resumable":true)" : "");
+        routes.append(name.ends_with("turn") ? R"(,"retain":true,"retentionS":60)" : "").append("}");
+        services.append(R"({"name":")").append(name).append(R"("})");
     }
     return R"({"version":1,"routes":[)" + routes + R"(],"services":[)" + services
         + R"(],"tenants":[{"name":"glue","apiKeys":["key"],"ratePerS":1000,"burst":1000}]})";
--- a/tests/unit/deployment_watcher_test.cpp
+++ b/tests/unit/deployment_watcher_test.cpp
@@ -8,6 +8,7 @@
 #include <thread>
 
 #include "deployment/configuration_fetcher_base.h"
+#include "deployment/credit_relay_base.h"
 #include "deployment/deployment_watcher_base.h"
 #include "deployment/document_compression_func.h"
 #include "rpc/message_func.h"
@@ -58,6 +59,11 @@
     const std::string address = reserveAddress("127.0.0.1"); ///< RPC address.
     const bool isLeading; ///< Answers watches as a leader.
     std::atomic<unsigned> watches = 0; ///< Number of watches.
+    std::atomic<unsigned> credits = 0; ///< Number of credit calls.
+    std::atomic<unsigned> relayedCredits = 0; ///< Number of credit calls that this member should relay.
+    std::atomic<bool> failsRelaying = false; ///< Those calls fail.
+    std::vector<std::string> relays = {}; ///< Addresses of the members that relay credit, as a leader lists them.
+    std::uint32_t watchMs = 0; ///< How long watches may wait, as a leader says.
 
 private:
     class Server final : public Wire::Deployment::Server
@@ -70,7 +76,35 @@
         kj::Promise<void> watch(WatchContext context) override
         {
             ++this->member.watches;
-            context.getResults().initUpdate().setTerm(this->member.isLeading ? 1 : 0);
+            auto update = context.getResults().initUpdate();
+            update.setTerm(this->member.isLeading ? 1 : 0);
+            update.setWatchMs(this->member.watchMs);
+            update.setHas(static_cast<std::uint32_t>(UpdatePart::Instances));
+            auto instances = update.initInstances(static_cast<unsigned>(this->member.relays.size()));
+            for (unsigned i = 0; i < instances.size(); ++i) {
+                instances[i].setName(wireText("member-" + std::to_string(i)));
+                instances[i].setRole(Wire::InstanceRole::CONTROL);
+                instances[i].setRpcAddress(wireText(this->member.relays[i]));
+                instances[i].setRelaysCredit(true);
+            }
+            return kj::READY_NOW;
+        }
+        kj::Promise<void> credit(CreditContext context) override
+        {
+            ++this->member.credits;
+            context.getResults().setLeading(true);
+            return kj::READY_NOW;
+        }
+        kj::Promise<void> relayCredit(RelayCreditContext context) override
+        {
+            ++this->member.relayedCredits;
+            KJ_REQUIRE(!this->member.failsRelaying, "the leader doesn't answer");
+            const auto wanted = context.getParams().getWanted();
+            auto granted = context.getResults().initGranted(wanted.size());
+            for (unsigned i = 0; i < wanted.size(); ++i) {
+                granted[i].setCustomer(wanted[i].getCustomer());
+                granted[i].setRequests(wanted[i].getRequests());
+            }
             return kj::READY_NOW;
         }
         kj::Promise<void> configuration(ConfigurationContext context) override
@@ -161,3 +195,89 @@
     }
     BOOST_TEST(versions == std::vector<std::uint64_t>{Version});
 }
+
+namespace
+{
+
+/** Requests credit for two requests of a customer. @return what was granted, nothing if the call failed. */
+std::optional<std::uint32_t> requestCredit(Daemon &daemon)
+{
+    std::optional<std::uint32_t> granted;
+    auto call = kj::evalNow([&]() {
+        return daemon.watcher.requestCredit({{"customer", {2, 0, 0, 0}}}, {});
+    });
+    daemon.loop.wait(call.then(
+        [&granted](CreditReply &&reply) {
+            granted = reply.customers["customer"];
+        },
+        [](kj::Exception && /*exception*/) {}));
+    return granted;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(credit_of_a_large_fleet_is_requested_through_another_member_until_that_fails)
+{
+    MockMember relay(false);
+    MockMember leader(true);
+    leader.relays = {leader.address, relay.address};
+    Daemon daemon(leader.address);
+    daemon.watcher.start();
+    daemon.run(300 * kj::MILLISECONDS);
+    BOOST_TEST(requestCredit(daemon).has_value());
+    BOOST_TEST(leader.credits == 1U); // The fleet is small.
+    leader.watchMs = 600;
+    daemon.run(300 * kj::MILLISECONDS);
+    BOOST_TEST(requestCredit(daemon).value_or(0) == 2U);
+    BOOST_TEST(leader.credits == 1U);
+    BOOST_TEST(relay.relayedCredits == 1U);
+    relay.failsRelaying = true;
+    BOOST_TEST(!requestCredit(daemon).has_value());
+    BOOST_TEST(!requestCredit(daemon).has_value());
+    BOOST_TEST(leader.credits == 1U);
+    BOOST_TEST(requestCredit(daemon).has_value());
+    BOOST_TEST(leader.credits == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(requests_that_arrive_during_a_call_to_the_leader_are_sent_as_one)
+{
+    ControlLoop loop(Secret, "member");
+    std::vector<std::uint32_t> wanted; // By call to the leader.
+    bool isLeaderUp = true;
+    CreditRelay relay(loop, [&](const CreditRequests &requests) -> kj::Promise<BoxedGrants> {
+        KJ_REQUIRE(isLeaderUp, "no leader");
+        wanted.push_back(requests.at("customer").requests);
+        return loop.kjTimer().afterDelay(10 * kj::MILLISECONDS).then([requests]() {
+            auto granted = std::make_unique<CreditGrants>();
+            (*granted)["customer"] = requests.at("customer").requests;
+            return granted;
+        });
+    });
+    std::uint32_t granted = 0;
+    unsigned failures = 0;
+    const auto request = [&]() {
+        loop.detach(relay.request({{"customer", {2, 0, 0, 0}}})
+                        .then(
+                            [&granted](BoxedGrants &&grants) {
+                                granted += grants->at("customer");
+                            },
+                            [&failures](kj::Exception && /*exception*/) {
+                                ++failures;
+                            }));
+    };
+    for (int i = 0; i < 10; ++i) {
+        request();
+    }
+    loop.wait(loop.kjTimer().afterDelay(200 * kj::MILLISECONDS));
+    BOOST_TEST(wanted == (std::vector<std::uint32_t>{2, 18}));
+    BOOST_TEST(granted == 20U);
+    isLeaderUp = false;
+    request();
+    request();
+    loop.wait(loop.kjTimer().afterDelay(200 * kj::MILLISECONDS));
+    BOOST_TEST(failures == 2U);
+    isLeaderUp = true;
+    request();
+    loop.wait(loop.kjTimer().afterDelay(200 * kj::MILLISECONDS));
+    BOOST_TEST(granted == 22U);
+}
