Tokens of a turn that ended are handed back also after the history members were down

A turn that ends without a whole response hands its reserved tokens back by a write that was sent once to each history member. If these were down just then, the reservation stood until it expired and counted as spent.

--- a/src/history/history_client_base.cpp
+++ b/src/history/history_client_base.cpp
@@ -466,8 +466,31 @@
 void HistoryClient::writeInBackground(std::vector<HistoryRecord> records)
 {
     const auto quorumCall = std::make_shared<QuorumCall>();
-    quorumCall->view = this->watcher.view.history;
-    this->sendWrite(quorumCall, std::make_shared<const Write>(Write{std::move(records), {}}));
+    quorumCall->needsWrite = true;
+    quorumCall->startTry(this->watcher.view.history);
+    const auto write = std::make_shared<const Write>(Write{std::move(records), {}});
+    this->sendWrite(quorumCall, write);
+    if (this->backgroundWrites < MaxBackgroundWrites) {
+        ++this->backgroundWrites;
+        const Instant until = this->loop.timers().now() + BackgroundWriteTime;
+        this->tasks.add(this->retryInBackground(quorumCall, write, until).then([this]() {
+            --this->backgroundWrites;
+        }));
+    }
+}
+
+kj::Promise<void> HistoryClient::retryInBackground(QuorumCallPtr quorumCall, WritePtr write, Instant until)
+{
+    return this->loop.kjTimer()
+        .afterDelay(kjDuration(QuorumCallTimeout))
+        .then([this, quorumCall, write, until]() -> kj::Promise<void> {
+            if (quorumCall->isComplete() || this->loop.timers().now() >= until) {
+                return kj::READY_NOW;
+            }
+            quorumCall->startTry(this->watcher.view.history);
+            this->sendWrite(quorumCall, write);
+            return this->retryInBackground(quorumCall, write, until);
+        });
 }
 
 /** A search for the origin of one stream at several members. */
--- a/src/history/history_client_base.h
+++ b/src/history/history_client_base.h
@@ -53,7 +53,8 @@
      * @param chain turns that the written turn continues. Errors: NotReady. */
     [[nodiscard]] Result<void> write(kj::WaitScope &scope, const std::vector<HistoryRecord> &records,
         const std::vector<std::shared_ptr<const KeptTurn>> &chain, Instant until);
-    /** Sends @p records to all members without waiting for acks or retrying. */
+    /** Writes @p records to a write quorum without making the caller wait, for at most BackgroundWriteTime. While
+     * MaxBackgroundWrites are under way, the records are sent only once. */
     void writeInBackground(std::vector<HistoryRecord> records);
 
     /** Sends the origin of a stream to all members without waiting for acks. */
@@ -63,6 +64,10 @@
         kj::WaitScope &scope, const StreamKey &stream, Instant until);
 
 private:
+    /** All history members may be down for seconds, and a reservation of tokens that isn't handed back stays. */
+    static constexpr Duration BackgroundWriteTime = std::chrono::seconds(30);
+    static constexpr std::size_t MaxBackgroundWrites = 1024;
+
     struct QuorumCall;
     struct OriginSearch;
     /** What a write stores. */
@@ -108,6 +113,7 @@
     /** Errors: BudgetSpent. A rejected claim stays stored until the turn is settled. */
     [[nodiscard]] static Result<void> checkBudget(
         const QuorumCall &quorumCall, const TurnStart &start, TurnContext &context);
+    kj::Promise<void> retryInBackground(QuorumCallPtr quorumCall, WritePtr write, Instant until);
     /** Sends @p write to the members that haven't acknowledged it in earlier tries. */
     void sendWrite(const QuorumCallPtr &quorumCall, const WritePtr &write);
     void askForOrigin(const std::shared_ptr<OriginSearch> &search, const HistoryMember &member);
@@ -133,6 +139,7 @@
     DeploymentWatcher &watcher; ///< Must outlive this object.
     std::string dataCentre; ///< Data centre of this gateway.
     std::map<std::string, std::unique_ptr<MemberLink>> links; ///< By RPC address.
+    std::size_t backgroundWrites = 0; ///< Writes of `retryInBackground` that are under way.
     IgnoreFailures failures; ///< Error handler of `tasks`.
     kj::TaskSet tasks; ///< QuorumCallPtr in flight; they continue after a quorum has answered.
 };
--- a/tests/unit/history_quorum_test.cpp
+++ b/tests/unit/history_quorum_test.cpp
@@ -12,6 +12,7 @@
 
 #include <Poco/Net/ServerSocket.h>
 
+#include "observe/log_func.h"
 #include "support/faulty_link.h"
 #include "support/history_member_thread.h"
 #include "support/process_fleet.h"
@@ -228,3 +229,36 @@
     const Duration late = client.now() - start - TimeLeft;
     BOOST_TEST(late < Duration(MaxLateness), "late by " << late / 1ms << " ms");
 }
+
+BOOST_AUTO_TEST_CASE(tokens_of_a_turn_that_ends_while_no_member_answers_are_handed_back)
+{
+    Group group;
+    const auto start = [](const std::string &id) {
+        TurnStart turn;
+        turn.claim.program = "glue/p";
+        turn.claim.claim = TokenClaim{id, 60, false};
+        turn.claim.keepMs = 60000;
+        turn.claim.expiresMs = static_cast<std::uint64_t>(wallMsNow()) + turn.claim.keepMs;
+        turn.budget = 100;
+        turn.customer = "glue";
+        return turn;
+    };
+    const bool isServed = group.client->runFiber([&](kj::WaitScope &scope) {
+        HistoryClient &client = group.client->client;
+        BOOST_REQUIRE(client.begin(scope, start("first"), group.client->now() + 2s));
+        for (const auto &link : group.links) {
+            link->setFault(LinkFault::Reset);
+        }
+        group.client->loop.kjTimer().afterDelay(200 * kj::MILLISECONDS).wait(scope);
+        ProgramClaim settled = start("first").claim;
+        settled.claim = TokenClaim{"first", 0, true};
+        client.writeInBackground({settled});
+        group.client->loop.kjTimer().afterDelay(1500 * kj::MILLISECONDS).wait(scope);
+        for (const auto &link : group.links) {
+            link->setFault(LinkFault::None);
+        }
+        group.client->loop.kjTimer().afterDelay(2 * kj::SECONDS).wait(scope);
+        return client.begin(scope, start("second"), group.client->now() + 2s).has_value();
+    });
+    BOOST_TEST(isServed);
+}
