--- a/tests/unit/credit_load_test.cpp
+++ b/tests/unit/credit_load_test.cpp
@@ -32,14 +32,15 @@
 /** Load of the fleet; a leader is down from `leaderEnd` to `nextLeader`. */
 struct Load
 {
-    std::size_t gateways = 167;
-    std::size_t customers = 140;
+    std::size_t gateways = 167; ///< Number of gateways.
+    std::size_t customers = 140; ///< Number of customers; the first ones send the most.
     std::size_t members = 9; ///< Control members, of which one leads.
     bool isRelayed = true; ///< Gateways request credit through members that don't lead.
+    /** Requests of the fleet, from the times given on. */
     std::vector<std::pair<Duration, double>> requestsPerSecond = {{0s, 670}, {2s, 2000}, {6s, 1500}};
-    Instant leaderEnd = Instant(0) + Duration(6s);
-    Instant nextLeader = Instant(0) + Duration(6400ms);
-    Instant end = Instant(0) + Duration(12s);
+    Instant leaderEnd = Instant(0) + Duration(6s); ///< When the first leader goes down.
+    Instant nextLeader = Instant(0) + Duration(6400ms); ///< When another one leads.
+    Instant end = Instant(0) + Duration(12s); ///< End of the simulation.
 };
 
 /** A daemon's processor, which handles one call after the other. */
@@ -108,9 +109,9 @@
 private:
     struct Event
     {
-        Instant at{0};
-        std::uint64_t order = 0; ///< Of events at the same time.
-        std::function<void()> action;
+        Instant at{0}; ///< When it happens.
+        std::uint64_t order = 0; ///< Order of events at the same time.
+        std::function<void()> action; ///< What happens.
 
         bool operator<(const Event &other) const
         {
@@ -119,9 +120,9 @@
     };
     struct Request
     {
-        Instant arrived{0};
-        std::size_t customer = 0;
-        bool isAsked = false;
+        Instant arrived{0}; ///< When it reached its gateway.
+        std::size_t customer = 0; ///< Index of its limit.
+        bool isAsked = false; ///< See RateLimiter::take.
     };
     struct Gateway
     {
@@ -130,16 +131,16 @@
         {
         }
 
-        RateLimiter limiter;
-        std::vector<Request> waiting;
-        bool isCalling = false;
+        RateLimiter limiter; ///< Decides which requests are admitted.
+        std::vector<Request> waiting; ///< Requests that wait for credit.
+        bool isCalling = false; ///< A credit call is under way.
     };
     struct Relay
     {
-        Processor processor;
-        CreditBatch waiting;
-        std::vector<std::function<void(const CreditGrants &)>> replies;
-        bool isCalling = false;
+        Processor processor; ///< Handles the calls of gateways.
+        CreditBatch waiting; ///< Calls that the leader hasn't been asked for.
+        std::vector<std::function<void(const CreditGrants &)>> replies; ///< Answers these calls.
+        bool isCalling = false; ///< See CreditRelay.
     };
 
     void at(Instant time, std::function<void()> action)
@@ -285,17 +286,17 @@
             });
     }
 
-    const Load load;
-    std::mt19937_64 random{1};
-    std::vector<RateLimit> limits;
-    std::vector<Gateway> gateways;
-    std::vector<Relay> relays;
-    Processor leader; ///< Of the member that leads.
-    CreditPool pool{RateTolerance()};
-    std::priority_queue<Event> events;
-    std::uint64_t eventCount = 0;
-    Instant now{0};
-    std::size_t leaderCallCount = 0;
+    const Load load; ///< What is played.
+    std::mt19937_64 random{1}; ///< Source of arrivals.
+    std::vector<RateLimit> limits; ///< Limits of the customers.
+    std::vector<Gateway> gateways; ///< All gateways.
+    std::vector<Relay> relays; ///< Control members that don't lead.
+    Processor leader; ///< Processor of the member that leads.
+    CreditPool pool{RateTolerance()}; ///< Accounts of the leader.
+    std::priority_queue<Event> events; ///< Events to come.
+    std::uint64_t eventCount = 0; ///< Events scheduled so far.
+    Instant now{0}; ///< Time of the current event.
+    std::size_t leaderCallCount = 0; ///< Credit calls that reached the leader.
     std::vector<std::pair<Instant, Duration>> waits; ///< Arrival and wait of each admitted request.
 };
 
