review case 10: the quarantine of crashing requests is forgotten with the leader

Found: only the leading control member remembers which requests crash endpoints. A new leader begins with an empty set, which the gateways take over, so the request crashes three endpoints after each change of the leader.

--- a/review/common-2/engine.py
+++ b/review/common-2/engine.py
@@ -2,7 +2,7 @@
 import threading
 import time
 
-from fleet import Reader, Server, read_message
+from fleet import Reader, Server, read_message, socket
 
 
 class Engine:
@@ -12,12 +12,29 @@
         self.name, self.events, self.first_s, self.pause_s, self.tokens = name, events, first_s, pause_s, tokens
         self.running, self.places = threading.Semaphore(slots), threading.Semaphore(slots + queue)
         self.lock, self.runs, self.arrived = threading.Lock(), {}, {}
+        self.channels = set()
         self.server = Server(ip, self.serve)
 
+    def crash(self, back_s):
+        """Resets all channels and takes no new ones for back_s."""
+        ip, port = self.server.address.rsplit(":", 1)
+        self.server.listener.shutdown(socket.SHUT_RDWR)
+        self.server.listener.close()
+        with self.lock:
+            channels, self.channels = self.channels, set()
+        for s in channels:
+            reset(s)
+
+        def back():
+            self.server = Server(ip, self.serve, int(port))
+        threading.Timer(back_s, back).start()
+
     def reject(self, s, status, rid):
         s.sendall(("HTTP/1.1 %s\r\nX-Not-Executed: 1\r\nX-Request-Id: %s\r\nContent-Length: 0\r\n\r\n" % (status, rid)).encode())
 
     def serve(self, s):
+        with self.lock:
+            self.channels.add(s)
         reader = Reader(s)
         while True:
             first, fields, body = read_message(reader)
@@ -49,3 +66,13 @@
             event = b"id: %d\ndata: piece %d of %s\n\n" % (i + 1, i + 1, rid.encode())
             s.sendall(b"%x\r\n%s\r\n" % (len(event), event))
         s.sendall(b"0\r\n\r\n")
+
+
+def reset(s):
+    """Ends a channel as the end of its process does."""
+    try:
+        s.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        s.shutdown(socket.SHUT_RDWR)
+        s.close()
+    except OSError:
+        pass
