--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -10,13 +10,40 @@
 import tempfile
 import threading
 import time
-import tomllib
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 HOST = "desk.example"
 ids = itertools.count(1)
 
 
+def read_deploy():
+    """The roles of deploy/system.toml: their commands and variables. Values are strings, lists and flat tables there."""
+    roles, role = {}, None
+    with open(os.path.join(ROOT, "deploy", "system.toml")) as f:
+        for line in f:
+            line = line.strip()
+            if line.startswith("["):
+                role = roles.setdefault(line.strip("[]").removeprefix("roles."), {})
+            elif role is not None and "=" in line and not line.startswith("#"):
+                name, value = (part.strip() for part in line.split("=", 1))
+                if value.startswith("{"):
+                    pairs = (pair.split("=", 1) for pair in value.strip("{} ").split(","))
+                    role[name] = {key.strip(): text.strip().strip('"') for key, text in pairs}
+                elif value.startswith("["):
+                    role[name] = [text.strip().strip('"') for text in value.strip("[]").split(",")]
+                else:
+                    role[name] = value.strip('"')
+    return roles
+
+
+def end_on_signal(*_):
+    """A case that is ended from outside stops its processes first."""
+    raise SystemExit(2)
+
+
+signal.signal(signal.SIGTERM, end_on_signal)
+
+
 def free_port(ips):
     """A port that is free at all addresses of ips."""
     for _ in range(200):
@@ -204,7 +231,7 @@
     def __init__(self, record, net, cores=3, stores=3, fronts=2, tolerate=1, memory=None, bounds=None, replicas_ip=None):
         self.record = record
         self.folder = tempfile.mkdtemp(prefix="chestnuthook-review-")
-        self.deploy = tomllib.load(open(os.path.join(ROOT, "deploy", "system.toml"), "rb"))
+        self.deploy = read_deploy()
         self.platform = Platform()
         self.tolerate = tolerate
         memory = {"front": 110, "storage": 130, "core": 256, **(memory or {})}
@@ -244,7 +271,7 @@
         threading.Thread(target=self.watch, daemon=True).start()
 
     def settings(self, m, bootstrap):
-        return {"node": m.name, "role": m.role, "machineClass": m.class_name, "serves": self.deploy["roles"][m.role]["serves"],
+        return {"node": m.name, "role": m.role, "machineClass": m.class_name, "serves": self.deploy[m.role]["serves"],
                 "ip": m.ip, "zone": m.zone, "region": "region", "zones": {z: "region" for z in self.ZONES},
                 "listen": m.listen, "innerPorts": [self.inner, self.inner + 15], "seeds": self.seeds,
                 "bootstrap": bootstrap, "lossCounts": m.role != "gateway", "limits": m.limits, "dataDir": m.data,
@@ -261,7 +288,7 @@
             json.dump(self.settings(m, bootstrap), f)
         if m.data:
             os.makedirs(m.data, exist_ok=True)
-        role = self.deploy["roles"][m.role]
+        role = self.deploy[m.role]
         env = {"PATH": os.environ.get("PATH", ""), "CHESTNUTHOOK_SETTINGS": path, **role.get("env", {})}
         log = open(os.path.join(self.folder, m.name + ".log"), "ab")
         m.process = subprocess.Popen(role["run"].split(), cwd=ROOT, env=env, stdout=log, stderr=log,
