--- a/tests/support/faulty_link.cpp
+++ b/tests/support/faulty_link.cpp
@@ -1,6 +1,8 @@
 /** @file faulty_link.cpp  Forwards bytes in both directions, subject to the current fault. */
 #include "support/faulty_link.h"
 
+#include <algorithm>
+#include <cstddef>
 #include <thread>
 #include <utility>
 
@@ -62,23 +64,57 @@
     ++this->targetChanges;
 }
 
+void FaultyLink::silenceConnections(const std::set<std::size_t> &callers)
+{
+    const std::lock_guard lock(this->mutex);
+    this->silences.push_back(callers);
+}
+
+std::size_t FaultyLink::silenceCount()
+{
+    const std::lock_guard lock(this->mutex);
+    return this->silences.size();
+}
+
+bool FaultyLink::isSilenced(std::size_t connectionCaller, std::size_t first)
+{
+    const std::lock_guard lock(this->mutex);
+    return std::any_of(this->silences.begin() + static_cast<std::ptrdiff_t>(first), this->silences.end(),
+        [connectionCaller](const std::set<std::size_t> &callers) {
+            return callers.empty() || callers.contains(connectionCaller);
+        });
+}
+
 std::string FaultyLink::currentTarget()
 {
     const std::lock_guard lock(this->mutex);
     return this->target;
 }
 
-LinkFault FaultyLink::faultOf(std::size_t connectionCaller) const
+void FaultyLink::setFault(LinkFault newFault, std::size_t newCaller)
+{
+    this->setFault(newFault, std::set<std::size_t>{newCaller});
+}
+
+void FaultyLink::setFault(LinkFault newFault, const std::set<std::size_t> &newCallers)
 {
-    const std::size_t affected = this->caller;
-    return affected == AnyCaller || affected == connectionCaller ? this->fault.load() : LinkFault::None;
+    const std::lock_guard lock(this->mutex);
+    this->callers = newCallers;
+    this->fault = newFault;
+}
+
+LinkFault FaultyLink::faultOf(std::size_t connectionCaller)
+{
+    const std::lock_guard lock(this->mutex);
+    const bool isAffected = this->callers.contains(AnyCaller) || this->callers.contains(connectionCaller);
+    return isAffected ? this->fault : LinkFault::None;
 }
 
 void FaultyLink::relay(Poco::Net::StreamSocket &client, const std::atomic<bool> &ending)
 {
     const unsigned changesAtStart = this->targetChanges;
-    const unsigned silencesAtStart = this->silences;
     const std::string address = this->currentTarget();
+    const std::size_t silencesAtStart = this->silenceCount();
     if (address.empty()) {
         client.setLinger(true, 0);
         return;
@@ -96,7 +132,7 @@
             resetOnClose(client, upstream);
             return;
         }
-        if (currentFault == LinkFault::Stall || this->silences != silencesAtStart) {
+        if (currentFault == LinkFault::Stall || this->isSilenced(connectionCaller, silencesAtStart)) {
             std::this_thread::sleep_for(std::chrono::microseconds(PollInterval.totalMicroseconds()));
             continue;
         }
--- a/tests/support/faulty_link.h
+++ b/tests/support/faulty_link.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <limits>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -39,11 +40,9 @@
     FaultyLink(const std::string &address, std::string target, IdentifyCaller identifyCaller);
 
     /** Replaces the current fault. The new one affects the connections of @p newCaller. */
-    void setFault(LinkFault newFault, std::size_t newCaller = AnyCaller)
-    {
-        this->caller = newCaller;
-        this->fault = newFault;
-    }
+    void setFault(LinkFault newFault, std::size_t newCaller = AnyCaller);
+    /** Replaces the current fault. The new one affects the connections of @p newCallers only. */
+    void setFault(LinkFault newFault, const std::set<std::size_t> &newCallers);
 
     /** Forwards new connections to @p newTarget, or resets them if it is empty. Existing connections are reset. */
     void setTarget(std::string newTarget);
@@ -54,26 +53,26 @@
         this->server.cutOff(sources);
     }
 
-    /** Forwards nothing more on the existing connections, which stay open. */
-    void silenceConnections()
-    {
-        ++this->silences;
-    }
+    /** Forwards nothing more on the existing connections of @p callers, or on all if it is empty. They stay open. */
+    void silenceConnections(const std::set<std::size_t> &callers = {});
 
     static constexpr auto DelayTime = std::chrono::milliseconds(80);
 
 private:
     void relay(Poco::Net::StreamSocket &client, const std::atomic<bool> &ending);
     std::string currentTarget();
+    std::size_t silenceCount();
+    /** Whether `silenceConnections` was called for @p connectionCaller since its call number @p first. */
+    bool isSilenced(std::size_t connectionCaller, std::size_t first);
     /** The fault that affects the connections of @p connectionCaller. */
-    [[nodiscard]] LinkFault faultOf(std::size_t connectionCaller) const;
+    [[nodiscard]] LinkFault faultOf(std::size_t connectionCaller);
 
-    std::mutex mutex; ///< Guards `target`.
+    std::mutex mutex; ///< Guards `target`, `silences`, `fault` and `callers`.
     std::string target; ///< Target as ip:port; empty if nothing listens there.
     std::atomic<unsigned> targetChanges{0}; ///< Number of calls of `setTarget`.
-    std::atomic<unsigned> silences{0}; ///< Number of calls of `silenceConnections`.
-    std::atomic<LinkFault> fault{LinkFault::None}; ///< Current fault.
-    std::atomic<std::size_t> caller{AnyCaller}; ///< Whose connections the fault affects.
+    std::vector<std::set<std::size_t>> silences; ///< Callers of each call of `silenceConnections`.
+    LinkFault fault = LinkFault::None; ///< Current fault.
+    std::set<std::size_t> callers; ///< Whose connections the fault affects; everybody's if it contains AnyCaller.
     const IdentifyCaller identifyCaller; ///< Empty if faults always affect all callers.
     ConnectionServer server; ///< Declared after the members that its threads use.
 
--- a/tests/support/soak_deployment.cpp
+++ b/tests/support/soak_deployment.cpp
@@ -14,7 +14,8 @@
 #include <sys/resource.h>
 
 #include <Poco/Exception.h>
-#include <Poco/Net/SocketAddress.h>
+
+#include "support/connection_owner.h"
 
 namespace Chestnuthook::Testing
 {
@@ -59,40 +60,6 @@
     return "127.0." + std::to_string(network) + "." + std::to_string(host);
 }
 
-/** @p address as in /proc/net/tcp. */
-std::string procAddress(const std::string &address)
-{
-    const Poco::Net::SocketAddress parsed(address);
-    std::array<unsigned char, 4> bytes{};
-    std::copy_n(static_cast<const unsigned char *>(parsed.host().addr()), bytes.size(), bytes.begin());
-    std::array<char, 16> text{};
-    std::snprintf(text.data(), text.size(), "%02X%02X%02X%02X:%04X", bytes[3], bytes[2], bytes[1], bytes[0],
-        unsigned{parsed.port()});
-    return text.data();
-}
-
-/** Name of the socket that has a connection from @p local to @p remote, as in /proc/PID/fd; empty if there is none. */
-std::string socketName(const std::string &local, const std::string &remote)
-{
-    constexpr int FieldsBeforeInode = 6;
-    const std::string wanted = procAddress(local) + ' ' + procAddress(remote) + ' ';
-    std::ifstream table("/proc/net/tcp");
-    std::string line;
-    while (std::getline(table, line)) {
-        const std::size_t at = line.find(wanted);
-        if (at == std::string::npos) {
-            continue;
-        }
-        std::istringstream fields(line.substr(at + wanted.size()));
-        std::string field;
-        for (int i = 0; i <= FieldsBeforeInode; ++i) {
-            fields >> field;
-        }
-        return "socket:[" + field + "]";
-    }
-    return {};
-}
-
 bool isStreamPath(const std::string &path)
 {
     return path.starts_with("/turn/") || path.starts_with("/slow/");
@@ -389,19 +356,8 @@
 
 std::size_t SoakDeployment::findCaller(const std::string &callerAddress, const std::string &address) const
 {
-    const std::string name = socketName(callerAddress, address);
-    for (std::size_t i = 0; i < this->processIds.size() && !name.empty(); ++i) {
-        std::error_code error;
-        const std::filesystem::path folder = "/proc/" + std::to_string(this->processIds[i]) + "/fd";
-        for (std::filesystem::directory_iterator file(folder, error), end; !error && file != end;
-             file.increment(error)) {
-            std::error_code closed; // The process may close other files meanwhile.
-            if (std::filesystem::read_symlink(file->path(), closed) == name) {
-                return i;
-            }
-        }
-    }
-    return FaultyLink::AnyCaller;
+    return findConnectionOwner({this->processIds.begin(), this->processIds.end()}, callerAddress, address)
+        .value_or(FaultyLink::AnyCaller);
 }
 
 void SoakDeployment::startEnded()
