Gateways don't wait for control members that don't answer, one after the other

Callers of gateways in touch had requests run by the service of an older configuration 2.8 s after a newer one was acknowledged (allowed: 2 s).

Cause: a gateway watches the leader, and fetches a new version from the other control members, one after the other, the leader last. On its connections to those nothing happens between two changes, so nobody notices that they have fallen silent while new ones work. Each of them cost 0.83 s, and its connection was replaced only after the second failure, as the time that counts as silence began a little after the call: with four silent ones 3.3 s after the commit, of which the acknowledgement waits 0.6 s.

Change: a member that hasn't answered for 0.25 s is asked on, and the next one beside it; silent ones are asked last for 10 s; a connection is replaced after its first unanswered call. Whom to ask and when is a decision without I/O (ConfigurationSourceChoice). Where members answer within 0.25 s, one is asked, as before.

--- a/src/deployment/configuration_fetcher_base.cpp
+++ b/src/deployment/configuration_fetcher_base.cpp
@@ -35,80 +35,91 @@
 void ConfigurationFetcher::fetch(std::uint64_t version)
 {
     this->wanted = std::max(this->wanted, version);
-    if (!this->isFetching && this->wanted > this->fetched) {
-        this->isFetching = true;
-        this->nextSource = 0;
-        this->loop.detach(this->fetchLoop());
+    if (!this->isSearching && !this->isComplete()) {
+        this->isSearching = true;
+        this->choice.beginSearch();
+        this->loop.detach(this->search());
     }
 }
 
 void ConfigurationFetcher::poll()
 {
-    if (!this->isFetching) {
-        this->isFetching = true;
-        this->loop.detach(this->askNext(this->fetched + 1)
-                              .catch_([](kj::Exception && /*exception*/) {
-                                  // Another member is asked next time.
-                              })
-                              .then([this]() {
-                                  this->isFetching = false;
-                                  this->fetch(this->wanted);
-                              }));
+    if (!this->isSearching) {
+        this->askNext(this->fetched + 1);
     }
 }
 
-kj::Promise<void> ConfigurationFetcher::fetchLoop()
+kj::Promise<void> ConfigurationFetcher::search()
 {
-    return this->askNext(this->wanted)
-        .catch_([](kj::Exception &&exception) {
-            logEvent(
-                EventKind::FreshnessLost, {{"what", "configuration"}, {"error", exception.getDescription().cStr()}});
-        })
-        .then([this]() -> kj::Promise<void> {
-            if (this->fetched >= this->wanted) {
-                this->isFetching = false;
-                return kj::READY_NOW;
-            }
-            return this->loop.kjTimer().afterDelay(RetryDelay).then([this]() {
-                return this->fetchLoop();
-            });
-        });
+    if (this->isComplete()) {
+        this->isSearching = false;
+        return kj::READY_NOW;
+    }
+    this->askNext(this->wanted);
+    auto ended = kj::newPromiseAndFulfiller<void>();
+    this->callEnded = kj::mv(ended.fulfiller);
+    const Duration pause = std::max(this->choice.nextAskAt() - this->loop.timers().now(), Duration(0));
+    return this->loop.kjTimer().afterDelay(kjDuration(pause)).exclusiveJoin(kj::mv(ended.promise)).then([this]() {
+        return this->search();
+    });
 }
 
-kj::Promise<void> ConfigurationFetcher::askNext(std::uint64_t version)
+void ConfigurationFetcher::askNext(std::uint64_t version)
 {
-    const std::vector<std::string> addresses = this->sources();
-    if (addresses.empty()) {
-        return kj::READY_NOW;
+    if (auto address = this->choice.choose(this->loop.timers().now(), this->sources())) {
+        this->loop.detach(this->ask(std::move(*address), version));
     }
-    const std::string &address = addresses[this->nextSource++ % addresses.size()];
-    auto answered = this->links.services(address).then([version](OfferedServices &&services) {
-        auto request = services.deployment.castAs<Wire::Deployment>().configurationRequest();
-        request.setAtLeast(version);
-        return request.send();
+}
+
+kj::Promise<void> ConfigurationFetcher::ask(std::string address, std::uint64_t version)
+{
+    using Answer = capnp::Response<Wire::Deployment::ConfigurationResults>;
+    auto answered = kj::evalNow([&]() -> kj::Promise<Answer> {
+        return this->links.services(address).then([version](OfferedServices &&services) {
+            auto request = services.deployment.castAs<Wire::Deployment>().configurationRequest();
+            request.setAtLeast(version);
+            return request.send();
+        });
     });
     return this->loop.kjTimer()
         .timeoutAfter(AnswerTimeout, kj::mv(answered))
         .then(
-            [this, address](auto &&response) {
+            [this, address](Answer &&response) {
                 this->links.recordAnswer(address);
-                if (response.getVersion() <= this->fetched) {
-                    return; // The member doesn't have the version yet.
-                }
-                Result<std::string> document = decompressDocument(bytesOf(response.getCompressed()));
-                if (!document) {
-                    logEvent(
-                        EventKind::FreshnessLost, {{"what", "configuration"}, {"error", errorText(document.error())}});
-                    return;
-                }
-                this->fetched = response.getVersion();
-                this->nextSource = 0;
-                this->onFetched(this->fetched, std::move(*document));
+                this->take(address, response.getVersion(), response.getCompressed());
             },
             [this, address](kj::Exception &&exception) {
                 this->links.recordFailure(address, exception, SilenceTimeout);
                 kj::throwRecoverableException(kj::mv(exception));
-            });
+            })
+        .catch_([this, address](kj::Exception &&exception) {
+            this->choice.recordFailure(this->loop.timers().now(), address);
+            logEvent(EventKind::FreshnessLost,
+                {{"what", "configuration"}, {"peer", address}, {"error", exception.getDescription().cStr()}});
+        })
+        .then([this]() {
+            if (this->callEnded.get() != nullptr) {
+                this->callEnded->fulfill();
+            }
+        });
+}
+
+void ConfigurationFetcher::take(const std::string &address, std::uint64_t version, capnp::Data::Reader compressed)
+{
+    if (version <= this->fetched) {
+        this->choice.recordAnswer(this->loop.timers().now(), address); // The member doesn't have a newer one yet.
+        return;
+    }
+    Result<std::string> document = decompressDocument(bytesOf(compressed));
+    if (!document) {
+        logEvent(EventKind::FreshnessLost,
+            {{"what", "configuration"}, {"peer", address}, {"error", errorText(document.error())}});
+    }
+    this->choice.recordAnswer(this->loop.timers().now(), address);
+    if (document) {
+        this->fetched = version;
+        this->onFetched(version, std::move(*document));
+    }
 }
 
 } // namespace Chestnuthook
--- a/src/deployment/configuration_fetcher_base.h
+++ b/src/deployment/configuration_fetcher_base.h
@@ -8,6 +8,9 @@
 #include <string>
 #include <vector>
 
+#include <capnp/blob.h>
+
+#include "deployment/configuration_source_choice_base.h"
 #include "deployment/control_links_base.h"
 #include "deployment/instance_registry_base.h"
 #include "rpc/control_loop_base.h"
@@ -33,7 +36,7 @@
     ConfigurationFetcher(const ConfigurationFetcher &) = delete;
     ConfigurationFetcher &operator=(const ConfigurationFetcher &) = delete;
 
-    /** Asks one control member after another until `onFetched` was called for @p version or a newer one. */
+    /** Asks control members until `onFetched` was called for @p version or a newer one. */
     void fetch(std::uint64_t version);
     /** Asks one control member for a version newer than the last one fetched. For daemons without contact to a leader,
      * which would tell them: followers may know less, but are asked again and again. */
@@ -45,21 +48,29 @@
 private:
     /** Time limit for the answer of one member, including the connection. */
     static constexpr auto AnswerTimeout = 800 * kj::MILLISECONDS;
-    /** A connection on which nothing was answered for this long is replaced. */
-    static constexpr Duration SilenceTimeout = std::chrono::milliseconds(800);
-    /** Pause after a member that doesn't have the version yet, or can't be reached. */
-    static constexpr auto RetryDelay = 30 * kj::MILLISECONDS;
+    /** A connection on which nothing was answered for this long is replaced. It is a little shorter than AnswerTimeout,
+     * as it begins when a call has been sent. */
+    static constexpr Duration SilenceTimeout = std::chrono::milliseconds(700);
 
-    kj::Promise<void> fetchLoop();
-    /** Asks the next member for @p version or a newer one. */
-    kj::Promise<void> askNext(std::uint64_t version);
+    [[nodiscard]] bool isComplete() const
+    {
+        return this->fetched >= this->wanted;
+    }
+    /** Asks members until the fetch is complete. */
+    kj::Promise<void> search();
+    /** Asks a member for @p version or a newer one, if one should be asked now. */
+    void askNext(std::uint64_t version);
+    kj::Promise<void> ask(std::string address, std::uint64_t version);
+    /** Takes the answer of @p address. */
+    void take(const std::string &address, std::uint64_t version, capnp::Data::Reader compressed);
 
     ControlLoop &loop; ///< Must outlive this object.
     ControlLinks &links; ///< Connections to control members.
+    ConfigurationSourceChoice choice; ///< Chooses whom to ask and when.
     std::uint64_t wanted = 0; ///< Newest version that is known to exist.
     std::uint64_t fetched = 0; ///< Newest version that was fetched.
-    bool isFetching = false; ///< `fetchLoop` runs, or a call of `poll`.
-    std::size_t nextSource = 0; ///< Index of the source to ask next, modulo their number.
+    bool isSearching = false; ///< `search` runs.
+    kj::Own<kj::PromiseFulfiller<void>> callEnded; ///< Continues a search that waits for answers.
 };
 
 } // namespace Chestnuthook
--- /dev/null
+++ b/src/deployment/configuration_source_choice_base.cpp
@@ -0,0 +1,69 @@
+/** @file configuration_source_choice_base.cpp  Order and pace in which control members are asked for a configuration.
+ */
+#include "deployment/configuration_source_choice_base.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace Chestnuthook
+{
+
+std::optional<std::string> ConfigurationSourceChoice::choose(Instant now, const std::vector<std::string> &sources)
+{
+    if (now < this->mayAskAt) {
+        return std::nullopt;
+    }
+    for (auto &[address, member] : this->members) {
+        if (member.isAsked && now - member.askedAt >= SilenceLimit) {
+            member.avoidUntil = now + AvoidTime;
+        }
+    }
+    this->mayAskAt = now + SilenceLimit;
+    std::vector<std::string> free;
+    std::ranges::copy_if(sources, std::back_inserter(free), [this](const std::string &address) {
+        return !this->members[address].isAsked;
+    });
+    if (free.empty()) {
+        return std::nullopt;
+    }
+    const auto chosen = std::ranges::min_element(free, {}, [this, now](const std::string &address) {
+        const Member &member = this->members[address];
+        return std::pair(member.avoidUntil > now, member.asks);
+    });
+    Member &member = this->members[*chosen];
+    member.isAsked = true;
+    member.askedAt = now;
+    ++member.asks;
+    this->latest = *chosen;
+    return *chosen;
+}
+
+void ConfigurationSourceChoice::beginSearch()
+{
+    for (auto &[address, member] : this->members) {
+        member.asks = 0;
+    }
+}
+
+void ConfigurationSourceChoice::recordAnswer(Instant now, const std::string &address)
+{
+    this->endCall(address, now + RetryDelay).avoidUntil = Instant(0);
+}
+
+void ConfigurationSourceChoice::recordFailure(Instant now, const std::string &address)
+{
+    this->endCall(address, now + RetryDelay).avoidUntil = now + AvoidTime;
+}
+
+ConfigurationSourceChoice::Member &ConfigurationSourceChoice::endCall(const std::string &address, Instant next)
+{
+    Member &member = this->members[address];
+    member.isAsked = false;
+    if (address == this->latest) {
+        this->mayAskAt = next;
+    }
+    return member;
+}
+
+} // namespace Chestnuthook
--- a/tests/unit/deployment_watcher_test.cpp
+++ b/tests/unit/deployment_watcher_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <atomic>
+#include <deque>
 #include <future>
 #include <thread>
 
@@ -230,6 +231,33 @@
     BOOST_TEST(versions == std::vector<std::uint64_t>{Version});
 }
 
+/** Guards against daemons that wait for one connection that has fallen silent after the other. */
+BOOST_AUTO_TEST_CASE(configuration_is_fetched_although_most_members_are_silent)
+{
+    constexpr std::size_t SilentMembers = 4;
+    MockMember silentMember(false);
+    MockMember leader(true);
+    std::deque<FaultyLink> links;
+    std::vector<std::string> sources;
+    for (std::size_t i = 0; i < SilentMembers; ++i) {
+        links.emplace_back(silentMember.address).setFault(LinkFault::Stall);
+        sources.push_back(links.back().address);
+    }
+    sources.push_back(leader.address);
+    Daemon daemon(leader.address);
+    ConfigurationFetcher fetcher(daemon.loop, daemon.watcher.links);
+    fetcher.sources = [&sources]() {
+        return sources;
+    };
+    unsigned fetched = 0;
+    fetcher.onFetched = [&fetched](std::uint64_t /*version*/, const std::string & /*document*/) {
+        ++fetched;
+    };
+    fetcher.fetch(Version);
+    daemon.run(2000 * kj::MILLISECONDS);
+    BOOST_TEST(fetched == 1U);
+}
+
 namespace
 {
 
