A gateway asks for a configuration until it serves by it

Cause: the version that was fetched, the newest version that was told of, and the version in the report to the leader were all raised before the document was read and put in force. Had anything failed in between, the gateway would have served by the older configuration until the next change, and the leader would have acknowledged and counted the version as in force there.

Change: a fetch ends when the gateway serves by the version; a document that can't be used is fetched again after 0.5 s, from another member. The report names the version in force.

Test: configuration_that_was_not_taken_is_fetched_again failed before (one call instead of three); configuration_that_cannot_be_used_is_fetched_again_after_a_pause.

--- a/src/deployment/configuration_fetcher_base.cpp
+++ b/src/deployment/configuration_fetcher_base.cpp
@@ -45,7 +45,7 @@
 void ConfigurationFetcher::poll()
 {
     if (!this->isSearching) {
-        this->askNext(this->fetched + 1);
+        this->askNext(this->inForce + 1);
     }
 }
 
@@ -106,7 +106,7 @@
 
 void ConfigurationFetcher::take(const std::string &address, std::uint64_t version, capnp::Data::Reader compressed)
 {
-    if (version <= this->fetched) {
+    if (version <= this->inForce) {
         this->choice.recordAnswer(this->loop.timers().now(), address); // The member doesn't have a newer one yet.
         return;
     }
@@ -115,10 +115,11 @@
         logEvent(EventKind::FreshnessLost,
             {{"what", "configuration"}, {"peer", address}, {"error", errorText(document.error())}});
     }
-    this->choice.recordAnswer(this->loop.timers().now(), address);
-    if (document) {
-        this->fetched = version;
-        this->onFetched(version, std::move(*document));
+    if (document && this->onFetched(version, std::move(*document))) {
+        this->inForce = std::max(this->inForce, version);
+        this->choice.recordAnswer(this->loop.timers().now(), address);
+    } else {
+        this->choice.recordUnusable(this->loop.timers().now(), address);
     }
 }
 
--- a/src/deployment/configuration_fetcher_base.h
+++ b/src/deployment/configuration_fetcher_base.h
@@ -36,14 +36,15 @@
     ConfigurationFetcher(const ConfigurationFetcher &) = delete;
     ConfigurationFetcher &operator=(const ConfigurationFetcher &) = delete;
 
-    /** Asks control members until `onFetched` was called for @p version or a newer one. */
+    /** Asks control members until `onFetched` has put @p version or a newer one in force. */
     void fetch(std::uint64_t version);
-    /** Asks one control member for a version newer than the last one fetched. For daemons without contact to a leader,
+    /** Asks one control member for a version newer than the one in force. For daemons without contact to a leader,
      * which would tell them: followers may know less, but are asked again and again. */
     void poll();
 
     std::function<std::vector<std::string>()> sources; ///< RPC addresses in the order in which to ask them.
-    std::function<void(std::uint64_t version, std::string document)> onFetched; ///< Called for each new version.
+    /** Called for each new version. Returns whether it is in force; otherwise it is fetched again. */
+    std::function<bool(std::uint64_t version, std::string document)> onFetched;
 
 private:
     /** Time limit for the answer of one member, including the connection. */
@@ -54,7 +55,7 @@
 
     [[nodiscard]] bool isComplete() const
     {
-        return this->fetched >= this->wanted;
+        return this->inForce >= this->wanted;
     }
     /** Asks members until the fetch is complete. */
     kj::Promise<void> search();
@@ -68,7 +69,7 @@
     ControlLinks &links; ///< Connections to control members.
     ConfigurationSourceChoice choice; ///< Chooses whom to ask and when.
     std::uint64_t wanted = 0; ///< Newest version that is known to exist.
-    std::uint64_t fetched = 0; ///< Newest version that was fetched.
+    std::uint64_t inForce = 0; ///< Newest version that `onFetched` has put in force.
     bool isSearching = false; ///< `search` runs.
     kj::Own<kj::PromiseFulfiller<void>> callEnded; ///< Continues a search that waits for answers.
 };
--- a/src/deployment/configuration_source_choice_base.cpp
+++ b/src/deployment/configuration_source_choice_base.cpp
@@ -56,6 +56,11 @@
     this->endCall(address, now + RetryDelay).avoidUntil = now + AvoidTime;
 }
 
+void ConfigurationSourceChoice::recordUnusable(Instant now, const std::string &address)
+{
+    this->endCall(address, now + UnusableDelay).avoidUntil = now + AvoidTime;
+}
+
 ConfigurationSourceChoice::Member &ConfigurationSourceChoice::endCall(const std::string &address, Instant next)
 {
     Member &member = this->members[address];
--- a/src/deployment/configuration_source_choice_base.h
+++ b/src/deployment/configuration_source_choice_base.h
@@ -20,6 +20,8 @@
     static constexpr Duration SilenceLimit = std::chrono::milliseconds(250);
     /** Pause after a member that doesn't have the version yet, or can't be reached. */
     static constexpr Duration RetryDelay = std::chrono::milliseconds(30);
+    /** Pause after a configuration that can't be used: the next member most likely sends the same. */
+    static constexpr Duration UnusableDelay = std::chrono::milliseconds(500);
     /** A member that was silent or failed is asked after the others for this long, unless it answers. */
     static constexpr Duration AvoidTime = std::chrono::seconds(10);
 
@@ -38,6 +40,8 @@
     void recordAnswer(Instant now, const std::string &address);
     /** The member can't be reached, or didn't answer in time. */
     void recordFailure(Instant now, const std::string &address);
+    /** The member has sent something that can't be used. */
+    void recordUnusable(Instant now, const std::string &address);
 
 private:
     struct Member
--- a/src/deployment/deployment_watcher_base.cpp
+++ b/src/deployment/deployment_watcher_base.cpp
@@ -183,7 +183,8 @@
         }
         auto held = request.initHeld();
         held.setTerm(this->view.term);
-        held.setConfiguration(this->view.configurationVersion);
+        held.setConfiguration(
+            this->configurationInForce ? this->configurationInForce() : this->view.configurationVersion);
         held.setFetches(true);
         held.setKnownConfiguration(this->view.newestConfiguration);
         held.setEndpoints(this->endpointsVersion);
@@ -303,12 +304,12 @@
     if (hasPart(parts, UpdatePart::History) && update.getView().getVersion() > this->view.history.version) {
         this->view.history = readView(update.getView());
     }
-    if (this->onUpdate) {
-        this->onUpdate(parts);
-    }
     if (isNewer && !hasPart(parts, UpdatePart::Configuration) && this->onNewConfiguration) {
         this->onNewConfiguration(this->view.newestConfiguration);
     }
+    if (this->onUpdate) {
+        this->onUpdate(parts);
+    }
     this->links.connectAhead(this->controlAddresses());
 }
 
@@ -337,7 +338,7 @@
 
 void DeploymentWatcher::setConfiguration(std::uint64_t version, std::string document)
 {
-    if (version <= this->view.configurationVersion) {
+    if (version < this->view.configurationVersion) {
         return;
     }
     this->view.configurationVersion = version;
--- a/src/deployment/deployment_watcher_base.h
+++ b/src/deployment/deployment_watcher_base.h
@@ -132,6 +132,7 @@
     std::function<StrikeReport()> takeStrikes;
     /** Takes the changed limits of endpoints for the report. May be empty. */
     std::function<std::vector<EndpointLimitReport>()> takeLimits;
+    std::function<std::uint64_t()> configurationInForce; ///< Version for the report; the one held if it is empty.
     std::function<bool()> isPaused; ///< Whether to stop watching because this daemon leads. May be empty.
     std::function<void(std::uint64_t)> onNewConfiguration; ///< Called with the version of a newer one. May be empty.
     std::function<void(std::uint32_t)> onUpdate; ///< Called with the UpdatePart bits that changed. May be empty.
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -79,6 +79,11 @@
     {
         return this->configuration != nullptr && this->watcher.view.term != 0 && !this->draining;
     }
+    /** Version of the configuration by which requests are handled; 0 if there is none. */
+    [[nodiscard]] std::uint64_t configurationVersion() const
+    {
+        return this->configuration == nullptr ? 0 : this->configuration->version;
+    }
     [[nodiscard]] HttpLimits limits() const;
     /** A large body isn't read if its request will be refused. While memory is short it waits until the deadline. */
     [[nodiscard]] BodyPlan planBody(const RequestHead &head) const;
--- a/tests/unit/configuration_source_choice_test.cpp
+++ b/tests/unit/configuration_source_choice_test.cpp
@@ -178,3 +178,22 @@
         }
     }
 }
+
+/** Guards against a document that can't be read being fetched and read again all the time. */
+BOOST_AUTO_TEST_CASE(configuration_that_cannot_be_used_is_fetched_again_after_a_pause)
+{
+    ConfigurationSourceChoice choice;
+    const std::vector<std::string> sources = {"a", "b"};
+    std::vector<std::string> asked;
+    Instant now{1'000'000};
+    const Instant end = now + 10s;
+    while (now < end) {
+        if (const auto member = choice.choose(now, sources)) {
+            asked.push_back(*member);
+            choice.recordUnusable(now, *member);
+        }
+        now = choice.nextAskAt();
+    }
+    BOOST_TEST(asked.size() == static_cast<std::size_t>(10s / ConfigurationSourceChoice::UnusableDelay));
+    BOOST_TEST(std::set<std::string>(asked.begin(), asked.end()).size() == 2U);
+}
--- a/tests/unit/deployment_watcher_test.cpp
+++ b/tests/unit/deployment_watcher_test.cpp
@@ -223,6 +223,7 @@
     fetcher.onFetched = [&versions](std::uint64_t version, std::string document) {
         BOOST_TEST(document == "document");
         versions.push_back(version);
+        return true;
     };
     for (int i = 0; i < 3; ++i) {
         fetcher.poll();
@@ -252,12 +253,33 @@
     unsigned fetched = 0;
     fetcher.onFetched = [&fetched](std::uint64_t /*version*/, const std::string & /*document*/) {
         ++fetched;
+        return true;
     };
     fetcher.fetch(Version);
     daemon.run(2000 * kj::MILLISECONDS);
     BOOST_TEST(fetched == 1U);
 }
 
+/** Guards against a daemon that serves by an older configuration for good after it has failed to take a new one. */
+BOOST_AUTO_TEST_CASE(configuration_that_was_not_taken_is_fetched_again)
+{
+    MockMember follower(false);
+    Daemon daemon(follower.address);
+    ConfigurationFetcher fetcher(daemon.loop, daemon.watcher.links);
+    fetcher.sources = [&follower]() {
+        return std::vector<std::string>{follower.address};
+    };
+    unsigned calls = 0;
+    fetcher.onFetched = [&calls](std::uint64_t /*version*/, const std::string & /*document*/) {
+        ++calls;
+        KJ_REQUIRE(calls != 1, "the first attempt fails");
+        return calls == 3;
+    };
+    fetcher.fetch(Version);
+    daemon.run(1500 * kj::MILLISECONDS);
+    BOOST_TEST(calls == 3U);
+}
+
 namespace
 {
 
