--- a/tests/process/soak_test.cpp
+++ b/tests/process/soak_test.cpp
@@ -49,7 +49,7 @@
 
 // Bounds of the platform for lost disks and configurations.
 constexpr auto CatchUpTime = 4500ms; ///< A member with an empty disk has the data of the others after this time.
-constexpr auto ConfigurationApplyTime = 2s; ///< No older version is read later than this after an acknowledgement.
+constexpr auto ConfigurationApplyTime = 2s; ///< An acknowledged version is in force, and read, within this time.
 
 // Bounds of the platform for limits of endpoints.
 constexpr auto LimitComplianceTime = 3s; ///< A limit is kept this long after it was first named.
@@ -173,6 +173,9 @@
                 this->runReader(loadStart + load);
             });
         }
+        threads.emplace_back([this, loadStart, load]() {
+            this->runWithdrawnKeys(loadStart + load);
+        });
         this->playSchedule(schedule, loadStart);
         for (std::jthread &thread : threads) {
             thread.join();
@@ -535,6 +538,32 @@
         });
     }
 
+    /** Sends requests with the key that the newest configuration has withdrawn. */
+    void runWithdrawnKeys(Clock::time_point end)
+    {
+        constexpr auto CallInterval = 100ms;
+        for (std::size_t count = 0; Clock::now() < end; ++count) {
+            std::this_thread::sleep_for(CallInterval);
+            const Clock::time_point sent = Clock::now();
+            unsigned withdrawn = 0;
+            {
+                const std::lock_guard lock(this->mutex);
+                for (const Acknowledgement &acknowledgement : this->acknowledgements) {
+                    const bool isDue = acknowledgement.at + ConfigurationApplyTime < sent;
+                    withdrawn = isDue ? std::max(withdrawn, acknowledgement.version - 1) : withdrawn;
+                }
+            }
+            if (withdrawn == 0 || this->isDisturbedSince(sent)) {
+                continue;
+            }
+            const std::size_t gateway = count % this->deployment.clientAddresses.size();
+            const std::string id = this->newId("withdrawn");
+            if (this->call(gateway, "/safe/x", id, "key-" + std::to_string(withdrawn)).status == 200) {
+                this->recordViolation("a withdrawn key is refused in time, gateway " + std::to_string(gateway), id);
+            }
+        }
+    }
+
     bool isVersionServed(const std::string &version)
     {
         return this->deployment.readyEndpoints(version) >= MinEndpointsOfVersion;
