--- a/tests/support/replicated_deployment.cpp
+++ b/tests/support/replicated_deployment.cpp
@@ -189,7 +189,7 @@
 void ReplicatedDeployment::rotateSeeds(std::size_t process)
 {
     PlatformInstance &instance = this->instances[process];
-    std::ranges::rotate(instance.seeds, instance.seeds.begin() + 1);
+    std::rotate(instance.seeds.begin(), instance.seeds.begin() + 1, instance.seeds.end());
     writeSettings(instance, this->folder.path);
     this->processes[process]->signal(SIGHUP);
 }
