A configuration that fails while it is taken counts as unusable

An exception while a fetched configuration was put in force was recorded like a member that can't be reached, so the document would have been fetched and read again each 30 ms; now each 0.5 s, as for one that can't be read.

--- a/src/deployment/configuration_fetcher_base.cpp
+++ b/src/deployment/configuration_fetcher_base.cpp
@@ -13,6 +13,17 @@
 namespace Chestnuthook
 {
 
+namespace
+{
+
+/** Logs that @p address didn't deliver a configuration that could be taken. */
+void logLost(const std::string &address, const std::string &error)
+{
+    logEvent(EventKind::FreshnessLost, {{"what", "configuration"}, {"peer", address}, {"error", error}});
+}
+
+} // namespace
+
 std::vector<std::string> configurationSources(
     const std::vector<InstanceInfo> &instances, const std::string &leader, const std::string &instance)
 {
@@ -90,12 +101,12 @@
             },
             [this, address](kj::Exception &&exception) {
                 this->links.recordFailure(address, exception, SilenceTimeout);
-                kj::throwRecoverableException(kj::mv(exception));
+                this->choice.recordFailure(this->loop.timers().now(), address);
+                logLost(address, exception.getDescription().cStr());
             })
         .catch_([this, address](kj::Exception &&exception) {
-            this->choice.recordFailure(this->loop.timers().now(), address);
-            logEvent(EventKind::FreshnessLost,
-                {{"what", "configuration"}, {"peer", address}, {"error", exception.getDescription().cStr()}});
+            this->choice.recordUnusable(this->loop.timers().now(), address);
+            logLost(address, exception.getDescription().cStr());
         })
         .then([this]() {
             if (this->callEnded.get() != nullptr) {
@@ -112,8 +123,7 @@
     }
     Result<std::string> document = decompressDocument(bytesOf(compressed));
     if (!document) {
-        logEvent(EventKind::FreshnessLost,
-            {{"what", "configuration"}, {"peer", address}, {"error", errorText(document.error())}});
+        logLost(address, errorText(document.error()));
     }
     if (document && this->onFetched(version, std::move(*document))) {
         this->inForce = std::max(this->inForce, version);
