--- a/tests/process/acknowledged_configuration_test.cpp
+++ b/tests/process/acknowledged_configuration_test.cpp
@@ -92,8 +92,9 @@
 constexpr auto RunTime = 25s; ///< Of one seed.
 constexpr std::array DefaultSeeds = {1U, 2U};
 
+/** What is done to processes and links; TroubleNames has the same order. */
 enum class Trouble {
-    KillLeader,
+    KillControl,
     PauseControl,
     KillAllControl,
     ReplaceControl,
@@ -104,10 +105,9 @@
     StopGateway,
     KillGateway,
     ChangeSeeds,
-    Count,
 };
 
-constexpr std::array TroubleNames = {"kill leader", "pause control", "kill all control", "replace control",
+constexpr std::array TroubleNames = {"kill control", "pause control", "kill all control", "replace control",
     "cut control", "silence connections", "cut gateway", "pause gateway", "stop gateway", "kill gateway",
     "change seeds"};
 
@@ -145,7 +145,7 @@
         });
         // Control members have troubles one after the other, so that a majority of them is always left or all are back.
         std::thread control([this]() {
-            this->repeat({Trouble::KillLeader, Trouble::PauseControl, Trouble::KillAllControl, Trouble::ReplaceControl,
+            this->repeat({Trouble::KillControl, Trouble::PauseControl, Trouble::KillAllControl, Trouble::ReplaceControl,
                 Trouble::CutControl, Trouble::CutControl, Trouble::CutGateway, Trouble::SilenceConnections});
         });
         this->repeat({Trouble::SilenceConnections, Trouble::PauseGateway, Trouble::StopGateway, Trouble::KillGateway,
@@ -208,7 +208,7 @@
             << gateway);
         const std::size_t process = this->deployment.processOfGateway(gateway);
         switch (trouble) {
-        case Trouble::KillLeader: {
+        case Trouble::KillControl: {
             const std::size_t disturbance = this->callers.beginUnstable();
             this->deployment.kill(member);
             this->sleep(100, 1500);
@@ -303,8 +303,6 @@
         case Trouble::ChangeSeeds:
             this->deployment.rotateSeeds(process);
             break;
-        case Trouble::Count:
-            break;
         }
     }
 
