--- a/review/common-3/fleet.py
+++ b/review/common-3/fleet.py
@@ -200,6 +200,7 @@
         self.id, self.service, self.address, self.zone, self.version = name, service, address, zone, version
         self.slots, self.state, self.stream, self.work_s = slots, "ready", stream, work_s
         self.events, self.event_bytes, self.gap_s = 5, 40, 0.005
+        self.text = lambda fields, number: b"e" * self.event_bytes  # The data of an event.
         self.runs = []  # (time, id, fields, body length)
         self.on_run = None
         self.running = 0
@@ -253,8 +254,9 @@
                 return
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Weight-Versions: 1\r\n"
                          b"Transfer-Encoding: chunked\r\n" + common + b"\r\n")
-            for i in range(1, self.events + 1):
-                event = b"id: %d\ndata: %s\n\n" % (i, b"e" * self.event_bytes)
+            first = int(fields.get("last-event-id", "0")) + 1
+            for i in range(first, self.events + 1):
+                event = b"id: %d\ndata: %s\n\n" % (i, self.text(fields, i))
                 writer.write(b"%x\r\n" % len(event) + event + b"\r\n")
                 await writer.drain()
                 await asyncio.sleep(self.gap_s)
