review: the control group loses its quorum for good (CONFIG)

A control machine is replaced as planned, with its successor up first. 4 s after it is gone another one loses its disk. The group of three elects no leader any more; the config is read back as 503 for 30 s and on.

The replaced machine stays a voter until it has been silent for 5 s, and a process that ends on SIGTERM doesn't leave the group.

Nothing is fixed.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,67 +1,77 @@
-"""LOST: gateways take more memory than their machine has when programs with long chains of legal turns go on at once."""
+"""CONFIG: the control group loses its quorum for good when a disk is lost right after a planned replacement."""
 import asyncio
+import json
 import os
+import shutil
 import sys
+import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "common-3"))
 from fleet import *  # noqa: E402,F403
 
-PROGRAMS, TURNS = 45, 6
-LARGE, SMALL = 500_000, 4_300  # Bytes of a turn's input; the limit of the config is 4,194,304.
+CATCH_UP_S = BOUNDS["catchUpS"]
+RECOVER_S = BOUNDS["recoverS"]
+PAUSE_S = float(os.environ.get("PAUSE_S", "4"))  # From the planned removal to the loss of the disk.
+READ_S = RECOVER_S + CATCH_UP_S + 13  # The operator reads for so long after the loss.
 
 
 async def play(record, trouble):
-    fleet = Fleet(record)
-    size = LARGE if trouble else SMALL
-    passed_on = set()  # Ids of the requests that replicas have run.
-    closed = {}  # By gateway: requests that were passed on and whose channel was closed without an answer.
+    fleet = Fleet(record, fronts=2)
     try:
-        for i in range(3):
-            replica = Replica("i-%d" % i, "skald", fleet.next_ip() + ":8080", ZONES[i], stream=True, slots=16,
-                              work_s=0.8)
-            replica.on_run = lambda _replica, run: passed_on.add(run["id"])
-            await fleet.add_replica(replica)
+        await fleet.add_replica(Replica("i-0", "skald", fleet.next_ip() + ":8080", ZONES[0], stream=True))
         await fleet.start()
-        await fleet.put_config(config(3, [route("turns", "/turns/", "stream", "skald", retain=True)],
-                                      [service("skald", stride=10)]))
+        routes, services = [route("chat", "/chat/", "stream", "skald")], [service("skald", stride=10)]
+        await fleet.put_config(config(3, routes, services))
         await fleet.wait_ready()
-        answers = {}
+        await asyncio.sleep(2)
 
-        async def program(number):
-            channel = Channel(lambda: fleet.front_address(number))
-            name, previous = new_id(), None
-            for turn in range(1, TURNS + 1):
-                for _ in range(4):
-                    request = new_id()
-                    headers = [("Host", HOST), ("X-Request-Id", request), ("X-Program-Id", name),
-                               ("X-Session-Id", name), ("X-Finish-Ms", "60000"), ("X-Model", "m"),
-                               ("X-Token-Budget", "100000"), ("X-Token-Count", "%d,60" % (700 * turn)),
-                               ("X-Deadline-Ms", "4000"), ("Authorization", "Bearer " + KEY)]
-                    if previous is not None:
-                        headers.append(("X-Previous-Turn", previous))
-                    answer = await channel.request("POST", "/turns/x", headers, b"t" * size)
-                    answers[str(answer)] = answers.get(str(answer), 0) + 1
-                    record("program %d, turn %d, request %s -> %s" % (number, turn, request, answer))
-                    if answer.complete and answer.status == 200:
-                        previous = request
-                        break
-                    if not answer.complete and answer.error != "TimeoutError" and request in passed_on:
-                        closed.setdefault(number % len(fleet.fronts), []).append(request)
-                    await asyncio.sleep(0.3)
-                else:
-                    return
-                await asyncio.sleep(0.06)
+        successor = Machine(fleet, "control", ["control", "directory"], "core", len(fleet.cores))
+        successor.bootstrap = False
+        fleet.machines.append(successor)
+        fleet.cores.append(successor)
+        record("planned: %s is added with an empty disk at a new address" % successor.name)
+        successor.start()
+        await asyncio.sleep(CATCH_UP_S + 2)
+        await fleet.put_config(config(7, routes, services))
 
-        await asyncio.gather(*[program(number) for number in range(PROGRAMS)])
-        for machine in fleet.machines:
-            record("%s used up to %d KB of its %d KB, and ended %d times" % (
-                machine.name, machine.peak_kb, machine.limit_kb, len(machine.exits)))
-        record("answers: %s" % answers)
-        for index, requests in closed.items():
-            record("%s passed on %d requests and closed their channels without an answer" % (
-                fleet.fronts[index].name, len(requests)))
-        return all(len(requests) <= 3 for requests in closed.values())
+        leaving = fleet.cores[2]
+        leaving.held = True
+        record("planned: %s gets SIGTERM and is removed for good" % leaving.name)
+        leaving.process.terminate()
+        leaving.process.wait(BOUNDS["graceS"])
+        fleet.cores.remove(leaving)
+        await asyncio.sleep(PAUSE_S)
+        if trouble:
+            wiped = fleet.cores[0]
+            record("%s loses its disk and is back at its address" % wiped.name)
+            wiped.lose_power()
+            shutil.rmtree(os.path.join(wiped.folder, "data"))
+            os.mkdir(os.path.join(wiped.folder, "data"))
+            await asyncio.sleep(0.3)
+            wiped.regain_power()
+        lost_at = time.monotonic()
+
+        newest, tries = 0, 0
+        while time.monotonic() < lost_at + READ_S:
+            core = fleet.cores[tries % len(fleet.cores)]
+            tries += 1
+            answer = await send_request("%s:%d" % (core.ip, CONTROL), "GET", "/-/config/get", [("Host", "control")],
+                                        timeout=1.0)
+            if answer.status == 307:
+                answer = await send_request(answer.fields["location"].split("/")[2], "GET", "/-/config/get",
+                                            [("Host", "control")], timeout=1.0)
+            if answer.status == 200 and answer.complete:
+                newest = json.loads(answer.body)["version"]
+            if tries % 10 == 1 or answer.status == 200:
+                record("operator: reads the config at %s, %.1f s after -> %s%s" % (
+                    core.name, time.monotonic() - lost_at, answer, ", version %d" % newest if newest else ""))
+            if newest:
+                break
+            await asyncio.sleep(0.25)
+        record("all machines but the replaced one have run for %.1f s; the config read back is %s" % (
+            time.monotonic() - lost_at, newest or "none, after %d tries" % tries))
+        return newest == 7
     finally:
         fleet.stop()
         fleet.remove()
