--- a/review/11/case.py
+++ b/review/11/case.py
@@ -12,7 +12,7 @@
 
 CATCH_UP_S = BOUNDS["catchUpS"]
 RECOVER_S = BOUNDS["recoverS"]
-PAUSE_S = float(os.environ.get("PAUSE_S", "4"))  # From the planned removal to the loss of the disk.
+PAUSE_S = float(os.environ.get("PAUSE_S", CATCH_UP_S + 0.05))  # From the planned removal to the loss of the disk.
 READ_S = RECOVER_S + CATCH_UP_S + 13  # The operator reads for so long after the loss.
 
 
