review: an error of a stand-in no longer counts as a broken rule

An uncaught error ended a script with 1, the code of a broken rule; it now ends with 2, which a planted error shows.

--- a/review/common-3/fleet.py
+++ b/review/common-3/fleet.py
@@ -523,6 +523,9 @@
     except asyncio.TimeoutError:
         record("the case could not run: out of time")
         raise SystemExit(2)
+    except Exception as fault:  # Python would exit with 1, which stands for a broken rule.
+        record("the case could not run: %r" % fault)
+        raise SystemExit(2)
     record("the rule %s" % ("held" if held else "was broken"))
     print("the rule %s" % ("held" if held else "was broken"))
     raise SystemExit(0 if held else 1)
