--- a/src/consensus/raft_core_base.h
+++ b/src/consensus/raft_core_base.h
@@ -103,7 +103,12 @@
     {
         return this->log.bytesBetween(this->commit, this->log.lastIndex());
     }
+    /** The membership in effect, which may not be committed yet. */
     [[nodiscard]] const RaftMembership &membership() const;
+    [[nodiscard]] bool isMembershipCommitted() const
+    {
+        return this->memberships.rbegin()->first <= this->commit;
+    }
     [[nodiscard]] const RaftSnapshot &snapshot() const
     {
         return this->lastSnapshot;
--- a/src/consensus/raft_read.cpp
+++ b/src/consensus/raft_read.cpp
@@ -87,8 +87,7 @@
 
 std::optional<std::uint64_t> RaftCore::proposeMembership(const RaftMembership &next)
 {
-    const bool changePending = this->memberships.rbegin()->first > this->commit;
-    if (!this->committedInTerm() || changePending) {
+    if (!this->committedInTerm() || !this->isMembershipCommitted()) {
         return std::nullopt;
     }
     std::size_t changes = 0;
--- a/src/consensus/replica_membership.cpp
+++ b/src/consensus/replica_membership.cpp
@@ -132,6 +132,24 @@
         });
 }
 
+kj::Promise<Result<void>> ReplicaNode::addLearner(const std::string &identity, const std::string &address)
+{
+    RaftMembership next = this->core->membership();
+    next[identity] = RaftMember{address, false};
+    return this->proposeMembership(std::move(next));
+}
+
+kj::Promise<Result<void>> ReplicaNode::promoteLearner(const std::string &identity)
+{
+    RaftMembership next = this->core->membership();
+    const auto member = next.find(identity);
+    if (member == next.end()) {
+        return Result<void>(fail(ErrorKind::NotFound, "no member " + identity));
+    }
+    member->second.voter = true;
+    return this->proposeMembership(std::move(next));
+}
+
 kj::Promise<Result<void>> ReplicaNode::promoteToVoter(std::string identity, unsigned pollsLeft)
 {
     const RaftMembership &members = this->core->membership();
--- a/src/consensus/replica_node_base.h
+++ b/src/consensus/replica_node_base.h
@@ -109,6 +109,16 @@
     [[nodiscard]] kj::Promise<Result<void>> addMember(std::string name, std::string address);
     /** Errors: NotLeader, NoQuorum, NotFound, Conflict. */
     [[nodiscard]] kj::Promise<Result<void>> removeMember(std::string name);
+    /** Adds the member @p identity as a learner. Resolves when that is committed, before it has caught up. Errors:
+     * NotLeader, NoQuorum. */
+    [[nodiscard]] kj::Promise<Result<void>> addLearner(const std::string &identity, const std::string &address);
+    /** Makes the learner @p identity a voter. It should have caught up. Errors: NotLeader, NoQuorum, NotFound. */
+    [[nodiscard]] kj::Promise<Result<void>> promoteLearner(const std::string &identity);
+    /** Whether this member is in no group, as far as its log is committed. */
+    [[nodiscard]] bool isOutsideGroup() const
+    {
+        return this->core->isMembershipCommitted() && !this->core->membership().contains(this->identity());
+    }
 
     /** Gives up the lead; see RaftCore::resign. */
     void resign();
@@ -134,6 +144,10 @@
     {
         return this->lastQuorumContact;
     }
+    [[nodiscard]] std::uint64_t commitIndex() const
+    {
+        return this->core->commitIndex();
+    }
     /** Address of the leader; empty if unknown. */
     [[nodiscard]] std::string leaderAddress() const;
     [[nodiscard]] std::vector<MemberView> members() const;
--- a/src/deployment/deployment_member_base.cpp
+++ b/src/deployment/deployment_member_base.cpp
@@ -6,7 +6,6 @@
 #include <utility>
 
 #include "core/boot_clock_func.h"
-#include "deployment/group_plan_func.h"
 #include "observe/log_func.h"
 #include "observe/metrics_base.h"
 #include "rpc/message_func.h"
@@ -154,6 +153,16 @@
         });
     }
 
+    kj::Promise<void> leaveGroup(LeaveGroupContext context) override
+    {
+        const auto state = this->member.requestLeave(textOf(context.getParams().getIdentity()));
+        context.getResults().setState(!state    ? Wire::LeaveState::NOT_LEADER
+                : *state == LeaveState::Left    ? Wire::LeaveState::LEFT
+                : *state == LeaveState::Refused ? Wire::LeaveState::REFUSED
+                                                : Wire::LeaveState::PENDING);
+        return kj::READY_NOW;
+    }
+
 private:
     void grantCredit(capnp::List<Wire::CustomerCredit>::Reader wanted, Wire::Deployment::CreditResults::Builder results)
     {
@@ -423,49 +432,6 @@
     }));
 }
 
-void DeploymentMember::planGroup()
-{
-    if (this->isChangingGroup) {
-        return;
-    }
-    const Instant now = this->loop.timers().now();
-    std::vector<GroupMemberState> members;
-    for (const MemberView &member : this->node.members()) {
-        const Instant heard = this->registry.lastReportOfControl(member.identity).value_or(this->leaderSince);
-        const bool isSelf = member.identity == this->node.identity();
-        members.push_back({member.identity, member.address, member.role != "learner",
-            isSelf ? Duration(0) : now - std::max(heard, this->leaderSince)});
-    }
-    std::vector<GroupCandidate> alive;
-    for (const InstanceInfo &instance : this->registry.alive()) {
-        if (instance.role == Wire::InstanceRole::CONTROL && !instance.identity.empty()) {
-            alive.push_back({instance.identity, instance.rpcAddress});
-        }
-    }
-    const auto change = planGroupChange(members, alive);
-    if (!change) {
-        return;
-    }
-    const auto member = std::ranges::find(members, change->identity, &GroupMemberState::identity);
-    const auto milliseconds = [](Duration duration) {
-        return std::to_string(std::chrono::duration_cast<Milliseconds>(duration).count());
-    };
-    const std::string subject = change->adds ? change->address : change->identity;
-    logEvent(EventKind::MembershipChanged,
-        {{"what", change->adds ? "control member joins" : "control member leaves"}, {"member", subject},
-            {"silent_ms", milliseconds(member == members.end() ? Duration(0) : member->silentFor)}});
-    this->isChangingGroup = true;
-    auto done = change->adds ? this->node.addMember(change->address, change->address)
-                             : this->node.removeMember(change->identity);
-    this->loop.detach(done.then([this, subject, now, milliseconds](Result<void> &&result) {
-        this->isChangingGroup = false;
-        logEvent(EventKind::MembershipChanged,
-            {{"what", "change of control members ended"}, {"member", subject},
-                {"outcome", result ? "committed" : errorText(result.error())},
-                {"ms", milliseconds(this->loop.timers().now() - now)}});
-    }));
-}
-
 std::uint32_t DeploymentMember::changedParts(Wire::HeldVersions::Reader held) const
 {
     const bool sameTerm = held.getTerm() == this->leaderTerm;
--- a/src/deployment/deployment_member_base.h
+++ b/src/deployment/deployment_member_base.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -22,6 +23,7 @@
 #include "deployment/endpoint_limit_type.h"
 #include "deployment/endpoint_list_type.h"
 #include "deployment/endpoint_versions_type.h"
+#include "deployment/group_plan_func.h"
 #include "deployment/instance_registry_base.h"
 #include "deployment/leader_load_base.h"
 #include "deployment/loop_lag_base.h"
@@ -148,6 +150,12 @@
     /** Requests credit from the leader for a gateway; see CreditRelay. */
     [[nodiscard]] kj::Promise<BoxedGrants> relayCredit(const CreditRequests &requests);
 
+    /** Takes this member out of the group before its process ends, so that its vote doesn't count while it is down.
+     * Resolves once that is committed, or is refused as no other instance can take its place, or after @p limit. */
+    [[nodiscard]] kj::Promise<void> leaveGroup(Duration limit);
+    /** Records that the member @p identity is about to end. Empty if this member isn't the leader. */
+    [[nodiscard]] std::optional<LeaveState> requestLeave(const std::string &identity);
+
     ReplicaNode node; ///< The replicated log.
 
 private:
@@ -165,7 +173,17 @@
     void writeInstances(Wire::HeldVersions::Reader held, Wire::Update::Builder update) const;
     void runLeaderTasks();
     void planHistory();
+    [[nodiscard]] std::vector<GroupMemberState> groupMembers() const;
+    [[nodiscard]] std::vector<GroupCandidate> groupCandidates() const;
+    /** Begins the next change of the group, if one is due. */
     void planGroup();
+    void changeGroup(const GroupChange &change);
+    /** Whether the member @p identity has lately told this leader that it is about to end. */
+    [[nodiscard]] bool isLeaving(const std::string &identity) const;
+    /** Asks the leader to remove this member. Empty if none answers. */
+    [[nodiscard]] kj::Promise<std::optional<LeaveState>> askToLeave();
+    /** Asks until the request is decided, no leader has answered since @p answered for long, or until @p end. */
+    [[nodiscard]] kj::Promise<void> leaveUntil(Instant start, Instant answered, Instant end);
     void beginVersionTerm(Instant now);
     /** Waits until the versions that leaders of earlier terms recorded are applied; then reads the endpoint list. */
     void readVersionRecord();
@@ -279,6 +297,8 @@
     Instant lagRecordedAt{0}; ///< When `loopLag` was last told the time.
     Instant resignedAt{0}; ///< When this member last gave up the lead; 0 for never.
     bool isChangingGroup = false; ///< A change of the control members is in progress.
+    std::map<std::string, Instant> leaveRequests; ///< When members last asked to leave, by identity.
+    Instant lastRemoval{0}; ///< When a member was last removed that may come back; 0 for never.
     bool isChangingView = false; ///< A change of the history view is in progress.
 
     /** Configurations sent to other daemons since the last report. */
--- a/src/deployment/instance_registry_base.cpp
+++ b/src/deployment/instance_registry_base.cpp
@@ -202,14 +202,26 @@
     return list;
 }
 
-std::optional<Instant> InstanceRegistry::lastReportOfControl(const std::string &identity) const
+std::optional<InstanceRegistry::ControlReport> InstanceRegistry::controlReport(const std::string &identity) const
 {
     for (const auto &[name, entry] : this->entries) {
         if (entry.info.role == Wire::InstanceRole::CONTROL && entry.info.identity == identity) {
-            return entry.lastReport;
+            return ControlReport{entry.lastReport, entry.alive && !entry.isAdopted};
         }
     }
     return std::nullopt;
 }
 
+std::vector<InstanceInfo> InstanceRegistry::aliveControlInstances() const
+{
+    std::vector<InstanceInfo> list;
+    for (const auto &[name, entry] : this->entries) {
+        const bool isControl = entry.info.role == Wire::InstanceRole::CONTROL && !entry.info.identity.empty();
+        if (isControl && entry.alive && !entry.isAdopted) {
+            list.push_back(entry.info);
+        }
+    }
+    return list;
+}
+
 } // namespace Chestnuthook
--- a/src/deployment/instance_registry_base.h
+++ b/src/deployment/instance_registry_base.h
@@ -123,8 +123,16 @@
      * since @p leaderSince. */
     [[nodiscard]] std::vector<HistoryCandidate> historyCandidates(
         Instant now, const HistoryView &view, const std::set<std::string> &retiring, Instant leaderSince) const;
-    /** Time of the last report of the control member with @p identity; empty if it never reported. */
-    [[nodiscard]] std::optional<Instant> lastReportOfControl(const std::string &identity) const;
+    /** The last report of a control instance. */
+    struct ControlReport
+    {
+        Instant at{0}; ///< When it arrived, or when the instance was adopted.
+        bool isAlive = false; ///< It has reported to this leader, within SilenceTimeout.
+    };
+    /** Report of the control instance with the data folder @p identity; empty if it isn't known. */
+    [[nodiscard]] std::optional<ControlReport> controlReport(const std::string &identity) const;
+    /** Control instances with a data folder that have reported to this leader, within SilenceTimeout. */
+    [[nodiscard]] std::vector<InstanceInfo> aliveControlInstances() const;
 
 private:
     struct Entry
--- a/src/rpc/deployment.capnp
+++ b/src/rpc/deployment.capnp
@@ -138,6 +138,14 @@
     coldPerSecond @4 :Float64;  # Requests a second that it takes while it is cold, as the caller knows it; 0 if not cold.
 }
 
+# Progress of a control member's request to leave the group.
+enum LeaveState {
+    notLeader @0;   # The member asked doesn't lead.
+    pending @1;     # The caller is to ask again.
+    left @2;        # The caller isn't a member of the group.
+    refused @3;     # No other instance can take its place.
+}
+
 interface Deployment {
     # Reports the caller and waits up to waitMs for something newer than what it holds.
     watch @0 (report :InstanceReport, held :HeldVersions, waitMs :UInt32) -> (update :Update);
@@ -154,6 +162,9 @@
     # As credit for customers, at any control member that offers it: it asks the leader for many gateways at once.
     # Fails where the leader doesn't answer.
     relayCredit @4 (wanted :List(CustomerCredit)) -> (granted :List(CustomerCredit));
+    # For a control member that is about to end, again and again until it has left or is refused. `identity` is that of
+    # its data folder.
+    leaveGroup @5 (identity :Text) -> (state :LeaveState);
 }
 
 # A request that was under way at an endpoint that went down, as control members replicate it.
--- a/src/rpc/deployment.capnp.c++
+++ b/src/rpc/deployment.capnp.c++
@@ -1796,7 +1796,53 @@
   1, 5, i_f6875abc82804858, nullptr, nullptr, { &s_f6875abc82804858, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<72> b_d63bb588485acf0c = {
+static const ::capnp::_::AlignedData<35> b_83e87d5b64e51b0d = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     13,  27, 229, 100,  91, 125, 232, 131,
+     17,   0,   0,   0,   2,   0,   0,   0,
+     69, 185, 226, 134,  10, 127,  28, 211,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 226,   0,   0,   0,
+     33,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 103,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100, 101, 112, 108, 111, 121, 109, 101,
+    110, 116,  46,  99,  97, 112, 110, 112,
+     58,  76, 101,  97, 118, 101,  83, 116,
+     97, 116, 101,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     16,   0,   0,   0,   1,   0,   2,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+     37,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      2,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      3,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    110, 111, 116,  76, 101,  97, 100, 101,
+    114,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 110, 100, 105, 110, 103,   0,
+    108, 101, 102, 116,   0,   0,   0,   0,
+    114, 101, 102, 117, 115, 101, 100,   0, }
+};
+::capnp::word const* const bp_83e87d5b64e51b0d = b_83e87d5b64e51b0d.words;
+#if !CAPNP_LITE
+static const uint16_t m_83e87d5b64e51b0d[] = {2, 0, 1, 3};
+const ::capnp::_::RawSchema s_83e87d5b64e51b0d = {
+  0x83e87d5b64e51b0d, b_83e87d5b64e51b0d.words, 35, nullptr, m_83e87d5b64e51b0d,
+  0, 4, nullptr, nullptr, nullptr, { &s_83e87d5b64e51b0d, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+CAPNP_DEFINE_ENUM(LeaveState_83e87d5b64e51b0d, 83e87d5b64e51b0d);
+static const ::capnp::_::AlignedData<83> b_d63bb588485acf0c = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      12, 207,  90,  72, 136, 181,  59, 214,
      17,   0,   0,   0,   3,   0,   0,   0,
@@ -1806,55 +1852,63 @@
      21,   0,   0,   0, 226,   0,   0,   0,
      33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0,  71,   1,   0,   0,
-    241,   0,   0,   0,   7,   0,   0,   0,
+     29,   0,   0,   0, 135,   1,   0,   0,
+     29,   1,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     100, 101, 112, 108, 111, 121, 109, 101,
     110, 116,  46,  99,  97, 112, 110, 112,
      58,  68, 101, 112, 108, 111, 121, 109,
     101, 110, 116,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     20,   0,   0,   0,   3,   0,   5,   0,
+     24,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      53, 245,  58,  41, 214,  58, 209, 129,
     235,  50, 134,  40,  41, 224, 183, 239,
-    145,   0,   0,   0,  50,   0,   0,   0,
+    177,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    133,   0,   0,   0,   7,   0,   0,   0,
+    165,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     125, 191, 108,  26, 131, 156, 215, 166,
     201, 226, 185, 249,  71, 119, 144, 233,
-    121,   0,   0,   0,  58,   0,   0,   0,
+    153,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    109,   0,   0,   0,   7,   0,   0,   0,
+    141,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
      19,  10, 246,   0,  83, 148, 114, 224,
      82, 236, 141,   3, 180, 225, 216, 176,
-     97,   0,   0,   0, 114,   0,   0,   0,
+    129,   0,   0,   0, 114,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     89,   0,   0,   0,   7,   0,   0,   0,
+    121,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
     116,  13, 164,  46,  22, 206,  79, 237,
      37, 184,  51,  92, 196, 111,  36, 255,
-     77,   0,   0,   0, 130,   0,   0,   0,
+    109,   0,   0,   0, 130,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     69,   0,   0,   0,   7,   0,   0,   0,
+    101,   0,   0,   0,   7,   0,   0,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
     252, 250, 223, 250, 190,  33, 143, 165,
     226,  37, 127, 202,  39,  39,  90, 182,
-     57,   0,   0,   0,  98,   0,   0,   0,
+     89,   0,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     49,   0,   0,   0,   7,   0,   0,   0,
+     81,   0,   0,   0,   7,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+     97,  81,  42, 227, 198,  42,  65, 158,
+    112, 207,  56, 194,   3,  26, 140, 245,
+     69,   0,   0,   0,  90,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     61,   0,   0,   0,   7,   0,   0,   0,
     119,  97, 116,  99, 104,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
      99, 114, 101, 100, 105, 116,   0,   0,
@@ -1868,12 +1922,16 @@
     114, 101, 108,  97, 121,  67, 114, 101,
     100, 105, 116,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    108, 101,  97, 118, 101,  71, 114, 111,
+    117, 112,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_d63bb588485acf0c = b_d63bb588485acf0c.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_d63bb588485acf0c[] = {
   &s_81d13ad6293af535,
+  &s_9e412ac6e32a5161,
   &s_a58f21befadffafc,
   &s_a6d79c831a6cbf7d,
   &s_b0d8e1b4038dec52,
@@ -1882,12 +1940,13 @@
   &s_e9907747f9b9e2c9,
   &s_ed4fce162ea40d74,
   &s_efb7e029288632eb,
+  &s_f58c1a03c238cf70,
   &s_ff246fc45c33b825,
 };
-static const uint16_t m_d63bb588485acf0c[] = {2, 1, 4, 3, 0};
+static const uint16_t m_d63bb588485acf0c[] = {2, 1, 5, 4, 3, 0};
 const ::capnp::_::RawSchema s_d63bb588485acf0c = {
-  0xd63bb588485acf0c, b_d63bb588485acf0c.words, 72, d_d63bb588485acf0c, m_d63bb588485acf0c,
-  10, 5, nullptr, nullptr, nullptr, { &s_d63bb588485acf0c, nullptr, nullptr, 0, 0, nullptr }
+  0xd63bb588485acf0c, b_d63bb588485acf0c.words, 83, d_d63bb588485acf0c, m_d63bb588485acf0c,
+  12, 6, nullptr, nullptr, nullptr, { &s_d63bb588485acf0c, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<64> b_81d13ad6293af535 = {
@@ -2534,6 +2593,100 @@
   1, 1, i_b65a2727ca7f25e2, nullptr, nullptr, { &s_b65a2727ca7f25e2, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<35> b_9e412ac6e32a5161 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     97,  81,  42, 227, 198,  42,  65, 158,
+     28,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 114,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     33,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100, 101, 112, 108, 111, 121, 109, 101,
+    110, 116,  46,  99,  97, 112, 110, 112,
+     58,  68, 101, 112, 108, 111, 121, 109,
+    101, 110, 116,  46, 108, 101,  97, 118,
+    101,  71, 114, 111, 117, 112,  36,  80,
+     97, 114,  97, 109, 115,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   3,   0,   1,   0,
+     24,   0,   0,   0,   2,   0,   1,   0,
+    105, 100, 101, 110, 116, 105, 116, 121,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_9e412ac6e32a5161 = b_9e412ac6e32a5161.words;
+#if !CAPNP_LITE
+static const uint16_t m_9e412ac6e32a5161[] = {0};
+static const uint16_t i_9e412ac6e32a5161[] = {0};
+const ::capnp::_::RawSchema s_9e412ac6e32a5161 = {
+  0x9e412ac6e32a5161, b_9e412ac6e32a5161.words, 35, nullptr, m_9e412ac6e32a5161,
+  0, 1, i_9e412ac6e32a5161, nullptr, nullptr, { &s_9e412ac6e32a5161, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<34> b_f58c1a03c238cf70 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    112, 207,  56, 194,   3,  26, 140, 245,
+     28,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 122,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     33,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100, 101, 112, 108, 111, 121, 109, 101,
+    110, 116,  46,  99,  97, 112, 110, 112,
+     58,  68, 101, 112, 108, 111, 121, 109,
+    101, 110, 116,  46, 108, 101,  97, 118,
+    101,  71, 114, 111, 117, 112,  36,  82,
+    101, 115, 117, 108, 116, 115,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    115, 116,  97, 116, 101,   0,   0,   0,
+     15,   0,   0,   0,   0,   0,   0,   0,
+     13,  27, 229, 100,  91, 125, 232, 131,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     15,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_f58c1a03c238cf70 = b_f58c1a03c238cf70.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_f58c1a03c238cf70[] = {
+  &s_83e87d5b64e51b0d,
+};
+static const uint16_t m_f58c1a03c238cf70[] = {0};
+static const uint16_t i_f58c1a03c238cf70[] = {0};
+const ::capnp::_::RawSchema s_f58c1a03c238cf70 = {
+  0xf58c1a03c238cf70, b_f58c1a03c238cf70.words, 34, d_f58c1a03c238cf70, m_f58c1a03c238cf70,
+  1, 1, i_f58c1a03c238cf70, nullptr, nullptr, { &s_f58c1a03c238cf70, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<96> b_dc2fe0563ee02eb4 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     180,  46, 224,  62,  86, 224,  47, 220,
@@ -3294,6 +3447,16 @@
       "deployment.capnp:Deployment", "relayCredit",
       0xd63bb588485acf0cull, 4);
 }
+::capnp::Request< ::Chestnuthook::Wire::Deployment::LeaveGroupParams,  ::Chestnuthook::Wire::Deployment::LeaveGroupResults>
+Deployment::Client::leaveGroupRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::Chestnuthook::Wire::Deployment::LeaveGroupParams,  ::Chestnuthook::Wire::Deployment::LeaveGroupResults>(
+      0xd63bb588485acf0cull, 5, sizeHint);
+}
+::kj::Promise<void> Deployment::Server::leaveGroup(LeaveGroupContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "deployment.capnp:Deployment", "leaveGroup",
+      0xd63bb588485acf0cull, 5);
+}
 ::capnp::Capability::Server::DispatchCallResult Deployment::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -3338,6 +3501,12 @@
              ::Chestnuthook::Wire::Deployment::RelayCreditParams,  ::Chestnuthook::Wire::Deployment::RelayCreditResults>(context)),
         false
       };
+    case 5:
+      return {
+        leaveGroup(::capnp::Capability::Server::internalGetTypedContext<
+             ::Chestnuthook::Wire::Deployment::LeaveGroupParams,  ::Chestnuthook::Wire::Deployment::LeaveGroupResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -3433,6 +3602,22 @@
 constexpr ::capnp::_::RawSchema const* Deployment::RelayCreditResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Deployment::LeaveGroupParams
+constexpr uint16_t Deployment::LeaveGroupParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Deployment::LeaveGroupParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Deployment::LeaveGroupParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Deployment::LeaveGroupParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Deployment::LeaveGroupResults
+constexpr uint16_t Deployment::LeaveGroupResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Deployment::LeaveGroupResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Deployment::LeaveGroupResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Deployment::LeaveGroupResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // StrikeRecord
 constexpr uint16_t StrikeRecord::_capnpPrivate::dataWordSize;
 constexpr uint16_t StrikeRecord::_capnpPrivate::pointerCount;
--- a/src/rpc/deployment.capnp.h
+++ b/src/rpc/deployment.capnp.h
@@ -38,6 +38,14 @@
 CAPNP_DECLARE_SCHEMA(c13b0a5b0008f3a7);
 CAPNP_DECLARE_SCHEMA(b864d6dbbb6a7e3f);
 CAPNP_DECLARE_SCHEMA(f6875abc82804858);
+CAPNP_DECLARE_SCHEMA(83e87d5b64e51b0d);
+enum class LeaveState_83e87d5b64e51b0d: uint16_t {
+  NOT_LEADER,
+  PENDING,
+  LEFT,
+  REFUSED,
+};
+CAPNP_DECLARE_ENUM(LeaveState, 83e87d5b64e51b0d);
 CAPNP_DECLARE_SCHEMA(d63bb588485acf0c);
 CAPNP_DECLARE_SCHEMA(81d13ad6293af535);
 CAPNP_DECLARE_SCHEMA(efb7e029288632eb);
@@ -49,6 +57,8 @@
 CAPNP_DECLARE_SCHEMA(ff246fc45c33b825);
 CAPNP_DECLARE_SCHEMA(a58f21befadffafc);
 CAPNP_DECLARE_SCHEMA(b65a2727ca7f25e2);
+CAPNP_DECLARE_SCHEMA(9e412ac6e32a5161);
+CAPNP_DECLARE_SCHEMA(f58c1a03c238cf70);
 CAPNP_DECLARE_SCHEMA(dc2fe0563ee02eb4);
 CAPNP_DECLARE_SCHEMA(c1238814cfeff460);
 CAPNP_DECLARE_SCHEMA(dc567af51f1799e8);
@@ -244,6 +254,8 @@
   };
 };
 
+typedef ::capnp::schemas::LeaveState_83e87d5b64e51b0d LeaveState;
+
 struct Deployment {
   Deployment() = delete;
 
@@ -262,6 +274,8 @@
   struct ServiceVersionsResults;
   struct RelayCreditParams;
   struct RelayCreditResults;
+  struct LeaveGroupParams;
+  struct LeaveGroupResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -421,6 +435,36 @@
   };
 };
 
+struct Deployment::LeaveGroupParams {
+  LeaveGroupParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9e412ac6e32a5161, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Deployment::LeaveGroupResults {
+  LeaveGroupResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f58c1a03c238cf70, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct StrikeRecord {
   StrikeRecord() = delete;
 
@@ -2039,6 +2083,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::Chestnuthook::Wire::Deployment::RelayCreditParams,  ::Chestnuthook::Wire::Deployment::RelayCreditResults> relayCreditRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Chestnuthook::Wire::Deployment::LeaveGroupParams,  ::Chestnuthook::Wire::Deployment::LeaveGroupResults> leaveGroupRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -2075,6 +2121,10 @@
   typedef  ::Chestnuthook::Wire::Deployment::RelayCreditResults RelayCreditResults;
   typedef ::capnp::CallContext<RelayCreditParams, RelayCreditResults> RelayCreditContext;
   virtual ::kj::Promise<void> relayCredit(RelayCreditContext context);
+  typedef  ::Chestnuthook::Wire::Deployment::LeaveGroupParams LeaveGroupParams;
+  typedef  ::Chestnuthook::Wire::Deployment::LeaveGroupResults LeaveGroupResults;
+  typedef ::capnp::CallContext<LeaveGroupParams, LeaveGroupResults> LeaveGroupContext;
+  virtual ::kj::Promise<void> leaveGroup(LeaveGroupContext context);
 
   inline  ::Chestnuthook::Wire::Deployment::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -2961,6 +3011,163 @@
 };
 #endif  // !CAPNP_LITE
 
+class Deployment::LeaveGroupParams::Reader {
+public:
+  typedef LeaveGroupParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasIdentity() const;
+  inline  ::capnp::Text::Reader getIdentity() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Deployment::LeaveGroupParams::Builder {
+public:
+  typedef LeaveGroupParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasIdentity();
+  inline  ::capnp::Text::Builder getIdentity();
+  inline void setIdentity( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initIdentity(unsigned int size);
+  inline void adoptIdentity(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownIdentity();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Deployment::LeaveGroupParams::Pipeline {
+public:
+  typedef LeaveGroupParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Deployment::LeaveGroupResults::Reader {
+public:
+  typedef LeaveGroupResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::Chestnuthook::Wire::LeaveState getState() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Deployment::LeaveGroupResults::Builder {
+public:
+  typedef LeaveGroupResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::Chestnuthook::Wire::LeaveState getState();
+  inline void setState( ::Chestnuthook::Wire::LeaveState value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Deployment::LeaveGroupResults::Pipeline {
+public:
+  typedef LeaveGroupResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class StrikeRecord::Reader {
 public:
   typedef StrikeRecord Reads;
@@ -6197,6 +6404,54 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Deployment::LeaveGroupParams::Reader::hasIdentity() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Deployment::LeaveGroupParams::Builder::hasIdentity() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Deployment::LeaveGroupParams::Reader::getIdentity() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Deployment::LeaveGroupParams::Builder::getIdentity() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Deployment::LeaveGroupParams::Builder::setIdentity( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Deployment::LeaveGroupParams::Builder::initIdentity(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Deployment::LeaveGroupParams::Builder::adoptIdentity(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Deployment::LeaveGroupParams::Builder::disownIdentity() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::Chestnuthook::Wire::LeaveState Deployment::LeaveGroupResults::Reader::getState() const {
+  return _reader.getDataField< ::Chestnuthook::Wire::LeaveState>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::Chestnuthook::Wire::LeaveState Deployment::LeaveGroupResults::Builder::getState() {
+  return _builder.getDataField< ::Chestnuthook::Wire::LeaveState>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Deployment::LeaveGroupResults::Builder::setState( ::Chestnuthook::Wire::LeaveState value) {
+  _builder.setDataField< ::Chestnuthook::Wire::LeaveState>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t StrikeRecord::Reader::getFingerprint() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
