--- a/src/consensus/raft_core_base.h
+++ b/src/consensus/raft_core_base.h
@@ -193,6 +193,9 @@
      * whether the chunk has arrived. */
     void sendSnapshot(const std::string &member, Progress &follower, bool withData);
     void handleAppend(const RaftMessage &message);
+    /** Stands for election soon after the leader has left the group: it steps down as it commits its removal, so there
+     * is no lease of it to wait for. */
+    void forgetRemovedLeader();
     /** Records at the leader that a member replied. @return its replication state; null if this member doesn't lead or
      * doesn't know it. */
     Progress *recordReply(const RaftMessage &message);
--- a/src/consensus/raft_replication.cpp
+++ b/src/consensus/raft_replication.cpp
@@ -111,6 +111,21 @@
     reply.readContext = message.readContext;
     this->sendAfterSync(std::move(reply));
     this->commitTo(std::min(message.commit, match));
+    this->forgetRemovedLeader();
+}
+
+void RaftCore::forgetRemovedLeader()
+{
+    if (!this->isVoter(this->self) || !this->isMembershipCommitted() || this->membership().contains(this->leaderId)) {
+        return;
+    }
+    this->leaderId.clear();
+    const auto isVoterBefore = [this](const auto &row) {
+        return row.second.voter && row.first < this->self;
+    };
+    const auto rank = std::ranges::count_if(this->membership(), isVoterBefore); // One after the other, no split votes.
+    const unsigned wait = 1 + static_cast<unsigned>(rank) * this->settings.heartbeatTicks;
+    this->electionTimeout = std::min(this->electionTimeout, this->electionElapsed + wait);
 }
 
 void RaftCore::rejectAppend(const RaftMessage &message)
--- a/tests/unit/consensus_test.cpp
+++ b/tests/unit/consensus_test.cpp
@@ -413,6 +413,29 @@
 }
 
 /** Guards against a lease that a leader renews with heartbeats beyond the election of another one. */
+/** Guards against a group without a leader for an election timeout whenever its leader leaves as planned. */
+BOOST_AUTO_TEST_CASE(another_member_leads_soon_after_the_leader_has_left_the_group)
+{
+    RaftSettings settings = smallSettings();
+    settings.electionTicks = 60;
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        RaftCluster cluster(seed, 5, settings);
+        cluster.runWithoutFaults(300);
+        const std::string leader = cluster.leader();
+        BOOST_REQUIRE(!leader.empty());
+        RaftMembership next = cluster.nodes[leader].core->membership();
+        next.erase(leader);
+        BOOST_REQUIRE(cluster.nodes[leader].core->proposeMembership(next));
+        cluster.runWithoutFaults(3);
+        BOOST_TEST((cluster.nodes[leader].core->role() != RaftRole::Leader));
+        cluster.crash(leader);
+        cluster.runWithoutFaults(settings.electionTicks / 2);
+        BOOST_TEST(!cluster.leader().empty(), "seed " << seed);
+        cluster.checkLogs();
+        BOOST_TEST(cluster.violations.empty());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(round_confirmed_by_heartbeats_began_an_election_timeout_before_another_member_leads)
 {
     for (std::uint64_t seed = 1; seed <= 40; ++seed) {
