--- a/src/deployment/deployment_member_base.cpp
+++ b/src/deployment/deployment_member_base.cpp
@@ -265,6 +265,7 @@
     this->rememberEndpoints();
     this->leaderTerm = this->node.term();
     this->leaderSince = now;
+    this->groupObservedSince = now;
     this->registry = InstanceRegistry();
     const auto &known = this->watcher.view.instances;
     const auto gateways = std::ranges::count(known, Wire::InstanceRole::GATEWAY, &InstanceInfo::role);
--- a/src/deployment/deployment_member_base.h
+++ b/src/deployment/deployment_member_base.h
@@ -298,6 +298,8 @@
     Instant resignedAt{0}; ///< When this member last gave up the lead; 0 for never.
     bool isChangingGroup = false; ///< A change of the control members is in progress.
     std::map<std::string, Instant> leaveRequests; ///< When members last asked to leave, by identity.
+    Instant groupPlannedAt{0}; ///< When `planGroup` last ran as the leader.
+    Instant groupObservedSince{0}; ///< Since when it has run at short intervals.
     Instant lastRemoval{0}; ///< When a member was last removed that may come back; 0 for never.
     bool isChangingView = false; ///< A change of the history view is in progress.
 
--- a/src/deployment/deployment_member_group.cpp
+++ b/src/deployment/deployment_member_group.cpp
@@ -16,6 +16,9 @@
 
 /** Entries that a standby may lack, as they may be on their way to it. */
 constexpr std::uint64_t MaxStandbyLag = 16;
+/** The leader plans more often than this unless its process has stood still. Then it has heard nothing meanwhile, and
+ * the silence of the others counts anew. */
+constexpr Duration MaxPlanInterval = std::chrono::milliseconds(600);
 /** A new learner usually has the log by then. */
 constexpr auto CatchUpTime = 50 * kj::MILLISECONDS;
 constexpr auto LeavePollInterval = 25 * kj::MILLISECONDS;
@@ -54,7 +57,8 @@
         member.isVoter = view.role != "learner";
         member.isLeader = isSelf;
         member.isAlive = isSelf || (report && report->isAlive);
-        member.silentFor = isSelf ? Duration(0) : now - std::max(report ? report->at : Instant(0), this->leaderSince);
+        const Instant heardAt = std::max(report ? report->at : Instant(0), this->groupObservedSince);
+        member.silentFor = isSelf ? Duration(0) : now - heardAt;
         member.isCaughtUp = view.matchIndex + MaxStandbyLag >= this->node.commitIndex();
         member.isLeaving = this->isLeaving(view.identity);
         members.push_back(std::move(member));
@@ -73,7 +77,14 @@
 
 void DeploymentMember::planGroup()
 {
-    if (!this->isLeader() || this->isChangingGroup) {
+    if (!this->isLeader()) {
+        return;
+    }
+    const Instant now = this->loop.timers().now();
+    if (now - std::exchange(this->groupPlannedAt, now) > MaxPlanInterval) {
+        this->groupObservedSince = now;
+    }
+    if (this->isChangingGroup) {
         return;
     }
     const std::vector<GroupMemberState> members = this->groupMembers();
--- a/tests/process/control_group_test.cpp
+++ b/tests/process/control_group_test.cpp
@@ -140,6 +140,20 @@
     fixture.checkConfiguration("after the last removal");
 }
 
+/** Guards against a leader that takes the others for lost although it stood still itself. */
+BOOST_AUTO_TEST_CASE(no_member_is_removed_after_all_stood_still)
+{
+    Fixture fixture(5, 1);
+    fixture.addSuccessors(1);
+    fixture.group.standStill(3s);
+    std::this_thread::sleep_for(CatchUpTime);
+    fixture.checkConfiguration("after all members stood still");
+    for (std::size_t member = 0; member < fixture.group.processes.size(); ++member) {
+        BOOST_TEST(fixture.group.log(member).find("reason=silent") == std::string::npos,
+            "member " << member << " removed another one, logs in " << fixture.group.folder.path);
+    }
+}
+
 /** Guards against members that leave before a restart although nothing can take their place. */
 BOOST_AUTO_TEST_CASE(members_are_restarted_one_after_the_other_and_all_at_once)
 {
--- a/tests/support/control_group.cpp
+++ b/tests/support/control_group.cpp
@@ -108,6 +108,17 @@
     this->processes[member]->wait();
 }
 
+void ControlGroup::standStill(std::chrono::milliseconds time)
+{
+    for (const auto &process : this->processes) {
+        process->signal(SIGSTOP);
+    }
+    std::this_thread::sleep_for(time);
+    for (const auto &process : this->processes) {
+        process->signal(SIGCONT);
+    }
+}
+
 void ControlGroup::loseDisk(std::size_t member)
 {
     this->kill(member);
@@ -153,4 +164,9 @@
     return isRead && document == configurationDocument(version);
 }
 
+std::string ControlGroup::log(std::size_t member) const
+{
+    return readFile(this->folder.path + "/" + this->instances[member].name + ".log");
+}
+
 } // namespace Chestnuthook::Testing
--- a/tests/support/control_group.h
+++ b/tests/support/control_group.h
@@ -27,6 +27,8 @@
     /** Sends SIGTERM to @p leaving at the same moment and waits until they have ended. */
     void terminate(const std::vector<std::size_t> &leaving);
     void kill(std::size_t member);
+    /** Stops all members that run for @p time, and lets them go on. */
+    void standStill(std::chrono::milliseconds time);
     /** Kills @p member and starts it again without its data folder. */
     void loseDisk(std::size_t member);
 
@@ -35,6 +37,9 @@
     /** Whether a member reads back @p version, as putConfiguration() sent it, within @p patience. */
     [[nodiscard]] bool readsConfiguration(unsigned version, std::chrono::milliseconds patience) const;
 
+    /** What @p member has logged. */
+    [[nodiscard]] std::string log(std::size_t member) const;
+
     TemporaryFolder folder; ///< Settings, logs and data.
     std::vector<std::unique_ptr<ChildProcess>> processes; ///< All members there have been, by index.
 
