--- a/src/deployment/deployment_member_group.cpp
+++ b/src/deployment/deployment_member_group.cpp
@@ -70,7 +70,8 @@
 {
     std::vector<GroupCandidate> candidates;
     for (const InstanceInfo &instance : this->registry.aliveControlInstances()) {
-        candidates.push_back({instance.identity, instance.rpcAddress, this->isLeaving(instance.identity)});
+        const bool isLeaving = !instance.ready || this->isLeaving(instance.identity);
+        candidates.push_back({instance.identity, instance.rpcAddress, isLeaving});
     }
     return candidates;
 }
@@ -189,6 +190,8 @@
 
 kj::Promise<void> DeploymentMember::leaveGroup(Duration limit)
 {
+    this->settings.self.ready = false; // It isn't added again while it finishes requests.
+    this->watcher.reportNow();
     const Instant start = this->loop.timers().now();
     return this->leaveUntil(start, start, start + limit);
 }
--- a/src/deployment/instance_registry_base.h
+++ b/src/deployment/instance_registry_base.h
@@ -25,7 +25,7 @@
     std::string clientAddress; ///< Address for clients (gateway) or operators (control); may be empty.
     std::string rpcAddress; ///< Address for other daemons.
     std::string identity; ///< Identity of its data folder; empty if it has none.
-    bool ready = false; ///< A gateway that accepts client requests.
+    bool ready = false; ///< A gateway that accepts client requests; another daemon that isn't about to end.
     bool isCutOff = false; ///< A gateway that needs others to reach most endpoints of a service.
     double processorShare = 0; ///< Cores that the process may use; 0 if it doesn't say.
     bool relaysCredit = false; ///< A control member that requests credit for gateways.
--- a/src/rpc/deployment.capnp
+++ b/src/rpc/deployment.capnp
@@ -33,7 +33,7 @@
     callerAddress @3 :Text;     # Where callers (gateway) or operators (control) connect; else empty.
     rpcAddress @4 :Text;        # Where other daemons connect.
     identity @5 :Text;          # Of the data folder; empty at a gateway.
-    ready @6 :Bool;             # A gateway that takes callers.
+    ready @6 :Bool;             # A gateway that takes callers; another daemon that isn't about to end.
     copiedView @7 :UInt64;      # History: view for which the copy of all turns is complete; 0 for none.
     strikes @8 :List(EndpointStrike);   # Since the last report.
     limits @10 :List(EndpointLimit);    # Changed since the last report.
