--- a/tests/support/control_group.cpp
+++ b/tests/support/control_group.cpp
@@ -87,6 +87,13 @@
 void ControlGroup::start(std::size_t member)
 {
     this->processes[member] = startInstance(this->instances[member], this->folder.path);
+    // A signal that comes before the process handles signals would end it at once.
+    const std::string line = "pid=" + std::to_string(this->processes[member]->pid) + " event=process_started";
+    if (!waitUntil([this, member, &line]() {
+            return this->log(member).find(line) != std::string::npos;
+        })) {
+        throw std::runtime_error(this->instances[member].name + " did not start");
+    }
 }
 
 void ControlGroup::terminate(const std::vector<std::size_t> &leaving)
--- a/tests/support/control_group.h
+++ b/tests/support/control_group.h
@@ -22,7 +22,7 @@
 
     /** Starts an empty member at a new address. The members that run are its seeds. @return its index. */
     std::size_t add();
-    /** Starts @p member with what is in its data folder. */
+    /** Starts @p member with what is in its data folder, and waits until its process handles signals. */
     void start(std::size_t member);
     /** Sends SIGTERM to @p leaving at the same moment and waits until they have ended. */
     void terminate(const std::vector<std::size_t> &leaving);
