--- a/tests/support/control_group.h
+++ b/tests/support/control_group.h
@@ -40,7 +40,7 @@
     /** What @p member has logged. */
     [[nodiscard]] std::string log(std::size_t member) const;
 
-    TemporaryFolder folder; ///< Settings, logs and data.
+    TemporaryFolder folder{memoryFolder()}; ///< Settings, logs and data.
     std::vector<std::unique_ptr<ChildProcess>> processes; ///< All members there have been, by index.
 
 private:
--- a/tests/support/process_fleet.cpp
+++ b/tests/support/process_fleet.cpp
@@ -247,9 +247,20 @@
     return addresses;
 }
 
+std::string memoryFolder()
+{
+    constexpr const char *Folder = "/dev/shm";
+    return ::access(Folder, W_OK) == 0 ? Folder : std::filesystem::temp_directory_path().string();
+}
+
 TemporaryFolder::TemporaryFolder()
+    : TemporaryFolder(std::filesystem::temp_directory_path().string())
+{
+}
+
+TemporaryFolder::TemporaryFolder(const std::string &parent)
 {
-    std::string pattern = (std::filesystem::temp_directory_path() / "chestnuthook-XXXXXX").string();
+    std::string pattern = parent + "/chestnuthook-XXXXXX";
     if (::mkdtemp(pattern.data()) == nullptr) {
         throw std::runtime_error("can't create a temporary folder");
     }
--- a/tests/support/process_fleet.h
+++ b/tests/support/process_fleet.h
@@ -163,10 +163,16 @@
 /** Reserves @p count ports at 127.0.0.1 as reserveAddress() does. @return ip:port of each. */
 std::vector<std::string> reserveLoopbackAddresses(int count);
 
+/** Folder of a file system in memory, or that of temporary files if there is none. On it, a process doesn't wait for
+ * its disk while other processes write much. */
+[[nodiscard]] std::string memoryFolder();
+
 /** A temporary folder that the destructor removes unless `isKept` is set. */
 struct TemporaryFolder
 {
     TemporaryFolder();
+    /** Creates it in the folder @p parent. */
+    explicit TemporaryFolder(const std::string &parent);
     ~TemporaryFolder();
     TemporaryFolder(const TemporaryFolder &) = delete;
     TemporaryFolder &operator=(const TemporaryFolder &) = delete;
