--- a/src/deployment/deployment_member_base.h
+++ b/src/deployment/deployment_member_base.h
@@ -182,8 +182,8 @@
     [[nodiscard]] bool isLeaving(const std::string &identity) const;
     /** Asks the leader to remove this member. Empty if none answers. */
     [[nodiscard]] kj::Promise<std::optional<LeaveState>> askToLeave();
-    /** Asks until the request is decided, no leader has answered since @p answered for long, or until @p end. */
-    [[nodiscard]] kj::Promise<void> leaveUntil(Instant start, Instant answered, Instant end);
+    /** Asks until the request is decided, or until @p end. */
+    [[nodiscard]] kj::Promise<void> leaveUntil(Instant start, Instant end);
     void beginVersionTerm(Instant now);
     /** Waits until the versions that leaders of earlier terms recorded are applied; then reads the endpoint list. */
     void readVersionRecord();
--- a/src/deployment/deployment_member_group.cpp
+++ b/src/deployment/deployment_member_group.cpp
@@ -23,9 +23,6 @@
 constexpr auto CatchUpTime = 50 * kj::MILLISECONDS;
 constexpr auto LeavePollInterval = 25 * kj::MILLISECONDS;
 constexpr auto LeaveCallTimeout = 250 * kj::MILLISECONDS;
-/** A member that gets no answer for this long ends, as the others may have ended, too. Longer than an election takes.
- */
-constexpr Duration MaxUnansweredTime = std::chrono::seconds(2);
 /** Members that were removed may come back within this time, as after a restart, and take another one's place. */
 constexpr Duration ReturnTime = std::chrono::seconds(3);
 /** A member that hasn't repeated its request to leave for this long has ended, and may have been started again. */
@@ -193,18 +190,17 @@
     this->settings.self.ready = false; // It isn't added again while it finishes requests.
     this->watcher.reportNow();
     const Instant start = this->loop.timers().now();
-    return this->leaveUntil(start, start, start + limit);
+    return this->leaveUntil(start, start + limit);
 }
 
-kj::Promise<void> DeploymentMember::leaveUntil(Instant start, Instant answered, Instant end)
+kj::Promise<void> DeploymentMember::leaveUntil(Instant start, Instant end)
 {
-    return this->askToLeave().then([this, start, answered, end](std::optional<LeaveState> state) -> kj::Promise<void> {
+    return this->askToLeave().then([this, start, end](std::optional<LeaveState> state) -> kj::Promise<void> {
         const Instant now = this->loop.timers().now();
         const bool isDecided = state && *state != LeaveState::Pending;
-        const Instant lastAnswer = state ? now : answered;
-        if (!isDecided && now < end && now - lastAnswer < MaxUnansweredTime) {
-            return this->loop.kjTimer().afterDelay(LeavePollInterval).then([this, start, lastAnswer, end]() {
-                return this->leaveUntil(start, lastAnswer, end);
+        if (!isDecided && now < end) {
+            return this->loop.kjTimer().afterDelay(LeavePollInterval).then([this, start, end]() {
+                return this->leaveUntil(start, end);
             });
         }
         logEvent(EventKind::MembershipChanged,
