--- a/tests/process/control_group_test.cpp
+++ b/tests/process/control_group_test.cpp
@@ -126,7 +126,7 @@
     fixture.checkConfiguration("after the loss of a disk");
 }
 
-/** Removed members are noticed within this time, if they don't announce it. */
+/** Guards against removals without notice that add up until most voters are gone. */
 BOOST_AUTO_TEST_CASE(members_are_removed_without_notice_one_after_the_other)
 {
     constexpr auto Interval = 1500ms;
