Logs of streams whose turns are kept: who began one, who went on after which event, what was kept

Change: stream_resumed has `after`; on routes that keep turns and are resumable stream_begun and turn_kept name the request, and turn_kept what it resumes, its events and bytes. Other routes log nothing more.

--- a/src/gateway/gateway_call_internal.h
+++ b/src/gateway/gateway_call_internal.h
@@ -39,6 +39,16 @@
         return {request, this->customer == nullptr ? std::string() : this->customer->name};
     }
 
+    /** Whether the turn is stored and its stream may be resumed, so that one response may lack its beginning. */
+    [[nodiscard]] bool keepsResumableTurn() const
+    {
+        return this->route->retainsTurns && this->route->resumable;
+    }
+    /** Id of the event after which the next attempt goes on; empty to start at the beginning of the stream. */
+    [[nodiscard]] const std::string &resumedAfter() const
+    {
+        return this->lastEventId.empty() ? this->metadata.lastEventId : this->lastEventId;
+    }
     /** Forgets what is recorded of the attempt before. */
     void beginAttempt()
     {
--- a/src/gateway/gateway_run.cpp
+++ b/src/gateway/gateway_run.cpp
@@ -106,7 +106,7 @@
     metadata.timeLeft = toMs(call.deadline - this->now());
     metadata.endpointId = endpoint.id;
     metadata.customer = call.customer == nullptr ? std::string() : call.customer->name;
-    metadata.lastEventId = call.lastEventId.empty() ? call.metadata.lastEventId : call.lastEventId;
+    metadata.lastEventId = call.resumedAfter();
     metadata.priority = this->priorityOf(call);
     metadata.bodyBytes = call.historyPrefix.size() + call.exchange.body.size();
     metadata.hasBody = metadata.bodyBytes != 0 || call.exchange.head.fields.find("Content-Length") != nullptr;
@@ -284,8 +284,8 @@
     if (!call.metadata.lastEventId.empty() || call.exchange.hasStarted()) {
         logEvent(EventKind::StreamResumed,
             {{"request", call.metadata.requestId}, {"resumes", call.metadata.resumedRequest},
-                {"by", call.exchange.hasStarted() ? "gateway" : "client"}, {"endpoint", endpoint.id},
-                {"version", endpoint.version}});
+                {"by", call.exchange.hasStarted() ? "gateway" : "client"}, {"after", call.resumedAfter()},
+                {"endpoint", endpoint.id}, {"version", endpoint.version}});
     }
     this->loadBalancer.recordRequestStart(endpoint.id);
     call.attemptedAt = this->now();
@@ -522,6 +522,10 @@
         this->streamOrigins.add(this->now(), stream, origin, ttl);
         this->history.addStreamOrigin(stream, origin, ttl);
     }
+    if (call.keepsResumableTurn() && !isResumed) {
+        logEvent(EventKind::StreamBegun,
+            {{"request", call.metadata.requestId}, {"endpoint", endpoint.id}, {"version", endpoint.version}});
+    }
     call.exchange.beginStream(scope, this->headerCodec.clientResponseHead(head));
 }
 
@@ -623,6 +627,13 @@
             call.abortReason = "turn not kept: " + kept.error().what;
             return; // The end of the stream is not sent, so the client treats the response as incomplete.
         }
+        if (call.keepsResumableTurn()) {
+            logEvent(EventKind::TurnKept,
+                {{"request", call.metadata.requestId}, {"previous", call.metadata.previousTurn},
+                    {"resumes", call.metadata.resumedRequest}, {"after", call.metadata.lastEventId},
+                    {"events", std::to_string(call.deliveredEvents)},
+                    {"bytes", std::to_string(call.output.size())}});
+        }
     }
     call.exchange.endStream(scope);
     logEvent(EventKind::CallEnded,
