--- a/src/gateway/gateway_base.cpp
+++ b/src/gateway/gateway_base.cpp
@@ -226,8 +226,8 @@
     }
     call.configuration = this->configuration;
     exchange.closeAfterResponse = exchange.closeAfterResponse || this->draining;
-    if (this->admit(scope, call) && this->selectOrigin(scope, call) && this->beginTurn(scope, call)
-        && this->applyRateLimit(scope, call)) {
+    if (this->admit(scope, call) && this->restoreBeginning(scope, call) && this->selectOrigin(scope, call)
+        && this->beginTurn(scope, call) && this->applyRateLimit(scope, call)) {
         this->runAtEndpoints(scope, call);
     }
 }
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -156,6 +156,12 @@
     /** Whether a leader has told of a newer configuration that may have been acknowledged longer ago than an older one
      * may be served. */
     [[nodiscard]] bool isConfigurationOutdated() const;
+    /** Finds the events that the client has of a stream that it resumes, if its turn is to be stored with them. */
+    [[nodiscard]] bool restoreBeginning(kj::WaitScope &scope, Call &call);
+    /** Tells the history members of a stream whose turn will be stored. */
+    void recordBeginning(Call &call, const DeployedEndpoint &endpoint);
+    /** Tells them of the @p events that the client is about to get. */
+    static void recordEvents(kj::WaitScope &scope, Call &call, const std::vector<StreamEvent> &events);
     /** Selects the service of the request, and for a resumed stream the version at which it may go on. */
     [[nodiscard]] bool selectOrigin(kj::WaitScope &scope, Call &call);
     /** Service and version at which every stream of @p route began, if the leader confirms that there is only one. */
--- a/src/gateway/gateway_call_internal.h
+++ b/src/gateway/gateway_call_internal.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "gateway/gateway_base.h"
+#include "history/stream_recorder_base.h"
 
 namespace Chestnuthook
 {
@@ -15,6 +16,13 @@
 /** Retry-After of a request that another instance, or this one, can serve soon. */
 inline constexpr double ShortRetryAfterSeconds = 0.2;
 
+/** How long a stream of @p route may be resumed after it has begun. */
+[[nodiscard]] inline Duration resumptionTtl(const RouteConfig &route)
+{
+    constexpr Duration ResumptionPeriod = std::chrono::seconds(30);
+    return route.timeout + ResumptionPeriod;
+}
+
 struct Gateway::Call
 {
     Call(HttpExchange &exchange, ResponseMemory &memory)
@@ -30,7 +38,8 @@
      * twice their size, and a response is copied once when it is sent. @return false if it has been given up. */
     [[nodiscard]] bool updateHeldBytes(std::size_t otherBytes = 0)
     {
-        return this->held.resize(2 * (this->content.size() + this->output.size() + otherBytes));
+        return this->held.resize(
+            2 * (this->content.size() + this->beginning.size() + this->output.size() + otherBytes));
     }
 
     /** Key of the stream of this call's customer whose first event @p request received. */
@@ -62,7 +71,8 @@
     /** Whether the client has received as many tokens as the turn may have. */
     [[nodiscard]] bool hasAllTokens() const
     {
-        const std::uint64_t tokens = std::uint64_t{this->deliveredEvents} * this->tokensPerEvent;
+        const std::uint64_t events = std::uint64_t{this->resumedEvents} + this->deliveredEvents;
+        const std::uint64_t tokens = events * this->tokensPerEvent;
         return this->metadata.outputTokens != 0 && tokens >= this->metadata.outputTokens;
     }
     /** Frees `content` at the end of an attempt. */
@@ -97,8 +107,12 @@
     std::uint64_t retentionMs = 0; ///< How long the turn is stored.
     std::unique_ptr<TokenSettlement> settlement; ///< Settles the turn's token claim; null if there is none.
 
+    std::unique_ptr<StreamRecorder> recorder; ///< Tells history members the events; null if nobody will need them.
+    std::string beginning; ///< Data of the events before this request, if it resumes a stream whose turn is stored.
+    unsigned resumedEvents = 0; ///< Number of these events.
+
     std::string content; ///< Body of a response that is not a stream, as far as it was received.
-    std::string output; ///< Data of all events so far if the turn is stored, as whose output it is.
+    std::string output; ///< Data of the events of this request so far, if the turn is stored.
     std::string lastEventId; ///< Id of the last event sent to the client.
     unsigned deliveredEvents = 0; ///< Number of events sent to the client.
     unsigned eventsBefore = 0; ///< Value of `deliveredEvents` when the last attempt began.
@@ -114,7 +128,7 @@
     BodyFraming framing = BodyFraming::Length; ///< Of the last response, for the log.
     std::size_t unfinishedBytes = 0; ///< Bytes of the last stream after its last whole event, for the log.
     std::string_view failureReason; ///< Why the last attempt failed, for the log; empty if the connection broke.
-    ResponseMemory::Share held; ///< Memory of `content` and `output`.
+    ResponseMemory::Share held; ///< Memory of `content`, `output` and `beginning`, which isn't freed if it is given up.
 };
 
 } // namespace Chestnuthook
--- a/src/gateway/gateway_run.cpp
+++ b/src/gateway/gateway_run.cpp
@@ -33,8 +33,6 @@
 /** A turn is written to the history until this long after the deadline of its request; a stop of the gateway allows for
  * it. */
 constexpr Duration HistoryWriteMargin = std::chrono::milliseconds(200);
-/** Clients resume a stream at the latest this long after its timeout. */
-constexpr Duration ResumptionPeriod = std::chrono::seconds(30);
 /** Maximum size of an event and of the comments before it. Endpoints send events of up to some KB; a larger one is a
  * fault of the endpoint. */
 constexpr std::size_t MaxEventBytes = 256U << 10U;
@@ -518,13 +516,12 @@
     if (call.route->resumable && !isResumed && !endpoint.version.empty()) {
         const StreamKey stream = call.streamKey(call.metadata.requestId);
         const StreamOrigin origin{call.service, endpoint.version};
-        const Duration ttl = call.route->timeout + ResumptionPeriod;
+        const Duration ttl = resumptionTtl(*call.route);
         this->streamOrigins.add(this->now(), stream, origin, ttl);
         this->history.addStreamOrigin(stream, origin, ttl);
     }
-    if (call.keepsResumableTurn() && !isResumed) {
-        logEvent(EventKind::StreamBegun,
-            {{"request", call.metadata.requestId}, {"endpoint", endpoint.id}, {"version", endpoint.version}});
+    if (call.keepsResumableTurn() && call.recorder == nullptr && !endpoint.version.empty()) {
+        this->recordBeginning(call, endpoint);
     }
     call.exchange.beginStream(scope, this->headerCodec.clientResponseHead(head));
 }
@@ -552,7 +549,7 @@
         const auto newEvents = std::count_if(events.begin(), events.end(), [](const StreamEvent &event) {
             return event.hasData;
         });
-        if (call.deliveredEvents + static_cast<std::uint64_t>(newEvents) > maxEvents) {
+        if (call.resumedEvents + call.deliveredEvents + static_cast<std::uint64_t>(newEvents) > maxEvents) {
             call.noteFailure(HttpReadResult::BodyTooLarge);
             return AttemptResult::Failed;
         }
@@ -593,6 +590,7 @@
                 call.lastEventId = event.id;
             }
         }
+        this->recordEvents(scope, call, events);
         if (!ready.empty()) {
             call.exchange.writeChunk(scope, ready);
         }
@@ -612,7 +610,7 @@
         turn.previous = call.metadata.previousTurn;
         turn.customer = call.customer == nullptr ? std::string() : call.customer->name;
         turn.input = call.exchange.body;
-        turn.output = call.output;
+        turn.output = call.beginning + call.output;
         turn.keepMs = call.retentionMs + call.retentionMs / 2;
         turn.expiresMs = static_cast<std::uint64_t>(wallMsNow()) + turn.keepMs;
         records.emplace_back(std::move(turn));
@@ -631,8 +629,9 @@
             logEvent(EventKind::TurnKept,
                 {{"request", call.metadata.requestId}, {"previous", call.metadata.previousTurn},
                     {"resumes", call.metadata.resumedRequest}, {"after", call.metadata.lastEventId},
+                    {"events_before", std::to_string(call.resumedEvents)},
                     {"events", std::to_string(call.deliveredEvents)},
-                    {"bytes", std::to_string(call.output.size())}});
+                    {"bytes", std::to_string(call.beginning.size() + call.output.size())}});
         }
     }
     call.exchange.endStream(scope);
--- a/src/history/history_client_base.cpp
+++ b/src/history/history_client_base.cpp
@@ -5,6 +5,7 @@
 #include <set>
 #include <utility>
 
+#include "history/history_client_internal.h"
 #include "observe/log_func.h"
 #include "rpc/message_func.h"
 
@@ -16,8 +17,6 @@
 
 /** A connection is replaced if nothing is heard on it for this long while a call waits. */
 constexpr auto SilenceTimeout = 500 * kj::MILLISECONDS;
-/** Timeout of one call to one member, whose storage may be slow. */
-constexpr auto CallTimeout = 5 * kj::SECONDS;
 /** Timeout of a chain read at one member; the next member is tried after it. */
 constexpr Duration ChainTimeout = std::chrono::milliseconds(150);
 /** How long the chain from the preferred member is awaited before the other members, which also hold it, are asked. */
@@ -143,35 +142,6 @@
         });
 }
 
-template<typename Send>
-auto HistoryClient::callMember(const std::string &address, Send send, std::function<void()> onSilence)
-{
-    MemberLink &member = this->linkTo(address);
-    return member.link.connection().then([this, &member, send = std::move(send), onSilence = std::move(onSilence)](
-                                             RpcLink::ConnectionPtr &&connection) mutable {
-        auto store = RpcLink::servicesOf(connection).peer.castAs<Wire::HistoryStore>();
-        auto response = send(kj::mv(store));
-        using Response = decltype(response.wait(kj::instance<kj::WaitScope &>()));
-        auto answered = response.then(
-            [this, &member, connection](Response &&received) -> kj::Promise<Response> {
-                if (member.link.isCurrent(connection)) {
-                    member.lastHeard = this->loop.timers().now();
-                }
-                return kj::mv(received);
-            },
-            [&member, connection](kj::Exception &&exception) -> kj::Promise<Response> {
-                if (exception.getType() == kj::Exception::Type::DISCONNECTED) {
-                    member.link.drop(connection);
-                }
-                return kj::mv(exception);
-            });
-        auto silence = this->watchSilence(member, connection, this->loop.timers().now(), std::move(onSilence));
-        return this->loop.kjTimer()
-            .timeoutAfter(CallTimeout, kj::mv(answered))
-            .attach(silence.eagerlyEvaluate(nullptr), kj::mv(connection));
-    });
-}
-
 std::vector<HistoryMember> HistoryClient::membersByPreference() const
 {
     std::vector<HistoryMember> members = this->watcher.view.history.members();
--- a/src/history/history_client_base.h
+++ b/src/history/history_client_base.h
@@ -64,6 +64,7 @@
         kj::WaitScope &scope, const StreamKey &stream, Instant until);
 
 private:
+    friend class StreamRecorder;
     /** All history members may be down for seconds, and a reservation of tokens that isn't handed back stays. */
     static constexpr Duration BackgroundWriteTime = std::chrono::seconds(30);
     static constexpr std::size_t MaxBackgroundWrites = 1024;
--- a/src/history/history_member_base.cpp
+++ b/src/history/history_member_base.cpp
@@ -7,6 +7,7 @@
 #include "consensus/raft_storage_base.h"
 #include "core/hash_func.h"
 #include "history/record_id_func.h"
+#include "history/stream_message_func.h"
 #include "observe/log_func.h"
 #include "rpc/message_func.h"
 #include "table/error_table.h"
@@ -44,6 +45,13 @@
     return std::stoull(randomHex(IdBytes), nullptr, Base);
 }
 
+/** The stream that a call names. */
+template<typename Params>
+StreamKey streamKeyOf(const Params &params)
+{
+    return {textOf(params.getStream()), textOf(params.getCustomer())};
+}
+
 class HistoryServer final : public Wire::HistoryStore::Server
 {
 public:
@@ -155,6 +163,55 @@
         return kj::READY_NOW;
     }
 
+    kj::Promise<void> beginStream(BeginStreamContext context) override
+    {
+        const auto params = context.getParams();
+        context.getResults().setHeld(this->member.streams.begin(this->member.now(), streamKeyOf(params),
+            params.getTurn(), params.getMembers(), Milliseconds(params.getTtlMs())));
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> addStreamPieces(AddStreamPiecesContext context) override
+    {
+        const auto params = context.getParams();
+        context.getResults().setHeld(this->member.streams.add(
+            streamKeyOf(params), textOf(params.getRequest()), params.getPosition(), readPieces(params.getPieces())));
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> findStream(FindStreamContext context) override
+    {
+        const auto stream = this->member.streams.find(this->member.now(), streamKeyOf(context.getParams()));
+        if (!stream) {
+            return kj::READY_NOW;
+        }
+        auto results = context.getResults();
+        results.setKnown(true);
+        results.setTurn(stream->turn);
+        results.setMembers(stream->members);
+        results.setAmbiguous(stream->isAmbiguous);
+        auto list = results.initBranches(static_cast<unsigned>(stream->branches.size()));
+        unsigned index = 0;
+        for (const auto &[request, branch] : stream->branches) {
+            writeBranch(list[index++], branch);
+        }
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> resumeStream(ResumeStreamContext context) override
+    {
+        const auto params = context.getParams();
+        context.getResults().setHeld(this->member.streams.resume(streamKeyOf(params), readBranch(params.getBranch())));
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> withdrawResumption(WithdrawResumptionContext context) override
+    {
+        const auto params = context.getParams();
+        this->member.streams.withdraw(streamKeyOf(params), textOf(params.getRequest()));
+        return kj::READY_NOW;
+    }
+
 private:
     /** Sets the response status: whether the call is for this member and its view version is current.
      * @return whether the call is to be served. */
--- a/src/history/history_member_base.h
+++ b/src/history/history_member_base.h
@@ -17,6 +17,7 @@
 #include "history/history_log_thread_base.h"
 #include "history/history_table_base.h"
 #include "history/stream_origin_table_base.h"
+#include "history/stream_progress_table_base.h"
 #include "observe/log_func.h"
 #include "rpc/control_loop_base.h"
 #include "rpc/history.capnp.h"
@@ -89,7 +90,13 @@
     void addStreamOrigin(const StreamKey &stream, const StreamOrigin &origin, Duration ttl);
     [[nodiscard]] std::optional<StreamOrigin> findStreamOrigin(const StreamKey &stream) const;
 
+    [[nodiscard]] Instant now() const
+    {
+        return this->loop.timers().now();
+    }
+
     HistoryTable table; ///< Index of the records in the log.
+    StreamProgressTable streams; ///< Not durable, like the origins of streams.
     const std::uint64_t startId; ///< Random; tells the positions of `table` from those of an earlier process.
 
 private:
--- a/src/rpc/history.capnp
+++ b/src/rpc/history.capnp
@@ -41,6 +41,20 @@
     full @4;                # Memory or disk is nearly used up, so that no new program is stored.
 }
 
+# An event of a stream whose turn will be kept.
+struct StreamPiece {
+    id @0 :Text;            # Empty if the event has none.
+    output @1 :Data;        # What it adds to the output of the turn.
+}
+
+# The events of a stream as one request received them.
+struct StreamBranch {
+    request @0 :Text;
+    parent @1 :Text;        # Request whose events it follows; empty if it began the stream.
+    resumedFrom @2 :UInt32; # Number of pieces at the front that it shares with its parent.
+    pieces @3 :List(StreamPiece);   # All events of the stream from its beginning on.
+}
+
 interface HistoryStore {
     # Writes the claim of a turn that is to run, and reads what it depends on.
     begin @0 (identity :Text, view :UInt64, claim :HistoryRecord, previous :Text, customer :Text, withChain :Bool)
@@ -59,4 +73,16 @@
     # Keeps in memory at which service and software version a stream began. Valid under every view.
     addStreamOrigin @4 (request :Text, customer :Text, service :Text, version :Text, ttlMs :UInt64) -> ();
     findStreamOrigin @5 (request :Text, customer :Text) -> (known :Bool, service :Text, version :Text);
+    # The following calls keep in memory the events of a stream whose turn will be kept, while it may be resumed. A stream
+    # is named by the request that began it. Valid under every view.
+    beginStream @6 (stream :Text, customer :Text, turn :UInt64, members :UInt32, ttlMs :UInt64) -> (held :Bool);
+    # Adds events after `position` others. `held` is false if earlier ones are missing.
+    addStreamPieces @7 (stream :Text, customer :Text, request :Text, position :UInt32, pieces :List(StreamPiece))
+        -> (held :Bool);
+    findStream @8 (stream :Text, customer :Text)
+        -> (known :Bool, turn :UInt64, members :UInt32, ambiguous :Bool, branches :List(StreamBranch));
+    # Adds a resumption. `held` is false if the member doesn't hold the beginning of the stream.
+    resumeStream @9 (stream :Text, customer :Text, branch :StreamBranch) -> (held :Bool);
+    # Removes a resumption that has brought its client no event.
+    withdrawResumption @10 (stream :Text, customer :Text, request :Text) -> ();
 }
--- a/src/rpc/history.capnp.h
+++ b/src/rpc/history.capnp.h
@@ -32,6 +32,8 @@
   FULL,
 };
 CAPNP_DECLARE_ENUM(HistoryStatus, aa293cd94f8f7957);
+CAPNP_DECLARE_SCHEMA(f3f0d0a047efdcb2);
+CAPNP_DECLARE_SCHEMA(840e6006d05c4be4);
 CAPNP_DECLARE_SCHEMA(9207a5c12c1df486);
 CAPNP_DECLARE_SCHEMA(8f44c09bebeb7176);
 CAPNP_DECLARE_SCHEMA(ca0a9d7de0e1d741);
@@ -45,6 +47,16 @@
 CAPNP_DECLARE_SCHEMA(fdd2fd14918378fc);
 CAPNP_DECLARE_SCHEMA(88b12798388b172b);
 CAPNP_DECLARE_SCHEMA(8a8a4a723d9915f4);
+CAPNP_DECLARE_SCHEMA(9b9b769a9c23a29f);
+CAPNP_DECLARE_SCHEMA(e2d7028cdfe5c960);
+CAPNP_DECLARE_SCHEMA(f93c18332dcc4aa8);
+CAPNP_DECLARE_SCHEMA(8c5bcba972e4c687);
+CAPNP_DECLARE_SCHEMA(8663ff8137c6bcb0);
+CAPNP_DECLARE_SCHEMA(c663d235c71f6824);
+CAPNP_DECLARE_SCHEMA(e8a3f158c5df136c);
+CAPNP_DECLARE_SCHEMA(b49cd1a7dec66479);
+CAPNP_DECLARE_SCHEMA(a176eef8622115ea);
+CAPNP_DECLARE_SCHEMA(fbeb6e29bfb0da1e);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -120,6 +132,36 @@
 
 typedef ::capnp::schemas::HistoryStatus_aa293cd94f8f7957 HistoryStatus;
 
+struct StreamPiece {
+  StreamPiece() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f3f0d0a047efdcb2, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StreamBranch {
+  StreamBranch() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(840e6006d05c4be4, 1, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct HistoryStore {
   HistoryStore() = delete;
 
@@ -140,6 +182,16 @@
   struct AddStreamOriginResults;
   struct FindStreamOriginParams;
   struct FindStreamOriginResults;
+  struct BeginStreamParams;
+  struct BeginStreamResults;
+  struct AddStreamPiecesParams;
+  struct AddStreamPiecesResults;
+  struct FindStreamParams;
+  struct FindStreamResults;
+  struct ResumeStreamParams;
+  struct ResumeStreamResults;
+  struct WithdrawResumptionParams;
+  struct WithdrawResumptionResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -329,6 +381,156 @@
   };
 };
 
+struct HistoryStore::BeginStreamParams {
+  BeginStreamParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9b9b769a9c23a29f, 3, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct HistoryStore::BeginStreamResults {
+  BeginStreamResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e2d7028cdfe5c960, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct HistoryStore::AddStreamPiecesParams {
+  AddStreamPiecesParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f93c18332dcc4aa8, 1, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct HistoryStore::AddStreamPiecesResults {
+  AddStreamPiecesResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8c5bcba972e4c687, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct HistoryStore::FindStreamParams {
+  FindStreamParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8663ff8137c6bcb0, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct HistoryStore::FindStreamResults {
+  FindStreamResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c663d235c71f6824, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct HistoryStore::ResumeStreamParams {
+  ResumeStreamParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e8a3f158c5df136c, 0, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct HistoryStore::ResumeStreamResults {
+  ResumeStreamResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b49cd1a7dec66479, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct HistoryStore::WithdrawResumptionParams {
+  WithdrawResumptionParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a176eef8622115ea, 0, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct HistoryStore::WithdrawResumptionResults {
+  WithdrawResumptionResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fbeb6e29bfb0da1e, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class TokenClaim::Reader {
@@ -754,92 +956,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class HistoryStore::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef HistoryStore Calls;
-  typedef HistoryStore Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::Chestnuthook::Wire::HistoryStore::BeginParams,  ::Chestnuthook::Wire::HistoryStore::BeginResults> beginRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Chestnuthook::Wire::HistoryStore::WriteParams,  ::Chestnuthook::Wire::HistoryStore::WriteResults> writeRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Chestnuthook::Wire::HistoryStore::CopyParams,  ::Chestnuthook::Wire::HistoryStore::CopyResults> copyRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Chestnuthook::Wire::HistoryStore::ChainParams,  ::Chestnuthook::Wire::HistoryStore::ChainResults> chainRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Chestnuthook::Wire::HistoryStore::AddStreamOriginParams,  ::Chestnuthook::Wire::HistoryStore::AddStreamOriginResults> addStreamOriginRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Chestnuthook::Wire::HistoryStore::FindStreamOriginParams,  ::Chestnuthook::Wire::HistoryStore::FindStreamOriginResults> findStreamOriginRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class HistoryStore::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef HistoryStore Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::Chestnuthook::Wire::HistoryStore::BeginParams BeginParams;
-  typedef  ::Chestnuthook::Wire::HistoryStore::BeginResults BeginResults;
-  typedef ::capnp::CallContext<BeginParams, BeginResults> BeginContext;
-  virtual ::kj::Promise<void> begin(BeginContext context);
-  typedef  ::Chestnuthook::Wire::HistoryStore::WriteParams WriteParams;
-  typedef  ::Chestnuthook::Wire::HistoryStore::WriteResults WriteResults;
-  typedef ::capnp::CallContext<WriteParams, WriteResults> WriteContext;
-  virtual ::kj::Promise<void> write(WriteContext context);
-  typedef  ::Chestnuthook::Wire::HistoryStore::CopyParams CopyParams;
-  typedef  ::Chestnuthook::Wire::HistoryStore::CopyResults CopyResults;
-  typedef ::capnp::CallContext<CopyParams, CopyResults> CopyContext;
-  virtual ::kj::Promise<void> copy(CopyContext context);
-  typedef  ::Chestnuthook::Wire::HistoryStore::ChainParams ChainParams;
-  typedef  ::Chestnuthook::Wire::HistoryStore::ChainResults ChainResults;
-  typedef ::capnp::CallContext<ChainParams, ChainResults> ChainContext;
-  virtual ::kj::Promise<void> chain(ChainContext context);
-  typedef  ::Chestnuthook::Wire::HistoryStore::AddStreamOriginParams AddStreamOriginParams;
-  typedef  ::Chestnuthook::Wire::HistoryStore::AddStreamOriginResults AddStreamOriginResults;
-  typedef ::capnp::CallContext<AddStreamOriginParams, AddStreamOriginResults> AddStreamOriginContext;
-  virtual ::kj::Promise<void> addStreamOrigin(AddStreamOriginContext context);
-  typedef  ::Chestnuthook::Wire::HistoryStore::FindStreamOriginParams FindStreamOriginParams;
-  typedef  ::Chestnuthook::Wire::HistoryStore::FindStreamOriginResults FindStreamOriginResults;
-  typedef ::capnp::CallContext<FindStreamOriginParams, FindStreamOriginResults> FindStreamOriginContext;
-  virtual ::kj::Promise<void> findStreamOrigin(FindStreamOriginContext context);
-
-  inline  ::Chestnuthook::Wire::HistoryStore::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::Chestnuthook::Wire::HistoryStore>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class HistoryStore::BeginParams::Reader {
+class StreamPiece::Reader {
 public:
-  typedef BeginParams Reads;
+  typedef StreamPiece Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -854,21 +973,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasIdentity() const;
-  inline  ::capnp::Text::Reader getIdentity() const;
-
-  inline  ::uint64_t getView() const;
-
-  inline bool hasClaim() const;
-  inline  ::Chestnuthook::Wire::HistoryRecord::Reader getClaim() const;
-
-  inline bool hasPrevious() const;
-  inline  ::capnp::Text::Reader getPrevious() const;
-
-  inline bool hasCustomer() const;
-  inline  ::capnp::Text::Reader getCustomer() const;
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
 
-  inline bool getWithChain() const;
+  inline bool hasOutput() const;
+  inline  ::capnp::Data::Reader getOutput() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -882,9 +991,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class HistoryStore::BeginParams::Builder {
+class StreamPiece::Builder {
 public:
-  typedef BeginParams Builds;
+  typedef StreamPiece Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -898,39 +1007,19 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasIdentity();
-  inline  ::capnp::Text::Builder getIdentity();
-  inline void setIdentity( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initIdentity(unsigned int size);
-  inline void adoptIdentity(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownIdentity();
-
-  inline  ::uint64_t getView();
-  inline void setView( ::uint64_t value);
-
-  inline bool hasClaim();
-  inline  ::Chestnuthook::Wire::HistoryRecord::Builder getClaim();
-  inline void setClaim( ::Chestnuthook::Wire::HistoryRecord::Reader value);
-  inline  ::Chestnuthook::Wire::HistoryRecord::Builder initClaim();
-  inline void adoptClaim(::capnp::Orphan< ::Chestnuthook::Wire::HistoryRecord>&& value);
-  inline ::capnp::Orphan< ::Chestnuthook::Wire::HistoryRecord> disownClaim();
-
-  inline bool hasPrevious();
-  inline  ::capnp::Text::Builder getPrevious();
-  inline void setPrevious( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initPrevious(unsigned int size);
-  inline void adoptPrevious(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownPrevious();
-
-  inline bool hasCustomer();
-  inline  ::capnp::Text::Builder getCustomer();
-  inline void setCustomer( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initCustomer(unsigned int size);
-  inline void adoptCustomer(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownCustomer();
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
 
-  inline bool getWithChain();
-  inline void setWithChain(bool value);
+  inline bool hasOutput();
+  inline  ::capnp::Data::Builder getOutput();
+  inline void setOutput( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initOutput(unsigned int size);
+  inline void adoptOutput(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownOutput();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -942,15 +1031,14 @@
 };
 
 #if !CAPNP_LITE
-class HistoryStore::BeginParams::Pipeline {
+class StreamPiece::Pipeline {
 public:
-  typedef BeginParams Pipelines;
+  typedef StreamPiece Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Chestnuthook::Wire::HistoryRecord::Pipeline getClaim();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -959,9 +1047,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class HistoryStore::BeginResults::Reader {
+class StreamBranch::Reader {
 public:
-  typedef BeginResults Reads;
+  typedef StreamBranch Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -976,18 +1064,16 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::Chestnuthook::Wire::HistoryStatus getStatus() const;
-
-  inline bool hasClaims() const;
-  inline  ::capnp::List< ::Chestnuthook::Wire::TokenClaim,  ::capnp::Kind::STRUCT>::Reader getClaims() const;
+  inline bool hasRequest() const;
+  inline  ::capnp::Text::Reader getRequest() const;
 
-  inline bool getKnown() const;
+  inline bool hasParent() const;
+  inline  ::capnp::Text::Reader getParent() const;
 
-  inline bool hasChain() const;
-  inline  ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>::Reader getChain() const;
+  inline  ::uint32_t getResumedFrom() const;
 
-  inline bool hasMissing() const;
-  inline  ::capnp::Text::Reader getMissing() const;
+  inline bool hasPieces() const;
+  inline  ::capnp::List< ::Chestnuthook::Wire::StreamPiece,  ::capnp::Kind::STRUCT>::Reader getPieces() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1001,9 +1087,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class HistoryStore::BeginResults::Builder {
+class StreamBranch::Builder {
 public:
-  typedef BeginResults Builds;
+  typedef StreamBranch Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1017,32 +1103,29 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::Chestnuthook::Wire::HistoryStatus getStatus();
-  inline void setStatus( ::Chestnuthook::Wire::HistoryStatus value);
-
-  inline bool hasClaims();
-  inline  ::capnp::List< ::Chestnuthook::Wire::TokenClaim,  ::capnp::Kind::STRUCT>::Builder getClaims();
-  inline void setClaims( ::capnp::List< ::Chestnuthook::Wire::TokenClaim,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::Chestnuthook::Wire::TokenClaim,  ::capnp::Kind::STRUCT>::Builder initClaims(unsigned int size);
-  inline void adoptClaims(::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::TokenClaim,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::TokenClaim,  ::capnp::Kind::STRUCT>> disownClaims();
+  inline bool hasRequest();
+  inline  ::capnp::Text::Builder getRequest();
+  inline void setRequest( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequest(unsigned int size);
+  inline void adoptRequest(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequest();
 
-  inline bool getKnown();
-  inline void setKnown(bool value);
+  inline bool hasParent();
+  inline  ::capnp::Text::Builder getParent();
+  inline void setParent( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initParent(unsigned int size);
+  inline void adoptParent(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownParent();
 
-  inline bool hasChain();
-  inline  ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>::Builder getChain();
-  inline void setChain( ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>::Builder initChain(unsigned int size);
-  inline void adoptChain(::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>> disownChain();
+  inline  ::uint32_t getResumedFrom();
+  inline void setResumedFrom( ::uint32_t value);
 
-  inline bool hasMissing();
-  inline  ::capnp::Text::Builder getMissing();
-  inline void setMissing( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initMissing(unsigned int size);
-  inline void adoptMissing(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownMissing();
+  inline bool hasPieces();
+  inline  ::capnp::List< ::Chestnuthook::Wire::StreamPiece,  ::capnp::Kind::STRUCT>::Builder getPieces();
+  inline void setPieces( ::capnp::List< ::Chestnuthook::Wire::StreamPiece,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Chestnuthook::Wire::StreamPiece,  ::capnp::Kind::STRUCT>::Builder initPieces(unsigned int size);
+  inline void adoptPieces(::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::StreamPiece,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::StreamPiece,  ::capnp::Kind::STRUCT>> disownPieces();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1054,9 +1137,9 @@
 };
 
 #if !CAPNP_LITE
-class HistoryStore::BeginResults::Pipeline {
+class StreamBranch::Pipeline {
 public:
-  typedef BeginResults Pipelines;
+  typedef StreamBranch Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1070,9 +1153,122 @@
 };
 #endif  // !CAPNP_LITE
 
-class HistoryStore::WriteParams::Reader {
+#if !CAPNP_LITE
+class HistoryStore::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef WriteParams Reads;
+  typedef HistoryStore Calls;
+  typedef HistoryStore Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::Chestnuthook::Wire::HistoryStore::BeginParams,  ::Chestnuthook::Wire::HistoryStore::BeginResults> beginRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Chestnuthook::Wire::HistoryStore::WriteParams,  ::Chestnuthook::Wire::HistoryStore::WriteResults> writeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Chestnuthook::Wire::HistoryStore::CopyParams,  ::Chestnuthook::Wire::HistoryStore::CopyResults> copyRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Chestnuthook::Wire::HistoryStore::ChainParams,  ::Chestnuthook::Wire::HistoryStore::ChainResults> chainRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Chestnuthook::Wire::HistoryStore::AddStreamOriginParams,  ::Chestnuthook::Wire::HistoryStore::AddStreamOriginResults> addStreamOriginRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Chestnuthook::Wire::HistoryStore::FindStreamOriginParams,  ::Chestnuthook::Wire::HistoryStore::FindStreamOriginResults> findStreamOriginRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Chestnuthook::Wire::HistoryStore::BeginStreamParams,  ::Chestnuthook::Wire::HistoryStore::BeginStreamResults> beginStreamRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Chestnuthook::Wire::HistoryStore::AddStreamPiecesParams,  ::Chestnuthook::Wire::HistoryStore::AddStreamPiecesResults> addStreamPiecesRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Chestnuthook::Wire::HistoryStore::FindStreamParams,  ::Chestnuthook::Wire::HistoryStore::FindStreamResults> findStreamRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Chestnuthook::Wire::HistoryStore::ResumeStreamParams,  ::Chestnuthook::Wire::HistoryStore::ResumeStreamResults> resumeStreamRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Chestnuthook::Wire::HistoryStore::WithdrawResumptionParams,  ::Chestnuthook::Wire::HistoryStore::WithdrawResumptionResults> withdrawResumptionRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class HistoryStore::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef HistoryStore Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::Chestnuthook::Wire::HistoryStore::BeginParams BeginParams;
+  typedef  ::Chestnuthook::Wire::HistoryStore::BeginResults BeginResults;
+  typedef ::capnp::CallContext<BeginParams, BeginResults> BeginContext;
+  virtual ::kj::Promise<void> begin(BeginContext context);
+  typedef  ::Chestnuthook::Wire::HistoryStore::WriteParams WriteParams;
+  typedef  ::Chestnuthook::Wire::HistoryStore::WriteResults WriteResults;
+  typedef ::capnp::CallContext<WriteParams, WriteResults> WriteContext;
+  virtual ::kj::Promise<void> write(WriteContext context);
+  typedef  ::Chestnuthook::Wire::HistoryStore::CopyParams CopyParams;
+  typedef  ::Chestnuthook::Wire::HistoryStore::CopyResults CopyResults;
+  typedef ::capnp::CallContext<CopyParams, CopyResults> CopyContext;
+  virtual ::kj::Promise<void> copy(CopyContext context);
+  typedef  ::Chestnuthook::Wire::HistoryStore::ChainParams ChainParams;
+  typedef  ::Chestnuthook::Wire::HistoryStore::ChainResults ChainResults;
+  typedef ::capnp::CallContext<ChainParams, ChainResults> ChainContext;
+  virtual ::kj::Promise<void> chain(ChainContext context);
+  typedef  ::Chestnuthook::Wire::HistoryStore::AddStreamOriginParams AddStreamOriginParams;
+  typedef  ::Chestnuthook::Wire::HistoryStore::AddStreamOriginResults AddStreamOriginResults;
+  typedef ::capnp::CallContext<AddStreamOriginParams, AddStreamOriginResults> AddStreamOriginContext;
+  virtual ::kj::Promise<void> addStreamOrigin(AddStreamOriginContext context);
+  typedef  ::Chestnuthook::Wire::HistoryStore::FindStreamOriginParams FindStreamOriginParams;
+  typedef  ::Chestnuthook::Wire::HistoryStore::FindStreamOriginResults FindStreamOriginResults;
+  typedef ::capnp::CallContext<FindStreamOriginParams, FindStreamOriginResults> FindStreamOriginContext;
+  virtual ::kj::Promise<void> findStreamOrigin(FindStreamOriginContext context);
+  typedef  ::Chestnuthook::Wire::HistoryStore::BeginStreamParams BeginStreamParams;
+  typedef  ::Chestnuthook::Wire::HistoryStore::BeginStreamResults BeginStreamResults;
+  typedef ::capnp::CallContext<BeginStreamParams, BeginStreamResults> BeginStreamContext;
+  virtual ::kj::Promise<void> beginStream(BeginStreamContext context);
+  typedef  ::Chestnuthook::Wire::HistoryStore::AddStreamPiecesParams AddStreamPiecesParams;
+  typedef  ::Chestnuthook::Wire::HistoryStore::AddStreamPiecesResults AddStreamPiecesResults;
+  typedef ::capnp::CallContext<AddStreamPiecesParams, AddStreamPiecesResults> AddStreamPiecesContext;
+  virtual ::kj::Promise<void> addStreamPieces(AddStreamPiecesContext context);
+  typedef  ::Chestnuthook::Wire::HistoryStore::FindStreamParams FindStreamParams;
+  typedef  ::Chestnuthook::Wire::HistoryStore::FindStreamResults FindStreamResults;
+  typedef ::capnp::CallContext<FindStreamParams, FindStreamResults> FindStreamContext;
+  virtual ::kj::Promise<void> findStream(FindStreamContext context);
+  typedef  ::Chestnuthook::Wire::HistoryStore::ResumeStreamParams ResumeStreamParams;
+  typedef  ::Chestnuthook::Wire::HistoryStore::ResumeStreamResults ResumeStreamResults;
+  typedef ::capnp::CallContext<ResumeStreamParams, ResumeStreamResults> ResumeStreamContext;
+  virtual ::kj::Promise<void> resumeStream(ResumeStreamContext context);
+  typedef  ::Chestnuthook::Wire::HistoryStore::WithdrawResumptionParams WithdrawResumptionParams;
+  typedef  ::Chestnuthook::Wire::HistoryStore::WithdrawResumptionResults WithdrawResumptionResults;
+  typedef ::capnp::CallContext<WithdrawResumptionParams, WithdrawResumptionResults> WithdrawResumptionContext;
+  virtual ::kj::Promise<void> withdrawResumption(WithdrawResumptionContext context);
+
+  inline  ::Chestnuthook::Wire::HistoryStore::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::Chestnuthook::Wire::HistoryStore>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class HistoryStore::BeginParams::Reader {
+public:
+  typedef BeginParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1092,8 +1288,16 @@
 
   inline  ::uint64_t getView() const;
 
-  inline bool hasRecords() const;
-  inline  ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
+  inline bool hasClaim() const;
+  inline  ::Chestnuthook::Wire::HistoryRecord::Reader getClaim() const;
+
+  inline bool hasPrevious() const;
+  inline  ::capnp::Text::Reader getPrevious() const;
+
+  inline bool hasCustomer() const;
+  inline  ::capnp::Text::Reader getCustomer() const;
+
+  inline bool getWithChain() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1107,9 +1311,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class HistoryStore::WriteParams::Builder {
+class HistoryStore::BeginParams::Builder {
 public:
-  typedef WriteParams Builds;
+  typedef BeginParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1133,12 +1337,29 @@
   inline  ::uint64_t getView();
   inline void setView( ::uint64_t value);
 
-  inline bool hasRecords();
-  inline  ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
-  inline void setRecords( ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
-  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>> disownRecords();
+  inline bool hasClaim();
+  inline  ::Chestnuthook::Wire::HistoryRecord::Builder getClaim();
+  inline void setClaim( ::Chestnuthook::Wire::HistoryRecord::Reader value);
+  inline  ::Chestnuthook::Wire::HistoryRecord::Builder initClaim();
+  inline void adoptClaim(::capnp::Orphan< ::Chestnuthook::Wire::HistoryRecord>&& value);
+  inline ::capnp::Orphan< ::Chestnuthook::Wire::HistoryRecord> disownClaim();
+
+  inline bool hasPrevious();
+  inline  ::capnp::Text::Builder getPrevious();
+  inline void setPrevious( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPrevious(unsigned int size);
+  inline void adoptPrevious(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPrevious();
+
+  inline bool hasCustomer();
+  inline  ::capnp::Text::Builder getCustomer();
+  inline void setCustomer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCustomer(unsigned int size);
+  inline void adoptCustomer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCustomer();
+
+  inline bool getWithChain();
+  inline void setWithChain(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1150,14 +1371,15 @@
 };
 
 #if !CAPNP_LITE
-class HistoryStore::WriteParams::Pipeline {
+class HistoryStore::BeginParams::Pipeline {
 public:
-  typedef WriteParams Pipelines;
+  typedef BeginParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Chestnuthook::Wire::HistoryRecord::Pipeline getClaim();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1166,9 +1388,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class HistoryStore::WriteResults::Reader {
+class HistoryStore::BeginResults::Reader {
 public:
-  typedef WriteResults Reads;
+  typedef BeginResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1185,6 +1407,14 @@
 
   inline  ::Chestnuthook::Wire::HistoryStatus getStatus() const;
 
+  inline bool hasClaims() const;
+  inline  ::capnp::List< ::Chestnuthook::Wire::TokenClaim,  ::capnp::Kind::STRUCT>::Reader getClaims() const;
+
+  inline bool getKnown() const;
+
+  inline bool hasChain() const;
+  inline  ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>::Reader getChain() const;
+
   inline bool hasMissing() const;
   inline  ::capnp::Text::Reader getMissing() const;
 
@@ -1200,9 +1430,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class HistoryStore::WriteResults::Builder {
+class HistoryStore::BeginResults::Builder {
 public:
-  typedef WriteResults Builds;
+  typedef BeginResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1219,12 +1449,211 @@
   inline  ::Chestnuthook::Wire::HistoryStatus getStatus();
   inline void setStatus( ::Chestnuthook::Wire::HistoryStatus value);
 
-  inline bool hasMissing();
-  inline  ::capnp::Text::Builder getMissing();
-  inline void setMissing( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initMissing(unsigned int size);
-  inline void adoptMissing(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownMissing();
+  inline bool hasClaims();
+  inline  ::capnp::List< ::Chestnuthook::Wire::TokenClaim,  ::capnp::Kind::STRUCT>::Builder getClaims();
+  inline void setClaims( ::capnp::List< ::Chestnuthook::Wire::TokenClaim,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Chestnuthook::Wire::TokenClaim,  ::capnp::Kind::STRUCT>::Builder initClaims(unsigned int size);
+  inline void adoptClaims(::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::TokenClaim,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::TokenClaim,  ::capnp::Kind::STRUCT>> disownClaims();
+
+  inline bool getKnown();
+  inline void setKnown(bool value);
+
+  inline bool hasChain();
+  inline  ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>::Builder getChain();
+  inline void setChain( ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>::Builder initChain(unsigned int size);
+  inline void adoptChain(::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>> disownChain();
+
+  inline bool hasMissing();
+  inline  ::capnp::Text::Builder getMissing();
+  inline void setMissing( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initMissing(unsigned int size);
+  inline void adoptMissing(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownMissing();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class HistoryStore::BeginResults::Pipeline {
+public:
+  typedef BeginResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class HistoryStore::WriteParams::Reader {
+public:
+  typedef WriteParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasIdentity() const;
+  inline  ::capnp::Text::Reader getIdentity() const;
+
+  inline  ::uint64_t getView() const;
+
+  inline bool hasRecords() const;
+  inline  ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class HistoryStore::WriteParams::Builder {
+public:
+  typedef WriteParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasIdentity();
+  inline  ::capnp::Text::Builder getIdentity();
+  inline void setIdentity( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initIdentity(unsigned int size);
+  inline void adoptIdentity(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownIdentity();
+
+  inline  ::uint64_t getView();
+  inline void setView( ::uint64_t value);
+
+  inline bool hasRecords();
+  inline  ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
+  inline void setRecords( ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
+  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>> disownRecords();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class HistoryStore::WriteParams::Pipeline {
+public:
+  typedef WriteParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class HistoryStore::WriteResults::Reader {
+public:
+  typedef WriteResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::Chestnuthook::Wire::HistoryStatus getStatus() const;
+
+  inline bool hasMissing() const;
+  inline  ::capnp::Text::Reader getMissing() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class HistoryStore::WriteResults::Builder {
+public:
+  typedef WriteResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::Chestnuthook::Wire::HistoryStatus getStatus();
+  inline void setStatus( ::Chestnuthook::Wire::HistoryStatus value);
+
+  inline bool hasMissing();
+  inline  ::capnp::Text::Builder getMissing();
+  inline void setMissing( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initMissing(unsigned int size);
+  inline void adoptMissing(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownMissing();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2030,1614 +2459,3383 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class HistoryStore::BeginStreamParams::Reader {
+public:
+  typedef BeginStreamParams Reads;
 
-inline bool TokenClaim::Reader::hasTurn() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool TokenClaim::Builder::hasTurn() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader TokenClaim::Reader::getTurn() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder TokenClaim::Builder::getTurn() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void TokenClaim::Builder::setTurn( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder TokenClaim::Builder::initTurn(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void TokenClaim::Builder::adoptTurn(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> TokenClaim::Builder::disownTurn() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline  ::uint32_t TokenClaim::Reader::getTokens() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline  ::uint32_t TokenClaim::Builder::getTokens() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void TokenClaim::Builder::setTokens( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasStream() const;
+  inline  ::capnp::Text::Reader getStream() const;
+
+  inline bool hasCustomer() const;
+  inline  ::capnp::Text::Reader getCustomer() const;
+
+  inline  ::uint64_t getTurn() const;
+
+  inline  ::uint32_t getMembers() const;
+
+  inline  ::uint64_t getTtlMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class HistoryStore::BeginStreamParams::Builder {
+public:
+  typedef BeginStreamParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasStream();
+  inline  ::capnp::Text::Builder getStream();
+  inline void setStream( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initStream(unsigned int size);
+  inline void adoptStream(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownStream();
+
+  inline bool hasCustomer();
+  inline  ::capnp::Text::Builder getCustomer();
+  inline void setCustomer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCustomer(unsigned int size);
+  inline void adoptCustomer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCustomer();
+
+  inline  ::uint64_t getTurn();
+  inline void setTurn( ::uint64_t value);
+
+  inline  ::uint32_t getMembers();
+  inline void setMembers( ::uint32_t value);
+
+  inline  ::uint64_t getTtlMs();
+  inline void setTtlMs( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class HistoryStore::BeginStreamParams::Pipeline {
+public:
+  typedef BeginStreamParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class HistoryStore::BeginStreamResults::Reader {
+public:
+  typedef BeginStreamResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getHeld() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class HistoryStore::BeginStreamResults::Builder {
+public:
+  typedef BeginStreamResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getHeld();
+  inline void setHeld(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class HistoryStore::BeginStreamResults::Pipeline {
+public:
+  typedef BeginStreamResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class HistoryStore::AddStreamPiecesParams::Reader {
+public:
+  typedef AddStreamPiecesParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasStream() const;
+  inline  ::capnp::Text::Reader getStream() const;
+
+  inline bool hasCustomer() const;
+  inline  ::capnp::Text::Reader getCustomer() const;
+
+  inline bool hasRequest() const;
+  inline  ::capnp::Text::Reader getRequest() const;
+
+  inline  ::uint32_t getPosition() const;
+
+  inline bool hasPieces() const;
+  inline  ::capnp::List< ::Chestnuthook::Wire::StreamPiece,  ::capnp::Kind::STRUCT>::Reader getPieces() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class HistoryStore::AddStreamPiecesParams::Builder {
+public:
+  typedef AddStreamPiecesParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasStream();
+  inline  ::capnp::Text::Builder getStream();
+  inline void setStream( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initStream(unsigned int size);
+  inline void adoptStream(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownStream();
+
+  inline bool hasCustomer();
+  inline  ::capnp::Text::Builder getCustomer();
+  inline void setCustomer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCustomer(unsigned int size);
+  inline void adoptCustomer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCustomer();
+
+  inline bool hasRequest();
+  inline  ::capnp::Text::Builder getRequest();
+  inline void setRequest( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequest(unsigned int size);
+  inline void adoptRequest(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequest();
+
+  inline  ::uint32_t getPosition();
+  inline void setPosition( ::uint32_t value);
+
+  inline bool hasPieces();
+  inline  ::capnp::List< ::Chestnuthook::Wire::StreamPiece,  ::capnp::Kind::STRUCT>::Builder getPieces();
+  inline void setPieces( ::capnp::List< ::Chestnuthook::Wire::StreamPiece,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Chestnuthook::Wire::StreamPiece,  ::capnp::Kind::STRUCT>::Builder initPieces(unsigned int size);
+  inline void adoptPieces(::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::StreamPiece,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::StreamPiece,  ::capnp::Kind::STRUCT>> disownPieces();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class HistoryStore::AddStreamPiecesParams::Pipeline {
+public:
+  typedef AddStreamPiecesParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class HistoryStore::AddStreamPiecesResults::Reader {
+public:
+  typedef AddStreamPiecesResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getHeld() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class HistoryStore::AddStreamPiecesResults::Builder {
+public:
+  typedef AddStreamPiecesResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getHeld();
+  inline void setHeld(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class HistoryStore::AddStreamPiecesResults::Pipeline {
+public:
+  typedef AddStreamPiecesResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class HistoryStore::FindStreamParams::Reader {
+public:
+  typedef FindStreamParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasStream() const;
+  inline  ::capnp::Text::Reader getStream() const;
+
+  inline bool hasCustomer() const;
+  inline  ::capnp::Text::Reader getCustomer() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class HistoryStore::FindStreamParams::Builder {
+public:
+  typedef FindStreamParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasStream();
+  inline  ::capnp::Text::Builder getStream();
+  inline void setStream( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initStream(unsigned int size);
+  inline void adoptStream(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownStream();
+
+  inline bool hasCustomer();
+  inline  ::capnp::Text::Builder getCustomer();
+  inline void setCustomer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCustomer(unsigned int size);
+  inline void adoptCustomer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCustomer();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class HistoryStore::FindStreamParams::Pipeline {
+public:
+  typedef FindStreamParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class HistoryStore::FindStreamResults::Reader {
+public:
+  typedef FindStreamResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getKnown() const;
+
+  inline  ::uint64_t getTurn() const;
+
+  inline  ::uint32_t getMembers() const;
+
+  inline bool getAmbiguous() const;
+
+  inline bool hasBranches() const;
+  inline  ::capnp::List< ::Chestnuthook::Wire::StreamBranch,  ::capnp::Kind::STRUCT>::Reader getBranches() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class HistoryStore::FindStreamResults::Builder {
+public:
+  typedef FindStreamResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getKnown();
+  inline void setKnown(bool value);
+
+  inline  ::uint64_t getTurn();
+  inline void setTurn( ::uint64_t value);
+
+  inline  ::uint32_t getMembers();
+  inline void setMembers( ::uint32_t value);
+
+  inline bool getAmbiguous();
+  inline void setAmbiguous(bool value);
+
+  inline bool hasBranches();
+  inline  ::capnp::List< ::Chestnuthook::Wire::StreamBranch,  ::capnp::Kind::STRUCT>::Builder getBranches();
+  inline void setBranches( ::capnp::List< ::Chestnuthook::Wire::StreamBranch,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Chestnuthook::Wire::StreamBranch,  ::capnp::Kind::STRUCT>::Builder initBranches(unsigned int size);
+  inline void adoptBranches(::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::StreamBranch,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::StreamBranch,  ::capnp::Kind::STRUCT>> disownBranches();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class HistoryStore::FindStreamResults::Pipeline {
+public:
+  typedef FindStreamResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class HistoryStore::ResumeStreamParams::Reader {
+public:
+  typedef ResumeStreamParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasStream() const;
+  inline  ::capnp::Text::Reader getStream() const;
+
+  inline bool hasCustomer() const;
+  inline  ::capnp::Text::Reader getCustomer() const;
+
+  inline bool hasBranch() const;
+  inline  ::Chestnuthook::Wire::StreamBranch::Reader getBranch() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class HistoryStore::ResumeStreamParams::Builder {
+public:
+  typedef ResumeStreamParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasStream();
+  inline  ::capnp::Text::Builder getStream();
+  inline void setStream( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initStream(unsigned int size);
+  inline void adoptStream(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownStream();
+
+  inline bool hasCustomer();
+  inline  ::capnp::Text::Builder getCustomer();
+  inline void setCustomer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCustomer(unsigned int size);
+  inline void adoptCustomer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCustomer();
+
+  inline bool hasBranch();
+  inline  ::Chestnuthook::Wire::StreamBranch::Builder getBranch();
+  inline void setBranch( ::Chestnuthook::Wire::StreamBranch::Reader value);
+  inline  ::Chestnuthook::Wire::StreamBranch::Builder initBranch();
+  inline void adoptBranch(::capnp::Orphan< ::Chestnuthook::Wire::StreamBranch>&& value);
+  inline ::capnp::Orphan< ::Chestnuthook::Wire::StreamBranch> disownBranch();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class HistoryStore::ResumeStreamParams::Pipeline {
+public:
+  typedef ResumeStreamParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::Chestnuthook::Wire::StreamBranch::Pipeline getBranch();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class HistoryStore::ResumeStreamResults::Reader {
+public:
+  typedef ResumeStreamResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getHeld() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class HistoryStore::ResumeStreamResults::Builder {
+public:
+  typedef ResumeStreamResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getHeld();
+  inline void setHeld(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class HistoryStore::ResumeStreamResults::Pipeline {
+public:
+  typedef ResumeStreamResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class HistoryStore::WithdrawResumptionParams::Reader {
+public:
+  typedef WithdrawResumptionParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasStream() const;
+  inline  ::capnp::Text::Reader getStream() const;
+
+  inline bool hasCustomer() const;
+  inline  ::capnp::Text::Reader getCustomer() const;
+
+  inline bool hasRequest() const;
+  inline  ::capnp::Text::Reader getRequest() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class HistoryStore::WithdrawResumptionParams::Builder {
+public:
+  typedef WithdrawResumptionParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasStream();
+  inline  ::capnp::Text::Builder getStream();
+  inline void setStream( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initStream(unsigned int size);
+  inline void adoptStream(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownStream();
+
+  inline bool hasCustomer();
+  inline  ::capnp::Text::Builder getCustomer();
+  inline void setCustomer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCustomer(unsigned int size);
+  inline void adoptCustomer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCustomer();
+
+  inline bool hasRequest();
+  inline  ::capnp::Text::Builder getRequest();
+  inline void setRequest( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequest(unsigned int size);
+  inline void adoptRequest(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequest();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class HistoryStore::WithdrawResumptionParams::Pipeline {
+public:
+  typedef WithdrawResumptionParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class HistoryStore::WithdrawResumptionResults::Reader {
+public:
+  typedef WithdrawResumptionResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class HistoryStore::WithdrawResumptionResults::Builder {
+public:
+  typedef WithdrawResumptionResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class HistoryStore::WithdrawResumptionResults::Pipeline {
+public:
+  typedef WithdrawResumptionResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool TokenClaim::Reader::hasTurn() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool TokenClaim::Builder::hasTurn() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader TokenClaim::Reader::getTurn() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder TokenClaim::Builder::getTurn() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TokenClaim::Builder::setTurn( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder TokenClaim::Builder::initTurn(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void TokenClaim::Builder::adoptTurn(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> TokenClaim::Builder::disownTurn() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t TokenClaim::Reader::getTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TokenClaim::Builder::getTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TokenClaim::Builder::setTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
 
 inline bool TokenClaim::Reader::getSettled() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
 
-inline bool TokenClaim::Builder::getSettled() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+inline bool TokenClaim::Builder::getSettled() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void TokenClaim::Builder::setSettled(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool KeptTurn::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool KeptTurn::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader KeptTurn::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder KeptTurn::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void KeptTurn::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder KeptTurn::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void KeptTurn::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> KeptTurn::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool KeptTurn::Reader::hasPrevious() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool KeptTurn::Builder::hasPrevious() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader KeptTurn::Reader::getPrevious() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder KeptTurn::Builder::getPrevious() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void KeptTurn::Builder::setPrevious( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder KeptTurn::Builder::initPrevious(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void KeptTurn::Builder::adoptPrevious(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> KeptTurn::Builder::disownPrevious() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool KeptTurn::Reader::hasCustomer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool KeptTurn::Builder::hasCustomer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader KeptTurn::Reader::getCustomer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder KeptTurn::Builder::getCustomer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void KeptTurn::Builder::setCustomer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder KeptTurn::Builder::initCustomer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void KeptTurn::Builder::adoptCustomer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> KeptTurn::Builder::disownCustomer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool KeptTurn::Reader::hasInput() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool KeptTurn::Builder::hasInput() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader KeptTurn::Reader::getInput() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder KeptTurn::Builder::getInput() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void KeptTurn::Builder::setInput( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder KeptTurn::Builder::initInput(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void KeptTurn::Builder::adoptInput(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> KeptTurn::Builder::disownInput() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool KeptTurn::Reader::hasOutput() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool KeptTurn::Builder::hasOutput() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader KeptTurn::Reader::getOutput() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder KeptTurn::Builder::getOutput() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void KeptTurn::Builder::setOutput( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder KeptTurn::Builder::initOutput(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void KeptTurn::Builder::adoptOutput(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> KeptTurn::Builder::disownOutput() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t KeptTurn::Reader::getExpiresMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t KeptTurn::Builder::getExpiresMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void KeptTurn::Builder::setExpiresMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t KeptTurn::Reader::getKeepMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t KeptTurn::Builder::getKeepMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void KeptTurn::Builder::setKeepMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::Chestnuthook::Wire::HistoryRecord::Which HistoryRecord::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline  ::Chestnuthook::Wire::HistoryRecord::Which HistoryRecord::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline bool HistoryRecord::Reader::isClaim() const {
+  return which() == HistoryRecord::CLAIM;
+}
+inline bool HistoryRecord::Builder::isClaim() {
+  return which() == HistoryRecord::CLAIM;
+}
+inline typename HistoryRecord::Claim::Reader HistoryRecord::Reader::getClaim() const {
+  KJ_IREQUIRE((which() == HistoryRecord::CLAIM),
+              "Must check which() before get()ing a union member.");
+  return typename HistoryRecord::Claim::Reader(_reader);
+}
+inline typename HistoryRecord::Claim::Builder HistoryRecord::Builder::getClaim() {
+  KJ_IREQUIRE((which() == HistoryRecord::CLAIM),
+              "Must check which() before get()ing a union member.");
+  return typename HistoryRecord::Claim::Builder(_builder);
+}
+inline typename HistoryRecord::Claim::Builder HistoryRecord::Builder::initClaim() {
+  _builder.setDataField<HistoryRecord::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, HistoryRecord::CLAIM);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, 0);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
+  return typename HistoryRecord::Claim::Builder(_builder);
+}
+inline bool HistoryRecord::Reader::isTurn() const {
+  return which() == HistoryRecord::TURN;
+}
+inline bool HistoryRecord::Builder::isTurn() {
+  return which() == HistoryRecord::TURN;
+}
+inline bool HistoryRecord::Reader::hasTurn() const {
+  if (which() != HistoryRecord::TURN) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool HistoryRecord::Builder::hasTurn() {
+  if (which() != HistoryRecord::TURN) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Chestnuthook::Wire::KeptTurn::Reader HistoryRecord::Reader::getTurn() const {
+  KJ_IREQUIRE((which() == HistoryRecord::TURN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::KeptTurn>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Chestnuthook::Wire::KeptTurn::Builder HistoryRecord::Builder::getTurn() {
+  KJ_IREQUIRE((which() == HistoryRecord::TURN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::KeptTurn>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void HistoryRecord::Builder::setTurn( ::Chestnuthook::Wire::KeptTurn::Reader value) {
+  _builder.setDataField<HistoryRecord::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, HistoryRecord::TURN);
+  ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::KeptTurn>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Chestnuthook::Wire::KeptTurn::Builder HistoryRecord::Builder::initTurn() {
+  _builder.setDataField<HistoryRecord::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, HistoryRecord::TURN);
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::KeptTurn>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void HistoryRecord::Builder::adoptTurn(
+    ::capnp::Orphan< ::Chestnuthook::Wire::KeptTurn>&& value) {
+  _builder.setDataField<HistoryRecord::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, HistoryRecord::TURN);
+  ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::KeptTurn>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Chestnuthook::Wire::KeptTurn> HistoryRecord::Builder::disownTurn() {
+  KJ_IREQUIRE((which() == HistoryRecord::TURN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::KeptTurn>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool HistoryRecord::Reader::isView() const {
+  return which() == HistoryRecord::VIEW;
+}
+inline bool HistoryRecord::Builder::isView() {
+  return which() == HistoryRecord::VIEW;
+}
+inline  ::uint64_t HistoryRecord::Reader::getView() const {
+  KJ_IREQUIRE((which() == HistoryRecord::VIEW),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HistoryRecord::Builder::getView() {
+  KJ_IREQUIRE((which() == HistoryRecord::VIEW),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void HistoryRecord::Builder::setView( ::uint64_t value) {
+  _builder.setDataField<HistoryRecord::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, HistoryRecord::VIEW);
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HistoryRecord::Claim::Reader::hasProgram() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool HistoryRecord::Claim::Builder::hasProgram() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader HistoryRecord::Claim::Reader::getProgram() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder HistoryRecord::Claim::Builder::getProgram() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void HistoryRecord::Claim::Builder::setProgram( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder HistoryRecord::Claim::Builder::initProgram(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void HistoryRecord::Claim::Builder::adoptProgram(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> HistoryRecord::Claim::Builder::disownProgram() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool HistoryRecord::Claim::Reader::hasClaim() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool HistoryRecord::Claim::Builder::hasClaim() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Chestnuthook::Wire::TokenClaim::Reader HistoryRecord::Claim::Reader::getClaim() const {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::TokenClaim>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::Chestnuthook::Wire::TokenClaim::Builder HistoryRecord::Claim::Builder::getClaim() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::TokenClaim>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Chestnuthook::Wire::TokenClaim::Pipeline HistoryRecord::Claim::Pipeline::getClaim() {
+  return  ::Chestnuthook::Wire::TokenClaim::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void HistoryRecord::Claim::Builder::setClaim( ::Chestnuthook::Wire::TokenClaim::Reader value) {
+  ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::TokenClaim>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::Chestnuthook::Wire::TokenClaim::Builder HistoryRecord::Claim::Builder::initClaim() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::TokenClaim>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void HistoryRecord::Claim::Builder::adoptClaim(
+    ::capnp::Orphan< ::Chestnuthook::Wire::TokenClaim>&& value) {
+  ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::TokenClaim>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Chestnuthook::Wire::TokenClaim> HistoryRecord::Claim::Builder::disownClaim() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::TokenClaim>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t HistoryRecord::Claim::Reader::getExpiresMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void TokenClaim::Builder::setSettled(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+
+inline  ::uint64_t HistoryRecord::Claim::Builder::getExpiresMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void HistoryRecord::Claim::Builder::setExpiresMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool KeptTurn::Reader::hasId() const {
+inline  ::uint64_t HistoryRecord::Claim::Reader::getKeepMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HistoryRecord::Claim::Builder::getKeepMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void HistoryRecord::Claim::Builder::setKeepMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StreamPiece::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool KeptTurn::Builder::hasId() {
+inline bool StreamPiece::Builder::hasId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader KeptTurn::Reader::getId() const {
+inline  ::capnp::Text::Reader StreamPiece::Reader::getId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder KeptTurn::Builder::getId() {
+inline  ::capnp::Text::Builder StreamPiece::Builder::getId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void KeptTurn::Builder::setId( ::capnp::Text::Reader value) {
+inline void StreamPiece::Builder::setId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder KeptTurn::Builder::initId(unsigned int size) {
+inline  ::capnp::Text::Builder StreamPiece::Builder::initId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void KeptTurn::Builder::adoptId(
+inline void StreamPiece::Builder::adoptId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> KeptTurn::Builder::disownId() {
+inline ::capnp::Orphan< ::capnp::Text> StreamPiece::Builder::disownId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool KeptTurn::Reader::hasPrevious() const {
+inline bool StreamPiece::Reader::hasOutput() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool KeptTurn::Builder::hasPrevious() {
+inline bool StreamPiece::Builder::hasOutput() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader KeptTurn::Reader::getPrevious() const {
+inline  ::capnp::Data::Reader StreamPiece::Reader::getOutput() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder StreamPiece::Builder::getOutput() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StreamPiece::Builder::setOutput( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder StreamPiece::Builder::initOutput(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void StreamPiece::Builder::adoptOutput(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> StreamPiece::Builder::disownOutput() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool StreamBranch::Reader::hasRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamBranch::Builder::hasRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StreamBranch::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StreamBranch::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StreamBranch::Builder::setRequest( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StreamBranch::Builder::initRequest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StreamBranch::Builder::adoptRequest(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StreamBranch::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool StreamBranch::Reader::hasParent() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamBranch::Builder::hasParent() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StreamBranch::Reader::getParent() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder KeptTurn::Builder::getPrevious() {
+inline  ::capnp::Text::Builder StreamBranch::Builder::getParent() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StreamBranch::Builder::setParent( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StreamBranch::Builder::initParent(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void StreamBranch::Builder::adoptParent(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StreamBranch::Builder::disownParent() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t StreamBranch::Reader::getResumedFrom() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t StreamBranch::Builder::getResumedFrom() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StreamBranch::Builder::setResumedFrom( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StreamBranch::Reader::hasPieces() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamBranch::Builder::hasPieces() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Chestnuthook::Wire::StreamPiece,  ::capnp::Kind::STRUCT>::Reader StreamBranch::Reader::getPieces() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::StreamPiece,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Chestnuthook::Wire::StreamPiece,  ::capnp::Kind::STRUCT>::Builder StreamBranch::Builder::getPieces() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::StreamPiece,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void StreamBranch::Builder::setPieces( ::capnp::List< ::Chestnuthook::Wire::StreamPiece,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::StreamPiece,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Chestnuthook::Wire::StreamPiece,  ::capnp::Kind::STRUCT>::Builder StreamBranch::Builder::initPieces(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::StreamPiece,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void StreamBranch::Builder::adoptPieces(
+    ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::StreamPiece,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::StreamPiece,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::StreamPiece,  ::capnp::Kind::STRUCT>> StreamBranch::Builder::disownPieces() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::StreamPiece,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+#if !CAPNP_LITE
+inline HistoryStore::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline HistoryStore::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
+    : ::capnp::Capability::Client(::kj::mv(hook)) {}
+template <typename _t, typename>
+inline HistoryStore::Client::Client(::kj::Own<_t>&& server)
+    : ::capnp::Capability::Client(::kj::mv(server)) {}
+template <typename _t, typename>
+inline HistoryStore::Client::Client(::kj::Promise<_t>&& promise)
+    : ::capnp::Capability::Client(::kj::mv(promise)) {}
+inline HistoryStore::Client::Client(::kj::Exception&& exception)
+    : ::capnp::Capability::Client(::kj::mv(exception)) {}
+inline  ::Chestnuthook::Wire::HistoryStore::Client& HistoryStore::Client::operator=(Client& other) {
+  ::capnp::Capability::Client::operator=(other);
+  return *this;
+}
+inline  ::Chestnuthook::Wire::HistoryStore::Client& HistoryStore::Client::operator=(Client&& other) {
+  ::capnp::Capability::Client::operator=(kj::mv(other));
+  return *this;
+}
+
+#endif  // !CAPNP_LITE
+inline bool HistoryStore::BeginParams::Reader::hasIdentity() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool HistoryStore::BeginParams::Builder::hasIdentity() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader HistoryStore::BeginParams::Reader::getIdentity() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder HistoryStore::BeginParams::Builder::getIdentity() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void HistoryStore::BeginParams::Builder::setIdentity( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder HistoryStore::BeginParams::Builder::initIdentity(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void HistoryStore::BeginParams::Builder::adoptIdentity(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> HistoryStore::BeginParams::Builder::disownIdentity() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t HistoryStore::BeginParams::Reader::getView() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HistoryStore::BeginParams::Builder::getView() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void HistoryStore::BeginParams::Builder::setView( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HistoryStore::BeginParams::Reader::hasClaim() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool HistoryStore::BeginParams::Builder::hasClaim() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Chestnuthook::Wire::HistoryRecord::Reader HistoryStore::BeginParams::Reader::getClaim() const {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HistoryRecord>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void KeptTurn::Builder::setPrevious( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline  ::Chestnuthook::Wire::HistoryRecord::Builder HistoryStore::BeginParams::Builder::getClaim() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HistoryRecord>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Chestnuthook::Wire::HistoryRecord::Pipeline HistoryStore::BeginParams::Pipeline::getClaim() {
+  return  ::Chestnuthook::Wire::HistoryRecord::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void HistoryStore::BeginParams::Builder::setClaim( ::Chestnuthook::Wire::HistoryRecord::Reader value) {
+  ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HistoryRecord>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder KeptTurn::Builder::initPrevious(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::Chestnuthook::Wire::HistoryRecord::Builder HistoryStore::BeginParams::Builder::initClaim() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HistoryRecord>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void KeptTurn::Builder::adoptPrevious(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void HistoryStore::BeginParams::Builder::adoptClaim(
+    ::capnp::Orphan< ::Chestnuthook::Wire::HistoryRecord>&& value) {
+  ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HistoryRecord>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> KeptTurn::Builder::disownPrevious() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::Chestnuthook::Wire::HistoryRecord> HistoryStore::BeginParams::Builder::disownClaim() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HistoryRecord>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool KeptTurn::Reader::hasCustomer() const {
+inline bool HistoryStore::BeginParams::Reader::hasPrevious() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool KeptTurn::Builder::hasCustomer() {
+inline bool HistoryStore::BeginParams::Builder::hasPrevious() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader KeptTurn::Reader::getCustomer() const {
+inline  ::capnp::Text::Reader HistoryStore::BeginParams::Reader::getPrevious() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder KeptTurn::Builder::getCustomer() {
+inline  ::capnp::Text::Builder HistoryStore::BeginParams::Builder::getPrevious() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void KeptTurn::Builder::setCustomer( ::capnp::Text::Reader value) {
+inline void HistoryStore::BeginParams::Builder::setPrevious( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder KeptTurn::Builder::initCustomer(unsigned int size) {
+inline  ::capnp::Text::Builder HistoryStore::BeginParams::Builder::initPrevious(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void KeptTurn::Builder::adoptCustomer(
+inline void HistoryStore::BeginParams::Builder::adoptPrevious(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> KeptTurn::Builder::disownCustomer() {
+inline ::capnp::Orphan< ::capnp::Text> HistoryStore::BeginParams::Builder::disownPrevious() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool KeptTurn::Reader::hasInput() const {
+inline bool HistoryStore::BeginParams::Reader::hasCustomer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool KeptTurn::Builder::hasInput() {
+inline bool HistoryStore::BeginParams::Builder::hasCustomer() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader KeptTurn::Reader::getInput() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader HistoryStore::BeginParams::Reader::getCustomer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder KeptTurn::Builder::getInput() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder HistoryStore::BeginParams::Builder::getCustomer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void KeptTurn::Builder::setInput( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+inline void HistoryStore::BeginParams::Builder::setCustomer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder KeptTurn::Builder::initInput(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder HistoryStore::BeginParams::Builder::initCustomer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void KeptTurn::Builder::adoptInput(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+inline void HistoryStore::BeginParams::Builder::adoptCustomer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> KeptTurn::Builder::disownInput() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> HistoryStore::BeginParams::Builder::disownCustomer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool KeptTurn::Reader::hasOutput() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline bool KeptTurn::Builder::hasOutput() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Data::Reader KeptTurn::Reader::getOutput() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Data::Builder KeptTurn::Builder::getOutput() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline void KeptTurn::Builder::setOutput( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Data::Builder KeptTurn::Builder::initOutput(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
-}
-inline void KeptTurn::Builder::adoptOutput(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Data> KeptTurn::Builder::disownOutput() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t KeptTurn::Reader::getExpiresMs() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t KeptTurn::Builder::getExpiresMs() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void KeptTurn::Builder::setExpiresMs( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t KeptTurn::Reader::getKeepMs() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t KeptTurn::Builder::getKeepMs() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void KeptTurn::Builder::setKeepMs( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::Chestnuthook::Wire::HistoryRecord::Which HistoryRecord::Reader::which() const {
-  return _reader.getDataField<Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline  ::Chestnuthook::Wire::HistoryRecord::Which HistoryRecord::Builder::which() {
-  return _builder.getDataField<Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline bool HistoryStore::BeginParams::Reader::getWithChain() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
-inline bool HistoryRecord::Reader::isClaim() const {
-  return which() == HistoryRecord::CLAIM;
-}
-inline bool HistoryRecord::Builder::isClaim() {
-  return which() == HistoryRecord::CLAIM;
-}
-inline typename HistoryRecord::Claim::Reader HistoryRecord::Reader::getClaim() const {
-  KJ_IREQUIRE((which() == HistoryRecord::CLAIM),
-              "Must check which() before get()ing a union member.");
-  return typename HistoryRecord::Claim::Reader(_reader);
-}
-inline typename HistoryRecord::Claim::Builder HistoryRecord::Builder::getClaim() {
-  KJ_IREQUIRE((which() == HistoryRecord::CLAIM),
-              "Must check which() before get()ing a union member.");
-  return typename HistoryRecord::Claim::Builder(_builder);
-}
-inline typename HistoryRecord::Claim::Builder HistoryRecord::Builder::initClaim() {
-  _builder.setDataField<HistoryRecord::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, HistoryRecord::CLAIM);
-  _builder.setDataField< ::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
-  _builder.setDataField< ::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, 0);
-  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
-  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
-  return typename HistoryRecord::Claim::Builder(_builder);
-}
-inline bool HistoryRecord::Reader::isTurn() const {
-  return which() == HistoryRecord::TURN;
-}
-inline bool HistoryRecord::Builder::isTurn() {
-  return which() == HistoryRecord::TURN;
-}
-inline bool HistoryRecord::Reader::hasTurn() const {
-  if (which() != HistoryRecord::TURN) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool HistoryRecord::Builder::hasTurn() {
-  if (which() != HistoryRecord::TURN) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::Chestnuthook::Wire::KeptTurn::Reader HistoryRecord::Reader::getTurn() const {
-  KJ_IREQUIRE((which() == HistoryRecord::TURN),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::KeptTurn>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::Chestnuthook::Wire::KeptTurn::Builder HistoryRecord::Builder::getTurn() {
-  KJ_IREQUIRE((which() == HistoryRecord::TURN),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::KeptTurn>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void HistoryRecord::Builder::setTurn( ::Chestnuthook::Wire::KeptTurn::Reader value) {
-  _builder.setDataField<HistoryRecord::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, HistoryRecord::TURN);
-  ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::KeptTurn>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::Chestnuthook::Wire::KeptTurn::Builder HistoryRecord::Builder::initTurn() {
-  _builder.setDataField<HistoryRecord::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, HistoryRecord::TURN);
-  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::KeptTurn>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void HistoryRecord::Builder::adoptTurn(
-    ::capnp::Orphan< ::Chestnuthook::Wire::KeptTurn>&& value) {
-  _builder.setDataField<HistoryRecord::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, HistoryRecord::TURN);
-  ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::KeptTurn>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline bool HistoryStore::BeginParams::Builder::getWithChain() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::Chestnuthook::Wire::KeptTurn> HistoryRecord::Builder::disownTurn() {
-  KJ_IREQUIRE((which() == HistoryRecord::TURN),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::KeptTurn>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void HistoryStore::BeginParams::Builder::setWithChain(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool HistoryRecord::Reader::isView() const {
-  return which() == HistoryRecord::VIEW;
-}
-inline bool HistoryRecord::Builder::isView() {
-  return which() == HistoryRecord::VIEW;
-}
-inline  ::uint64_t HistoryRecord::Reader::getView() const {
-  KJ_IREQUIRE((which() == HistoryRecord::VIEW),
-              "Must check which() before get()ing a union member.");
-  return _reader.getDataField< ::uint64_t>(
+inline  ::Chestnuthook::Wire::HistoryStatus HistoryStore::BeginResults::Reader::getStatus() const {
+  return _reader.getDataField< ::Chestnuthook::Wire::HistoryStatus>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t HistoryRecord::Builder::getView() {
-  KJ_IREQUIRE((which() == HistoryRecord::VIEW),
-              "Must check which() before get()ing a union member.");
-  return _builder.getDataField< ::uint64_t>(
+inline  ::Chestnuthook::Wire::HistoryStatus HistoryStore::BeginResults::Builder::getStatus() {
+  return _builder.getDataField< ::Chestnuthook::Wire::HistoryStatus>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void HistoryRecord::Builder::setView( ::uint64_t value) {
-  _builder.setDataField<HistoryRecord::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, HistoryRecord::VIEW);
-  _builder.setDataField< ::uint64_t>(
+inline void HistoryStore::BeginResults::Builder::setStatus( ::Chestnuthook::Wire::HistoryStatus value) {
+  _builder.setDataField< ::Chestnuthook::Wire::HistoryStatus>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool HistoryRecord::Claim::Reader::hasProgram() const {
+inline bool HistoryStore::BeginResults::Reader::hasClaims() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool HistoryRecord::Claim::Builder::hasProgram() {
+inline bool HistoryStore::BeginResults::Builder::hasClaims() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader HistoryRecord::Claim::Reader::getProgram() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::Chestnuthook::Wire::TokenClaim,  ::capnp::Kind::STRUCT>::Reader HistoryStore::BeginResults::Reader::getClaims() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::TokenClaim,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder HistoryRecord::Claim::Builder::getProgram() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+}
+inline  ::capnp::List< ::Chestnuthook::Wire::TokenClaim,  ::capnp::Kind::STRUCT>::Builder HistoryStore::BeginResults::Builder::getClaims() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::TokenClaim,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void HistoryRecord::Claim::Builder::setProgram( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void HistoryStore::BeginResults::Builder::setClaims( ::capnp::List< ::Chestnuthook::Wire::TokenClaim,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::TokenClaim,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder HistoryRecord::Claim::Builder::initProgram(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::Chestnuthook::Wire::TokenClaim,  ::capnp::Kind::STRUCT>::Builder HistoryStore::BeginResults::Builder::initClaims(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::TokenClaim,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void HistoryRecord::Claim::Builder::adoptProgram(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void HistoryStore::BeginResults::Builder::adoptClaims(
+    ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::TokenClaim,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::TokenClaim,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> HistoryRecord::Claim::Builder::disownProgram() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::TokenClaim,  ::capnp::Kind::STRUCT>> HistoryStore::BeginResults::Builder::disownClaims() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::TokenClaim,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool HistoryRecord::Claim::Reader::hasClaim() const {
+inline bool HistoryStore::BeginResults::Reader::getKnown() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline bool HistoryStore::BeginResults::Builder::getKnown() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void HistoryStore::BeginResults::Builder::setKnown(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HistoryStore::BeginResults::Reader::hasChain() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool HistoryRecord::Claim::Builder::hasClaim() {
+inline bool HistoryStore::BeginResults::Builder::hasChain() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Chestnuthook::Wire::TokenClaim::Reader HistoryRecord::Claim::Reader::getClaim() const {
-  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::TokenClaim>::get(_reader.getPointerField(
+inline  ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>::Reader HistoryStore::BeginResults::Reader::getChain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::Chestnuthook::Wire::TokenClaim::Builder HistoryRecord::Claim::Builder::getClaim() {
-  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::TokenClaim>::get(_builder.getPointerField(
+inline  ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>::Builder HistoryStore::BeginResults::Builder::getChain() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::Chestnuthook::Wire::TokenClaim::Pipeline HistoryRecord::Claim::Pipeline::getClaim() {
-  return  ::Chestnuthook::Wire::TokenClaim::Pipeline(_typeless.getPointerField(1));
-}
-#endif  // !CAPNP_LITE
-inline void HistoryRecord::Claim::Builder::setClaim( ::Chestnuthook::Wire::TokenClaim::Reader value) {
-  ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::TokenClaim>::set(_builder.getPointerField(
+inline void HistoryStore::BeginResults::Builder::setChain( ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::Chestnuthook::Wire::TokenClaim::Builder HistoryRecord::Claim::Builder::initClaim() {
-  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::TokenClaim>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>::Builder HistoryStore::BeginResults::Builder::initChain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void HistoryRecord::Claim::Builder::adoptClaim(
-    ::capnp::Orphan< ::Chestnuthook::Wire::TokenClaim>&& value) {
-  ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::TokenClaim>::adopt(_builder.getPointerField(
+inline void HistoryStore::BeginResults::Builder::adoptChain(
+    ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Chestnuthook::Wire::TokenClaim> HistoryRecord::Claim::Builder::disownClaim() {
-  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::TokenClaim>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>> HistoryStore::BeginResults::Builder::disownChain() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t HistoryRecord::Claim::Reader::getExpiresMs() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool HistoryStore::BeginResults::Reader::hasMissing() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t HistoryRecord::Claim::Builder::getExpiresMs() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool HistoryStore::BeginResults::Builder::hasMissing() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void HistoryRecord::Claim::Builder::setExpiresMs( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Reader HistoryStore::BeginResults::Reader::getMissing() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t HistoryRecord::Claim::Reader::getKeepMs() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder HistoryStore::BeginResults::Builder::getMissing() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t HistoryRecord::Claim::Builder::getKeepMs() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline void HistoryStore::BeginResults::Builder::setMissing( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline void HistoryRecord::Claim::Builder::setKeepMs( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Builder HistoryStore::BeginResults::Builder::initMissing(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-
-#if !CAPNP_LITE
-inline HistoryStore::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline HistoryStore::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
-    : ::capnp::Capability::Client(::kj::mv(hook)) {}
-template <typename _t, typename>
-inline HistoryStore::Client::Client(::kj::Own<_t>&& server)
-    : ::capnp::Capability::Client(::kj::mv(server)) {}
-template <typename _t, typename>
-inline HistoryStore::Client::Client(::kj::Promise<_t>&& promise)
-    : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline HistoryStore::Client::Client(::kj::Exception&& exception)
-    : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::Chestnuthook::Wire::HistoryStore::Client& HistoryStore::Client::operator=(Client& other) {
-  ::capnp::Capability::Client::operator=(other);
-  return *this;
+inline void HistoryStore::BeginResults::Builder::adoptMissing(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline  ::Chestnuthook::Wire::HistoryStore::Client& HistoryStore::Client::operator=(Client&& other) {
-  ::capnp::Capability::Client::operator=(kj::mv(other));
-  return *this;
+inline ::capnp::Orphan< ::capnp::Text> HistoryStore::BeginResults::Builder::disownMissing() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-#endif  // !CAPNP_LITE
-inline bool HistoryStore::BeginParams::Reader::hasIdentity() const {
+inline bool HistoryStore::WriteParams::Reader::hasIdentity() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool HistoryStore::BeginParams::Builder::hasIdentity() {
+inline bool HistoryStore::WriteParams::Builder::hasIdentity() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader HistoryStore::BeginParams::Reader::getIdentity() const {
+inline  ::capnp::Text::Reader HistoryStore::WriteParams::Reader::getIdentity() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder HistoryStore::BeginParams::Builder::getIdentity() {
+inline  ::capnp::Text::Builder HistoryStore::WriteParams::Builder::getIdentity() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void HistoryStore::BeginParams::Builder::setIdentity( ::capnp::Text::Reader value) {
+inline void HistoryStore::WriteParams::Builder::setIdentity( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder HistoryStore::BeginParams::Builder::initIdentity(unsigned int size) {
+inline  ::capnp::Text::Builder HistoryStore::WriteParams::Builder::initIdentity(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void HistoryStore::BeginParams::Builder::adoptIdentity(
+inline void HistoryStore::WriteParams::Builder::adoptIdentity(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> HistoryStore::BeginParams::Builder::disownIdentity() {
+inline ::capnp::Orphan< ::capnp::Text> HistoryStore::WriteParams::Builder::disownIdentity() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t HistoryStore::BeginParams::Reader::getView() const {
+inline  ::uint64_t HistoryStore::WriteParams::Reader::getView() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t HistoryStore::BeginParams::Builder::getView() {
+inline  ::uint64_t HistoryStore::WriteParams::Builder::getView() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void HistoryStore::BeginParams::Builder::setView( ::uint64_t value) {
+inline void HistoryStore::WriteParams::Builder::setView( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool HistoryStore::BeginParams::Reader::hasClaim() const {
+inline bool HistoryStore::WriteParams::Reader::hasRecords() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool HistoryStore::BeginParams::Builder::hasClaim() {
+inline bool HistoryStore::WriteParams::Builder::hasRecords() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Chestnuthook::Wire::HistoryRecord::Reader HistoryStore::BeginParams::Reader::getClaim() const {
-  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HistoryRecord>::get(_reader.getPointerField(
+inline  ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>::Reader HistoryStore::WriteParams::Reader::getRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::Chestnuthook::Wire::HistoryRecord::Builder HistoryStore::BeginParams::Builder::getClaim() {
-  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HistoryRecord>::get(_builder.getPointerField(
+inline  ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>::Builder HistoryStore::WriteParams::Builder::getRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::Chestnuthook::Wire::HistoryRecord::Pipeline HistoryStore::BeginParams::Pipeline::getClaim() {
-  return  ::Chestnuthook::Wire::HistoryRecord::Pipeline(_typeless.getPointerField(1));
-}
-#endif  // !CAPNP_LITE
-inline void HistoryStore::BeginParams::Builder::setClaim( ::Chestnuthook::Wire::HistoryRecord::Reader value) {
-  ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HistoryRecord>::set(_builder.getPointerField(
+inline void HistoryStore::WriteParams::Builder::setRecords( ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::Chestnuthook::Wire::HistoryRecord::Builder HistoryStore::BeginParams::Builder::initClaim() {
-  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HistoryRecord>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>::Builder HistoryStore::WriteParams::Builder::initRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void HistoryStore::BeginParams::Builder::adoptClaim(
-    ::capnp::Orphan< ::Chestnuthook::Wire::HistoryRecord>&& value) {
-  ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HistoryRecord>::adopt(_builder.getPointerField(
+inline void HistoryStore::WriteParams::Builder::adoptRecords(
+    ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Chestnuthook::Wire::HistoryRecord> HistoryStore::BeginParams::Builder::disownClaim() {
-  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::HistoryRecord>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>> HistoryStore::WriteParams::Builder::disownRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool HistoryStore::BeginParams::Reader::hasPrevious() const {
+inline  ::Chestnuthook::Wire::HistoryStatus HistoryStore::WriteResults::Reader::getStatus() const {
+  return _reader.getDataField< ::Chestnuthook::Wire::HistoryStatus>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::Chestnuthook::Wire::HistoryStatus HistoryStore::WriteResults::Builder::getStatus() {
+  return _builder.getDataField< ::Chestnuthook::Wire::HistoryStatus>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void HistoryStore::WriteResults::Builder::setStatus( ::Chestnuthook::Wire::HistoryStatus value) {
+  _builder.setDataField< ::Chestnuthook::Wire::HistoryStatus>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HistoryStore::WriteResults::Reader::hasMissing() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool HistoryStore::BeginParams::Builder::hasPrevious() {
+inline bool HistoryStore::WriteResults::Builder::hasMissing() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader HistoryStore::BeginParams::Reader::getPrevious() const {
+inline  ::capnp::Text::Reader HistoryStore::WriteResults::Reader::getMissing() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder HistoryStore::BeginParams::Builder::getPrevious() {
+inline  ::capnp::Text::Builder HistoryStore::WriteResults::Builder::getMissing() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void HistoryStore::BeginParams::Builder::setPrevious( ::capnp::Text::Reader value) {
+inline void HistoryStore::WriteResults::Builder::setMissing( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder HistoryStore::BeginParams::Builder::initPrevious(unsigned int size) {
+inline  ::capnp::Text::Builder HistoryStore::WriteResults::Builder::initMissing(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void HistoryStore::BeginParams::Builder::adoptPrevious(
+inline void HistoryStore::WriteResults::Builder::adoptMissing(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> HistoryStore::BeginParams::Builder::disownPrevious() {
+inline ::capnp::Orphan< ::capnp::Text> HistoryStore::WriteResults::Builder::disownMissing() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool HistoryStore::BeginParams::Reader::hasCustomer() const {
+inline bool HistoryStore::CopyParams::Reader::hasIdentity() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool HistoryStore::BeginParams::Builder::hasCustomer() {
+inline bool HistoryStore::CopyParams::Builder::hasIdentity() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader HistoryStore::BeginParams::Reader::getCustomer() const {
+inline  ::capnp::Text::Reader HistoryStore::CopyParams::Reader::getIdentity() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder HistoryStore::BeginParams::Builder::getCustomer() {
+inline  ::capnp::Text::Builder HistoryStore::CopyParams::Builder::getIdentity() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void HistoryStore::BeginParams::Builder::setCustomer( ::capnp::Text::Reader value) {
+inline void HistoryStore::CopyParams::Builder::setIdentity( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder HistoryStore::BeginParams::Builder::initCustomer(unsigned int size) {
+inline  ::capnp::Text::Builder HistoryStore::CopyParams::Builder::initIdentity(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void HistoryStore::BeginParams::Builder::adoptCustomer(
+inline void HistoryStore::CopyParams::Builder::adoptIdentity(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> HistoryStore::BeginParams::Builder::disownCustomer() {
+inline ::capnp::Orphan< ::capnp::Text> HistoryStore::CopyParams::Builder::disownIdentity() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool HistoryStore::BeginParams::Reader::getWithChain() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline  ::uint64_t HistoryStore::CopyParams::Reader::getView() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool HistoryStore::BeginParams::Builder::getWithChain() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline  ::uint64_t HistoryStore::CopyParams::Builder::getView() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void HistoryStore::BeginParams::Builder::setWithChain(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+inline void HistoryStore::CopyParams::Builder::setView( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::Chestnuthook::Wire::HistoryStatus HistoryStore::BeginResults::Reader::getStatus() const {
+inline  ::uint64_t HistoryStore::CopyParams::Reader::getPosition() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HistoryStore::CopyParams::Builder::getPosition() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void HistoryStore::CopyParams::Builder::setPosition( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::Chestnuthook::Wire::HistoryStatus HistoryStore::CopyResults::Reader::getStatus() const {
   return _reader.getDataField< ::Chestnuthook::Wire::HistoryStatus>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::Chestnuthook::Wire::HistoryStatus HistoryStore::BeginResults::Builder::getStatus() {
+inline  ::Chestnuthook::Wire::HistoryStatus HistoryStore::CopyResults::Builder::getStatus() {
   return _builder.getDataField< ::Chestnuthook::Wire::HistoryStatus>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void HistoryStore::BeginResults::Builder::setStatus( ::Chestnuthook::Wire::HistoryStatus value) {
+inline void HistoryStore::CopyResults::Builder::setStatus( ::Chestnuthook::Wire::HistoryStatus value) {
   _builder.setDataField< ::Chestnuthook::Wire::HistoryStatus>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool HistoryStore::BeginResults::Reader::hasClaims() const {
+inline bool HistoryStore::CopyResults::Reader::hasRecords() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool HistoryStore::BeginResults::Builder::hasClaims() {
+inline bool HistoryStore::CopyResults::Builder::hasRecords() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::Chestnuthook::Wire::TokenClaim,  ::capnp::Kind::STRUCT>::Reader HistoryStore::BeginResults::Reader::getClaims() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::TokenClaim,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>::Reader HistoryStore::CopyResults::Reader::getRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::Chestnuthook::Wire::TokenClaim,  ::capnp::Kind::STRUCT>::Builder HistoryStore::BeginResults::Builder::getClaims() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::TokenClaim,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>::Builder HistoryStore::CopyResults::Builder::getRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void HistoryStore::BeginResults::Builder::setClaims( ::capnp::List< ::Chestnuthook::Wire::TokenClaim,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::TokenClaim,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void HistoryStore::CopyResults::Builder::setRecords( ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::Chestnuthook::Wire::TokenClaim,  ::capnp::Kind::STRUCT>::Builder HistoryStore::BeginResults::Builder::initClaims(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::TokenClaim,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>::Builder HistoryStore::CopyResults::Builder::initRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void HistoryStore::BeginResults::Builder::adoptClaims(
-    ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::TokenClaim,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::TokenClaim,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void HistoryStore::CopyResults::Builder::adoptRecords(
+    ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::TokenClaim,  ::capnp::Kind::STRUCT>> HistoryStore::BeginResults::Builder::disownClaims() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::TokenClaim,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>> HistoryStore::CopyResults::Builder::disownRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool HistoryStore::BeginResults::Reader::getKnown() const {
+inline  ::uint64_t HistoryStore::CopyResults::Reader::getNext() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HistoryStore::CopyResults::Builder::getNext() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void HistoryStore::CopyResults::Builder::setNext( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HistoryStore::CopyResults::Reader::getDone() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
 
-inline bool HistoryStore::BeginResults::Builder::getKnown() {
+inline bool HistoryStore::CopyResults::Builder::getDone() {
   return _builder.getDataField<bool>(
       ::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
-inline void HistoryStore::BeginResults::Builder::setKnown(bool value) {
+inline void HistoryStore::CopyResults::Builder::setDone(bool value) {
   _builder.setDataField<bool>(
       ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool HistoryStore::BeginResults::Reader::hasChain() const {
+inline  ::uint64_t HistoryStore::CopyResults::Reader::getEnd() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HistoryStore::CopyResults::Builder::getEnd() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void HistoryStore::CopyResults::Builder::setEnd( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t HistoryStore::CopyResults::Reader::getStart() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HistoryStore::CopyResults::Builder::getStart() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void HistoryStore::CopyResults::Builder::setStart( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HistoryStore::ChainParams::Reader::hasIdentity() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool HistoryStore::ChainParams::Builder::hasIdentity() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader HistoryStore::ChainParams::Reader::getIdentity() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder HistoryStore::ChainParams::Builder::getIdentity() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void HistoryStore::ChainParams::Builder::setIdentity( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder HistoryStore::ChainParams::Builder::initIdentity(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void HistoryStore::ChainParams::Builder::adoptIdentity(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> HistoryStore::ChainParams::Builder::disownIdentity() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t HistoryStore::ChainParams::Reader::getView() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HistoryStore::ChainParams::Builder::getView() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void HistoryStore::ChainParams::Builder::setView( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HistoryStore::ChainParams::Reader::hasTurn() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool HistoryStore::BeginResults::Builder::hasChain() {
+inline bool HistoryStore::ChainParams::Builder::hasTurn() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>::Reader HistoryStore::BeginResults::Reader::getChain() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader HistoryStore::ChainParams::Reader::getTurn() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>::Builder HistoryStore::BeginResults::Builder::getChain() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder HistoryStore::ChainParams::Builder::getTurn() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void HistoryStore::BeginResults::Builder::setChain( ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void HistoryStore::ChainParams::Builder::setTurn( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>::Builder HistoryStore::BeginResults::Builder::initChain(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder HistoryStore::ChainParams::Builder::initTurn(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void HistoryStore::BeginResults::Builder::adoptChain(
-    ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void HistoryStore::ChainParams::Builder::adoptTurn(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>> HistoryStore::BeginResults::Builder::disownChain() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> HistoryStore::ChainParams::Builder::disownTurn() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool HistoryStore::BeginResults::Reader::hasMissing() const {
+inline bool HistoryStore::ChainParams::Reader::hasCustomer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool HistoryStore::BeginResults::Builder::hasMissing() {
+inline bool HistoryStore::ChainParams::Builder::hasCustomer() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader HistoryStore::BeginResults::Reader::getMissing() const {
+inline  ::capnp::Text::Reader HistoryStore::ChainParams::Reader::getCustomer() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder HistoryStore::BeginResults::Builder::getMissing() {
+inline  ::capnp::Text::Builder HistoryStore::ChainParams::Builder::getCustomer() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void HistoryStore::BeginResults::Builder::setMissing( ::capnp::Text::Reader value) {
+inline void HistoryStore::ChainParams::Builder::setCustomer( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder HistoryStore::BeginResults::Builder::initMissing(unsigned int size) {
+inline  ::capnp::Text::Builder HistoryStore::ChainParams::Builder::initCustomer(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void HistoryStore::BeginResults::Builder::adoptMissing(
+inline void HistoryStore::ChainParams::Builder::adoptCustomer(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> HistoryStore::BeginResults::Builder::disownMissing() {
+inline ::capnp::Orphan< ::capnp::Text> HistoryStore::ChainParams::Builder::disownCustomer() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool HistoryStore::WriteParams::Reader::hasIdentity() const {
+inline  ::Chestnuthook::Wire::HistoryStatus HistoryStore::ChainResults::Reader::getStatus() const {
+  return _reader.getDataField< ::Chestnuthook::Wire::HistoryStatus>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::Chestnuthook::Wire::HistoryStatus HistoryStore::ChainResults::Builder::getStatus() {
+  return _builder.getDataField< ::Chestnuthook::Wire::HistoryStatus>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void HistoryStore::ChainResults::Builder::setStatus( ::Chestnuthook::Wire::HistoryStatus value) {
+  _builder.setDataField< ::Chestnuthook::Wire::HistoryStatus>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HistoryStore::ChainResults::Reader::getKnown() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline bool HistoryStore::ChainResults::Builder::getKnown() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void HistoryStore::ChainResults::Builder::setKnown(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HistoryStore::ChainResults::Reader::hasChain() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool HistoryStore::WriteParams::Builder::hasIdentity() {
+inline bool HistoryStore::ChainResults::Builder::hasChain() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader HistoryStore::WriteParams::Reader::getIdentity() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>::Reader HistoryStore::ChainResults::Reader::getChain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder HistoryStore::WriteParams::Builder::getIdentity() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>::Builder HistoryStore::ChainResults::Builder::getChain() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void HistoryStore::WriteParams::Builder::setIdentity( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void HistoryStore::ChainResults::Builder::setChain( ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder HistoryStore::WriteParams::Builder::initIdentity(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>::Builder HistoryStore::ChainResults::Builder::initChain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void HistoryStore::WriteParams::Builder::adoptIdentity(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void HistoryStore::ChainResults::Builder::adoptChain(
+    ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> HistoryStore::WriteParams::Builder::disownIdentity() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>> HistoryStore::ChainResults::Builder::disownChain() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t HistoryStore::WriteParams::Reader::getView() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t HistoryStore::WriteParams::Builder::getView() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void HistoryStore::WriteParams::Builder::setView( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool HistoryStore::WriteParams::Reader::hasRecords() const {
+inline bool HistoryStore::ChainResults::Reader::hasMissing() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool HistoryStore::WriteParams::Builder::hasRecords() {
+inline bool HistoryStore::ChainResults::Builder::hasMissing() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>::Reader HistoryStore::WriteParams::Reader::getRecords() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader HistoryStore::ChainResults::Reader::getMissing() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>::Builder HistoryStore::WriteParams::Builder::getRecords() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder HistoryStore::ChainResults::Builder::getMissing() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void HistoryStore::WriteParams::Builder::setRecords( ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void HistoryStore::ChainResults::Builder::setMissing( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>::Builder HistoryStore::WriteParams::Builder::initRecords(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder HistoryStore::ChainResults::Builder::initMissing(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void HistoryStore::WriteParams::Builder::adoptRecords(
-    ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void HistoryStore::ChainResults::Builder::adoptMissing(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>> HistoryStore::WriteParams::Builder::disownRecords() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> HistoryStore::ChainResults::Builder::disownMissing() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::Chestnuthook::Wire::HistoryStatus HistoryStore::WriteResults::Reader::getStatus() const {
-  return _reader.getDataField< ::Chestnuthook::Wire::HistoryStatus>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::Chestnuthook::Wire::HistoryStatus HistoryStore::WriteResults::Builder::getStatus() {
-  return _builder.getDataField< ::Chestnuthook::Wire::HistoryStatus>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void HistoryStore::WriteResults::Builder::setStatus( ::Chestnuthook::Wire::HistoryStatus value) {
-  _builder.setDataField< ::Chestnuthook::Wire::HistoryStatus>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool HistoryStore::WriteResults::Reader::hasMissing() const {
+inline bool HistoryStore::AddStreamOriginParams::Reader::hasRequest() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool HistoryStore::WriteResults::Builder::hasMissing() {
+inline bool HistoryStore::AddStreamOriginParams::Builder::hasRequest() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader HistoryStore::WriteResults::Reader::getMissing() const {
+inline  ::capnp::Text::Reader HistoryStore::AddStreamOriginParams::Reader::getRequest() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder HistoryStore::WriteResults::Builder::getMissing() {
+inline  ::capnp::Text::Builder HistoryStore::AddStreamOriginParams::Builder::getRequest() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void HistoryStore::WriteResults::Builder::setMissing( ::capnp::Text::Reader value) {
