+inline void HistoryStore::AddStreamOriginParams::Builder::setRequest( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder HistoryStore::WriteResults::Builder::initMissing(unsigned int size) {
+inline  ::capnp::Text::Builder HistoryStore::AddStreamOriginParams::Builder::initRequest(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void HistoryStore::WriteResults::Builder::adoptMissing(
+inline void HistoryStore::AddStreamOriginParams::Builder::adoptRequest(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> HistoryStore::WriteResults::Builder::disownMissing() {
+inline ::capnp::Orphan< ::capnp::Text> HistoryStore::AddStreamOriginParams::Builder::disownRequest() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool HistoryStore::CopyParams::Reader::hasIdentity() const {
+inline bool HistoryStore::AddStreamOriginParams::Reader::hasCustomer() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool HistoryStore::CopyParams::Builder::hasIdentity() {
+inline bool HistoryStore::AddStreamOriginParams::Builder::hasCustomer() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader HistoryStore::CopyParams::Reader::getIdentity() const {
+inline  ::capnp::Text::Reader HistoryStore::AddStreamOriginParams::Reader::getCustomer() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder HistoryStore::CopyParams::Builder::getIdentity() {
+inline  ::capnp::Text::Builder HistoryStore::AddStreamOriginParams::Builder::getCustomer() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void HistoryStore::CopyParams::Builder::setIdentity( ::capnp::Text::Reader value) {
+inline void HistoryStore::AddStreamOriginParams::Builder::setCustomer( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder HistoryStore::CopyParams::Builder::initIdentity(unsigned int size) {
+inline  ::capnp::Text::Builder HistoryStore::AddStreamOriginParams::Builder::initCustomer(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void HistoryStore::CopyParams::Builder::adoptIdentity(
+inline void HistoryStore::AddStreamOriginParams::Builder::adoptCustomer(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> HistoryStore::CopyParams::Builder::disownIdentity() {
+inline ::capnp::Orphan< ::capnp::Text> HistoryStore::AddStreamOriginParams::Builder::disownCustomer() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t HistoryStore::CopyParams::Reader::getView() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t HistoryStore::CopyParams::Builder::getView() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void HistoryStore::CopyParams::Builder::setView( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t HistoryStore::CopyParams::Reader::getPosition() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t HistoryStore::CopyParams::Builder::getPosition() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void HistoryStore::CopyParams::Builder::setPosition( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::Chestnuthook::Wire::HistoryStatus HistoryStore::CopyResults::Reader::getStatus() const {
-  return _reader.getDataField< ::Chestnuthook::Wire::HistoryStatus>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::Chestnuthook::Wire::HistoryStatus HistoryStore::CopyResults::Builder::getStatus() {
-  return _builder.getDataField< ::Chestnuthook::Wire::HistoryStatus>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void HistoryStore::CopyResults::Builder::setStatus( ::Chestnuthook::Wire::HistoryStatus value) {
-  _builder.setDataField< ::Chestnuthook::Wire::HistoryStatus>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool HistoryStore::CopyResults::Reader::hasRecords() const {
+inline bool HistoryStore::AddStreamOriginParams::Reader::hasService() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool HistoryStore::CopyResults::Builder::hasRecords() {
+inline bool HistoryStore::AddStreamOriginParams::Builder::hasService() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>::Reader HistoryStore::CopyResults::Reader::getRecords() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>::Builder HistoryStore::CopyResults::Builder::getRecords() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader HistoryStore::AddStreamOriginParams::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void HistoryStore::CopyResults::Builder::setRecords( ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline  ::capnp::Text::Builder HistoryStore::AddStreamOriginParams::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>::Builder HistoryStore::CopyResults::Builder::initRecords(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline void HistoryStore::AddStreamOriginParams::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline void HistoryStore::CopyResults::Builder::adoptRecords(
-    ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::capnp::Text::Builder HistoryStore::AddStreamOriginParams::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>> HistoryStore::CopyResults::Builder::disownRecords() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::HistoryRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void HistoryStore::AddStreamOriginParams::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-
-inline  ::uint64_t HistoryStore::CopyResults::Reader::getNext() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::capnp::Orphan< ::capnp::Text> HistoryStore::AddStreamOriginParams::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t HistoryStore::CopyResults::Builder::getNext() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void HistoryStore::CopyResults::Builder::setNext( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline bool HistoryStore::AddStreamOriginParams::Reader::hasVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool HistoryStore::CopyResults::Reader::getDone() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+inline bool HistoryStore::AddStreamOriginParams::Builder::hasVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool HistoryStore::CopyResults::Builder::getDone() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Reader HistoryStore::AddStreamOriginParams::Reader::getVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void HistoryStore::CopyResults::Builder::setDone(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Builder HistoryStore::AddStreamOriginParams::Builder::getVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t HistoryStore::CopyResults::Reader::getEnd() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline void HistoryStore::AddStreamOriginParams::Builder::setVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t HistoryStore::CopyResults::Builder::getEnd() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder HistoryStore::AddStreamOriginParams::Builder::initVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void HistoryStore::CopyResults::Builder::setEnd( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void HistoryStore::AddStreamOriginParams::Builder::adoptVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> HistoryStore::AddStreamOriginParams::Builder::disownVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t HistoryStore::CopyResults::Reader::getStart() const {
+inline  ::uint64_t HistoryStore::AddStreamOriginParams::Reader::getTtlMs() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t HistoryStore::CopyResults::Builder::getStart() {
+inline  ::uint64_t HistoryStore::AddStreamOriginParams::Builder::getTtlMs() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void HistoryStore::CopyResults::Builder::setStart( ::uint64_t value) {
+inline void HistoryStore::AddStreamOriginParams::Builder::setTtlMs( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool HistoryStore::ChainParams::Reader::hasIdentity() const {
+inline bool HistoryStore::FindStreamOriginParams::Reader::hasRequest() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool HistoryStore::ChainParams::Builder::hasIdentity() {
+inline bool HistoryStore::FindStreamOriginParams::Builder::hasRequest() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader HistoryStore::ChainParams::Reader::getIdentity() const {
+inline  ::capnp::Text::Reader HistoryStore::FindStreamOriginParams::Reader::getRequest() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder HistoryStore::ChainParams::Builder::getIdentity() {
+inline  ::capnp::Text::Builder HistoryStore::FindStreamOriginParams::Builder::getRequest() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void HistoryStore::ChainParams::Builder::setIdentity( ::capnp::Text::Reader value) {
+inline void HistoryStore::FindStreamOriginParams::Builder::setRequest( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder HistoryStore::ChainParams::Builder::initIdentity(unsigned int size) {
+inline  ::capnp::Text::Builder HistoryStore::FindStreamOriginParams::Builder::initRequest(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void HistoryStore::ChainParams::Builder::adoptIdentity(
+inline void HistoryStore::FindStreamOriginParams::Builder::adoptRequest(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> HistoryStore::ChainParams::Builder::disownIdentity() {
+inline ::capnp::Orphan< ::capnp::Text> HistoryStore::FindStreamOriginParams::Builder::disownRequest() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t HistoryStore::ChainParams::Reader::getView() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t HistoryStore::ChainParams::Builder::getView() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void HistoryStore::ChainParams::Builder::setView( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool HistoryStore::ChainParams::Reader::hasTurn() const {
+inline bool HistoryStore::FindStreamOriginParams::Reader::hasCustomer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool HistoryStore::ChainParams::Builder::hasTurn() {
+inline bool HistoryStore::FindStreamOriginParams::Builder::hasCustomer() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader HistoryStore::ChainParams::Reader::getTurn() const {
+inline  ::capnp::Text::Reader HistoryStore::FindStreamOriginParams::Reader::getCustomer() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder HistoryStore::ChainParams::Builder::getTurn() {
+inline  ::capnp::Text::Builder HistoryStore::FindStreamOriginParams::Builder::getCustomer() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void HistoryStore::ChainParams::Builder::setTurn( ::capnp::Text::Reader value) {
+inline void HistoryStore::FindStreamOriginParams::Builder::setCustomer( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder HistoryStore::ChainParams::Builder::initTurn(unsigned int size) {
+inline  ::capnp::Text::Builder HistoryStore::FindStreamOriginParams::Builder::initCustomer(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void HistoryStore::ChainParams::Builder::adoptTurn(
+inline void HistoryStore::FindStreamOriginParams::Builder::adoptCustomer(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> HistoryStore::ChainParams::Builder::disownTurn() {
+inline ::capnp::Orphan< ::capnp::Text> HistoryStore::FindStreamOriginParams::Builder::disownCustomer() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool HistoryStore::ChainParams::Reader::hasCustomer() const {
+inline bool HistoryStore::FindStreamOriginResults::Reader::getKnown() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool HistoryStore::FindStreamOriginResults::Builder::getKnown() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void HistoryStore::FindStreamOriginResults::Builder::setKnown(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HistoryStore::FindStreamOriginResults::Reader::hasService() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool HistoryStore::ChainParams::Builder::hasCustomer() {
+inline bool HistoryStore::FindStreamOriginResults::Builder::hasService() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader HistoryStore::ChainParams::Reader::getCustomer() const {
+inline  ::capnp::Text::Reader HistoryStore::FindStreamOriginResults::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder HistoryStore::ChainParams::Builder::getCustomer() {
+inline  ::capnp::Text::Builder HistoryStore::FindStreamOriginResults::Builder::getService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void HistoryStore::ChainParams::Builder::setCustomer( ::capnp::Text::Reader value) {
+inline void HistoryStore::FindStreamOriginResults::Builder::setService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder HistoryStore::ChainParams::Builder::initCustomer(unsigned int size) {
+inline  ::capnp::Text::Builder HistoryStore::FindStreamOriginResults::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void HistoryStore::ChainParams::Builder::adoptCustomer(
+inline void HistoryStore::FindStreamOriginResults::Builder::adoptService(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> HistoryStore::ChainParams::Builder::disownCustomer() {
+inline ::capnp::Orphan< ::capnp::Text> HistoryStore::FindStreamOriginResults::Builder::disownService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::Chestnuthook::Wire::HistoryStatus HistoryStore::ChainResults::Reader::getStatus() const {
-  return _reader.getDataField< ::Chestnuthook::Wire::HistoryStatus>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool HistoryStore::FindStreamOriginResults::Reader::hasVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::Chestnuthook::Wire::HistoryStatus HistoryStore::ChainResults::Builder::getStatus() {
-  return _builder.getDataField< ::Chestnuthook::Wire::HistoryStatus>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool HistoryStore::FindStreamOriginResults::Builder::hasVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void HistoryStore::ChainResults::Builder::setStatus( ::Chestnuthook::Wire::HistoryStatus value) {
-  _builder.setDataField< ::Chestnuthook::Wire::HistoryStatus>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Reader HistoryStore::FindStreamOriginResults::Reader::getVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline bool HistoryStore::ChainResults::Reader::getKnown() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder HistoryStore::FindStreamOriginResults::Builder::getVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline bool HistoryStore::ChainResults::Builder::getKnown() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+inline void HistoryStore::FindStreamOriginResults::Builder::setVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline void HistoryStore::ChainResults::Builder::setKnown(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Builder HistoryStore::FindStreamOriginResults::Builder::initVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void HistoryStore::FindStreamOriginResults::Builder::adoptVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> HistoryStore::FindStreamOriginResults::Builder::disownVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool HistoryStore::ChainResults::Reader::hasChain() const {
+inline bool HistoryStore::BeginStreamParams::Reader::hasStream() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool HistoryStore::ChainResults::Builder::hasChain() {
+inline bool HistoryStore::BeginStreamParams::Builder::hasStream() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>::Reader HistoryStore::ChainResults::Reader::getChain() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader HistoryStore::BeginStreamParams::Reader::getStream() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>::Builder HistoryStore::ChainResults::Builder::getChain() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder HistoryStore::BeginStreamParams::Builder::getStream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void HistoryStore::ChainResults::Builder::setChain( ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void HistoryStore::BeginStreamParams::Builder::setStream( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>::Builder HistoryStore::ChainResults::Builder::initChain(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder HistoryStore::BeginStreamParams::Builder::initStream(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void HistoryStore::ChainResults::Builder::adoptChain(
-    ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void HistoryStore::BeginStreamParams::Builder::adoptStream(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>> HistoryStore::ChainResults::Builder::disownChain() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::KeptTurn,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> HistoryStore::BeginStreamParams::Builder::disownStream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool HistoryStore::ChainResults::Reader::hasMissing() const {
+inline bool HistoryStore::BeginStreamParams::Reader::hasCustomer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool HistoryStore::ChainResults::Builder::hasMissing() {
+inline bool HistoryStore::BeginStreamParams::Builder::hasCustomer() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader HistoryStore::ChainResults::Reader::getMissing() const {
+inline  ::capnp::Text::Reader HistoryStore::BeginStreamParams::Reader::getCustomer() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder HistoryStore::ChainResults::Builder::getMissing() {
+inline  ::capnp::Text::Builder HistoryStore::BeginStreamParams::Builder::getCustomer() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void HistoryStore::ChainResults::Builder::setMissing( ::capnp::Text::Reader value) {
+inline void HistoryStore::BeginStreamParams::Builder::setCustomer( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder HistoryStore::ChainResults::Builder::initMissing(unsigned int size) {
+inline  ::capnp::Text::Builder HistoryStore::BeginStreamParams::Builder::initCustomer(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void HistoryStore::ChainResults::Builder::adoptMissing(
+inline void HistoryStore::BeginStreamParams::Builder::adoptCustomer(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> HistoryStore::ChainResults::Builder::disownMissing() {
+inline ::capnp::Orphan< ::capnp::Text> HistoryStore::BeginStreamParams::Builder::disownCustomer() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool HistoryStore::AddStreamOriginParams::Reader::hasRequest() const {
+inline  ::uint64_t HistoryStore::BeginStreamParams::Reader::getTurn() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HistoryStore::BeginStreamParams::Builder::getTurn() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void HistoryStore::BeginStreamParams::Builder::setTurn( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t HistoryStore::BeginStreamParams::Reader::getMembers() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t HistoryStore::BeginStreamParams::Builder::getMembers() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void HistoryStore::BeginStreamParams::Builder::setMembers( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t HistoryStore::BeginStreamParams::Reader::getTtlMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HistoryStore::BeginStreamParams::Builder::getTtlMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void HistoryStore::BeginStreamParams::Builder::setTtlMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HistoryStore::BeginStreamResults::Reader::getHeld() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool HistoryStore::BeginStreamResults::Builder::getHeld() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void HistoryStore::BeginStreamResults::Builder::setHeld(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HistoryStore::AddStreamPiecesParams::Reader::hasStream() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool HistoryStore::AddStreamOriginParams::Builder::hasRequest() {
+inline bool HistoryStore::AddStreamPiecesParams::Builder::hasStream() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader HistoryStore::AddStreamOriginParams::Reader::getRequest() const {
+inline  ::capnp::Text::Reader HistoryStore::AddStreamPiecesParams::Reader::getStream() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder HistoryStore::AddStreamOriginParams::Builder::getRequest() {
+inline  ::capnp::Text::Builder HistoryStore::AddStreamPiecesParams::Builder::getStream() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void HistoryStore::AddStreamOriginParams::Builder::setRequest( ::capnp::Text::Reader value) {
+inline void HistoryStore::AddStreamPiecesParams::Builder::setStream( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder HistoryStore::AddStreamOriginParams::Builder::initRequest(unsigned int size) {
+inline  ::capnp::Text::Builder HistoryStore::AddStreamPiecesParams::Builder::initStream(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void HistoryStore::AddStreamOriginParams::Builder::adoptRequest(
+inline void HistoryStore::AddStreamPiecesParams::Builder::adoptStream(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> HistoryStore::AddStreamOriginParams::Builder::disownRequest() {
+inline ::capnp::Orphan< ::capnp::Text> HistoryStore::AddStreamPiecesParams::Builder::disownStream() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool HistoryStore::AddStreamOriginParams::Reader::hasCustomer() const {
+inline bool HistoryStore::AddStreamPiecesParams::Reader::hasCustomer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool HistoryStore::AddStreamOriginParams::Builder::hasCustomer() {
+inline bool HistoryStore::AddStreamPiecesParams::Builder::hasCustomer() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader HistoryStore::AddStreamOriginParams::Reader::getCustomer() const {
+inline  ::capnp::Text::Reader HistoryStore::AddStreamPiecesParams::Reader::getCustomer() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder HistoryStore::AddStreamOriginParams::Builder::getCustomer() {
+inline  ::capnp::Text::Builder HistoryStore::AddStreamPiecesParams::Builder::getCustomer() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void HistoryStore::AddStreamOriginParams::Builder::setCustomer( ::capnp::Text::Reader value) {
+inline void HistoryStore::AddStreamPiecesParams::Builder::setCustomer( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder HistoryStore::AddStreamOriginParams::Builder::initCustomer(unsigned int size) {
+inline  ::capnp::Text::Builder HistoryStore::AddStreamPiecesParams::Builder::initCustomer(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void HistoryStore::AddStreamOriginParams::Builder::adoptCustomer(
+inline void HistoryStore::AddStreamPiecesParams::Builder::adoptCustomer(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> HistoryStore::AddStreamOriginParams::Builder::disownCustomer() {
+inline ::capnp::Orphan< ::capnp::Text> HistoryStore::AddStreamPiecesParams::Builder::disownCustomer() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool HistoryStore::AddStreamOriginParams::Reader::hasService() const {
+inline bool HistoryStore::AddStreamPiecesParams::Reader::hasRequest() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool HistoryStore::AddStreamOriginParams::Builder::hasService() {
+inline bool HistoryStore::AddStreamPiecesParams::Builder::hasRequest() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader HistoryStore::AddStreamOriginParams::Reader::getService() const {
+inline  ::capnp::Text::Reader HistoryStore::AddStreamPiecesParams::Reader::getRequest() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder HistoryStore::AddStreamOriginParams::Builder::getService() {
+inline  ::capnp::Text::Builder HistoryStore::AddStreamPiecesParams::Builder::getRequest() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void HistoryStore::AddStreamOriginParams::Builder::setService( ::capnp::Text::Reader value) {
+inline void HistoryStore::AddStreamPiecesParams::Builder::setRequest( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder HistoryStore::AddStreamOriginParams::Builder::initService(unsigned int size) {
+inline  ::capnp::Text::Builder HistoryStore::AddStreamPiecesParams::Builder::initRequest(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void HistoryStore::AddStreamOriginParams::Builder::adoptService(
+inline void HistoryStore::AddStreamPiecesParams::Builder::adoptRequest(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> HistoryStore::AddStreamOriginParams::Builder::disownService() {
+inline ::capnp::Orphan< ::capnp::Text> HistoryStore::AddStreamPiecesParams::Builder::disownRequest() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool HistoryStore::AddStreamOriginParams::Reader::hasVersion() const {
+inline  ::uint32_t HistoryStore::AddStreamPiecesParams::Reader::getPosition() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t HistoryStore::AddStreamPiecesParams::Builder::getPosition() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void HistoryStore::AddStreamPiecesParams::Builder::setPosition( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HistoryStore::AddStreamPiecesParams::Reader::hasPieces() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool HistoryStore::AddStreamOriginParams::Builder::hasVersion() {
+inline bool HistoryStore::AddStreamPiecesParams::Builder::hasPieces() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader HistoryStore::AddStreamOriginParams::Reader::getVersion() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::Chestnuthook::Wire::StreamPiece,  ::capnp::Kind::STRUCT>::Reader HistoryStore::AddStreamPiecesParams::Reader::getPieces() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::StreamPiece,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder HistoryStore::AddStreamOriginParams::Builder::getVersion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::Chestnuthook::Wire::StreamPiece,  ::capnp::Kind::STRUCT>::Builder HistoryStore::AddStreamPiecesParams::Builder::getPieces() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::StreamPiece,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void HistoryStore::AddStreamOriginParams::Builder::setVersion( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void HistoryStore::AddStreamPiecesParams::Builder::setPieces( ::capnp::List< ::Chestnuthook::Wire::StreamPiece,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::StreamPiece,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder HistoryStore::AddStreamOriginParams::Builder::initVersion(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::Chestnuthook::Wire::StreamPiece,  ::capnp::Kind::STRUCT>::Builder HistoryStore::AddStreamPiecesParams::Builder::initPieces(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::StreamPiece,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void HistoryStore::AddStreamOriginParams::Builder::adoptVersion(
+inline void HistoryStore::AddStreamPiecesParams::Builder::adoptPieces(
+    ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::StreamPiece,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::StreamPiece,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::StreamPiece,  ::capnp::Kind::STRUCT>> HistoryStore::AddStreamPiecesParams::Builder::disownPieces() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::StreamPiece,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool HistoryStore::AddStreamPiecesResults::Reader::getHeld() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool HistoryStore::AddStreamPiecesResults::Builder::getHeld() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void HistoryStore::AddStreamPiecesResults::Builder::setHeld(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HistoryStore::FindStreamParams::Reader::hasStream() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool HistoryStore::FindStreamParams::Builder::hasStream() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader HistoryStore::FindStreamParams::Reader::getStream() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder HistoryStore::FindStreamParams::Builder::getStream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void HistoryStore::FindStreamParams::Builder::setStream( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder HistoryStore::FindStreamParams::Builder::initStream(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void HistoryStore::FindStreamParams::Builder::adoptStream(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> HistoryStore::AddStreamOriginParams::Builder::disownVersion() {
+inline ::capnp::Orphan< ::capnp::Text> HistoryStore::FindStreamParams::Builder::disownStream() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t HistoryStore::AddStreamOriginParams::Reader::getTtlMs() const {
-  return _reader.getDataField< ::uint64_t>(
+inline bool HistoryStore::FindStreamParams::Reader::hasCustomer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool HistoryStore::FindStreamParams::Builder::hasCustomer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader HistoryStore::FindStreamParams::Reader::getCustomer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder HistoryStore::FindStreamParams::Builder::getCustomer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void HistoryStore::FindStreamParams::Builder::setCustomer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder HistoryStore::FindStreamParams::Builder::initCustomer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void HistoryStore::FindStreamParams::Builder::adoptCustomer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> HistoryStore::FindStreamParams::Builder::disownCustomer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool HistoryStore::FindStreamResults::Reader::getKnown() const {
+  return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t HistoryStore::AddStreamOriginParams::Builder::getTtlMs() {
-  return _builder.getDataField< ::uint64_t>(
+inline bool HistoryStore::FindStreamResults::Builder::getKnown() {
+  return _builder.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void HistoryStore::AddStreamOriginParams::Builder::setTtlMs( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void HistoryStore::FindStreamResults::Builder::setKnown(bool value) {
+  _builder.setDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool HistoryStore::FindStreamOriginParams::Reader::hasRequest() const {
+inline  ::uint64_t HistoryStore::FindStreamResults::Reader::getTurn() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HistoryStore::FindStreamResults::Builder::getTurn() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void HistoryStore::FindStreamResults::Builder::setTurn( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t HistoryStore::FindStreamResults::Reader::getMembers() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t HistoryStore::FindStreamResults::Builder::getMembers() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void HistoryStore::FindStreamResults::Builder::setMembers( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HistoryStore::FindStreamResults::Reader::getAmbiguous() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool HistoryStore::FindStreamResults::Builder::getAmbiguous() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void HistoryStore::FindStreamResults::Builder::setAmbiguous(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HistoryStore::FindStreamResults::Reader::hasBranches() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool HistoryStore::FindStreamOriginParams::Builder::hasRequest() {
+inline bool HistoryStore::FindStreamResults::Builder::hasBranches() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader HistoryStore::FindStreamOriginParams::Reader::getRequest() const {
+inline  ::capnp::List< ::Chestnuthook::Wire::StreamBranch,  ::capnp::Kind::STRUCT>::Reader HistoryStore::FindStreamResults::Reader::getBranches() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::StreamBranch,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Chestnuthook::Wire::StreamBranch,  ::capnp::Kind::STRUCT>::Builder HistoryStore::FindStreamResults::Builder::getBranches() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::StreamBranch,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void HistoryStore::FindStreamResults::Builder::setBranches( ::capnp::List< ::Chestnuthook::Wire::StreamBranch,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::StreamBranch,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Chestnuthook::Wire::StreamBranch,  ::capnp::Kind::STRUCT>::Builder HistoryStore::FindStreamResults::Builder::initBranches(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::StreamBranch,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void HistoryStore::FindStreamResults::Builder::adoptBranches(
+    ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::StreamBranch,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::StreamBranch,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Chestnuthook::Wire::StreamBranch,  ::capnp::Kind::STRUCT>> HistoryStore::FindStreamResults::Builder::disownBranches() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chestnuthook::Wire::StreamBranch,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool HistoryStore::ResumeStreamParams::Reader::hasStream() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool HistoryStore::ResumeStreamParams::Builder::hasStream() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader HistoryStore::ResumeStreamParams::Reader::getStream() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder HistoryStore::FindStreamOriginParams::Builder::getRequest() {
+inline  ::capnp::Text::Builder HistoryStore::ResumeStreamParams::Builder::getStream() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void HistoryStore::FindStreamOriginParams::Builder::setRequest( ::capnp::Text::Reader value) {
+inline void HistoryStore::ResumeStreamParams::Builder::setStream( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder HistoryStore::FindStreamOriginParams::Builder::initRequest(unsigned int size) {
+inline  ::capnp::Text::Builder HistoryStore::ResumeStreamParams::Builder::initStream(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void HistoryStore::FindStreamOriginParams::Builder::adoptRequest(
+inline void HistoryStore::ResumeStreamParams::Builder::adoptStream(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> HistoryStore::FindStreamOriginParams::Builder::disownRequest() {
+inline ::capnp::Orphan< ::capnp::Text> HistoryStore::ResumeStreamParams::Builder::disownStream() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool HistoryStore::FindStreamOriginParams::Reader::hasCustomer() const {
+inline bool HistoryStore::ResumeStreamParams::Reader::hasCustomer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool HistoryStore::FindStreamOriginParams::Builder::hasCustomer() {
+inline bool HistoryStore::ResumeStreamParams::Builder::hasCustomer() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader HistoryStore::FindStreamOriginParams::Reader::getCustomer() const {
+inline  ::capnp::Text::Reader HistoryStore::ResumeStreamParams::Reader::getCustomer() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder HistoryStore::FindStreamOriginParams::Builder::getCustomer() {
+inline  ::capnp::Text::Builder HistoryStore::ResumeStreamParams::Builder::getCustomer() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void HistoryStore::FindStreamOriginParams::Builder::setCustomer( ::capnp::Text::Reader value) {
+inline void HistoryStore::ResumeStreamParams::Builder::setCustomer( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder HistoryStore::FindStreamOriginParams::Builder::initCustomer(unsigned int size) {
+inline  ::capnp::Text::Builder HistoryStore::ResumeStreamParams::Builder::initCustomer(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void HistoryStore::FindStreamOriginParams::Builder::adoptCustomer(
+inline void HistoryStore::ResumeStreamParams::Builder::adoptCustomer(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> HistoryStore::FindStreamOriginParams::Builder::disownCustomer() {
+inline ::capnp::Orphan< ::capnp::Text> HistoryStore::ResumeStreamParams::Builder::disownCustomer() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool HistoryStore::FindStreamOriginResults::Reader::getKnown() const {
+inline bool HistoryStore::ResumeStreamParams::Reader::hasBranch() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool HistoryStore::ResumeStreamParams::Builder::hasBranch() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Chestnuthook::Wire::StreamBranch::Reader HistoryStore::ResumeStreamParams::Reader::getBranch() const {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::StreamBranch>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::Chestnuthook::Wire::StreamBranch::Builder HistoryStore::ResumeStreamParams::Builder::getBranch() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::StreamBranch>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Chestnuthook::Wire::StreamBranch::Pipeline HistoryStore::ResumeStreamParams::Pipeline::getBranch() {
+  return  ::Chestnuthook::Wire::StreamBranch::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void HistoryStore::ResumeStreamParams::Builder::setBranch( ::Chestnuthook::Wire::StreamBranch::Reader value) {
+  ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::StreamBranch>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::Chestnuthook::Wire::StreamBranch::Builder HistoryStore::ResumeStreamParams::Builder::initBranch() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::StreamBranch>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void HistoryStore::ResumeStreamParams::Builder::adoptBranch(
+    ::capnp::Orphan< ::Chestnuthook::Wire::StreamBranch>&& value) {
+  ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::StreamBranch>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Chestnuthook::Wire::StreamBranch> HistoryStore::ResumeStreamParams::Builder::disownBranch() {
+  return ::capnp::_::PointerHelpers< ::Chestnuthook::Wire::StreamBranch>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool HistoryStore::ResumeStreamResults::Reader::getHeld() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool HistoryStore::FindStreamOriginResults::Builder::getKnown() {
+inline bool HistoryStore::ResumeStreamResults::Builder::getHeld() {
   return _builder.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void HistoryStore::FindStreamOriginResults::Builder::setKnown(bool value) {
+inline void HistoryStore::ResumeStreamResults::Builder::setHeld(bool value) {
   _builder.setDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool HistoryStore::FindStreamOriginResults::Reader::hasService() const {
+inline bool HistoryStore::WithdrawResumptionParams::Reader::hasStream() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool HistoryStore::FindStreamOriginResults::Builder::hasService() {
+inline bool HistoryStore::WithdrawResumptionParams::Builder::hasStream() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader HistoryStore::FindStreamOriginResults::Reader::getService() const {
+inline  ::capnp::Text::Reader HistoryStore::WithdrawResumptionParams::Reader::getStream() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder HistoryStore::FindStreamOriginResults::Builder::getService() {
+inline  ::capnp::Text::Builder HistoryStore::WithdrawResumptionParams::Builder::getStream() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void HistoryStore::FindStreamOriginResults::Builder::setService( ::capnp::Text::Reader value) {
+inline void HistoryStore::WithdrawResumptionParams::Builder::setStream( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder HistoryStore::FindStreamOriginResults::Builder::initService(unsigned int size) {
+inline  ::capnp::Text::Builder HistoryStore::WithdrawResumptionParams::Builder::initStream(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void HistoryStore::FindStreamOriginResults::Builder::adoptService(
+inline void HistoryStore::WithdrawResumptionParams::Builder::adoptStream(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> HistoryStore::FindStreamOriginResults::Builder::disownService() {
+inline ::capnp::Orphan< ::capnp::Text> HistoryStore::WithdrawResumptionParams::Builder::disownStream() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool HistoryStore::FindStreamOriginResults::Reader::hasVersion() const {
+inline bool HistoryStore::WithdrawResumptionParams::Reader::hasCustomer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool HistoryStore::FindStreamOriginResults::Builder::hasVersion() {
+inline bool HistoryStore::WithdrawResumptionParams::Builder::hasCustomer() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader HistoryStore::FindStreamOriginResults::Reader::getVersion() const {
+inline  ::capnp::Text::Reader HistoryStore::WithdrawResumptionParams::Reader::getCustomer() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder HistoryStore::FindStreamOriginResults::Builder::getVersion() {
+inline  ::capnp::Text::Builder HistoryStore::WithdrawResumptionParams::Builder::getCustomer() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void HistoryStore::FindStreamOriginResults::Builder::setVersion( ::capnp::Text::Reader value) {
+inline void HistoryStore::WithdrawResumptionParams::Builder::setCustomer( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder HistoryStore::FindStreamOriginResults::Builder::initVersion(unsigned int size) {
+inline  ::capnp::Text::Builder HistoryStore::WithdrawResumptionParams::Builder::initCustomer(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void HistoryStore::FindStreamOriginResults::Builder::adoptVersion(
+inline void HistoryStore::WithdrawResumptionParams::Builder::adoptCustomer(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> HistoryStore::FindStreamOriginResults::Builder::disownVersion() {
+inline ::capnp::Orphan< ::capnp::Text> HistoryStore::WithdrawResumptionParams::Builder::disownCustomer() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool HistoryStore::WithdrawResumptionParams::Reader::hasRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool HistoryStore::WithdrawResumptionParams::Builder::hasRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader HistoryStore::WithdrawResumptionParams::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder HistoryStore::WithdrawResumptionParams::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void HistoryStore::WithdrawResumptionParams::Builder::setRequest( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder HistoryStore::WithdrawResumptionParams::Builder::initRequest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void HistoryStore::WithdrawResumptionParams::Builder::adoptRequest(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> HistoryStore::WithdrawResumptionParams::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/tests/support/small_deployment.cpp
+++ b/tests/support/small_deployment.cpp
@@ -10,13 +10,13 @@
 {
 
 constexpr int ControlHost = 1; ///< Last number of the address of the control member.
-constexpr int HistoryHost = 11; ///< Last number of the address of the history member.
+constexpr int FirstHistoryHost = 11; ///< Last number of the address of the first history member.
 constexpr int FirstGatewayHost = 21; ///< Last number of the address of the first gateway.
 
 } // namespace
 
-SmallDeployment::SmallDeployment(
-    int network, std::size_t gateways, const std::string &configuration, const std::vector<std::string> &gatewayFlags)
+SmallDeployment::SmallDeployment(int network, std::size_t gateways, const std::string &configuration,
+    const std::vector<std::string> &gatewayFlags, std::size_t historyMembers)
     : list(R"({"instances":[],"nextToken":null})")
     , platform("127.0.0.1", [this](const std::string & /*head*/, const std::string & /*body*/) {
         const std::lock_guard lock(this->mutex);
@@ -26,7 +26,10 @@
     const auto ipOf = [network](int host) {
         return "127.0." + std::to_string(network) + "." + std::to_string(host);
     };
-    std::vector<std::string> ips = {ipOf(ControlHost), ipOf(HistoryHost)};
+    std::vector<std::string> ips = {ipOf(ControlHost)};
+    for (int i = 0; i < static_cast<int>(historyMembers); ++i) {
+        ips.push_back(ipOf(FirstHistoryHost + i));
+    }
     for (int i = 0; i < static_cast<int>(gateways); ++i) {
         ips.push_back(ipOf(FirstGatewayHost + i));
     }
@@ -40,13 +43,16 @@
         instance.rpcPort = rpcPort;
         instance.seeds = {ipOf(ControlHost) + ":1"};
         instance.platformAddress = this->platform.address;
+        instance.toleratedFailures = static_cast<unsigned>(historyMembers - 1) / 2;
         this->instances.push_back(instance);
     };
     this->operatorAddress = reserveAddress(ipOf(ControlHost));
     this->directoryAddress = reserveAddress(ipOf(ControlHost));
     add("deployment", ControlHost,
         R"("control":")" + this->operatorAddress + R"(","directory":")" + this->directoryAddress + "\"");
-    add("history", HistoryHost, "");
+    for (int i = 0; i < static_cast<int>(historyMembers); ++i) {
+        add("history", FirstHistoryHost + i, "");
+    }
     for (int i = 0; i < static_cast<int>(gateways); ++i) {
         const std::string ip = ipOf(FirstGatewayHost + i);
         this->clientAddresses.push_back(reserveAddress(ip));
--- a/tests/support/small_deployment.h
+++ b/tests/support/small_deployment.h
@@ -1,5 +1,5 @@
-/** @file small_deployment.h  One control member, one history member and some gateways as processes, before endpoints
- * that a test supplies. */
+/** @file small_deployment.h  One control member, one or more history members and some gateways as processes, before
+ * endpoints that a test supplies. */
 #pragma once
 
 #include <map>
@@ -43,9 +43,10 @@
     static constexpr const char *Host = "h.example"; ///< Host of all routes.
 
     /** Starts the processes at addresses 127.0.@p network.* and waits until each gateway routes by @p configuration, a
-     * JSON document of version 1 that has a tenant with the API key `key`. The gateways get @p gatewayFlags. */
+     * JSON document of version 1 that has a tenant with the API key `key`. The gateways get @p gatewayFlags. The
+     * history bears the loss of less than half of its @p historyMembers. */
     SmallDeployment(int network, std::size_t gateways, const std::string &configuration,
-        const std::vector<std::string> &gatewayFlags = {});
+        const std::vector<std::string> &gatewayFlags = {}, std::size_t historyMembers = 1);
     ~SmallDeployment() = default;
     SmallDeployment(const SmallDeployment &) = delete;
     SmallDeployment &operator=(const SmallDeployment &) = delete;
@@ -71,6 +72,12 @@
         return this->processes.size() - this->clientAddresses.size() + gateway;
     }
 
+    /** Index in `processes` of history member @p member. */
+    [[nodiscard]] static std::size_t processOfHistory(std::size_t member)
+    {
+        return 1 + member;
+    }
+
     TemporaryFolder folder; ///< Settings, logs and data.
 
 private:
@@ -81,7 +88,7 @@
 
 public:
     std::vector<PlatformInstance> instances; ///< Settings of each process.
-    std::vector<std::unique_ptr<ChildProcess>> processes; ///< In the order of `instances`; gateways come last.
+    std::vector<std::unique_ptr<ChildProcess>> processes; ///< In the order of `instances`: control, history, gateways.
     std::vector<std::string> clientAddresses; ///< Client addresses of the gateways.
     std::string directoryAddress; ///< Address of the control member's gateway directory.
 };
