A resumed turn takes its tokens from the program's budget once

What callers saw: a gateway is killed while a turn of a program streams, and its client takes the turn up again. The resumption, or a turn after it, is refused with 402, which ends the program, although the budget holds the turn: with a budget of 70 tokens and a turn of 60 of which 30 had come, the resumption itself.

Cause: the killed gateway's claim of the turn's most tokens is never settled, and the resumption claims the most of the turn again. What the first request had brought was known in the killed gateway only.

Change: the events that members hold for a resumption tell what each request before has brought. The resumption counts these requests as settled with that, writes so, and claims what is left of the turn. A claim that its own gateway has settled stays as it is.

Why it works: an event counts before its client gets it, so the tokens that count are never fewer than those that the client has. Only on routes that keep turns and are resumable; elsewhere nobody knows the events before.

--- a/src/gateway/gateway_base.cpp
+++ b/src/gateway/gateway_base.cpp
@@ -398,6 +398,7 @@
         start.claim.claim = TokenClaim{call.metadata.requestId, call.metadata.outputTokens, false};
         start.claim.keepMs = call.retentionMs + ClaimExtraRetentionMs;
         start.claim.expiresMs = now + start.claim.keepMs;
+        claimResumedTokens(call, start);
     }
     if (!start.isKept && start.claim.program.empty()) {
         return true;
@@ -413,6 +414,7 @@
             begun.error().kind == ErrorKind::NotReady ? ShortRetryAfterSeconds : 0);
         return false;
     }
+    this->settleResumed(start);
     call.isNewProgram = begun->isFirstTurn && start.previous.empty();
     for (const auto &turn : begun->chain) {
         call.historyPrefix += turn->input;
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -158,6 +158,10 @@
     [[nodiscard]] bool isConfigurationOutdated() const;
     /** Finds the events that the client has of a stream that it resumes, if its turn is to be stored with them. */
     [[nodiscard]] bool restoreBeginning(kj::WaitScope &scope, Call &call);
+    /** Counts the tokens that the client has of the stream that it resumes once: as those of the requests before. */
+    static void claimResumedTokens(const Call &call, TurnStart &start);
+    /** Settles the claims of these requests, in the background. */
+    void settleResumed(const TurnStart &start);
     /** Tells the history members of a stream whose turn will be stored. */
     void recordBeginning(Call &call, const DeployedEndpoint &endpoint);
     /** Tells them of the @p events that the client is about to get. */
--- a/src/gateway/gateway_call_internal.h
+++ b/src/gateway/gateway_call_internal.h
@@ -110,6 +110,7 @@
     std::unique_ptr<StreamRecorder> recorder; ///< Tells history members the events; null if nobody will need them.
     std::string beginning; ///< Data of the events before this request, if it resumes a stream whose turn is stored.
     unsigned resumedEvents = 0; ///< Number of these events.
+    std::vector<StreamShare> resumedShares; ///< The requests that brought them.
 
     std::string content; ///< Body of a response that is not a stream, as far as it was received.
     std::string output; ///< Data of the events of this request so far, if the turn is stored.
--- a/src/gateway/gateway_resume.cpp
+++ b/src/gateway/gateway_resume.cpp
@@ -52,9 +52,35 @@
         call.beginning += piece.output;
         call.resumedEvents += piece.output.empty() ? 0 : 1;
     }
+    call.resumedShares = found->shares;
     return true;
 }
 
+void Gateway::claimResumedTokens(const Call &call, TurnStart &start)
+{
+    const auto &engine = call.configuration->services.at(call.service).engine;
+    const unsigned tokensPerEvent = engine ? engine->tokensPerEvent : 1;
+    std::uint32_t &most = start.claim.claim.tokens;
+    for (const StreamShare &share : call.resumedShares) {
+        const std::uint32_t tokens = share.events * tokensPerEvent;
+        start.resumed.push_back({share.request, tokens, true});
+        most -= std::min(most, tokens);
+    }
+}
+
+void Gateway::settleResumed(const TurnStart &start)
+{
+    std::vector<HistoryRecord> records;
+    for (const TokenClaim &claim : start.resumed) {
+        ProgramClaim settled = start.claim;
+        settled.claim = claim;
+        records.emplace_back(std::move(settled));
+    }
+    if (!records.empty()) {
+        this->history.writeInBackground(std::move(records));
+    }
+}
+
 void Gateway::recordBeginning(Call &call, const DeployedEndpoint &endpoint)
 {
     logEvent(EventKind::StreamBegun,
--- a/src/history/history_client_base.cpp
+++ b/src/history/history_client_base.cpp
@@ -291,6 +291,7 @@
     for (const auto &[identity, claims] : quorumCall.claims) {
         answers.push_back(claims);
     }
+    answers.push_back(start.resumed);
     const TokenClaim &own = start.claim.claim;
     const std::uint64_t others = claimedTokens(answers, own.turn);
     context.isFirstTurn = others == 0;
--- a/src/history/history_client_base.h
+++ b/src/history/history_client_base.h
@@ -29,6 +29,8 @@
     std::string previous; ///< Id of the turn that it continues; empty for none.
     std::string customer; ///< Customer that owns the turn.
     bool isKept = false; ///< The turn will be stored, so the members must have room for it.
+    /** Settled claims of requests whose streams this one resumes. Their gateways may never settle them. */
+    std::vector<TokenClaim> resumed = {};
 };
 
 /** State read from the history store when a turn starts. */
--- a/src/history/stream_resumption_func.cpp
+++ b/src/history/stream_resumption_func.cpp
@@ -75,6 +75,24 @@
     });
 }
 
+/** What @p last and the requests before it brought of the first @p count events of @p last. */
+std::vector<StreamShare> sharesOf(const Branches &branches, const StreamBranch &last, std::size_t count)
+{
+    std::vector<StreamShare> shares;
+    const auto begin = last.pieces.begin(); // The answers may lack some of the parents' own pieces.
+    for (const StreamBranch *at = &last;; at = &branches.at(at->parent)) { // hasRival() has found all of them.
+        const auto events = std::count_if(begin + static_cast<std::ptrdiff_t>(at->resumedFrom),
+            begin + static_cast<std::ptrdiff_t>(count), [](const StreamPiece &piece) {
+                return !piece.output.empty();
+            });
+        shares.push_back({at->request, static_cast<unsigned>(events)});
+        if (at->parent.empty()) {
+            return shares;
+        }
+        count = at->resumedFrom;
+    }
+}
+
 } // namespace
 
 tl::expected<StreamBeginning, ResumptionDoubt> findStreamBeginning(
@@ -116,6 +134,7 @@
     StreamBeginning beginning;
     beginning.parent = found->request;
     beginning.pieces.assign(found->pieces.begin(), found->pieces.begin() + static_cast<std::ptrdiff_t>(foundCount));
+    beginning.shares = sharesOf(branches, *found, foundCount);
     beginning.members = members;
     return beginning;
 }
--- a/src/history/stream_resumption_func.h
+++ b/src/history/stream_resumption_func.h
@@ -36,11 +36,20 @@
     });
 };
 
+/** What one request has brought of a stream. */
+struct StreamShare
+{
+    std::string request; ///< Id of the request.
+    unsigned events = 0; ///< Number of events with data that the client has got from it.
+    bool operator==(const StreamShare &) const = default;
+};
+
 /** The part of a stream that a client has. */
 struct StreamBeginning
 {
     std::string parent; ///< Request that brought its last event.
     std::vector<StreamPiece> pieces; ///< All its events.
+    std::vector<StreamShare> shares; ///< Of each request that brought some of them, the last one first.
     unsigned members = 0; ///< Number of members that were told of the beginning of the stream.
 };
 
--- a/tests/process/resumed_turn_test.cpp
+++ b/tests/process/resumed_turn_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <csignal>
+#include <deque>
 #include <future>
 #include <map>
 #include <mutex>
@@ -25,6 +26,8 @@
 constexpr std::size_t GatewayCount = 3;
 constexpr std::size_t HistoryCount = 3;
 constexpr unsigned EventCount = 6; ///< Events of each stream.
+constexpr unsigned EventTokens = 10; ///< Tokens of each event.
+constexpr unsigned TurnTokens = EventCount * EventTokens;
 constexpr auto RefusalTime = 700ms; ///< A resumption that can't be served is refused within this time.
 
 /** Runs turns, with events that name the request which they answer. The path says when a stream breaks off. */
@@ -98,6 +101,7 @@
     std::string path; ///< Selects the route and how streams break off.
     std::string input; ///< Request body.
     std::string previous = {}; ///< Request id of the turn before.
+    unsigned budget = 0; ///< Tokens of its program; 0 if it has no budget.
     std::string first = {}; ///< Request that brought the first event.
     std::string request = {}; ///< Request that was sent last.
     std::vector<std::string> events = {}; ///< Data of the events received.
@@ -136,7 +140,7 @@
             + (isResumable ? "true" : "false") + "}";
     };
     return R"({"version":1,"routes":[)" + route("keep", true) + "," + route("once", false)
-        + R"(],"services":[{"name":"app"}],"tenants":[{"name":"glue","apiKeys":["key"],"ratePerS":2000,"burst":2000},)"
+        + R"(],"services":[{"name":"app","engine":{"stride":10}}],"tenants":[{"name":"glue","apiKeys":["key"],"ratePerS":2000,"burst":2000},)"
         + R"({"name":"print","apiKeys":["other key"],"ratePerS":2000,"burst":2000}]})";
 }
 
@@ -167,6 +171,11 @@
         if (!turn.previous.empty()) {
             request.fields.emplace_back("X-Previous-Turn", turn.previous);
         }
+        if (turn.budget != 0) {
+            request.fields.emplace_back("X-Program-Id", "p" + std::to_string(turn.budget));
+            request.fields.emplace_back("X-Token-Budget", std::to_string(turn.budget));
+            request.fields.emplace_back("X-Token-Count", "5," + std::to_string(TurnTokens));
+        }
         if (!turn.events.empty()) {
             request.fields.emplace_back("Last-Event-Id", std::to_string(turn.events.size()));
             request.fields.emplace_back("Resumes", turn.first);
@@ -228,9 +237,13 @@
     void readUpTo(Turn &turn, unsigned count, HttpConnection &connection)
     {
         const ClientRequest request = this->requestOf(turn);
-        const std::string bytes = "POST " + request.path + " HTTP/1.1\r\nHost: " + SmallDeployment::Host
+        std::string bytes = "POST " + request.path + " HTTP/1.1\r\nHost: " + SmallDeployment::Host
             + "\r\nX-Request-Id: " + request.id + "\r\nX-Deadline-Ms: 4000\r\nAuthorization: Bearer key\r\n"
-            + "Content-Length: " + std::to_string(request.body.size()) + "\r\n\r\n" + request.body;
+            + "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+        for (const auto &[name, value] : request.fields) {
+            bytes.append(name).append(": ").append(value).append("\r\n");
+        }
+        bytes += "\r\n" + request.body;
         const Response response = connection.exchange(bytes, 4s, [count](const Response &part) {
             return part.body.find("id: " + std::to_string(count) + "\n") != std::string::npos
                 && part.body.ends_with("\n\n");
@@ -391,3 +404,25 @@
     this->checkRefused(0, this->requestOf(turn));
     this->checkRefused(1, this->requestOf(turn));
 }
+
+// A program that is refused although its budget holds the turn, as a killed gateway's claim stands beside the new one.
+BOOST_FIXTURE_TEST_CASE(budget_counts_the_tokens_of_a_resumed_turn_once, Fixture)
+{
+    std::vector<Turn> turns;
+    std::deque<HttpConnection> connections;
+    for (const unsigned budget : {TurnTokens + EventTokens, 2 * TurnTokens}) {
+        turns.push_back({.path = "/keep/slow", .input = "one", .budget = budget});
+        connections.emplace_back(this->deployment.clientAddresses[0], 1s);
+        this->readUpTo(turns.back(), EventCount / 2, connections.back());
+    }
+    this->kill(this->deployment.processOfGateway(0));
+    for (Turn &turn : turns) {
+        BOOST_TEST(this->send(turn, 1).status == 200);
+        BOOST_TEST(turn.isWhole);
+        const unsigned turnsLeft = turn.budget / TurnTokens - 1;
+        for (unsigned i = 0; i <= turnsLeft; ++i) {
+            Turn next{.path = "/keep/whole", .input = "then", .previous = turn.request, .budget = turn.budget};
+            BOOST_TEST(this->send(next, 2).status == (i < turnsLeft ? 200 : 402));
+        }
+    }
+}
--- a/tests/unit/stream_resumption_test.cpp
+++ b/tests/unit/stream_resumption_test.cpp
@@ -77,6 +77,11 @@
     BOOST_REQUIRE(found.has_value());
     BOOST_TEST((found->pieces == second.pieces));
     BOOST_TEST(found->parent == "r2");
+    BOOST_TEST((found->shares == std::vector<StreamShare>{{"r2", 2}, {"r1", 4}}));
+    const StreamBranch firstBehind{"r1", "", 0, pieces(1, 1, "a")};
+    const auto behind = findStreamBeginning({progress({firstBehind}), progress({second})}, TurnOne, "6");
+    BOOST_REQUIRE(behind.has_value());
+    BOOST_TEST((behind->shares == found->shares));
     BOOST_TEST((doubt({first, second}, "7") == ResumptionDoubt::UnknownEvent));
 }
 
