--- a/tests/process/resumed_turn_test.cpp
+++ b/tests/process/resumed_turn_test.cpp
@@ -187,7 +187,7 @@
     Response send(Turn &turn, std::size_t gateway)
     {
         const ClientRequest request = this->requestOf(turn);
-        const Response response = this->deployment.send(gateway, request);
+        Response response = this->deployment.send(gateway, request);
         if (response.status == 200) {
             turn.first = turn.events.empty() ? turn.request : turn.first;
             turn.addEvents(response.body);
