A resumption that ends with its connection before any event isn't whole while the client lacks tokens

What callers saw: a client has two of six events and takes its stream up. The endpoint fails before its next event, its response has neither a length nor chunks, and it still accepts connections: the client gets a proper end, and the turn is kept with two events.

Cause: whether such a response may be the end of a stream was decided by the events of this request and by whether it began in the middle; of a client's resumption nobody knew what came before. The check of a gateway's own resumption has counted tokens all along.

Change: where the events before are known, that is on routes that keep turns, such an end needs all tokens of the turn, too. Without that knowledge nothing changes: the client can't be told from one that only lacks the end.

--- a/src/gateway/gateway_run.cpp
+++ b/src/gateway/gateway_run.cpp
@@ -560,12 +560,15 @@
             return AttemptResult::Failed;
         }
         if (part.empty()) {
-            const bool hasNoEvent = call.deliveredEvents == 0 && call.metadata.lastEventId.empty();
+            // Of a stream whose events before aren't known, only the client can tell whether some are missing.
+            const bool mayHaveAll =
+                !call.metadata.lastEventId.empty() && (call.resumedEvents == 0 || call.hasAllTokens());
+            const bool lacksEvents = call.deliveredEvents == 0 && !mayHaveAll;
             // Whether an earlier attempt broke off just before the end of the stream can only be told by its tokens.
             const bool isEmptyRest =
                 call.mayHaveRun && call.deliveredEvents == call.eventsBefore && !call.hasAllTokens();
             const bool isCut =
-                splitter.isInsideEvent() || isEmptyRest || (head.framing == BodyFraming::Close && hasNoEvent);
+                splitter.isInsideEvent() || isEmptyRest || (head.framing == BodyFraming::Close && lacksEvents);
             if (isCut || !this->confirmEnd(scope, call, endpoint, head)) {
                 return AttemptResult::Failed;
             }
--- a/tests/process/resumed_turn_test.cpp
+++ b/tests/process/resumed_turn_test.cpp
@@ -82,6 +82,9 @@
                 || (hasWord("again") && first > 1 && i == first + 1) || (hasWord("last") && first == 1);
             sent = isBreak ? events : sent;
         }
+        if (hasWord("void") && first > 1 && first <= EventCount) { // Fails before its first event, without a sign.
+            return withoutLength(signedResponse(head, ""));
+        }
         const bool lacksEnd = hasWord("last") && first == 1;
         const std::string response = signedResponse(head, events + (lacksEnd ? ": end\n\n" : ""));
         const std::size_t rest = sent.empty() ? 0 : response.size() - response.find(events) - sent.size();
@@ -367,6 +370,22 @@
     this->checkNext(turn);
 }
 
+// A turn that is taken for whole because the endpoint that resumes it ends its response before any event.
+BOOST_FIXTURE_TEST_CASE(resumption_without_an_event_is_not_whole_before_all_tokens, Fixture)
+{
+    Turn turn{.path = "/keep/first/void", .input = "one", .budget = 10 * TurnTokens};
+    this->send(turn, 0);
+    BOOST_TEST(turn.events.size() == 2U);
+    this->send(turn, 1);
+    BOOST_TEST(!turn.isWhole);
+    BOOST_TEST(turn.events.size() == 2U);
+    turn = {.path = "/keep/last/void", .input = "one", .budget = 10 * TurnTokens};
+    this->send(turn, 0);
+    BOOST_TEST(!turn.isWhole);
+    this->send(turn, 1);
+    this->checkNext(turn);
+}
+
 // A turn that is kept with the beginning of another one.
 BOOST_FIXTURE_TEST_CASE(resumption_of_another_turn_or_without_its_name_is_refused, Fixture)
 {
