Branches of a stream that don't agree leave doubt: a request id that is used twice can't lead a gateway in a circle

Cause, found by reading again: clients choose request ids. One that gives two resumptions the same id can leave a branch at a member that missed the first one which names itself, or one of its children, as the branch before. sharesOf() of then follows it without end.

Change: answers that disagree on a branch are a doubt, a member refuses a branch that names itself, and only a branch that leads back to the beginning of the stream counts.

request_id_of_two_resumptions_leaves_doubt failed before (one check, and a fatal error at the limit of memory); now it passes.

--- a/src/history/stream_progress_table_base.cpp
+++ b/src/history/stream_progress_table_base.cpp
@@ -103,7 +103,7 @@
 bool StreamProgressTable::resume(const StreamKey &stream, StreamBranch branch)
 {
     const auto entry = this->entries.find(stream);
-    if (entry == this->entries.end() || branch.request.empty()
+    if (entry == this->entries.end() || branch.request.empty() || branch.request == branch.parent
         || branch.request.size() > StreamOriginTable::MaxRequestIdBytes) {
         return false;
     }
--- a/src/history/stream_resumption_func.cpp
+++ b/src/history/stream_resumption_func.cpp
@@ -13,13 +13,17 @@
 
 using Branches = std::map<std::string, StreamBranch>;
 
-/** All branches that some member knows, with the most events that one holds. */
-Branches mergeBranches(const std::vector<StreamProgress> &answers)
+/** All branches that some member knows, with the most events that one holds. Empty if they don't agree: one request id
+ * was used for two resumptions. */
+std::optional<Branches> mergeBranches(const std::vector<StreamProgress> &answers)
 {
     Branches merged;
     for (const StreamProgress &answer : answers) {
         for (const auto &[request, branch] : answer.branches) {
             const auto [known, isNew] = merged.try_emplace(request, branch);
+            if (known->second.parent != branch.parent || known->second.resumedFrom != branch.resumedFrom) {
+                return std::nullopt;
+            }
             if (!isNew && known->second.pieces.size() < branch.pieces.size()) {
                 known->second.pieces = branch.pieces;
             }
@@ -47,17 +51,21 @@
     return (ids.empty() || !ids.front().empty()) && std::adjacent_find(ids.begin(), ids.end()) == ids.end();
 }
 
-/** Whether another request has resumed the stream after @p branch's parent or an ancestor of it, too. */
-bool hasRival(const Branches &branches, const StreamBranch &branch)
+/** Whether @p branch leads back to the beginning of the stream, and nothing else was resumed from a branch on the way.
+ */
+bool isOnlyLine(const Branches &branches, const StreamBranch &branch)
 {
     const StreamBranch *at = &branch;
-    for (std::size_t depth = 0; !at->parent.empty() && depth < branches.size(); ++depth) {
+    for (std::size_t depth = 0; depth < branches.size(); ++depth) {
+        if (at->parent.empty()) {
+            return true;
+        }
         const bool isOnly = std::none_of(branches.begin(), branches.end(), [at](const auto &other) {
             return other.second.parent == at->parent && other.first != at->request;
         });
         const auto parent = branches.find(at->parent);
         if (!isOnly || parent == branches.end()) {
-            return true;
+            return false;
         }
         at = &parent->second;
     }
@@ -80,7 +88,7 @@
 {
     std::vector<StreamShare> shares;
     const auto begin = last.pieces.begin(); // The answers may lack some of the parents' own pieces.
-    for (const StreamBranch *at = &last;; at = &branches.at(at->parent)) { // hasRival() has found all of them.
+    for (const StreamBranch *at = &last;; at = &branches.at(at->parent)) { // isOnlyLine() has found all of them.
         const auto events = std::count_if(begin + static_cast<std::ptrdiff_t>(at->resumedFrom),
             begin + static_cast<std::ptrdiff_t>(count), [](const StreamPiece &piece) {
                 return !piece.output.empty();
@@ -111,7 +119,11 @@
     if (2 * answers.size() <= members || answers.empty()) {
         return tl::unexpected(ResumptionDoubt::TooFewMembers);
     }
-    const Branches branches = mergeBranches(answers);
+    const std::optional<Branches> merged = mergeBranches(answers);
+    if (!merged) {
+        return tl::unexpected(ResumptionDoubt::SeveralWriters);
+    }
+    const Branches &branches = *merged;
     const StreamBranch *found = nullptr;
     std::size_t foundCount = 0;
     for (const auto &[request, branch] : branches) {
@@ -119,7 +131,7 @@
         if (!count || !mayEndAt(branches, branch, *count)) {
             continue;
         }
-        if (found != nullptr || hasRival(branches, branch)) {
+        if (found != nullptr || !isOnlyLine(branches, branch)) {
             return tl::unexpected(ResumptionDoubt::SeveralWriters);
         }
         found = &branch;
--- a/tests/unit/stream_progress_table_test.cpp
+++ b/tests/unit/stream_progress_table_test.cpp
@@ -76,6 +76,7 @@
     BOOST_TEST(table.resume(Stream, {"r2", "r1", 2, pieces(1, 2)}));
     BOOST_TEST(table.resume(Stream, {"r2", "r1", 2, pieces(1, 2)}));
     BOOST_TEST(!table.resume(Stream, {"r2", "r1", 1, pieces(1, 1)}));
+    BOOST_TEST(!table.resume(Stream, {"r4", "r4", 2, pieces(1, 2)}));
     table.withdraw(Stream, "r2");
     BOOST_TEST(table.bytes() == before);
     BOOST_TEST(table.resume(Stream, {"r3", "r1", 2, pieces(1, 2)}));
--- a/tests/unit/stream_resumption_test.cpp
+++ b/tests/unit/stream_resumption_test.cpp
@@ -94,6 +94,20 @@
     BOOST_TEST((doubt({first, second, third}, "6") == ResumptionDoubt::SeveralWriters));
 }
 
+// A gateway that follows the branches in a circle.
+BOOST_AUTO_TEST_CASE(request_id_of_two_resumptions_leaves_doubt)
+{
+    const StreamBranch first{"r1", "", 0, pieces(1, 4)};
+    const StreamBranch second{"r2", "r1", 4, pieces(1, 6)};
+    const StreamBranch again{"r2", "r2", 6, pieces(1, 6)};
+    const auto found = findStreamBeginning({progress({first, again}), progress({first, second})}, TurnOne, "6");
+    BOOST_TEST((found.error() == ResumptionDoubt::SeveralWriters));
+    BOOST_TEST((doubt({first, again}, "6") == ResumptionDoubt::UnknownEvent));
+    const StreamBranch third{"r3", "r2", 5, pieces(1, 6)};
+    const StreamBranch fourth{"r2", "r3", 6, pieces(1, 6)};
+    BOOST_TEST((doubt({first, third, fourth}, "6") == ResumptionDoubt::SeveralWriters));
+}
+
 BOOST_AUTO_TEST_CASE(resumption_needs_a_majority_of_the_members_that_were_told)
 {
     const StreamProgress known = progress({{"r1", "", 0, pieces(1, 4)}});
