Soak: turns of a route that keeps turns and is resumable are broken off, resumed and continued

Three more clients in Faults, Releases and Storage check that a turn that follows runs with exactly what its client sent and received, whichever gateways, members or links fail meanwhile. The clients there were before decide as before.

--- a/tests/process/soak_test.cpp
+++ b/tests/process/soak_test.cpp
@@ -40,6 +40,8 @@
 constexpr int ClientCount = 6;
 constexpr int KeptClientsPerGateway = 4; ///< Clients that use one connection as long as the gateway allows.
 constexpr int StreamClientCount = 10; ///< Clients that break off streams and resume them.
+constexpr int ResumedTurnClientCount = 3; ///< Clients that do so with turns that are kept, and continue them.
+constexpr int MaxStreamRequests = 5; ///< Most requests of a client for one stream.
 constexpr unsigned TokensPerEvent = 10; ///< Tokens of each event, as configured.
 constexpr unsigned MaxTurnTokens = 30; ///< Most tokens of a turn, as declared by the client.
 constexpr unsigned ProgramTokenBudget = 120; ///< Token budget of each program.
@@ -152,7 +154,8 @@
         const bool hasKeptClients = this->scenario == Scenario::Stops || this->scenario == Scenario::Cuts;
         const std::size_t keptClients = hasKeptClients ? gateways * KeptClientsPerGateway : 0;
         const int streamClients = this->scenario == Scenario::Releases ? StreamClientCount : 0;
-        threads.reserve(ClientCount + keptClients + static_cast<std::size_t>(streamClients));
+        const int turnClients = hasKeptClients ? 0 : ResumedTurnClientCount;
+        threads.reserve(ClientCount + keptClients + static_cast<std::size_t>(streamClients + turnClients));
         for (int client = 0; client < ClientCount; ++client) {
             threads.emplace_back([this, client, loadStart, load]() {
                 this->runClient(client, loadStart + load);
@@ -168,6 +171,11 @@
                 this->runStreamClient(ClientCount + client, loadStart + load);
             });
         }
+        for (int client = 0; client < turnClients; ++client) {
+            threads.emplace_back([this, client, streamClients, loadStart, load]() {
+                this->runResumedTurnClient(ClientCount + streamClients + client, loadStart + load);
+            });
+        }
         if (this->scenario == Scenario::Storage) {
             threads.emplace_back([this, loadStart, load]() {
                 this->runReader(loadStart + load);
@@ -582,7 +590,6 @@
 
     void receiveStream(Random &random, SoakStream &stream, std::size_t gateway)
     {
-        constexpr int MaxAttempts = 5;
         constexpr int KeptStreamInterval = 3; // The client doesn't break off one stream in so many.
         const Clock::time_point begin = Clock::now();
         Clock::time_point resumed = Clock::time_point::max();
@@ -591,14 +598,14 @@
         std::size_t eventsWanted = randomInt(random, 1, KeptStreamInterval) == 1
             ? stream.events
             : static_cast<std::size_t>(randomInt(random, 1, static_cast<int>(stream.events) - 1));
-        for (int attempt = 0; attempt < MaxAttempts && stream.received < stream.events; ++attempt) {
+        for (int attempt = 0; attempt < MaxStreamRequests && stream.received < stream.events; ++attempt) {
             if (stream.received > 0 && receivedFirst == 0) {
                 receivedFirst = stream.received;
                 resumed = Clock::now();
             }
             wasServed = wasServed && (stream.received == 0 || this->isVersionServed(stream.version));
-            const bool wasComplete =
-                this->attemptStream(stream, gateway, stream.id + "." + std::to_string(attempt), eventsWanted);
+            const bool wasComplete = this->attemptStream(
+                stream, "/resume/x", gateway, stream.id + "." + std::to_string(attempt), eventsWanted);
             if (wasComplete && stream.received < stream.events) {
                 this->recordViolation("a complete stream has all events", stream.id);
                 return;
@@ -616,16 +623,61 @@
         this->resumedStreams.successful += isResumedCounted && stream.received > receivedFirst ? 1 : 0;
     }
 
+    /** Receives turns whose streams break off, resumes them, and continues each one that was completed. */
+    void runResumedTurnClient(int client, Clock::time_point end)
+    {
+        Random random(this->seed * 100 + static_cast<unsigned>(client));
+        while (Clock::now() < end) {
+            const std::string id = this->newId("kept");
+            SoakStream stream(id, SoakEndpoint::resumableEvents(id));
+            auto gateway = static_cast<std::size_t>(randomInt(random, 0, this->lastGateway()));
+            for (int count = 0; count < MaxStreamRequests; ++count) {
+                const std::string request = id + "." + std::to_string(count);
+                // The first two requests may be broken off anywhere.
+                const auto eventsWanted = static_cast<std::size_t>(
+                    count < 2 ? randomInt(random, 1, static_cast<int>(stream.events)) : stream.events);
+                if (this->attemptStream(stream, "/keep/x", gateway, request, eventsWanted)) {
+                    this->continueTurn(stream, gateway, request);
+                    break;
+                }
+                gateway = (gateway + 1) % this->deployment.clientAddresses.size();
+            }
+        }
+    }
+
+    /** Sends a turn after the one that @p request has completed. */
+    void continueTurn(const SoakStream &stream, std::size_t gateway, const std::string &request)
+    {
+        if (stream.received != stream.events) {
+            this->recordViolation("a complete stream has all events", stream.id);
+            return;
+        }
+        const std::string id = this->newId("after");
+        const std::string input = "after " + id;
+        const Clock::time_point sent = Clock::now();
+        const Response response =
+            this->call(gateway, "/turn/x", id, "always", "X-Previous-Turn: " + request + "\r\n", input);
+        this->recordCall(
+            {id, gateway, sent, Clock::now(), response.complete, true, 1, stream.id + stream.output + input},
+            response.status);
+        if (response.status == 404 || response.status == 410) {
+            this->recordViolation("a completed turn is kept", request);
+        }
+        const std::lock_guard lock(this->mutex);
+        this->continuedTurns += response.status == 200 ? 1 : 0;
+    }
+
     /** Requests the rest of @p stream at @p gateway and closes the connection once @p eventsWanted events have come.
      * @return whether the response was a complete stream. */
-    bool attemptStream(SoakStream &stream, std::size_t gateway, const std::string &id, std::size_t eventsWanted)
+    bool attemptStream(SoakStream &stream, const std::string &path, std::size_t gateway, const std::string &id,
+        std::size_t eventsWanted)
     {
         const Clock::time_point sent = Clock::now();
         Response response;
         try {
             HttpConnection connection(this->deployment.clientLinks[gateway].address, 1s);
             response = connection.exchange(
-                formatRequest("/resume/x", id, "always", stream.resumeFields() + "Connection: close\r\n", stream.id),
+                formatRequest(path, id, "always", stream.resumeFields() + "Connection: close\r\n", stream.id),
                 ResponseTimeout, [&](const Response &partial) {
                     return partial.status == 200
                         && stream.received + SoakStream::countEvents(partial.body) >= eventsWanted
@@ -634,7 +686,9 @@
         } catch (const Poco::Exception &) {
             response = {}; // Nothing is listening there at the moment.
         }
-        this->recordCall({id, gateway, sent, Clock::now(), response.complete, false, StreamAttempts}, response.status);
+        const bool needsHistory = path.starts_with("/keep/");
+        this->recordCall(
+            {id, gateway, sent, Clock::now(), response.complete, needsHistory, StreamAttempts}, response.status);
         if (response.status != 200) {
             std::this_thread::sleep_for(StreamRetryDelay);
             return false;
@@ -1042,6 +1096,9 @@
                     call.id);
             }
         }
+        if (this->continuedTurns > 0) {
+            std::cout << "  turns of resumable streams that were continued: " << this->continuedTurns << '\n';
+        }
         if (this->scenario == Scenario::Releases) {
             this->checkResumedShare();
         }
@@ -1078,6 +1135,7 @@
     const std::size_t endpointLinkCount; ///< Number of endpoint links that faults can affect.
     std::map<const Fault *, std::string> drainingEndpoints; ///< Ids of the endpoints that releases replace.
     StreamCounts newStreams; ///< Streams that were sent for the first time, without a disturbance.
+    unsigned continuedTurns = 0; ///< Turns that continued one whose stream may have been resumed.
     StreamCounts resumedStreams; ///< Streams that were resumed while endpoints of their version served.
     std::atomic<unsigned> ids{0}; ///< Counter for unique request ids.
     unsigned version = 1; ///< Configuration version that was sent last.
--- a/tests/support/soak_deployment.cpp
+++ b/tests/support/soak_deployment.cpp
@@ -138,7 +138,7 @@
     }
     const std::size_t pathStart = head.find(' ') + 1;
     const std::string path = head.substr(pathStart, head.find(' ', pathStart) - pathStart);
-    const bool isResumable = path.starts_with("/resume/");
+    const bool isResumable = path.starts_with("/resume/") || path.starts_with("/keep/");
     const unsigned limit = this->limitPerSecond;
     std::string fields = isStreamPath(path) ? EventStreamField : "";
     fields += limit == 0 ? "" : "Server-Limit: " + std::to_string(limit) + "\r\n";
@@ -380,6 +380,10 @@
         + route("slow", R"("stream","maxAttempts":1)") + ","
         + route("resume", R"("stream","maxAttempts":3,"resumable":true)") + ","
         + route("turn", R"("stream","maxAttempts":1,"retain":true,"retentionS":)" + std::to_string(retention.count()))
+        + ","
+        + route("keep",
+            R"("stream","maxAttempts":3,"resumable":true,"retain":true,"retentionS":)"
+                + std::to_string(retention.count()))
         + R"(],"services":[{"name":"app","engine":{"stride":10}}],"tenants":[{"name":"glue","apiKeys":["always",")"
         + key + R"("],"ratePerS":2000,"burst":2000}]})";
     for (const std::string &address : this->operatorAddresses) {
--- a/tests/support/soak_stream.cpp
+++ b/tests/support/soak_stream.cpp
@@ -51,6 +51,7 @@
             this->firstAttempt = attempt;
         }
         ++this->received;
+        this->output += event.substr(versionStart) + "\n";
         responseVersion = responseVersion.empty() ? eventVersion : responseVersion;
         if (violation.empty() && eventVersion != this->version) {
             violation = std::string("a stream holds events of one version (") + this->version + ", then " + eventVersion
--- a/tests/support/soak_stream.h
+++ b/tests/support/soak_stream.h
@@ -27,6 +27,7 @@
     const std::size_t events; ///< Number of events of the whole stream.
     std::size_t received = 0; ///< Number of events received in order.
     std::string version; ///< Software version of the first event; empty before it.
+    std::string output; ///< Data of the events received, each followed by a line feed.
 
 private:
     std::string firstAttempt; ///< Request id of the attempt that brought the first event.
