Soak: responses of resumable routes name their endpoint's limit, too

Cause: since clients of Faults use a resumable route, whose stand-in didn't name the limit of its endpoint.

Change: all responses of an endpoint name its limit. The check and its bound are unchanged.

--- a/tests/support/soak_deployment.cpp
+++ b/tests/support/soak_deployment.cpp
@@ -140,10 +140,10 @@
     const std::string path = head.substr(pathStart, head.find(' ', pathStart) - pathStart);
     const bool isResumable = path.starts_with("/resume/") || path.starts_with("/keep/");
     const unsigned limit = this->limitPerSecond;
-    std::string fields = isStreamPath(path) ? EventStreamField : "";
+    std::string fields = isResumable || isStreamPath(path) ? EventStreamField : "";
     fields += limit == 0 ? "" : "Server-Limit: " + std::to_string(limit) + "\r\n";
-    std::string response =
-        isResumable ? this->resumableResponse(head, body) : signedResponse(head, responseBody(path, requestId), fields);
+    std::string response = isResumable ? this->resumableResponse(head, body, fields)
+                                       : signedResponse(head, responseBody(path, requestId), fields);
     const bool isLost = hashOf(requestId) % LostResponseInterval == 0;
     const Clock::time_point start = Clock::now();
     {
@@ -162,7 +162,8 @@
     return MinResumableEvents + hashOf(stream) % (MaxResumableEvents - MinResumableEvents + 1);
 }
 
-std::string SoakEndpoint::resumableResponse(const std::string &head, const std::string &stream) const
+std::string SoakEndpoint::resumableResponse(
+    const std::string &head, const std::string &stream, const std::string &fields) const
 {
     const std::string last = fieldOf(head, "Last-Event-Id");
     const std::size_t first = last.empty() ? 1 : std::stoul(last) + 1;
@@ -180,7 +181,7 @@
         const std::size_t maxUnsent = event.size() - (hasNoLength(requestId) ? 1 : 0);
         unsentBytes = number == lastNumber ? 1 + hash % maxUnsent : unsentBytes + PauseMark.size() + event.size();
     }
-    const std::string response = signedResponse(head, content, EventStreamField);
+    const std::string response = signedResponse(head, content, fields);
     return breaksOff ? truncateAndClose(response, unsentBytes) : response;
 }
 
--- a/tests/support/soak_deployment.h
+++ b/tests/support/soak_deployment.h
@@ -58,9 +58,10 @@
 
 private:
     std::string answer(const std::string &head, const std::string &body);
-    /** Response to a request on the resumable route, whose body names the stream. It begins after the event that the
-     * request names and may break off in the middle. */
-    [[nodiscard]] std::string resumableResponse(const std::string &head, const std::string &stream) const;
+    /** Response with header @p fields to a request on a resumable route, whose body names the stream. It begins after
+     * the event that the request names and may break off in the middle. */
+    [[nodiscard]] std::string resumableResponse(
+        const std::string &head, const std::string &stream, const std::string &fields) const;
 
     std::atomic<unsigned> limitPerSecond = 0; ///< See `nameLimit`.
     std::mutex mutex; ///< Guards `runs`.
